Lay the frame: units, records, events, effects, messages, reducer

Cause: the first build needs one vocabulary that all parts share, so that they can be written side by side.

--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measure policies in virtual time and processes on this machine."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Prove the promises, with tables of cases."""
--- /dev/null
+++ b/trefoilsaddle/__init__.py
@@ -0,0 +1,1 @@
+"""Route requests to backend servers that own their keys exclusively."""
--- /dev/null
+++ b/trefoilsaddle/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Meet the backend servers: grants, requests, probes."""
--- /dev/null
+++ b/trefoilsaddle/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decide ownership, service and membership without input or output."""
--- /dev/null
+++ b/trefoilsaddle/core/hashing.py
@@ -0,0 +1,32 @@
+"""Hash keys to shards and order candidates by rendezvous hashing."""
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+from xxhash import xxh3_64_intdigest
+
+from trefoilsaddle.core.units import MemberName, ServiceName
+
+# Keeps ('ab', 'c') and ('a', 'bc') apart.
+_SEPARATOR = b'\0'
+
+_Candidate = TypeVar('_Candidate', bound=str)
+
+
+def hash_key(service: ServiceName, member: MemberName, key: bytes) -> int:
+    """Hash a member's key of a service to 64 bits."""
+    parts = (service.encode(), member.encode(), key)
+    return xxh3_64_intdigest(_SEPARATOR.join(parts))
+
+
+def rank_candidates(
+    subject: str,
+    candidates: Iterable[_Candidate],
+) -> list[_Candidate]:
+    """Order candidates for a subject, alike in every process."""
+    prefix = subject.encode() + _SEPARATOR
+    return sorted(
+        candidates,
+        key=lambda candidate: xxh3_64_intdigest(prefix + candidate.encode()),
+        reverse=True,
+    )
--- /dev/null
+++ b/trefoilsaddle/core/lifecycle.py
@@ -0,0 +1,11 @@
+"""Start and stop a process, and write dumps of its state."""
+
+from trefoilsaddle.core.effects import Effects
+from trefoilsaddle.core.events import Event
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.units import Moment
+
+
+def handle_event(node: Node, moment: Moment, event: Event) -> Effects:
+    """Take one event for the life of the process."""
+    return []
--- /dev/null
+++ b/trefoilsaddle/core/options.py
@@ -0,0 +1,55 @@
+"""Hold the one options class that every part of the core reads.
+
+`trefoilsaddle.settings` validates a process's YAML settings and builds it.
+What operators may change at run time is in the published configuration
+instead, see `trefoilsaddle.core.configuration`.
+"""
+
+from dataclasses import dataclass
+
+from trefoilsaddle.core.units import (
+    NodeId,
+    RegionName,
+    Seconds,
+    SiteName,
+    ZoneName,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Name a process that can be asked for the list of all others."""
+
+    node: NodeId
+    zone: ZoneName
+    host: str
+    port: int
+    dispatches: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Tell a process who it is and how its loops are paced."""
+
+    node: NodeId
+    zone: ZoneName
+    region: RegionName
+    site: SiteName
+    # Address at which peers reach the process.
+    host: str
+    port: int
+    # True for a dispatcher, false for an entry process.
+    dispatches: bool
+    peers: tuple[Peer, ...]
+    seed: int
+    # Longest time between two reads of the log.
+    log_interval: Seconds = Seconds(0.2)
+    host_list_interval: Seconds = Seconds(1)
+    # Time between two renewals of a server's grants.
+    grant_interval: Seconds = Seconds(0.4)
+    probe_interval: Seconds = Seconds(0.25)
+    probe_timeout: Seconds = Seconds(0.15)
+    suspicion_timeout: Seconds = Seconds(0.6)
+    placement_interval: Seconds = Seconds(5)
+    # Longest wait for requests in flight at a graceful shutdown.
+    stop_timeout: Seconds = Seconds(20)
--- /dev/null
+++ b/trefoilsaddle/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Start the programs: read settings, perform effects, stop."""
--- /dev/null
+++ b/trefoilsaddle/results.py
@@ -0,0 +1,71 @@
+"""Number every result that a caller, an operator or a peer can be given.
+
+docs/RESULTS.md holds a row per code; a test compares the two.
+"""
+
+from enum import Enum, IntEnum, unique
+
+
+@unique
+class Outcome(Enum):
+    """Say what became of a request, as its caller is told."""
+
+    answered = 'answered'
+    not_run = 'not-run'
+    unknown = 'unknown'
+
+
+@unique
+class ResultCode(IntEnum):
+    """Give each result its number; never reuse one."""
+
+    # Success.
+    ok = 0
+
+    # Bad input: the request was not run.
+    malformed = 100
+    key_missing = 101
+    service_unknown = 102
+    rank_unknown = 103
+    member_unknown = 104
+    body_too_large = 105
+    header_too_large = 106
+    deadline_invalid = 107
+    idempotency_key_missing = 108
+    idempotency_key_invalid = 109
+    idempotency_key_in_future = 110
+    idempotency_key_reused = 111
+    peer_unauthentic = 112
+
+    # Refusals: the request was not run.
+    deadline_unreachable = 200
+    queue_full = 201
+    owner_unknown = 202
+    owner_changing = 203
+    lease_lapsed = 204
+    not_holder = 205
+    fenced = 206
+    shed_by_server = 207
+    stopping = 208
+    configuration_missing = 209
+    share_exceeded = 210
+    memory_bound = 211
+    dispatcher_unreachable = 212
+    in_progress = 213
+
+    # The outcome is unknown.
+    answer_lost = 300
+    deadline_passed = 301
+    server_lost = 302
+    dispatcher_lost = 303
+    outcome_forgotten = 304
+    answer_cut_short = 305
+    cancelled = 306
+
+    # Operators' results.
+    settings_invalid = 400
+    configuration_invalid = 401
+    version_conflict = 402
+    log_unavailable = 403
+    publication_unknown = 404
+    peer_unreachable = 405
--- /dev/null
+++ b/trefoilsaddle/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Carry messages between the system's own processes."""
