--- a/trefoilsaddle/core/calls.py
+++ b/trefoilsaddle/core/calls.py
@@ -33,6 +33,10 @@
     member: MemberName
     rank: Rank
     key: bytes = field(repr=False)
+    # Passed on to the backend server as the caller sent them.
+    method: str
+    path: str = field(repr=False)
+    content_type: str
     body: bytes = field(repr=False)
     idempotent: bool
     # Present on every request that is not idempotent.
@@ -41,13 +45,23 @@
     remaining: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold the whole answer of a backend server."""
+
+    status: int
+    content_type: str
+    body: bytes = field(repr=False)
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """Hold what a caller is told."""
 
     outcome: Outcome
     code: ResultCode
-    body: bytes = field(repr=False, default=b'')
+    # Present exactly when the outcome is `answered`.
+    reply: Reply | None = None
     # Honest time until a retry may succeed; zero if none is known.
     retry_after: Seconds = Seconds(0)
 
--- a/trefoilsaddle/core/events.py
+++ b/trefoilsaddle/core/events.py
@@ -4,10 +4,10 @@
 arrive as one of these; a recorded trace is a sequence of `Occurrence`.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, unique
 
-from trefoilsaddle.core.calls import Call
+from trefoilsaddle.core.calls import Call, Reply
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.messages import Message
 from trefoilsaddle.core.records import LogEntry
@@ -209,7 +209,8 @@
     server: ServerId
     attempt: AttemptId
     verdict: AttemptVerdict
-    body: bytes = field(repr=False)
+    # Present exactly when the verdict is `answered`.
+    reply: Reply | None
 
 
 @dataclass(frozen=True, slots=True)
