Contract: count grants from a stamp of the server's own clock

A grant that lapses a while after its receipt is unsafe: a frozen server keeps the call in its socket buffer, and on waking grants itself anew a shard that has moved meanwhile. Each answer of PUT /grants now carries "stamp": {"instance", "clock"}; the next call sends it back and the grants lapse at that clock plus the duration. Without a stamp of the present instance a call grants nothing.

--- a/trefoilsaddle/core/effects.py
+++ b/trefoilsaddle/core/effects.py
@@ -4,7 +4,7 @@
 from enum import Enum, unique
 
 from trefoilsaddle.core.calls import Answer, Request
-from trefoilsaddle.core.events import GrantedShard, TimerKey
+from trefoilsaddle.core.events import GrantedShard, ServerStamp, TimerKey
 from trefoilsaddle.core.messages import Message
 from trefoilsaddle.core.records import Record
 from trefoilsaddle.core.units import (
@@ -67,6 +67,10 @@
 
     A server that checks grants refuses a lower term, or an equal term of
     another dispatcher.  `whole` replaces everything it held before.
+    Grants lapse at the stamp's clock plus the duration, however late the
+    call arrives, so that a server that was frozen finds them lapsed.  The
+    call grants nothing unless its stamp is of the server's present instance;
+    terms and revocations take effect all the same.
     """
 
     server: ServerId
@@ -76,6 +80,8 @@
     whole: bool
     granted: tuple[GrantedShard, ...]
     revoked: tuple[ShardId, ...]
+    # The server's newest stamp that the dispatcher has received.
+    stamp: ServerStamp | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/core/events.py
+++ b/trefoilsaddle/core/events.py
@@ -169,6 +169,15 @@
     failed = 'failed'
 
 
+@dataclass(frozen=True, slots=True)
+class ServerStamp:
+    """Hold a reading of a server's own monotonic clock."""
+
+    # Differs after each restart of the server.
+    instance: str
+    clock: Seconds
+
+
 @dataclass(frozen=True, slots=True)
 class GrantAnswered:
     """Deliver a server's answer to the grant call with a sequence."""
@@ -182,6 +191,8 @@
     sent: Seconds
     # The server says that it is being drained.
     draining: bool
+    # Present if the server checks grants and the answer is whole.
+    stamp: ServerStamp | None = None
 
 
 @unique
