Contract: let a promise tell of moves; fence late grant calls

A claim-set member that takes a server over while the log is away must know of every move off it that the lost dispatcher has shared; the other members tell it with their promise. And a grant call that is overtaken by a revocation must do nothing when it arrives, so servers fence lower sequences.

--- a/trefoilsaddle/core/effects.py
+++ b/trefoilsaddle/core/effects.py
@@ -70,7 +70,9 @@
     Grants lapse at the stamp's clock plus the duration, however late the
     call arrives, so that a server that was frozen finds them lapsed.  The
     call grants nothing unless its stamp is of the server's present instance;
-    terms and revocations take effect all the same.
+    terms and revocations take effect all the same.  A call with a lower
+    sequence than one seen before of the same term is fenced: a late grant
+    must not undo a revocation.
     """
 
     server: ServerId
--- a/trefoilsaddle/core/messages.py
+++ b/trefoilsaddle/core/messages.py
@@ -119,7 +119,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PromiseRequest:
-    """Ask a claim-set member not to claim a server for a while."""
+    """Ask a claim-set member not to act under a lower term.
+
+    It also asks the member not to claim the server for the duration.
+    """
 
     server: ServerId
     term: Epoch
@@ -132,9 +135,13 @@
     """Grant or refuse a promise not to claim a server."""
 
     server: ServerId
+    # Greatest term that the sender knows of.
     term: Epoch
     sequence: int
     granted: bool
+    # Moves off the server that the sender has acknowledged, so that the
+    # next dispatcher learns of them while the log is away.
+    moves: tuple[MovedShard, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
