--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -1,8 +1,216 @@
 """Hold the state of the roles that a dispatcher has taken."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum, unique
+
+from trefoilsaddle.core.events import ServerStamp
+from trefoilsaddle.core.messages import PromiseRequest
+from trefoilsaddle.core.records import Move, MovedShard
+from trefoilsaddle.core.units import (
+    FIRST_EPOCH,
+    NO_OFFSET,
+    Epoch,
+    NodeId,
+    Offset,
+    RecordId,
+    Seconds,
+    ServerId,
+    ShardId,
+)
+from trefoilsaddle.core.view import Role
+
+NEVER = Seconds(float('-inf'))
+FOREVER = Seconds(float('inf'))
+
+
+@unique
+class MoveStage(Enum):
+    """Name the steps of a move, in their order."""
+
+    # Not dispatched any more; requests in flight end.
+    draining = 'draining'
+    # The server is asked to give the shard up, or its grants run out.
+    revoking = 'revoking'
+    # The server holds the shard no more; claim-set members are told.
+    sharing = 'sharing'
+    # The record is appended; only the log can say what became of it.
+    appending = 'appending'
+    # In force without the log, acknowledged by the whole claim set.
+    provisional = 'provisional'
+
+
+# From here on the former owner must not be served again until the log says.
+IRREVOCABLE = frozenset(
+    (
+        MoveStage.sharing,
+        MoveStage.appending,
+        MoveStage.provisional,
+    )
+)
+
+
+@dataclass(slots=True)
+class ShardMove:
+    """Hold the progress of one shard that leaves a server."""
+
+    target: ServerId
+    expected: Epoch
+    stage: MoveStage
+    started: Seconds
+    # Sequence of the grant call that revokes the shard, once it is sent.
+    revoked_by: int = 0
+    record_id: RecordId | None = None
+
+
+@dataclass(slots=True)
+class SharedMove:
+    """Hold a batch of moves that claim-set members are to acknowledge."""
+
+    sequence: int
+    record: Move
+    acknowledged: set[NodeId] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class PendingGrant:
+    """Remember what a grant call asked for, until it is answered."""
+
+    granted: dict[ShardId, Epoch]
+    whole: bool
+    stamp: ServerStamp | None
+    # When the call was sent that the server stamped.
+    stamp_sent: Seconds
+    duration: Seconds
+
+
+@dataclass(slots=True)
+class GrantState:
+    """Hold what a server is known to have been granted."""
+
+    sequence: int = 0
+    stamp: ServerStamp | None = None
+    # Sequence of the call whose answer carried the stamp.
+    stamp_sequence: int = 0
+    # No later than the stamp was made, and no earlier.
+    stamp_sent: Seconds = NEVER
+    stamp_received: Seconds = NEVER
+    pending: dict[int, PendingGrant] = field(default_factory=dict)
+    # Shards that the server has accepted, with their epochs.
+    accepted: dict[ShardId, Epoch] = field(default_factory=dict)
+    # The grants are sure to hold until here.
+    valid_until: Seconds = NEVER
+    # The grants are sure to have lapsed after this.
+    lapsed_after: Seconds = NEVER
+    # True once the server has accepted the present term.
+    contacted: bool = False
+    # True once the server is known to hold the whole set of shards.
+    seeded: bool = False
+    answered_at: Seconds = NEVER
+    failures: int = 0
+    draining: bool = False
+
+
+@dataclass(slots=True)
+class Duty:
+    """Hold the role of the only dispatcher of one server."""
+
+    server: ServerId
+    term: Epoch
+    claim_set: tuple[NodeId, ...]
+    # Members of the claim set before, who may hold up the old dispatcher.
+    former_members: tuple[NodeId, ...]
+    former_dispatcher: NodeId | None
+    started: Seconds
+    # True while only the server's fence has confirmed the term.
+    provisional: bool = False
+    # The former dispatcher's lease has run out after this.
+    usable_from: Seconds = NEVER
+    # Former members that follow no lower term any more.
+    followers: set[NodeId] = field(default_factory=set)
+    grants: GrantState = field(default_factory=GrantState)
+    # Shards to be granted, by the view and the moves in force.
+    shards: dict[ShardId, Epoch] = field(default_factory=dict)
+    moves: dict[ShardId, ShardMove] = field(default_factory=dict)
+    shared: dict[int, SharedMove] = field(default_factory=dict)
+    # Send time of the newest request that each member has granted.
+    promised: dict[NodeId, Seconds] = field(default_factory=dict)
+    asked: dict[int, Seconds] = field(default_factory=dict)
+    # Greater term that the server was seen to hold.
+    fenced_by: Epoch = FIRST_EPOCH
+    fenced_at: Seconds = NEVER
+
+
+@dataclass(slots=True)
+class Claiming:
+    """Hold a claim that the log has not settled yet."""
+
+    record_id: RecordId
+    # When the log acknowledged the append, if it did.
+    acknowledged: Seconds | None = None
+
+
+@dataclass(slots=True)
+class TakeOver:
+    """Hold a provisional claim on its way, while the log is away."""
+
+    term: Epoch
+    former_term: Epoch
+    started: Seconds
+    request: PromiseRequest
+    members: tuple[NodeId, ...]
+    followers: set[NodeId] = field(default_factory=set)
+    # Sequence of the grant call that asks the server; zero before.
+    grant_sequence: int = 0
+
+
+@dataclass(slots=True)
+class KnownTerm:
+    """Hold what a claim-set member has acknowledged about one server."""
+
+    term: Epoch
+    # No claim by this process before this time.
+    promised_until: Seconds = NEVER
+    moves: dict[ShardId, MovedShard] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Hold a shard that arrived by a move made without the log."""
+
+    shard: ShardId
+    source: ServerId
+    # Term of the source's dispatcher, and who may succeed it knowingly.
+    source_term: Epoch
+    source_members: tuple[NodeId, ...]
+    target: ServerId
+    expected: Epoch
+    epoch: Epoch
 
 
 @dataclass(slots=True)
 class DutyState:
     """Hold one duty per server that this process dispatches to."""
+
+    held: dict[ServerId, Duty] = field(default_factory=dict)
+    claiming: dict[ServerId, Claiming] = field(default_factory=dict)
+    # Since when a server has lacked a live dispatcher.
+    vacant_since: dict[ServerId, Seconds] = field(default_factory=dict)
+    take_overs: dict[ServerId, TakeOver] = field(default_factory=dict)
+    known: dict[ServerId, KnownTerm] = field(default_factory=dict)
+    arrivals: dict[ShardId, Arrival] = field(default_factory=dict)
+    # Dispatchers that said they act for a server since the log went away.
+    provisional_holders: dict[ServerId, NodeId] = field(default_factory=dict)
+    # Roles given away by a record, until the next dispatcher is told.
+    handing_over: set[ServerId] = field(default_factory=set)
+    # Roles as the duties last saw them.
+    seen_roles: dict[ServerId, Role] = field(default_factory=dict)
+    # Shards that have been seen to have an owner.
+    owned: set[ShardId] = field(default_factory=set)
+    # Offset up to which the duties follow the view.
+    followed: Offset = NO_OFFSET
+    counter: int = 0
+
+    def count(self) -> int:
+        """Return the next number of records and requests."""
+        self.counter += 1
+        return self.counter
--- /dev/null
+++ b/trefoilsaddle/core/leases.py
@@ -0,0 +1,229 @@
+"""Keep the lease of each role: by reading the log, or by promises.
+
+The holder counts its lease short and everyone who waits counts it long, each
+by the drift between two monotonic clocks.
+"""
+
+from trefoilsaddle.core.configuration import LimitPolicy
+from trefoilsaddle.core.dutystate import FOREVER, NEVER, Duty, KnownTerm
+from trefoilsaddle.core.effects import Effects, SendMessage
+from trefoilsaddle.core.messages import Promise, PromiseRequest
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.units import (
+    FIRST_EPOCH,
+    Epoch,
+    Moment,
+    NodeId,
+    Seconds,
+    ServerId,
+)
+
+# For processes that know no configuration yet; they hold no role either.
+_NO_LIMITS = Seconds(0)
+
+
+def limits_of(node: Node) -> LimitPolicy | None:
+    """Return the limits in force, if any configuration is."""
+    configuration = node.view.configuration
+    return None if configuration is None else configuration.limits
+
+
+def shorten(node: Node, duration: Seconds) -> Seconds:
+    """Return how long a holder may rely on a duration given by another."""
+    limits = limits_of(node)
+    drift = limits.clock_drift if limits else 0
+    return Seconds(duration * (1 - drift))
+
+
+def lengthen(node: Node, duration: Seconds) -> Seconds:
+    """Return how long to wait for a duration counted by another to end."""
+    limits = limits_of(node)
+    drift = limits.clock_drift if limits else 0
+    return Seconds(duration * (1 + drift))
+
+
+def lease_duration(node: Node) -> Seconds:
+    """Return the configured lease, or zero without a configuration."""
+    limits = limits_of(node)
+    return limits.lease_duration if limits else _NO_LIMITS
+
+
+def isolation_hold(node: Node, server: ServerId) -> Seconds | None:
+    """Return how long a cut-off zone serves a server; None means forever."""
+    policy = node.view.server(server)
+    configuration = node.view.configuration
+    if policy is None or configuration is None:
+        return _NO_LIMITS
+    service = configuration.services.get(policy.service)
+    return service.isolation_hold if service else _NO_LIMITS
+
+
+def lease_end(node: Node, duty: Duty, *, every: bool) -> Seconds:
+    """Return until when no other dispatcher can act for the server.
+
+    With `every`, each claim-set member must have promised, else all but one.
+    The weaker rule suffices where a successor must be accepted by the server
+    itself, or be followed by every other member, before it acts.
+    """
+    lease = shorten(node, lease_duration(node))
+    by_log = Seconds(node.following.fresh_at + lease)
+    if duty.provisional:
+        by_log = NEVER
+    return max(by_log, _promised_end(node, duty, lease, every=every))
+
+
+def _promised_end(
+    node: Node,
+    duty: Duty,
+    lease: Seconds,
+    *,
+    every: bool,
+) -> Seconds:
+    spared = 0 if every else 1
+    needed = len(duty.claim_set) - spared
+    ends = sorted(
+        (
+            Seconds(duty.promised.get(member, NEVER) + lease)
+            for member in duty.claim_set
+        ),
+        reverse=True,
+    )
+    promised = ends[needed - 1] if needed > 0 else FOREVER
+    return min(promised, _isolation_end(node, duty))
+
+
+def _isolation_end(node: Node, duty: Duty) -> Seconds:
+    hold = isolation_hold(node, duty.server)
+    if hold is None:
+        return FOREVER
+    return Seconds(node.following.fresh_at + shorten(node, hold))
+
+
+def former_end(
+    node: Node,
+    server: ServerId,
+    started: Seconds,
+    *,
+    member: bool,
+) -> Seconds:
+    """Return when a former dispatcher's authority is sure to have ended.
+
+    Every read that it sent after the claim was acknowledged shows it the
+    claim.  A claim-set member can hold up all that it may rely on without
+    the log; a claimant from outside has to wait out the isolation hold.
+    """
+    limits = limits_of(node)
+    wait = lease_duration(node)
+    if limits is not None:
+        wait = max(wait, limits.grant_duration)
+    hold = isolation_hold(node, server)
+    if not member and hold is not None:
+        wait = max(wait, hold)
+    return Seconds(started + lengthen(node, wait))
+
+
+def ask_promises(node: Node, moment: Moment, duty: Duty) -> Effects:
+    """Ask the claim set for promises if the log does not renew the lease."""
+    effects: Effects = []
+    if not needs_promises(node, moment):
+        return effects
+    sequence = node.duties.count()
+    duty.asked[sequence] = moment.monotonic
+    _forget_old_requests(node, moment, duty)
+    request = PromiseRequest(
+        duty.server,
+        duty.term,
+        sequence,
+        lease_duration(node),
+    )
+    for member in duty.claim_set:
+        effects.append(SendMessage(member, request))
+    return effects
+
+
+def needs_promises(node: Node, moment: Moment) -> bool:
+    """Say whether the log has not been read to its end for a while."""
+    age = moment.monotonic - node.following.fresh_at
+    return node.following.log_away or age > lease_duration(node) / 2
+
+
+def _forget_old_requests(node: Node, moment: Moment, duty: Duty) -> None:
+    oldest = moment.monotonic - lease_duration(node)
+    duty.asked = {
+        sequence: sent
+        for sequence, sent in duty.asked.items()
+        if sent >= oldest
+    }
+
+
+def known_term(node: Node, server: ServerId) -> Epoch:
+    """Return the greatest term of a server that this process knows of."""
+    known = node.duties.known.get(server)
+    role = node.view.roles.get(server)
+    duty = node.duties.held.get(server)
+    return max(
+        known.term if known else FIRST_EPOCH,
+        role.term if role else FIRST_EPOCH,
+        duty.term if duty else FIRST_EPOCH,
+    )
+
+
+def raise_term(node: Node, server: ServerId, term: Epoch) -> KnownTerm:
+    """Remember a term, and never follow a lower one again."""
+    known = node.duties.known.setdefault(server, KnownTerm(term))
+    known.term = max(known.term, term)
+    return known
+
+
+def answer_request(
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+    request: PromiseRequest,
+) -> Effects:
+    """Promise not to act for a server, unless a greater term is known."""
+    granted = _may_promise(node, sender, request)
+    known = raise_term(
+        node,
+        request.server,
+        request.term if granted else known_term(node, request.server),
+    )
+    if granted:
+        until = moment.monotonic + lengthen(node, request.duration)
+        known.promised_until = max(known.promised_until, Seconds(until))
+    promise = Promise(
+        request.server,
+        known.term,
+        request.sequence,
+        granted,
+        tuple(known.moves.values()),
+    )
+    return [SendMessage(sender, promise)]
+
+
+def _may_promise(node: Node, sender: NodeId, request: PromiseRequest) -> bool:
+    server = request.server
+    if server in node.duties.claiming or server in node.duties.take_overs:
+        return False
+    role = node.view.roles.get(server)
+    same_term = role is not None and role.term == request.term
+    if same_term and role and role.dispatcher != sender:
+        return False
+    return request.term >= known_term(node, server)
+
+
+def note_promise(
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+    promise: Promise,
+) -> None:
+    """Count a promise for the lease, from when it was asked for."""
+    duty = node.duties.held.get(promise.server)
+    if duty is None:
+        return
+    sent = duty.asked.get(promise.sequence)
+    if sent is None or not promise.granted or promise.term != duty.term:
+        return
+    duty.promised[sender] = max(duty.promised.get(sender, NEVER), sent)
+    duty.followers.add(sender)
