--- a/trefoilsaddle/core/memberstate.py
+++ b/trefoilsaddle/core/memberstate.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from trefoilsaddle.core.messages import ServerLoad
-from trefoilsaddle.core.units import ServerId
+from trefoilsaddle.core.messages import Rumour, ServerLoad
+from trefoilsaddle.core.units import NodeId, ServerId
 
 
 @dataclass(slots=True)
@@ -13,3 +13,5 @@
     loads: dict[ServerId, ServerLoad] = field(default_factory=dict)
     # Servers that the platform's host list gives as leaving.
     leaving_servers: set[ServerId] = field(default_factory=set)
+    # Newest rumour by process; the process itself is among them.
+    processes: dict[NodeId, Rumour] = field(default_factory=dict)
--- /dev/null
+++ b/trefoilsaddle/core/publishing.py
@@ -0,0 +1,133 @@
+"""Judge publications against the configuration in force."""
+
+from dataclasses import replace
+
+from trefoilsaddle.core.configuration import (
+    Configuration,
+    ServicePolicy,
+    SitePolicy,
+)
+from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.records import Publication
+from trefoilsaddle.core.units import ServiceName, SiteName, Version
+from trefoilsaddle.core.view import LogView
+from trefoilsaddle.documents import (
+    build_limits,
+    build_members,
+    build_ranks,
+    build_services,
+    build_site,
+    parse_base,
+    parse_overlay,
+)
+from trefoilsaddle.results import ResultCode
+
+
+def judge_publication(
+    view: LogView,
+    publication: Publication,
+) -> Configuration | Failure:
+    """Return the configuration that a publication would put in force.
+
+    Fails with `version_conflict` if the document has been replaced since
+    the version that the publisher had seen, or `configuration_invalid`.
+    """
+    replaced = view.document_versions.get(publication.site, Version(0))
+    if not replaced <= publication.expected <= view.version:
+        return Failure(
+            ResultCode.version_conflict,
+            f'the document is at version {replaced}',
+        )
+    version = Version(view.version + 1)
+    if publication.site is None:
+        return _join_base(view, publication.document, version)
+    return _join_overlay(
+        view,
+        publication.site,
+        publication.document,
+        version,
+    )
+
+
+def _join_base(
+    view: LogView,
+    document: str,
+    version: Version,
+) -> Configuration | Failure:
+    base = parse_base(document)
+    if isinstance(base, Failure):
+        return base
+    former = view.configuration
+    configuration = Configuration(
+        version=version,
+        ranks=build_ranks(base),
+        services=build_services(base),
+        members=build_members(base),
+        limits=build_limits(base),
+        sites={} if former is None else former.sites,
+    )
+    failure = _check_services(former, configuration.services)
+    for site in configuration.sites.values():
+        failure = failure or _check_site(configuration, site)
+    return failure or configuration
+
+
+def _join_overlay(
+    view: LogView,
+    name: SiteName,
+    document: str,
+    version: Version,
+) -> Configuration | Failure:
+    overlay = parse_overlay(document)
+    if isinstance(overlay, Failure):
+        return overlay
+    if view.configuration is None:
+        return _refuse('no base file is in force')
+    site = build_site(name, overlay)
+    failure = _check_site(view.configuration, site)
+    if failure is not None:
+        return failure
+    sites = {**view.configuration.sites, name: site}
+    return replace(
+        view.configuration,
+        version=version,
+        sites=dict(sorted(sites.items())),
+    )
+
+
+def _check_services(
+    former: Configuration | None,
+    services: dict[ServiceName, ServicePolicy],
+) -> Failure | None:
+    """Keep the shards of every service: a key's shard must not change."""
+    if former is None:
+        return None
+    for name, service in former.services.items():
+        successor = services.get(name)
+        if successor is None:
+            return _refuse(f'service {name} is missing')
+        if successor.shard_count != service.shard_count:
+            return _refuse(f'service {name} changes its shards')
+    return None
+
+
+def _check_site(
+    configuration: Configuration,
+    site: SitePolicy,
+) -> Failure | None:
+    for server in site.servers:
+        if server.service not in configuration.services:
+            return _refuse(f'server {server.server_id}: unknown service')
+    names = {policy.server_id for policy in site.servers}
+    for other in configuration.sites.values():
+        if other.name == site.name:
+            continue
+        if not set(other.zones).isdisjoint(site.zones):
+            return _refuse(f'a zone belongs to site {other.name}')
+        if any(known.server_id in names for known in other.servers):
+            return _refuse(f'a server belongs to site {other.name}')
+    return None
+
+
+def _refuse(reason: str) -> Failure:
+    return Failure(ResultCode.configuration_invalid, reason)
--- a/trefoilsaddle/core/view.py
+++ b/trefoilsaddle/core/view.py
@@ -25,6 +25,7 @@
     Version,
     ZoneName,
 )
+from trefoilsaddle.results import ResultCode
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +60,17 @@
     offset: Offset
     accepted: bool
     version: Version
+    # Why the record took no effect; `ok` if it did.
+    code: ResultCode = ResultCode.ok
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotPosition:
+    """Say where the newest complete snapshot lies in the log."""
+
+    covers: Offset = NO_OFFSET
+    # Offset of its first part.
+    first_part: Offset = NO_OFFSET
 
 
 @dataclass(slots=True)
@@ -69,26 +81,54 @@
     configuration: Configuration | None = None
     # Accepted YAML text by site; None is the base file's.
     documents: dict[SiteName | None, str] = field(default_factory=dict)
+    # Version in which each document was last replaced.
+    document_versions: dict[SiteName | None, Version] = field(
+        default_factory=dict,
+    )
     owners: dict[ShardId, Ownership] = field(default_factory=dict)
     roles: dict[ServerId, Role] = field(default_factory=dict)
     hot_keys: dict[HotKey, ShardId] = field(default_factory=dict)
+    # Shards ever made for hot keys, so that no number is used twice.
+    hot_shards_made: dict[ServiceName, int] = field(default_factory=dict)
     lost_zones: set[ZoneName] = field(default_factory=set)
     # Ids applied of late, so that a record appended twice acts once.
     verdicts: dict[RecordId, Verdict] = field(default_factory=dict)
+    snapshot: SnapshotPosition = SnapshotPosition()
+    # Derived from the fields above, for look-ups; see `put_owner`.
+    server_index: dict[ServerId, ServerPolicy] = field(
+        default_factory=dict,
+        compare=False,
+        repr=False,
+    )
+    shard_index: dict[ServerId, dict[ShardId, None]] = field(
+        default_factory=dict,
+        compare=False,
+        repr=False,
+    )
+
+    @property
+    def version(self) -> Version:
+        """Return the version in force; zero before the first."""
+        if self.configuration is None:
+            return Version(0)
+        return self.configuration.version
 
     def server(self, server_id: ServerId) -> ServerPolicy | None:
         """Return the policy of a server, if an overlay names it."""
-        for policy in self.servers():
-            if policy.server_id == server_id:
-                return policy
-        return None
+        return self.server_index.get(server_id)
 
     def servers(self) -> Iterator[ServerPolicy]:
         """Yield every server that the overlays name."""
+        yield from self.server_index.values()
+
+    def is_zone_lost(self, zone: ZoneName) -> bool:
+        """Tell whether an operator or a record has declared a zone lost."""
+        if zone in self.lost_zones:
+            return True
         if self.configuration is None:
-            return
-        for site in self.configuration.sites.values():
-            yield from site.servers
+            return False
+        sites = self.configuration.sites.values()
+        return any(zone in site.lost_zones for site in sites)
 
     def shard_of(
         self,
@@ -103,13 +143,36 @@
         if policy is None:
             return None
         key_hash = hash_key(service, member, key)
-        hot_shard = self.hot_keys.get(HotKey(service, key_hash))
-        if hot_shard is not None:
-            return hot_shard
+        if self.hot_keys:
+            hot_shard = self.hot_keys.get(HotKey(service, key_hash))
+            if hot_shard is not None:
+                return hot_shard
         return ShardId(service, ShardNumber(key_hash % policy.shard_count))
 
     def shards_on(self, server_id: ServerId) -> Iterator[ShardId]:
         """Yield the shards that a server owns."""
-        for shard, owner in self.owners.items():
-            if owner.server == server_id:
-                yield shard
+        yield from self.shard_index.get(server_id, ())
+
+    def count_shards(self, server_id: ServerId) -> int:
+        """Count the shards that a server owns."""
+        return len(self.shard_index.get(server_id, ()))
+
+    def put_owner(self, shard: ShardId, owner: Ownership | None) -> None:
+        """Set or end the ownership of a shard; for `application` only."""
+        former = self.owners.pop(shard, None)
+        if former is not None:
+            self.shard_index[former.server].pop(shard)
+            if not self.shard_index[former.server]:
+                self.shard_index.pop(former.server)
+        if owner is not None:
+            self.owners[shard] = owner
+            self.shard_index.setdefault(owner.server, {})[shard] = None
+
+    def put_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force; for `application` only."""
+        self.configuration = configuration
+        self.server_index = {
+            policy.server_id: policy
+            for site in configuration.sites.values()
+            for policy in site.servers
+        }
