--- /dev/null
+++ b/trefoilsaddle/platform/hostlist.py
@@ -0,0 +1,58 @@
+"""Read the platform's list of hosts; it lags."""
+
+from abc import ABC, abstractmethod
+
+from pydantic import BaseModel, TypeAdapter, ValidationError
+
+from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.events import HostState, ListedHost
+from trefoilsaddle.platform.exchange import (
+    ServiceAddress,
+    ServiceExchange,
+    ServiceRequest,
+)
+from trefoilsaddle.results import ResultCode
+
+
+class HostList(ABC):
+    """Reach the list of live and leaving hosts."""
+
+    @abstractmethod
+    async def read(self) -> tuple[ListedHost, ...] | Failure:
+        """Read the whole list (log_unavailable)."""
+
+    @abstractmethod
+    async def aclose(self) -> None:
+        """Close every connection."""
+
+
+class _WrittenHost(BaseModel):
+    name: str
+    state: HostState
+
+
+_HOSTS = TypeAdapter(list[_WrittenHost])
+
+
+class HttpHostList(HostList):
+    """Reach the list over HTTP."""
+
+    def __init__(self, address: ServiceAddress) -> None:
+        """Connect at the first request."""
+        self._exchange = ServiceExchange(address)
+
+    async def read(self) -> tuple[ListedHost, ...] | Failure:
+        """Read the whole list (log_unavailable)."""
+        body = await self._exchange.request(ServiceRequest('GET', '/hosts'))
+        if isinstance(body, Failure):
+            return body
+        try:
+            hosts = _HOSTS.validate_json(body)
+        except ValidationError:
+            reason = 'the host list makes no sense'
+            return Failure(ResultCode.log_unavailable, reason)
+        return tuple(ListedHost(host.name, host.state) for host in hosts)
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._exchange.aclose()
--- /dev/null
+++ b/trefoilsaddle/platform/logclient.py
@@ -0,0 +1,133 @@
+"""Read and append to the platform's log service.
+
+The platform has to promise one thing: a read sees every append that was
+acknowledged before the read was sent.
+"""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from pydantic import BaseModel, NonNegativeInt, ValidationError
+from pydantic_core import to_json as write_json
+
+from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.records import LogEntry, Record
+from trefoilsaddle.core.units import Offset
+from trefoilsaddle.platform.exchange import (
+    ServiceAddress,
+    ServiceExchange,
+    ServiceRequest,
+)
+from trefoilsaddle.platform.recordcodec import decode_records, encode_records
+from trefoilsaddle.results import ResultCode
+
+# Most entries of one read.
+_PAGE_LIMIT = 256
+
+
+@dataclass(frozen=True, slots=True)
+class LogPage:
+    """Hold what one read of the log has brought."""
+
+    # In order, without a gap; an entry that cannot be read has no records.
+    entries: tuple[LogEntry, ...]
+    # Oldest offset that the log still holds.
+    first: Offset
+    # Offset after the newest entry at the time of the read.
+    tail: Offset
+    # Number of entries that could not be read.
+    refused: int = 0
+
+
+class LogClient(ABC):
+    """Reach the log; a failure of an append may have taken effect."""
+
+    @abstractmethod
+    async def read(self, start: Offset) -> LogPage | Failure:
+        """Read entries from an offset (log_unavailable)."""
+
+    @abstractmethod
+    async def append(self, records: tuple[Record, ...]) -> Offset | Failure:
+        """Append records as one entry (log_unavailable)."""
+
+    @abstractmethod
+    async def aclose(self) -> None:
+        """Close every connection."""
+
+
+class _WrittenEntry(BaseModel):
+    offset: NonNegativeInt
+    text: str
+
+
+class _WrittenPage(BaseModel):
+    first: NonNegativeInt
+    tail: NonNegativeInt
+    entries: list[_WrittenEntry]
+
+
+class _WrittenOffset(BaseModel):
+    offset: NonNegativeInt
+
+
+class HttpLogClient(LogClient):
+    """Reach the log service over HTTP."""
+
+    def __init__(self, address: ServiceAddress) -> None:
+        """Connect at the first request."""
+        self._exchange = ServiceExchange(address)
+
+    async def read(self, start: Offset) -> LogPage | Failure:
+        """Read entries from an offset (log_unavailable)."""
+        # A process that has read nothing starts at -1 + 1.
+        path = f'/entries?from={max(0, start)}&limit={_PAGE_LIMIT}'
+        body = await self._exchange.request(ServiceRequest('GET', path))
+        if isinstance(body, Failure):
+            return body
+        try:
+            page = _WrittenPage.model_validate_json(body)
+        except ValidationError:
+            return _refuse_answer()
+        return _read_page(page, start)
+
+    async def append(self, records: tuple[Record, ...]) -> Offset | Failure:
+        """Append records as one entry (log_unavailable)."""
+        text = write_json({'text': encode_records(records)})
+        request = ServiceRequest('POST', '/append', text)
+        body = await self._exchange.request(request)
+        if isinstance(body, Failure):
+            return body
+        try:
+            written = _WrittenOffset.model_validate_json(body)
+        except ValidationError:
+            return _refuse_answer()
+        return Offset(written.offset)
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._exchange.aclose()
+
+
+def _read_page(page: _WrittenPage, start: Offset) -> LogPage | Failure:
+    expected = max(0, start, page.first)
+    entries = []
+    refused = 0
+    for written in page.entries:
+        if written.offset != expected:
+            return _refuse_answer()
+        expected += 1
+        records = decode_records(written.text)
+        if isinstance(records, Failure):
+            refused += 1
+            records = ()
+        entries.append(LogEntry(Offset(written.offset), records))
+    return LogPage(
+        tuple(entries),
+        Offset(page.first),
+        Offset(page.tail),
+        refused,
+    )
+
+
+def _refuse_answer() -> Failure:
+    return Failure(ResultCode.log_unavailable, 'the answer makes no sense')
