Contract: tell unsent forwards apart, carry member floors in a handover

A refused connection is no doubt about a request that never left: PeerLost names the attempts of which no byte left, so that they are told not run. A caller that meets its own earlier attempt is told unknown, not not-run: in_progress moves to the codes of unknown outcomes. Outcomes carry the hash of their key, so that they follow a split; members' floors travel apart, so that one member's flood makes no other member's outcomes forgotten.

--- a/trefoilsaddle/core/events.py
+++ b/trefoilsaddle/core/events.py
@@ -156,6 +156,8 @@
     """Tell that the connection to a peer was closed or refused."""
 
     node: NodeId
+    # Forwarded attempts of which no byte has left this process.
+    unsent: tuple[AttemptId, ...] = ()
 
 
 @unique
--- a/trefoilsaddle/core/messages.py
+++ b/trefoilsaddle/core/messages.py
@@ -11,6 +11,7 @@
 from trefoilsaddle.core.units import (
     AttemptId,
     Epoch,
+    MemberName,
     NodeId,
     Offset,
     Seconds,
@@ -178,25 +179,36 @@
 class KeptOutcome:
     """Hand over what is known of one idempotency key."""
 
-    member: str
+    member: MemberName
     created: Seconds
     token: str = field(repr=False)
     # Hash of key and body, so that a reused token is noticed.
     fingerprint: int
+    # Hash of the key, so that the outcome stays with it in a split shard.
+    key_hash: int
     # None while the outcome is unknown.
     answer: Answer | None
 
 
+@dataclass(frozen=True, slots=True)
+class MemberFloor:
+    """Tell which keys of one member have been forgotten to save memory."""
+
+    member: MemberName
+    floor: Seconds
+
+
 @dataclass(frozen=True, slots=True)
 class Handover:
     """Hand the outcomes of a moved shard to its next dispatcher."""
 
     shard: ShardId
-    # Epoch at which the shard left the sender.
+    # Epoch of the ownership that the move began, read in the view after it.
     epoch: Epoch
     # Absent keys made before this time of day have an unknown outcome.
     floor: Seconds
     outcomes: tuple[KeptOutcome, ...]
+    member_floors: tuple[MemberFloor, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/results.py
+++ b/trefoilsaddle/results.py
@@ -51,7 +51,7 @@
     share_exceeded = 210
     memory_bound = 211
     dispatcher_unreachable = 212
-    in_progress = 213
+    server_unreachable = 214
 
     # The outcome is unknown.
     answer_lost = 300
@@ -61,6 +61,8 @@
     outcome_forgotten = 304
     answer_cut_short = 305
     cancelled = 306
+    # An earlier attempt with the same idempotency key has not ended.
+    in_progress = 307
 
     # Operators' results.
     settings_invalid = 400
