--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -140,7 +140,8 @@
 def make_record_id(node: Node, kind: str) -> RecordId:
     """Return an id that no other record of any process has."""
     number = node.duties.count()
-    return RecordId(f'{kind}-{node.options.node}-{number}')
+    parts = (kind, node.options.node, str(number))
+    return RecordId('-'.join(parts))
 
 
 def note_appended(
