--- a/trefoilsaddle/core/authority.py
+++ b/trefoilsaddle/core/authority.py
@@ -47,6 +47,8 @@
     epoch = duty.shards.get(shard)
     if epoch is None:
         return Failure(ResultCode.not_holder, 'the server lacks the shard')
+    if duty.superseded:
+        return Failure(ResultCode.owner_changing, 'another one may serve')
     if shard in duty.moves:
         return Failure(ResultCode.owner_changing, 'the shard is moving')
     if is_fenced(node, duty):
--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -1,5 +1,6 @@
 """Claim servers that lack a dispatcher, and follow the log's verdicts."""
 
+from trefoilsaddle.core.assignment import make_record_id
 from trefoilsaddle.core.dutystate import Claiming, Duty
 from trefoilsaddle.core.effects import (
     Effects,
@@ -13,8 +14,9 @@
 from trefoilsaddle.core.hashing import rank_candidates
 from trefoilsaddle.core.leases import former_end, raise_term
 from trefoilsaddle.core.membership import health_of, live_dispatchers
-from trefoilsaddle.core.messages import Health
+from trefoilsaddle.core.messages import Health, Promise
 from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.provisional import holder_of
 from trefoilsaddle.core.records import Claim
 from trefoilsaddle.core.units import (
     FIRST_EPOCH,
@@ -30,10 +32,13 @@
 # Most dispatchers besides the holder that may take a server over.
 CLAIM_SET_SIZE = 2
 # Head start of each candidate over the next one.
-_STAGGER = Seconds(3 / 10)
+STAGGER = Seconds(3 / 10)
 # Time for a starting process to hear of the others before its first claim.
 _SETTLE_TIME = Seconds(7 / 10)
 
+# Least time between two claims of one holder for the same server.
+_RECLAIM_AFTER = Seconds(3)
+
 
 def review_claims(node: Node, moment: Moment) -> Effects:
     """Claim the servers of this zone whose turn has come."""
@@ -55,7 +60,7 @@
     if me not in candidates or server in node.duties.claiming:
         return []
     since = node.duties.vacant_since.setdefault(server, moment.monotonic)
-    turn = since + _STAGGER * candidates.index(me)
+    turn = since + STAGGER * candidates.index(me)
     if role is None and len(candidates) <= CLAIM_SET_SIZE:
         turn += _SETTLE_TIME
     known = node.duties.known.get(server)
@@ -79,7 +84,8 @@
         alive = live_dispatchers(node, node.options.zone)
         everyone = {*alive, node.options.node}
         return rank_candidates(server, everyone)
-    if health_of(node, role.dispatcher) is not Health.dead:
+    holder = holder_of(node, server) or role.dispatcher
+    if health_of(node, holder) is not Health.dead:
         node.duties.vacant_since.pop(server, None)
         return []
     members = [
@@ -98,7 +104,7 @@
     expected: Epoch,
 ) -> Effects:
     """Append a claim of this process to the log."""
-    record_id = make_record_id(node, 'claim')
+    record_id = make_record_id(node)
     claim = Claim(
         record_id=record_id,
         server=server,
@@ -127,21 +133,22 @@
     """
     role = node.view.roles.get(server)
     duty = node.duties.held.get(server)
-    settled = role is None or (duty is not None and duty.grants.contacted)
-    if role is not None and not settled:
-        former = (*role.claim_set, role.dispatcher)
-        rest = [member for member in former if member != holder]
+    settled = duty is not None and duty.grants.contacted
+    inside = role is not None and holder in _group(role)
+    if role is not None and inside and not settled:
+        rest = [member for member in _group(role) if member != holder]
         return tuple(rest[:CLAIM_SET_SIZE])
     alive = live_dispatchers(node, node.options.zone)
-    others = [member for member in alive if member != holder]
-    return tuple(rank_candidates(server, others)[:CLAIM_SET_SIZE])
+    others = rank_candidates(server, set(alive) - {holder})
+    # Members that are alive stay, so that a newcomer changes no term.
+    present = role.claim_set if role and inside else ()
+    kept = [member for member in present if member in others]
+    added = [member for member in others if member not in kept]
+    return tuple((*kept, *added)[:CLAIM_SET_SIZE])
 
 
-def make_record_id(node: Node, kind: str) -> RecordId:
-    """Return an id that no other record of any process has."""
-    number = node.duties.count()
-    parts = (kind, node.options.node, str(number))
-    return RecordId('-'.join(parts))
+def _group(role: Role) -> tuple[NodeId, ...]:
+    return (*role.claim_set, role.dispatcher)
 
 
 def note_appended(
@@ -179,14 +186,78 @@
         former_dispatcher=former.dispatcher if former else None,
         started=started,
     )
+    present = node.duties.held.get(server)
+    if present is not None:
+        _carry_grants(present, duty)
     node.duties.held[server] = duty
     node.duties.vacant_since.pop(server, None)
     if former is not None and former.dispatcher != node.options.node:
-        member = node.options.node in former.claim_set
-        duty.usable_from = former_end(node, server, started, member=member)
+        duty.outsider = node.options.node not in former.claim_set
+        duty.usable_from = former_end(node, started)
+        if node.duties.released.pop(server, None) == role.term:
+            release_former(moment, duty)
     node.woken.add(server)
     sentence = f'dispatching to {server} now'
     return [
         WriteLogLine(Part.ownership, sentence),
         *renew_grants(node, moment, duty),
     ]
+
+
+def _carry_grants(present: Duty, duty: Duty) -> None:
+    """Keep what the server was granted by this process under a lower term."""
+    former = present.grants
+    duty.shards = present.shards
+    duty.grants.stamp = former.stamp
+    duty.grants.stamp_sent = former.stamp_sent
+    duty.grants.stamp_received = former.stamp_received
+    duty.grants.lapsed_after = former.lapsed_after
+    duty.grants.answered_at = former.answered_at
+
+
+def release_former(moment: Moment, duty: Duty) -> None:
+    """Wait no longer: the former dispatcher sends nothing more."""
+    duty.released = True
+    duty.usable_from = min(duty.usable_from, moment.monotonic)
+
+
+def note_release(
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+    promise: Promise,
+) -> None:
+    """Take a former dispatcher's word that it has stopped."""
+    duty = node.duties.held.get(promise.server)
+    if duty is None or duty.term < promise.term:
+        node.duties.released[promise.server] = promise.term
+        return
+    if duty.term == promise.term and sender == duty.former_dispatcher:
+        release_former(moment, duty)
+        node.woken.add(promise.server)
+
+
+def maintain_claim(node: Node, moment: Moment, duty: Duty) -> Effects:
+    """Claim a role of ours again: to renew its claim set, or its term."""
+    following = node.following
+    unsafe = following.log_away or node.stopping or duty.provisional
+    if unsafe or duty.server in node.duties.claiming:
+        return []
+    role = node.view.roles.get(duty.server)
+    if role is None or role.term != duty.term:
+        return []
+    since = max(duty.started, duty.fenced_at)
+    if moment.monotonic - since < _RECLAIM_AFTER:
+        return []
+    if duty.superseded or _needs_members(node, duty):
+        return append_claim(node, moment, duty.server, duty.term)
+    return []
+
+
+def _needs_members(node: Node, duty: Duty) -> bool:
+    if not duty.grants.contacted:
+        return False
+    if any(shared.in_force for shared in duty.shared.values()):
+        return False
+    chosen = choose_claim_set(node, duty.server, node.options.node)
+    return set(chosen) != set(duty.claim_set)
--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -16,6 +16,7 @@
     Seconds,
     ServerId,
     ShardId,
+    ZoneName,
 )
 from trefoilsaddle.core.view import Role
 
@@ -60,15 +61,18 @@
     # Sequence of the grant call that revokes the shard, once it is sent.
     revoked_by: int = 0
     record_id: RecordId | None = None
+    # Epoch in force at the target without the log, if any.
+    provisional: Epoch | None = None
 
 
 @dataclass(slots=True)
 class SharedMove:
     """Hold a batch of moves that claim-set members are to acknowledge."""
 
-    sequence: int
     record: Move
     acknowledged: set[NodeId] = field(default_factory=set)
+    queued: bool = False
+    in_force: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,12 +125,18 @@
     former_members: tuple[NodeId, ...]
     former_dispatcher: NodeId | None
     started: Seconds
+    # True once the former dispatcher has said that it sends nothing more.
+    released: bool = False
+    # True once the zone was told of a role taken without the log.
+    announced: bool = False
+    # True if the role was taken from outside the claim set.
+    outsider: bool = False
     # True while only the server's fence has confirmed the term.
     provisional: bool = False
     # The former dispatcher's lease has run out after this.
     usable_from: Seconds = NEVER
-    # Former members that follow no lower term any more.
-    followers: set[NodeId] = field(default_factory=set)
+    # Former members that follow no lower term, and since when at the latest.
+    followers: dict[NodeId, Seconds] = field(default_factory=dict)
     grants: GrantState = field(default_factory=GrantState)
     # Shards to be granted, by the view and the moves in force.
     shards: dict[ShardId, Epoch] = field(default_factory=dict)
@@ -139,6 +149,17 @@
     fenced_by: Epoch = FIRST_EPOCH
     fenced_at: Seconds = NEVER
 
+    @property
+    def superseded(self) -> bool:
+        """Tell that another dispatcher serves under no lower a term."""
+        return self.fenced_by >= self.term
+
+    def supersede(self, now: Seconds, term: Epoch) -> None:
+        """Stop acting: another dispatcher serves under this term."""
+        self.fenced_by = max(self.fenced_by, term)
+        self.fenced_at = now
+        self.grants.accepted.clear()
+
 
 @dataclass(slots=True)
 class Claiming:
@@ -154,13 +175,19 @@
     """Hold a provisional claim on its way, while the log is away."""
 
     term: Epoch
-    former_term: Epoch
     started: Seconds
     request: PromiseRequest
+    # Other members of the claim set, who must all follow the new term.
     members: tuple[NodeId, ...]
     followers: set[NodeId] = field(default_factory=set)
-    # Sequence of the grant call that asks the server; zero before.
-    grant_sequence: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RememberedMove:
+    """Hold a move off a server that this process has acknowledged."""
+
+    term: Epoch
+    moved: MovedShard
 
 
 @dataclass(slots=True)
@@ -170,18 +197,16 @@
     term: Epoch
     # No claim by this process before this time.
     promised_until: Seconds = NEVER
-    moves: dict[ShardId, MovedShard] = field(default_factory=dict)
+    moves: dict[ShardId, RememberedMove] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """Hold a shard that arrived by a move made without the log."""
 
-    shard: ShardId
     source: ServerId
-    # Term of the source's dispatcher, and who may succeed it knowingly.
-    source_term: Epoch
-    source_members: tuple[NodeId, ...]
+    # Dispatchers of the source that know of the move.
+    informed: tuple[NodeId, ...]
     target: ServerId
     expected: Epoch
     epoch: Epoch
@@ -198,10 +223,18 @@
     take_overs: dict[ServerId, TakeOver] = field(default_factory=dict)
     known: dict[ServerId, KnownTerm] = field(default_factory=dict)
     arrivals: dict[ShardId, Arrival] = field(default_factory=dict)
+    # True when arrivals or departures changed without a log entry.
+    unsettled: bool = False
     # Dispatchers that said they act for a server since the log went away.
     provisional_holders: dict[ServerId, NodeId] = field(default_factory=dict)
-    # Roles given away by a record, until the next dispatcher is told.
+    # Servers whose role a record of ours gives to a claim-set member.
     handing_over: set[ServerId] = field(default_factory=set)
+    # Terms whose former dispatcher has said that it sends nothing more.
+    released: dict[ServerId, Epoch] = field(default_factory=dict)
+    # Since when a server of another zone has had no live claim-set member.
+    silent_since: dict[ServerId, Seconds] = field(default_factory=dict)
+    # Since when a zone was seen declared lost.
+    lost_since: dict[ZoneName, Seconds] = field(default_factory=dict)
     # Roles as the duties last saw them.
     seen_roles: dict[ServerId, Role] = field(default_factory=dict)
     # Shards that have been seen to have an owner.
--- a/trefoilsaddle/core/grants.py
+++ b/trefoilsaddle/core/grants.py
@@ -74,10 +74,12 @@
     """Send a call that grants what is missing and prolongs the rest."""
     grants = duty.grants
     limits = limits_of(node)
-    if limits is None:
-        return []
+    if limits is None or duty.superseded:
+        return [_set_timer(node, duty)]
     duration = _choose_duration(node, moment, duty, limits.grant_duration)
-    whole = not grants.seeded
+    # A server forgets grants that have lapsed.
+    lapsed = moment.monotonic >= grants.valid_until
+    whole = lapsed or not grants.seeded
     granted = _missing(duty, whole=whole) if duration > 0 else {}
     grants.sequence += 1
     pending = PendingGrant(
@@ -177,9 +179,7 @@
         return []
     if answer.term == duty.term and duty.grants.contacted:
         return []
-    duty.fenced_by = max(duty.fenced_by, answer.term)
-    duty.fenced_at = moment.monotonic
-    duty.grants.accepted.clear()
+    duty.supersede(moment.monotonic, answer.term)
     sentence = f'{duty.server} follows another dispatcher'
     return [WriteLogLine(Part.ownership, sentence)]
 
@@ -202,7 +202,7 @@
         return []
     effective = _is_effective(answer, pending)
     if effective:
-        _note_grants(node, duty, pending)
+        _note_grants(node, duty, answer, pending)
     _note_stamp(moment, grants, answer)
     if effective:
         return []
@@ -219,8 +219,16 @@
     return pending.stamp.instance == answer.stamp.instance
 
 
-def _note_grants(node: Node, duty: Duty, pending: PendingGrant) -> None:
+def _note_grants(
+    node: Node,
+    duty: Duty,
+    answer: GrantAnswered,
+    pending: PendingGrant,
+) -> None:
     grants = duty.grants
+    if answer.sequence < grants.stamp_sequence:
+        # A later call may have come first, and this one had no effect.
+        return
     if pending.whole:
         grants.accepted.clear()
         grants.seeded = True
--- /dev/null
+++ b/trefoilsaddle/core/isolation.py
@@ -0,0 +1,170 @@
+"""Take over the servers of a zone that is lost as a whole.
+
+A zone that is cut off holds what it owns.  Where a service bounds that hold,
+a record declares the zone lost, and the hold is counted from its
+acknowledgement: whoever reads the log after it gives up all authority but
+what the log renews, and whoever does not read it has no longer than the hold.
+"""
+
+from trefoilsaddle.core.assignment import make_record_id
+from trefoilsaddle.core.claims import append_claim
+from trefoilsaddle.core.configuration import ServerPolicy
+from trefoilsaddle.core.effects import (
+    Effects,
+    Part,
+    SetTimer,
+    WriteLogLine,
+)
+from trefoilsaddle.core.events import TimerKey, TimerKind
+from trefoilsaddle.core.following import append_records
+from trefoilsaddle.core.hashing import rank_candidates
+from trefoilsaddle.core.leases import (
+    former_end,
+    isolation_hold,
+    lease_duration,
+    lengthen,
+)
+from trefoilsaddle.core.membership import health_of, live_dispatchers
+from trefoilsaddle.core.messages import Health
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.records import LostZone
+from trefoilsaddle.core.units import Moment, Seconds, ServerId, ZoneName
+from trefoilsaddle.core.view import Role
+
+# Head start of each candidate over the next one.
+_STAGGER = Seconds(1)
+
+
+def review_zones(node: Node, moment: Moment) -> Effects:
+    """Declare silent zones lost, and claim what their hold has freed."""
+    if node.following.log_away or node.stopping:
+        return []
+    effects = _object_to_loss(node, moment)
+    _note_losses(node, moment)
+    for policy in node.view.servers():
+        role = node.view.roles.get(policy.server_id)
+        if role is not None and policy.zone != node.options.zone:
+            effects.extend(_consider_server(node, moment, policy, role))
+    return effects
+
+
+def _object_to_loss(node: Node, moment: Moment) -> Effects:
+    zone = node.options.zone
+    pending = any(
+        isinstance(record, LostZone)
+        for record in node.following.outbox.values()
+    )
+    if zone not in node.view.lost_zones or pending:
+        return []
+    record = LostZone(make_record_id(node), zone, lost=False)
+    return append_records(node, moment, (record,))
+
+
+def _note_losses(node: Node, moment: Moment) -> None:
+    since = node.duties.lost_since
+    for policy in node.view.servers():
+        if node.view.is_zone_lost(policy.zone):
+            since.setdefault(policy.zone, moment.monotonic)
+        else:
+            since.pop(policy.zone, None)
+
+
+def _consider_server(
+    node: Node,
+    moment: Moment,
+    policy: ServerPolicy,
+    role: Role,
+) -> Effects:
+    server = policy.server_id
+    if not _is_silent(node, role) or server in node.duties.claiming:
+        node.duties.silent_since.pop(server, None)
+        return []
+    since = node.duties.silent_since.setdefault(server, moment.monotonic)
+    lost_since = node.duties.lost_since.get(policy.zone)
+    if lost_since is None:
+        return _declare(node, moment, policy, since)
+    freed = _freed_at(node, policy, lost_since)
+    if freed is None:
+        return []
+    return _act_in_turn(node, moment, server, freed)
+
+
+def _is_silent(node: Node, role: Role) -> bool:
+    everyone = (role.dispatcher, *role.claim_set)
+    return all(health_of(node, member) is Health.dead for member in everyone)
+
+
+def _declare(
+    node: Node,
+    moment: Moment,
+    policy: ServerPolicy,
+    since: Seconds,
+) -> Effects:
+    """Declare a zone lost by a record, if its services bound the hold."""
+    if isolation_hold(node, policy.server_id) is None:
+        return []
+    if live_dispatchers(node, policy.zone):
+        return []
+    due = Seconds(since + lease_duration(node))
+    if any(
+        isinstance(record, LostZone)
+        for record in node.following.outbox.values()
+    ):
+        return []
+    wait = _turn(node, moment, policy.zone, due)
+    if wait > 0:
+        timer = TimerKey(TimerKind.claim, policy.server_id)
+        return [SetTimer(timer, wait)]
+    record = LostZone(make_record_id(node), policy.zone, lost=True)
+    sentence = f'zone {policy.zone} is silent'
+    return [
+        WriteLogLine(Part.ownership, sentence),
+        *append_records(node, moment, (record,)),
+    ]
+
+
+def _freed_at(
+    node: Node,
+    policy: ServerPolicy,
+    lost_since: Seconds,
+) -> Seconds | None:
+    if _is_declared_by_operator(node, policy.zone):
+        # The operator vouches that the zone has stopped.
+        return former_end(node, lost_since)
+    hold = isolation_hold(node, policy.server_id)
+    if hold is None:
+        return None
+    wait = lengthen(node, Seconds(max(hold, lease_duration(node))))
+    return Seconds(lost_since + wait)
+
+
+def _is_declared_by_operator(node: Node, zone: ZoneName) -> bool:
+    configuration = node.view.configuration
+    if configuration is None:
+        return False
+    sites = configuration.sites.values()
+    return any(zone in site.lost_zones for site in sites)
+
+
+def _act_in_turn(
+    node: Node,
+    moment: Moment,
+    server: ServerId,
+    freed: Seconds,
+) -> Effects:
+    wait = _turn(node, moment, server, freed)
+    if wait > 0:
+        return [SetTimer(TimerKey(TimerKind.claim, server), wait)]
+    expected = node.view.roles[server].term
+    return append_claim(node, moment, server, expected)
+
+
+def _turn(
+    node: Node,
+    moment: Moment,
+    subject: str,
+    due: Seconds,
+) -> Seconds:
+    alive = {*live_dispatchers(node, None), node.options.node}
+    place = rank_candidates(subject, alive).index(node.options.node)
+    return Seconds(due + _STAGGER * place - moment.monotonic)
--- a/trefoilsaddle/core/leases.py
+++ b/trefoilsaddle/core/leases.py
@@ -93,32 +93,26 @@
 
 
 def _isolation_end(node: Node, duty: Duty) -> Seconds:
+    if node.view.is_zone_lost(node.options.zone):
+        # Others count the hold from the declaration on; from here on only
+        # what the log itself renews is safe.
+        return NEVER
     hold = isolation_hold(node, duty.server)
     if hold is None:
         return FOREVER
     return Seconds(node.following.fresh_at + shorten(node, hold))
 
 
-def former_end(
-    node: Node,
-    server: ServerId,
-    started: Seconds,
-    *,
-    member: bool,
-) -> Seconds:
-    """Return when a former dispatcher's authority is sure to have ended.
+def former_end(node: Node, started: Seconds) -> Seconds:
+    """Return when a lease that was renewed until a time is sure to be over.
 
-    Every read that it sent after the claim was acknowledged shows it the
-    claim.  A claim-set member can hold up all that it may rely on without
-    the log; a claimant from outside has to wait out the isolation hold.
+    Every read that a former dispatcher sent after the claim was acknowledged
+    shows it the claim, so that only its lease has to be waited out.
     """
     limits = limits_of(node)
     wait = lease_duration(node)
     if limits is not None:
         wait = max(wait, limits.grant_duration)
-    hold = isolation_hold(node, server)
-    if not member and hold is not None:
-        wait = max(wait, hold)
     return Seconds(started + lengthen(node, wait))
 
 
@@ -188,6 +182,9 @@
         request.server,
         request.term if granted else known_term(node, request.server),
     )
+    duty = node.duties.held.get(request.server)
+    if granted and duty is not None and duty.term < request.term:
+        duty.supersede(moment.monotonic, request.term)
     if granted:
         until = moment.monotonic + lengthen(node, request.duration)
         known.promised_until = max(known.promised_until, Seconds(until))
@@ -196,7 +193,7 @@
         known.term,
         request.sequence,
         granted,
-        tuple(known.moves.values()),
+        tuple(remembered.moved for remembered in known.moves.values()),
     )
     return [SendMessage(sender, promise)]
 
@@ -209,6 +206,9 @@
     same_term = role is not None and role.term == request.term
     if same_term and role and role.dispatcher != sender:
         return False
+    duty = node.duties.held.get(server)
+    if duty is not None and duty.term >= request.term:
+        return False
     return request.term >= known_term(node, server)
 
 
@@ -226,4 +226,4 @@
     if sent is None or not promise.granted or promise.term != duty.term:
         return
     duty.promised[sender] = max(duty.promised.get(sender, NEVER), sent)
-    duty.followers.add(sender)
+    duty.followers.setdefault(sender, moment.monotonic)
--- /dev/null
+++ b/trefoilsaddle/core/outage.py
@@ -0,0 +1,244 @@
+"""Take servers over from a lost dispatcher while the log is away.
+
+Only a server that checks grants can be taken over: its fence picks the one
+winner.  Every other claim-set member must follow the new term first, so that
+the lost dispatcher can neither go on nor move shards without our knowledge.
+"""
+
+from trefoilsaddle.core.assignment import make_record_id
+from trefoilsaddle.core.claims import STAGGER
+from trefoilsaddle.core.dutystate import (
+    Duty,
+    MoveStage,
+    RememberedMove,
+    ShardMove,
+    TakeOver,
+)
+from trefoilsaddle.core.effects import (
+    Effects,
+    Part,
+    SendMessage,
+    SetTimer,
+    WriteLogLine,
+)
+from trefoilsaddle.core.events import TimerKey, TimerKind
+from trefoilsaddle.core.following import append_records
+from trefoilsaddle.core.grants import checks_grants, renew_grants
+from trefoilsaddle.core.hashing import rank_candidates
+from trefoilsaddle.core.leases import (
+    known_term,
+    lease_duration,
+    raise_term,
+)
+from trefoilsaddle.core.membership import health_of, live_dispatchers
+from trefoilsaddle.core.messages import (
+    Health,
+    Promise,
+    PromiseRequest,
+    ProvisionalClaim,
+)
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.provisional import holder_of
+from trefoilsaddle.core.records import Claim
+from trefoilsaddle.core.sharing import share_moves
+from trefoilsaddle.core.terms import next_epoch
+from trefoilsaddle.core.units import Moment, NodeId, Seconds, ServerId
+from trefoilsaddle.core.view import Ownership, Role
+
+# Time after which an unanswered take-over is given up and begun again.
+_TAKE_OVER_TIMEOUT = Seconds(1)
+
+
+def review_take_overs(node: Node, moment: Moment) -> Effects:
+    """Take over what lost its dispatcher, if the log can't be asked."""
+    effects: Effects = []
+    if not node.following.log_away or node.stopping:
+        return effects
+    for server, role in node.view.roles.items():
+        if node.options.node in role.claim_set:
+            effects.extend(_consider_role(node, moment, server, role))
+    return effects
+
+
+def _consider_role(
+    node: Node,
+    moment: Moment,
+    server: ServerId,
+    role: Role,
+) -> Effects:
+    duties = node.duties
+    if server in duties.held or not checks_grants(node, server):
+        return []
+    holder = holder_of(node, server) or role.dispatcher
+    if health_of(node, holder) not in {Health.dead, Health.leaving}:
+        duties.vacant_since.pop(server, None)
+        duties.take_overs.pop(server, None)
+        return []
+    begun = duties.take_overs.get(server)
+    if begun and moment.monotonic - begun.started < _TAKE_OVER_TIMEOUT:
+        return []
+    left = _time_left(node, moment, server, role)
+    if left > 0:
+        return [SetTimer(TimerKey(TimerKind.claim, server), left)]
+    return _begin(node, moment, server, role)
+
+
+def _time_left(
+    node: Node,
+    moment: Moment,
+    server: ServerId,
+    role: Role,
+) -> Seconds:
+    since = node.duties.vacant_since.setdefault(server, moment.monotonic)
+    live = [
+        member
+        for member in role.claim_set
+        if member == node.options.node
+        or health_of(node, member) is Health.alive
+    ]
+    place = rank_candidates(server, live).index(node.options.node)
+    return Seconds(since + STAGGER * place - moment.monotonic)
+
+
+def _begin(
+    node: Node,
+    moment: Moment,
+    server: ServerId,
+    role: Role,
+) -> Effects:
+    term = next_epoch(node.view.applied, known_term(node, server))
+    raise_term(node, server, term)
+    members = tuple(
+        member for member in role.claim_set if member != node.options.node
+    )
+    sequence = node.duties.count()
+    request = PromiseRequest(server, term, sequence, lease_duration(node))
+    take_over = TakeOver(term, moment.monotonic, request, members)
+    node.duties.take_overs[server] = take_over
+    timer = TimerKey(TimerKind.claim, server)
+    effects: Effects = [SetTimer(timer, _TAKE_OVER_TIMEOUT)]
+    effects.extend(SendMessage(member, request) for member in members)
+    effects.extend(_ask_server(node, moment, server, take_over))
+    return effects
+
+
+def note_follower(
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+    promise: Promise,
+) -> Effects:
+    """Count a member that follows the new term, and learn what it knows."""
+    take_over = node.duties.take_overs.get(promise.server)
+    if take_over is None:
+        return []
+    if promise.sequence != take_over.request.sequence:
+        return []
+    known = raise_term(node, promise.server, promise.term)
+    if not promise.granted or promise.term != take_over.term:
+        return []
+    for moved in promise.moves:
+        remembered = RememberedMove(take_over.term, moved)
+        known.moves.setdefault(moved.shard, remembered)
+    take_over.followers.add(sender)
+    return _ask_server(node, moment, promise.server, take_over)
+
+
+def _ask_server(
+    node: Node,
+    moment: Moment,
+    server: ServerId,
+    take_over: TakeOver,
+) -> Effects:
+    if not take_over.followers.issuperset(take_over.members):
+        return []
+    role = node.view.roles[server]
+    node.duties.take_overs.pop(server)
+    duty = Duty(
+        server=server,
+        term=take_over.term,
+        claim_set=take_over.members,
+        former_members=take_over.members,
+        former_dispatcher=role.dispatcher,
+        started=moment.monotonic,
+        provisional=True,
+    )
+    node.duties.held[server] = duty
+    exclude_moved(node, moment, duty)
+    node.duties.unsettled = True
+    return renew_grants(node, moment, duty)
+
+
+def exclude_moved(node: Node, moment: Moment, duty: Duty) -> None:
+    """Keep from serving what a former dispatcher may have moved away."""
+    known = node.duties.known.get(duty.server)
+    if known is None:
+        return
+    for shard, remembered in known.moves.items():
+        moved = remembered.moved
+        duty.moves[shard] = ShardMove(
+            target=moved.target,
+            expected=moved.expected,
+            stage=MoveStage.appending,
+            started=moment.monotonic,
+            provisional=moved.provisional,
+        )
+
+
+def repeat_moves(node: Node, moment: Moment, duty: Duty) -> Effects:
+    """Put a former dispatcher's moves into the log under our own term.
+
+    What had no epoch of its own can't have taken effect any more.
+    """
+    repeated = []
+    for shard, move in tuple(duty.moves.items()):
+        if move.record_id is not None:
+            continue
+        owner = node.view.owners.get(shard)
+        still_here = owner == Ownership(duty.server, move.expected)
+        if still_here and move.provisional is not None:
+            repeated.append(shard)
+        else:
+            duty.moves.pop(shard)
+    return share_moves(node, moment, duty, repeated) if repeated else []
+
+
+def confirm_take_over(node: Node, moment: Moment, duty: Duty) -> Effects:
+    """Tell the zone of a take-over that the server has accepted."""
+    role = node.view.roles.get(duty.server)
+    if role is None or duty.announced:
+        return []
+    duty.announced = True
+    node.duties.provisional_holders[duty.server] = node.options.node
+    claim = Claim(
+        record_id=make_record_id(node),
+        server=duty.server,
+        expected=role.term,
+        dispatcher=node.options.node,
+        claim_set=duty.claim_set,
+        provisional=duty.term,
+    )
+    message = ProvisionalClaim(duty.server, duty.term, node.options.node)
+    sentence = f'took {duty.server} over without the log'
+    return [
+        WriteLogLine(Part.ownership, sentence),
+        *append_records(node, moment, (claim,)),
+        *(
+            SendMessage(peer, message)
+            for peer in live_dispatchers(node, node.options.zone)
+            if peer != node.options.node
+        ),
+    ]
+
+
+def note_take_over(
+    node: Node,
+    sender: NodeId,
+    message: ProvisionalClaim,
+) -> None:
+    """Remember who serves a server since the log went away."""
+    if message.term < known_term(node, message.server):
+        return
+    raise_term(node, message.server, message.term)
+    node.duties.provisional_holders[message.server] = message.dispatcher
+    node.duties.vacant_since.pop(message.server, None)
--- /dev/null
+++ b/trefoilsaddle/core/provisional.py
@@ -0,0 +1,81 @@
+"""Put moves in force inside a zone while the log is away."""
+
+from trefoilsaddle.core.dutystate import Arrival
+from trefoilsaddle.core.effects import Effects, SendMessage
+from trefoilsaddle.core.membership import live_dispatchers
+from trefoilsaddle.core.messages import ProvisionalMove
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.records import Move
+from trefoilsaddle.core.units import Epoch, Moment, NodeId, ServerId, ShardId
+from trefoilsaddle.core.view import Ownership
+
+
+def announce_move(node: Node, moment: Moment, record: Move) -> Effects:
+    """Tell the zone's dispatchers of a move that its claim set knows."""
+    message = ProvisionalMove(record.server, record.term, record.shards)
+    accept_move(node, node.options.node, message)
+    return [
+        SendMessage(peer, message)
+        for peer in live_dispatchers(node, node.options.zone)
+        if peer != node.options.node
+    ]
+
+
+def accept_move(node: Node, sender: NodeId, message: ProvisionalMove) -> None:
+    """Serve the shards that arrive at this process's servers."""
+    if holder_of(node, message.server) != sender:
+        return
+    role = node.view.roles.get(message.server)
+    informed = (sender, *role.claim_set) if role else (sender,)
+    for moved in message.shards:
+        expected = Ownership(message.server, moved.expected)
+        if moved.provisional is None:
+            continue
+        if node.view.owners.get(moved.shard) != expected:
+            continue
+        node.duties.arrivals[moved.shard] = Arrival(
+            source=message.server,
+            informed=informed,
+            target=moved.target,
+            expected=moved.expected,
+            epoch=moved.provisional,
+        )
+    node.duties.unsettled = True
+    node.reviewed = True
+
+
+def drop_settled(node: Node) -> None:
+    """Forget arrivals that the log has settled, one way or the other."""
+    for shard, arrival in tuple(node.duties.arrivals.items()):
+        expected = Ownership(arrival.source, arrival.expected)
+        role = node.view.roles.get(arrival.source)
+        known = role is not None and role.dispatcher in arrival.informed
+        if node.view.owners.get(shard) != expected or not known:
+            node.duties.arrivals.pop(shard)
+
+
+def arrivals_at(node: Node, server: ServerId) -> dict[ShardId, Epoch]:
+    """Return the shards that a server serves without the log's word."""
+    return {
+        shard: arrival.epoch
+        for shard, arrival in node.duties.arrivals.items()
+        if arrival.target == server
+    }
+
+
+def holder_of(node: Node, server: ServerId) -> NodeId | None:
+    """Return who dispatches to a server, as far as this process knows."""
+    provisional = node.duties.provisional_holders.get(server)
+    if provisional is not None:
+        return provisional
+    role = node.view.roles.get(server)
+    return role.dispatcher if role else None
+
+
+def owner_of(node: Node, shard: ShardId) -> ServerId | None:
+    """Return which server owns a shard, as far as this process knows."""
+    arrival = node.duties.arrivals.get(shard)
+    if arrival is not None:
+        return arrival.target
+    owner = node.view.owners.get(shard)
+    return owner.server if owner else None
--- /dev/null
+++ b/trefoilsaddle/core/recovery.py
@@ -0,0 +1,157 @@
+"""Move the shards of a lost server to others, once no grant can hold.
+
+Three waits make it safe: our own grants lapse; a former dispatcher that the
+server still follows loses its lease; and for a server that does not check,
+the last deadline in flight passes.
+"""
+
+from trefoilsaddle.core.dispatching import latest_deadline
+from trefoilsaddle.core.dutystate import (
+    FOREVER,
+    IRREVOCABLE,
+    NEVER,
+    Duty,
+    MoveStage,
+    ShardMove,
+)
+from trefoilsaddle.core.effects import (
+    Effects,
+    Part,
+    SendMessage,
+    WriteLogLine,
+)
+from trefoilsaddle.core.grants import is_fenced
+from trefoilsaddle.core.leases import (
+    former_end,
+    lease_duration,
+    lease_end,
+    limits_of,
+)
+from trefoilsaddle.core.messages import PromiseRequest
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.sharing import share_moves
+from trefoilsaddle.core.targets import choose_targets
+from trefoilsaddle.core.units import Moment, Seconds, ShardId
+from trefoilsaddle.core.view import Ownership
+
+# Unanswered calls in a row after which a server is thought lost.
+SUSPICIOUS_FAILURES = 2
+
+
+def recover_server(node: Node, moment: Moment, duty: Duty) -> Effects:
+    """Move the shards of a server that is lost beyond doubt."""
+    if not is_suspect(node, moment, duty):
+        return []
+    effects = _gather_followers(node, moment, duty)
+    if moment.monotonic <= quiet_after(node, duty):
+        return effects
+    if moment.monotonic >= lease_end(node, duty, every=False):
+        return effects
+    shards = _movable(node, duty)
+    near = node.following.log_away
+    targets = choose_targets(node, duty.server, shards, near=near)
+    if not targets:
+        return effects
+    for shard, target in targets.items():
+        duty.moves[shard] = ShardMove(
+            target,
+            duty.shards[shard],
+            MoveStage.sharing,
+            moment.monotonic,
+        )
+    sentence = f'{duty.server} is lost, moving its shards'
+    effects.append(WriteLogLine(Part.ownership, sentence))
+    effects.extend(share_moves(node, moment, duty, list(targets)))
+    return effects
+
+
+def is_suspect(node: Node, moment: Moment, duty: Duty) -> bool:
+    """Say whether a server has not answered for as long as grants last."""
+    limits = limits_of(node)
+    if limits is None or duty.grants.failures < SUSPICIOUS_FAILURES:
+        return False
+    heard = max(duty.grants.answered_at, duty.started)
+    return moment.monotonic - heard > limits.grant_duration
+
+
+def quiet_after(node: Node, duty: Duty) -> Seconds:
+    """Return the time after which nobody's work can begin at a server."""
+    if is_fenced(node, duty):
+        return _fenced_quiet(node, duty)
+    own = latest_deadline(node, duty.server)
+    return max(own, former_deadline(node, duty))
+
+
+def _fenced_quiet(node: Node, duty: Duty) -> Seconds:
+    if duty.grants.contacted:
+        # The server follows our term: only our own grants can hold.
+        return duty.grants.lapsed_after
+    return blind_after(node, duty)
+
+
+def blind_after(node: Node, duty: Duty) -> Seconds:
+    """Return when a server that never followed our term is surely idle.
+
+    A former dispatcher without the log may go on under the promise of all
+    members but one, so every other member has to follow us first.
+    """
+    if duty.former_dispatcher is None or duty.outsider:
+        return duty.usable_from
+    if duty.released:
+        return duty.grants.lapsed_after
+    if not duty.former_members:
+        return FOREVER
+    latest = duty.usable_from
+    for member in duty.former_members:
+        followed = duty.followers.get(member)
+        if followed is None:
+            return FOREVER
+        latest = max(latest, former_end(node, followed))
+    return latest
+
+
+def former_deadline(node: Node, duty: Duty) -> Seconds:
+    """Return when the last work of a former dispatcher has ended."""
+    if duty.former_dispatcher in {None, node.options.node}:
+        return NEVER
+    policy = node.view.server(duty.server)
+    configuration = node.view.configuration
+    if policy is None or configuration is None:
+        return FOREVER
+    service = configuration.services.get(policy.service)
+    if service is None:
+        return FOREVER
+    start = max(duty.usable_from, duty.started)
+    return Seconds(start + service.longest_deadline)
+
+
+def _gather_followers(node: Node, moment: Moment, duty: Duty) -> Effects:
+    missing = [
+        member for member in duty.former_members if member not in duty.followers
+    ]
+    if duty.grants.contacted or not missing:
+        return []
+    sequence = node.duties.count()
+    duty.asked[sequence] = moment.monotonic
+    request = PromiseRequest(
+        duty.server,
+        duty.term,
+        sequence,
+        lease_duration(node),
+    )
+    return [SendMessage(member, request) for member in missing]
+
+
+def _movable(node: Node, duty: Duty) -> list[ShardId]:
+    # A shard that arrived without the log is not moved on without it.
+    return [
+        shard
+        for shard, epoch in duty.shards.items()
+        if _is_free(duty, shard)
+        and node.view.owners.get(shard) == Ownership(duty.server, epoch)
+    ]
+
+
+def _is_free(duty: Duty, shard: ShardId) -> bool:
+    move = duty.moves.get(shard)
+    return move is None or move.stage not in IRREVOCABLE
--- a/trefoilsaddle/core/roles.py
+++ b/trefoilsaddle/core/roles.py
@@ -1,30 +1,38 @@
 """Make the duties follow the roles and owners that the log gives."""
 
 from trefoilsaddle.core.claims import take_role
-from trefoilsaddle.core.dutystate import Duty
+from trefoilsaddle.core.dutystate import Duty, RememberedMove
 from trefoilsaddle.core.effects import Effects, Part, SendMessage, WriteLogLine
 from trefoilsaddle.core.grants import renew_grants, stop_grants
 from trefoilsaddle.core.leases import raise_term
+from trefoilsaddle.core.messages import Promise
+from trefoilsaddle.core.moves import settle_moves
 from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.outage import exclude_moved, repeat_moves
 from trefoilsaddle.core.outcomes import adopt_shard, release_shard
+from trefoilsaddle.core.provisional import arrivals_at, drop_settled
 from trefoilsaddle.core.units import Epoch, Moment, ServerId, ShardId
-from trefoilsaddle.core.view import Role
+from trefoilsaddle.core.view import Ownership, Role
 
 
 def follow_view(node: Node, moment: Moment) -> Effects:
-    """Take and drop roles as the view says, if it has changed."""
+    """Take and drop roles and shards as the view says, if it changed."""
     duties = node.duties
-    if duties.followed == node.view.applied:
+    if duties.followed == node.view.applied and not duties.unsettled:
         return []
     duties.followed = node.view.applied
+    duties.unsettled = False
     effects: Effects = []
     for server, role in node.view.roles.items():
-        former = duties.seen_roles.get(server)
-        if former != role:
+        if duties.seen_roles.get(server) != role:
             effects.extend(_follow_role(node, moment, server, role))
-    _settle_claims(node)
-    effects.extend(_follow_owners(node, moment))
     duties.seen_roles = dict(node.view.roles)
+    _settle_claims(node)
+    drop_settled(node)
+    _forget_moves(node)
+    for duty in duties.held.values():
+        settle_moves(node, duty)
+        effects.extend(_follow_owners(node, moment, duty))
     duties.owned.update(node.view.owners)
     node.reviewed = True
     return effects
@@ -39,13 +47,20 @@
     duties = node.duties
     duty = duties.held.get(server)
     raise_term(node, server, role.term)
+    duties.provisional_holders.pop(server, None)
+    duties.take_overs.pop(server, None)
+    duties.handing_over.discard(server)
     if role.dispatcher != node.options.node:
         return drop_duty(node, duty, role) if duty else []
     if duty is not None and duty.term == role.term:
         duty.provisional = False
-        return []
+        duty.claim_set = role.claim_set
+        return repeat_moves(node, moment, duty)
     former = duties.seen_roles.get(server)
-    return take_role(node, moment, server, role, former)
+    effects = take_role(node, moment, server, role, former)
+    exclude_moved(node, moment, duties.held[server])
+    effects.extend(repeat_moves(node, moment, duties.held[server]))
+    return effects
 
 
 def _settle_claims(node: Node) -> None:
@@ -56,20 +71,39 @@
             duties.vacant_since.pop(server, None)
 
 
-def _follow_owners(node: Node, moment: Moment) -> Effects:
-    effects: Effects = []
-    wanted: dict[ServerId, dict[ShardId, Epoch]] = {
-        server: {} for server in node.duties.held
+def _forget_moves(node: Node) -> None:
+    """Forget acknowledged moves that the log has settled."""
+    for server, known in node.duties.known.items():
+        for shard, remembered in tuple(known.moves.items()):
+            if _is_settled(node, server, remembered):
+                known.moves.pop(shard)
+
+
+def _is_settled(
+    node: Node,
+    server: ServerId,
+    remembered: RememberedMove,
+) -> bool:
+    moved = remembered.moved
+    owner = node.view.owners.get(moved.shard)
+    if owner != Ownership(server, moved.expected):
+        return True
+    # Without an epoch of its own the move needs its record, which a later
+    # term makes impossible.
+    role = node.view.roles.get(server)
+    later = role is not None and role.term > remembered.term
+    return later and moved.provisional is None
+
+
+def _follow_owners(node: Node, moment: Moment, duty: Duty) -> Effects:
+    shards = {
+        shard: node.view.owners[shard].epoch
+        for shard in node.view.shards_on(duty.server)
     }
-    for shard, owner in node.view.owners.items():
-        shards = wanted.get(owner.server)
-        if shards is not None:
-            shards[shard] = owner.epoch
-    for server, shards in wanted.items():
-        duty = node.duties.held[server]
-        if shards != duty.shards:
-            effects.extend(_change_shards(node, moment, duty, shards))
-    return effects
+    shards.update(arrivals_at(node, duty.server))
+    if shards == duty.shards:
+        return []
+    return _change_shards(node, moment, duty, shards)
 
 
 def _change_shards(
@@ -113,9 +147,11 @@
     """Give a role up for good: another dispatcher has it."""
     node.duties.held.pop(duty.server, None)
     node.woken.add(duty.server)
+    promise = Promise(duty.server, role.term, 0, granted=True)
     effects: Effects = [
         stop_grants(duty.server),
         WriteLogLine(Part.ownership, f'gave up {duty.server}'),
+        SendMessage(role.dispatcher, promise),
     ]
     for shard, epoch in duty.shards.items():
         handover = release_shard(node, shard, epoch)
--- /dev/null
+++ b/trefoilsaddle/core/sharing.py
@@ -0,0 +1,142 @@
+"""Tell claim-set members of every move before it can take effect.
+
+A member that takes the server over while the log is away must not grant what
+has been moved.  With the log up one acknowledgement is enough, because such a
+member asks all the others; with the log away every member must know, because
+each of them may be the next to claim alone.
+"""
+
+from trefoilsaddle.core.assignment import make_record_id
+from trefoilsaddle.core.dutystate import (
+    Duty,
+    MoveStage,
+    RememberedMove,
+    SharedMove,
+)
+from trefoilsaddle.core.effects import (
+    Effects,
+    Part,
+    SendMessage,
+    WriteLogLine,
+)
+from trefoilsaddle.core.following import append_records
+from trefoilsaddle.core.leases import known_term, raise_term
+from trefoilsaddle.core.messages import ShareMove, ShareMoveAck
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.provisional import announce_move
+from trefoilsaddle.core.records import Move, MovedShard
+from trefoilsaddle.core.terms import next_epoch
+from trefoilsaddle.core.units import Moment, NodeId, ShardId
+
+
+def share_moves(
+    node: Node,
+    moment: Moment,
+    duty: Duty,
+    shards: list[ShardId],
+) -> Effects:
+    """Share shards that their server holds no more, then append the move."""
+    moved = tuple(_describe_move(node, duty, shard) for shard in shards)
+    record = Move(make_record_id(node), duty.server, duty.term, moved)
+    for shard in shards:
+        move = duty.moves[shard]
+        move.stage = MoveStage.sharing
+        move.record_id = record.record_id
+    sequence = node.duties.count()
+    shared = SharedMove(record)
+    duty.shared[sequence] = shared
+    if not duty.claim_set:
+        return _complete(node, moment, duty, shared)
+    return _send(duty, sequence, shared)
+
+
+def _describe_move(node: Node, duty: Duty, shard: ShardId) -> MovedShard:
+    move = duty.moves[shard]
+    if node.following.log_away and move.provisional is None:
+        move.provisional = next_epoch(node.view.applied, move.expected)
+    return MovedShard(shard, move.expected, move.target, move.provisional)
+
+
+def _send(duty: Duty, sequence: int, shared: SharedMove) -> Effects:
+    message = ShareMove(
+        duty.server,
+        duty.term,
+        sequence,
+        shared.record.shards,
+    )
+    return [
+        SendMessage(member, message)
+        for member in duty.claim_set
+        if member not in shared.acknowledged
+    ]
+
+
+def share_again(node: Node, moment: Moment, duty: Duty) -> Effects:
+    """Repeat what members have not acknowledged, until it is settled."""
+    effects: Effects = []
+    for sequence, shared in duty.shared.items():
+        if not (shared.queued and not node.following.log_away):
+            effects.extend(_send(duty, sequence, shared))
+    return effects
+
+
+def take_share(
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+    share: ShareMove,
+) -> Effects:
+    """Remember a move, unless a greater term has been acknowledged."""
+    if share.term < known_term(node, share.server):
+        return []
+    known = raise_term(node, share.server, share.term)
+    for moved in share.shards:
+        known.moves[moved.shard] = RememberedMove(share.term, moved)
+    ack = ShareMoveAck(share.server, share.term, share.sequence)
+    return [SendMessage(sender, ack)]
+
+
+def take_ack(
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+    ack: ShareMoveAck,
+) -> Effects:
+    """Count an acknowledgement; append or enact the move if it suffices."""
+    duty = node.duties.held.get(ack.server)
+    if duty is None or duty.term != ack.term:
+        return []
+    shared = duty.shared.get(ack.sequence)
+    if shared is None or sender not in duty.claim_set:
+        return []
+    shared.acknowledged.add(sender)
+    return _complete(node, moment, duty, shared)
+
+
+def _complete(
+    node: Node,
+    moment: Moment,
+    duty: Duty,
+    shared: SharedMove,
+) -> Effects:
+    effects: Effects = []
+    if not shared.queued:
+        shared.queued = True
+        _set_stage(duty, shared, MoveStage.appending)
+        effects.extend(append_records(node, moment, (shared.record,)))
+    known_to_all = shared.acknowledged.issuperset(duty.claim_set)
+    provisional = shared.record.shards[0].provisional is not None
+    if known_to_all and provisional and not shared.in_force:
+        shared.in_force = True
+        _set_stage(duty, shared, MoveStage.provisional)
+        sentence = f'moving off {duty.server} without the log'
+        effects.append(WriteLogLine(Part.ownership, sentence))
+        effects.extend(announce_move(node, moment, shared.record))
+    return effects
+
+
+def _set_stage(duty: Duty, shared: SharedMove, stage: MoveStage) -> None:
+    for moved in shared.record.shards:
+        move = duty.moves.get(moved.shard)
+        if move is not None:
+            move.stage = stage
--- /dev/null
+++ b/trefoilsaddle/core/stopping.py
@@ -0,0 +1,71 @@
+"""Hand every role over before a graceful shutdown.
+
+One record gives all roles away, each to a live claim-set member.  This process
+serves until it reads the record; then it tells the next dispatcher that
+nothing more will be sent, so that no lease has to be waited out.
+"""
+
+from trefoilsaddle.core.assignment import make_record_id
+from trefoilsaddle.core.claims import choose_claim_set
+from trefoilsaddle.core.dutystate import Duty
+from trefoilsaddle.core.effects import Effects
+from trefoilsaddle.core.following import append_records
+from trefoilsaddle.core.hashing import rank_candidates
+from trefoilsaddle.core.membership import health_of
+from trefoilsaddle.core.messages import Health
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.records import Claim
+from trefoilsaddle.core.units import Moment, NodeId
+
+
+def hand_over_roles(node: Node, moment: Moment) -> Effects:
+    """Give each role to a claim-set member, by one append."""
+    if not node.stopping or node.following.log_away:
+        return []
+    records = []
+    for server, duty in node.duties.held.items():
+        heir = _choose_heir(node, duty)
+        if heir is None or server in node.duties.handing_over:
+            continue
+        node.duties.handing_over.add(server)
+        records.append(_give_role(node, duty, heir))
+    return append_records(node, moment, tuple(records)) if records else []
+
+
+def _choose_heir(node: Node, duty: Duty) -> NodeId | None:
+    if duty.provisional:
+        return None
+    alive = [
+        member
+        for member in duty.claim_set
+        if health_of(node, member) is Health.alive
+    ]
+    ranked = rank_candidates(duty.server, alive)
+    return ranked[0] if ranked else None
+
+
+def _give_role(node: Node, duty: Duty, heir: NodeId) -> Claim:
+    claim_set = choose_claim_set(node, duty.server, heir)
+    return Claim(
+        record_id=make_record_id(node),
+        server=duty.server,
+        expected=duty.term,
+        dispatcher=heir,
+        claim_set=tuple(
+            member for member in claim_set if member != node.options.node
+        ),
+        provisional=None,
+    )
+
+
+def has_roles(node: Node) -> bool:
+    """Say whether a stopping process still has a role to hand over.
+
+    False also if nobody is there to take one: waiting would not help.
+    """
+    if node.following.log_away:
+        return False
+    return any(
+        _choose_heir(node, duty) is not None
+        for duty in node.duties.held.values()
+    )
