--- a/measure/platform.py
+++ b/measure/platform.py
@@ -37,6 +37,8 @@
     """Keep entries by offset and drop the oldest when told."""
 
     entries: list[LogEntry] = field(default_factory=list)
+    # Every entry ever appended, for comparison.
+    history: list[LogEntry] = field(default_factory=list)
     first: Offset = Offset(0)
     faults: LogFaults = field(default_factory=LogFaults)
     appends: int = 0
@@ -51,6 +53,7 @@
         """Append one entry."""
         offset = self.tail
         self.entries.append(LogEntry(offset, records))
+        self.history.append(self.entries[-1])
         self.appends += 1
         return offset
 
--- /dev/null
+++ b/tests/test_application.py
@@ -0,0 +1,448 @@
+"""Check each record: its condition holds or fails, and it comes twice."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import pytest
+
+from tests.sites import (
+    BASE,
+    SITES,
+    describe_overlay,
+    make_publication,
+)
+from trefoilsaddle.core.application import MOST_VERDICTS, apply_entry
+from trefoilsaddle.core.records import (
+    Assign,
+    Claim,
+    LogEntry,
+    LostZone,
+    Move,
+    MovedShard,
+    Placement,
+    Record,
+    SplitKey,
+)
+from trefoilsaddle.core.snapshots import SnapshotCollector, split_view
+from trefoilsaddle.core.units import (
+    FIRST_EPOCH,
+    Epoch,
+    NodeId,
+    Offset,
+    RecordId,
+    ServerId,
+    ServiceName,
+    ShardId,
+    ShardNumber,
+    ZoneName,
+)
+from trefoilsaddle.core.view import HotKey, LogView
+from trefoilsaddle.core.viewtext import write_view
+from trefoilsaddle.results import ResultCode
+
+_CATALOGUE = ServiceName('catalogue')
+_SERVER = ServerId('north-a-0')
+_TARGET = ServerId('north-a-1')
+_FAR = ServerId('south-a-0')
+_HOLDER = NodeId('node-0')
+_STANDBY = NodeId('node-4')
+_STRANGER = NodeId('node-2')
+_SHARD = ShardId(_CATALOGUE, ShardNumber(5))
+_HOT_HASH = 64 * 7 + 5
+_HOT_SHARD = ShardId(_CATALOGUE, ShardNumber(64))
+# Offsets at which the scene below puts its records.
+_ASSIGNED = Epoch(Offset(3), 0)
+_TERM = Epoch(Offset(4), 0)
+_NEXT = Offset(5)
+_OLD_TERM = Epoch(Offset(3), 7)
+
+
+def _claim(
+    dispatcher: NodeId,
+    expected: Epoch,
+    *,
+    server: ServerId = _SERVER,
+    provisional: Epoch | None = None,
+) -> Claim:
+    return Claim(
+        record_id=RecordId('claim'),
+        server=server,
+        expected=expected,
+        dispatcher=dispatcher,
+        claim_set=(_HOLDER, _STANDBY),
+        provisional=provisional,
+    )
+
+
+def _move(
+    term: Epoch,
+    expected: Epoch,
+    target: ServerId = _TARGET,
+    provisional: Epoch | None = None,
+) -> Move:
+    moved = MovedShard(_SHARD, expected, target, provisional)
+    return Move(RecordId('move'), _SERVER, term, (moved,))
+
+
+def _split(term: Epoch, key_hash: int, *, active: bool = True) -> SplitKey:
+    return SplitKey(
+        record_id=RecordId(f'split-{active}'),
+        server=_SERVER,
+        term=term,
+        parent=_SHARD,
+        key_hash=key_hash,
+        active=active,
+    )
+
+
+def _assign(server: ServerId, *numbers: int) -> Assign:
+    shards = tuple(ShardNumber(number) for number in numbers)
+    placement = Placement(server, shards)
+    return Assign(RecordId('assign'), _CATALOGUE, (placement,))
+
+
+def _lose(zone: str, *, lost: bool = True) -> LostZone:
+    return LostZone(RecordId(f'lost-{lost}'), ZoneName(zone), lost)
+
+
+def _build_scene(*more: Record) -> LogView:
+    """Publish, assign shards 0 to 9 to one server, and claim it."""
+    assign = Assign(
+        RecordId('scene-assign'),
+        _CATALOGUE,
+        (Placement(_SERVER, tuple(map(ShardNumber, range(10)))),),
+    )
+    claim = Claim(
+        record_id=RecordId('scene-claim'),
+        server=_SERVER,
+        expected=FIRST_EPOCH,
+        dispatcher=_HOLDER,
+        claim_set=(_HOLDER, _STANDBY),
+        provisional=None,
+    )
+    records: list[Record] = [
+        make_publication('base', 0, None, BASE),
+        *(
+            make_publication(
+                site.name,
+                0,
+                site.name,
+                describe_overlay(site),
+            )
+            for site in SITES
+        ),
+        assign,
+        claim,
+        *more,
+    ]
+    view = LogView()
+    for offset, record in enumerate(records):
+        apply_entry(view, LogEntry(Offset(offset), (record,)))
+    return view
+
+
+@dataclass(frozen=True, slots=True)
+class _Case:
+    """Name a record and what becomes of it."""
+
+    name: str
+    record: Record
+    code: ResultCode
+    # Records that the scene holds besides.
+    before: tuple[Record, ...] = ()
+
+
+_NORTH = describe_overlay(SITES[0], port=9500)
+_ACCEPTED = ResultCode.ok
+_CASES = (
+    _Case(
+        'overlay-replaces-its-version',
+        make_publication('new', 2, 'north', _NORTH),
+        _ACCEPTED,
+    ),
+    _Case(
+        'overlay-read-at-a-later-version',
+        make_publication('new', 3, 'north', _NORTH),
+        _ACCEPTED,
+    ),
+    _Case(
+        'overlay-names-an-old-version',
+        make_publication('new', 1, 'north', _NORTH),
+        ResultCode.version_conflict,
+    ),
+    _Case(
+        'overlay-names-a-version-to-come',
+        make_publication('new', 4, 'north', _NORTH),
+        ResultCode.version_conflict,
+    ),
+    _Case(
+        'second-of-two-racing-publishers',
+        make_publication('new', 3, 'north', _NORTH),
+        ResultCode.version_conflict,
+        (make_publication('rival', 3, 'north', _NORTH),),
+    ),
+    _Case(
+        'base-is-no-yaml',
+        make_publication('new', 3, None, '{members: ['),
+        ResultCode.configuration_invalid,
+    ),
+    _Case(
+        'base-drops-a-service',
+        make_publication('new', 3, None, BASE.replace('catalogue', 'fees')),
+        ResultCode.configuration_invalid,
+    ),
+    _Case(
+        'base-changes-shards',
+        make_publication('new', 3, None, BASE.replace('64', '65')),
+        ResultCode.configuration_invalid,
+    ),
+    _Case(
+        'overlay-takes-a-zone-of-another-site',
+        make_publication('new', 3, 'east', _NORTH),
+        ResultCode.configuration_invalid,
+    ),
+    _Case(
+        'overlay-names-an-unknown-service',
+        make_publication(
+            'new',
+            3,
+            'north',
+            _NORTH.replace('catalogue', 'fees'),
+        ),
+        ResultCode.configuration_invalid,
+    ),
+    _Case('assign-unowned', _assign(_TARGET, 10), _ACCEPTED),
+    _Case('assign-owned', _assign(_TARGET, 9), ResultCode.owner_changing),
+    _Case('assign-too-high', _assign(_TARGET, 64), ResultCode.owner_changing),
+    _Case(
+        'assign-to-a-stranger',
+        _assign(ServerId('none'), 10),
+        ResultCode.owner_changing,
+    ),
+    _Case('claim-by-claim-set', _claim(_STANDBY, _TERM), _ACCEPTED),
+    _Case('claim-renewed-by-holder', _claim(_HOLDER, _TERM), _ACCEPTED),
+    _Case(
+        'claim-by-a-stranger',
+        _claim(_STRANGER, _TERM),
+        ResultCode.not_holder,
+    ),
+    _Case(
+        'claim-by-a-stranger-after-the-zone-is-lost',
+        _claim(_STRANGER, _TERM),
+        _ACCEPTED,
+        (_lose('north-a'),),
+    ),
+    _Case(
+        'claim-by-a-stranger-after-the-zone-is-back',
+        _claim(_STRANGER, _TERM),
+        ResultCode.not_holder,
+        (_lose('north-a'), _lose('north-a', lost=False)),
+    ),
+    _Case(
+        'claim-of-an-old-term',
+        _claim(_STANDBY, _OLD_TERM),
+        ResultCode.fenced,
+    ),
+    _Case(
+        'claim-as-if-unclaimed',
+        _claim(_STANDBY, FIRST_EPOCH),
+        ResultCode.fenced,
+    ),
+    _Case(
+        'first-claim',
+        _claim(_STRANGER, FIRST_EPOCH, server=_TARGET),
+        _ACCEPTED,
+    ),
+    _Case(
+        'claim-of-an-unknown-server',
+        _claim(_STRANGER, FIRST_EPOCH, server=ServerId('none')),
+        ResultCode.not_holder,
+    ),
+    _Case(
+        'provisional-claim',
+        _claim(_STANDBY, _TERM, provisional=Epoch(_TERM.offset, 1)),
+        _ACCEPTED,
+    ),
+    _Case(
+        'provisional-claim-not-above-its-term',
+        _claim(_STANDBY, _TERM, provisional=_TERM),
+        ResultCode.fenced,
+    ),
+    _Case(
+        'provisional-claim-from-the-future',
+        _claim(_STANDBY, _TERM, provisional=Epoch(Offset(900), 1)),
+        ResultCode.fenced,
+    ),
+    _Case('move', _move(_TERM, _ASSIGNED), _ACCEPTED),
+    _Case('move-across', _move(_TERM, _ASSIGNED, _FAR), _ACCEPTED),
+    _Case(
+        'move-under-an-old-term',
+        _move(_OLD_TERM, _ASSIGNED),
+        ResultCode.fenced,
+    ),
+    _Case(
+        'move-after-another-has-claimed',
+        _move(_TERM, _ASSIGNED),
+        ResultCode.fenced,
+        (_claim(_STANDBY, _TERM),),
+    ),
+    _Case(
+        'move-of-an-old-epoch',
+        _move(_TERM, Epoch(Offset(2), 0)),
+        ResultCode.owner_changing,
+    ),
+    _Case(
+        'move-to-an-unknown-server',
+        _move(_TERM, _ASSIGNED, ServerId('none')),
+        ResultCode.owner_changing,
+    ),
+    _Case(
+        'provisional-move',
+        _move(_TERM, _ASSIGNED, provisional=Epoch(_TERM.offset, 1)),
+        _ACCEPTED,
+    ),
+    _Case(
+        'provisional-move-not-above-its-epoch',
+        _move(_TERM, _ASSIGNED, provisional=_ASSIGNED),
+        ResultCode.owner_changing,
+    ),
+    _Case('split', _split(_TERM, _HOT_HASH), _ACCEPTED),
+    _Case(
+        'split-under-an-old-term',
+        _split(_OLD_TERM, _HOT_HASH),
+        ResultCode.fenced,
+    ),
+    _Case(
+        'split-of-another-shard',
+        _split(_TERM, _HOT_HASH + 1),
+        ResultCode.malformed,
+    ),
+    _Case(
+        'split-end',
+        _split(_TERM, _HOT_HASH, active=False),
+        _ACCEPTED,
+        (_split(_TERM, _HOT_HASH),),
+    ),
+    _Case(
+        'split-end-without-a-split',
+        _split(_TERM, _HOT_HASH, active=False),
+        ResultCode.owner_changing,
+    ),
+    _Case('lost-zone', _lose('north-a'), _ACCEPTED),
+)
+
+
+@pytest.mark.parametrize('case', _CASES, ids=lambda case: case.name)
+def test_record_takes_effect_if_its_condition_holds(case: _Case) -> None:
+    """Judge each record, and let a second copy change nothing."""
+    view = _build_scene(*case.before)
+    before = _describe(view)
+    _append(view, case.record)
+    verdict = view.verdicts[case.record.record_id]
+    after = _describe(view)
+    assert verdict.code is case.code
+    assert verdict.accepted == (case.code is ResultCode.ok)
+    assert (before != after) == verdict.accepted
+    _append(view, case.record)
+    assert _describe(view) == after
+    assert view.verdicts[case.record.record_id] == verdict
+
+
+def _append(view: LogView, *records: Record) -> None:
+    apply_entry(view, LogEntry(Offset(view.applied + 1), records))
+
+
+def _describe(view: LogView) -> tuple[object, ...]:
+    """Describe what a view says, apart from its bookkeeping."""
+    return (
+        view.configuration,
+        dict(view.owners),
+        dict(view.roles),
+        dict(view.hot_keys),
+        set(view.lost_zones),
+    )
+
+
+def test_record_appended_twice_does_not_undo_a_later_one() -> None:
+    """Drop the second copy, although its condition holds again."""
+    view = _build_scene(_lose('north-a'), _lose('north-a', lost=False))
+    _append(view, _lose('north-a'))
+    assert not view.lost_zones
+
+
+def test_split_key_has_a_shard_that_no_other_key_had() -> None:
+    """Never give one shard number to two hot keys."""
+    view = _build_scene(
+        _split(_TERM, _HOT_HASH),
+        _split(_TERM, _HOT_HASH, active=False),
+    )
+    again = SplitKey(
+        record_id=RecordId('again'),
+        server=_SERVER,
+        term=_TERM,
+        parent=_SHARD,
+        key_hash=_HOT_HASH,
+        active=True,
+    )
+    _append(view, again)
+    shard = view.hot_keys[HotKey(_CATALOGUE, _HOT_HASH)]
+    assert shard == ShardId(_CATALOGUE, ShardNumber(65))
+    assert _HOT_SHARD not in view.owners
+
+
+def test_verdicts_are_bounded_alike_after_a_snapshot() -> None:
+    """Forget the same verdicts with and without a snapshot between."""
+    view = _build_scene()
+    for number in range(MOST_VERDICTS):
+        _append(view, LostZone(RecordId(str(number)), ZoneName('x'), True))
+    copy = _copy_through_snapshot(view)
+    for target in (view, copy):
+        _append(target, _lose('north-b'))
+    assert len(view.verdicts) == MOST_VERDICTS
+    assert write_view(copy) == write_view(view)
+
+
+def test_snapshot_counts_once_all_its_parts_arrived_in_order() -> None:
+    """Note a snapshot's position at its last part, not before."""
+    view = _build_scene(_split(_TERM, _HOT_HASH))
+    parts = split_view(view, part_length=200)
+    assert len(parts) > 2
+    for part in (*parts[:1], *parts[2:], *parts[:-1]):
+        _append(view, part)
+    assert view.snapshot.covers < 0
+    _append(view, parts[-1])
+    assert (view.snapshot.covers, view.snapshot.first_part) == (
+        _NEXT,
+        _NEXT + 1,
+    )
+
+
+def _copy_through_snapshot(view: LogView) -> LogView:
+    collector = SnapshotCollector()
+    collector.collect(LogEntry(Offset(0), split_view(view)))
+    assert collector.newest is not None
+    return collector.newest
+
+
+@pytest.mark.parametrize(
+    'spoil',
+    [
+        lambda text: text[:-4],
+        lambda text: text[4:],
+        lambda text: text.swapcase(),
+        lambda text: '',
+    ],
+)
+def test_spoilt_snapshot_is_not_taken(spoil: Callable[[str], str]) -> None:
+    """Refuse a snapshot whose text does not match its name."""
+    collector = SnapshotCollector()
+    for part in split_view(_build_scene()):
+        spoilt = type(part)(
+            record_id=part.record_id,
+            covers=part.covers,
+            part=part.part,
+            parts=part.parts,
+            text=spoil(part.text),
+        )
+        collector.collect(LogEntry(Offset(0), (spoilt,)))
+    assert collector.newest is None
--- a/trefoilsaddle/core/application.py
+++ b/trefoilsaddle/core/application.py
@@ -4,7 +4,9 @@
 the view and the entry decides, so that every process decides alike.
 """
 
+from dataclasses import replace
 from functools import singledispatch
+from typing import TypeVar
 
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.publishing import judge_publication
@@ -19,6 +21,7 @@
     Record,
     Snapshot,
     SplitKey,
+    name_snapshot,
 )
 from trefoilsaddle.core.units import (
     FIRST_EPOCH,
@@ -32,6 +35,7 @@
 from trefoilsaddle.core.view import (
     HotKey,
     LogView,
+    OpenSnapshot,
     Ownership,
     Role,
     SnapshotPosition,
@@ -43,6 +47,11 @@
 MOST_VERDICTS = 2048
 # Hot keys of one service at any time.
 MOST_HOT_KEYS = 256
+# Snapshots whose parts may arrive at the same time.
+MOST_OPEN_SNAPSHOTS = 4
+
+_Key = TypeVar('_Key')
+_Kept = TypeVar('_Kept')
 
 
 def apply_entry(view: LogView, entry: LogEntry) -> None:
@@ -59,7 +68,7 @@
         return
     code = _apply_record(record, view, position)
     if isinstance(record, Snapshot):
-        # Never appended twice with one id for long: needs no verdict.
+        # Its parts are counted instead, so that they crowd out no verdict.
         return
     verdict = Verdict(
         offset=position.offset,
@@ -76,8 +85,7 @@
     verdict: Verdict,
 ) -> None:
     view.verdicts[record_id] = verdict
-    if len(view.verdicts) > MOST_VERDICTS:
-        view.verdicts.pop(next(iter(view.verdicts)))
+    _drop_oldest(view.verdicts, MOST_VERDICTS)
 
 
 @singledispatch
@@ -166,6 +174,7 @@
     term = record.provisional or position
     if not record.expected < term <= position:
         return ResultCode.fenced
+    view.touch((record.server,))
     view.roles[record.server] = Role(
         record.dispatcher,
         term,
@@ -288,8 +297,23 @@
     view: LogView,
     position: Epoch,
 ) -> ResultCode:
-    # The parts of one snapshot follow each other with falling certainty:
-    # only the last one makes it complete, see `trefoilsaddle.core.snapshots`.
-    if record.part == record.parts - 1 and record.covers > view.snapshot.covers:
-        view.snapshot = SnapshotPosition(record.covers, position.offset)
+    """Note where a complete snapshot lies; its text is not needed here."""
+    name = name_snapshot(record)
+    if record.part == 0 and name not in view.open_snapshots:
+        view.open_snapshots[name] = OpenSnapshot(position.offset, 0)
+        _drop_oldest(view.open_snapshots, MOST_OPEN_SNAPSHOTS)
+    opened = view.open_snapshots.get(name)
+    if opened is None or opened.parts_seen != record.part:
+        return ResultCode.malformed
+    opened = replace(opened, parts_seen=record.part + 1)
+    view.open_snapshots[name] = opened
+    if opened.parts_seen == record.parts:
+        view.open_snapshots.pop(name)
+        newest = SnapshotPosition(record.covers, opened.first_part)
+        view.snapshot = max(view.snapshot, newest)
     return ResultCode.ok
+
+
+def _drop_oldest(kept: dict[_Key, _Kept], limit: int) -> None:
+    while len(kept) > limit:
+        kept.pop(next(iter(kept)))
--- a/trefoilsaddle/core/assignment.py
+++ b/trefoilsaddle/core/assignment.py
@@ -8,24 +8,15 @@
 from trefoilsaddle.core.hashing import rank_candidates
 from trefoilsaddle.core.membership import live_dispatchers
 from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.records import Assign, Placement
 from trefoilsaddle.core.units import (
     Moment,
-    RecordId,
     ServerId,
     ShardId,
     ShardNumber,
 )
 
-_ID_BITS = 64
-
-
-def make_record_id(node: Node) -> RecordId:
-    """Make an id that no other process and no other run makes."""
-    name = node.options.node
-    token = node.random.getrandbits(_ID_BITS)
-    return RecordId(f'{name}-{token}')
-
 
 def assign_unowned(node: Node, moment: Moment) -> Effects:
     """Append an assignment per service that has shards without an owner."""
--- a/trefoilsaddle/core/following.py
+++ b/trefoilsaddle/core/following.py
@@ -2,31 +2,57 @@
 
 from functools import singledispatch
 
-from trefoilsaddle.core.application import apply_entry
-from trefoilsaddle.core.effects import Effects, ReadLog, SetTimer
+from trefoilsaddle.core.catchup import (
+    CATCH_UP_TIMER,
+    answer_peer,
+    ask_peer_again,
+    take_peer_view,
+)
+from trefoilsaddle.core.effects import Effects
 from trefoilsaddle.core.events import (
     Event,
     LogAppended,
     LogAppendFailed,
     LogRead,
     LogReadFailed,
+    MessageReceived,
+    PeerLost,
     Started,
     TimerExpired,
     TimerKey,
     TimerKind,
 )
+from trefoilsaddle.core.messages import (
+    Message,
+    RelayEntries,
+    RelayFailed,
+    RelayRead,
+    StateRead,
+    StateReply,
+)
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.outbox import (
-    drop_seen,
     flush_outbox,
     queue_records,
     take_acknowledgement,
-    take_failure,
+    take_append_failure,
 )
-from trefoilsaddle.core.records import LogEntry, Record
-from trefoilsaddle.core.units import Moment, Offset
+from trefoilsaddle.core.reading import (
+    READ_TIMER,
+    RELAY_TIMER,
+    read_directly,
+    read_next,
+    replace_relay,
+    take_read,
+    take_read_failure,
+    take_relay_failure,
+    take_relayed,
+)
+from trefoilsaddle.core.records import Record
+from trefoilsaddle.core.relaying import take_ask
+from trefoilsaddle.core.snapshotting import SNAPSHOT_TIMER, check_snapshot
+from trefoilsaddle.core.units import Moment, NodeId
 
-_READ_TIMER = TimerKey(TimerKind.log_read)
 _APPEND_TIMER = TimerKey(TimerKind.append)
 
 
@@ -51,29 +77,33 @@
 
 @_take_event.register
 def _take_start(event: Started, node: Node, moment: Moment) -> Effects:
-    return _begin_read(node, moment)
+    return [
+        *read_directly(node, moment),
+        *ask_peer_again(node),
+        *check_snapshot(node, moment),
+    ]
 
 
 @_take_event.register
 def _take_timer(event: TimerExpired, node: Node, moment: Moment) -> Effects:
-    if event.timer == _READ_TIMER:
-        return _begin_read(node, moment)
-    if event.timer == _APPEND_TIMER:
-        return flush_outbox(node, moment)
+    match event.timer:
+        case timer if timer == READ_TIMER:
+            return read_next(node, moment)
+        case timer if timer == RELAY_TIMER:
+            return replace_relay(node, moment)
+        case timer if timer == _APPEND_TIMER:
+            return flush_outbox(node, moment)
+        case timer if timer == CATCH_UP_TIMER:
+            return ask_peer_again(node)
+        case timer if timer == SNAPSHOT_TIMER:
+            return check_snapshot(node, moment)
     return []
 
 
 @_take_event.register
 def _take_read(event: LogRead, node: Node, moment: Moment) -> Effects:
-    following = node.following
-    following.reading_since = None
-    following.log_away = False
-    _apply_entries(node, event.entries)
-    if node.view.applied + 1 < event.tail:
-        return _begin_read(node, moment)
-    following.fresh_at = max(following.fresh_at, event.sent)
     return [
-        SetTimer(_READ_TIMER, node.options.log_interval),
+        *take_read(node, moment, event),
         *flush_outbox(node, moment),
     ]
 
@@ -84,16 +114,13 @@
     node: Node,
     moment: Moment,
 ) -> Effects:
-    node.following.reading_since = None
-    node.following.log_away = True
-    node.reviewed = True
-    return [SetTimer(_READ_TIMER, node.options.log_interval)]
+    return take_read_failure(node, event)
 
 
 @_take_event.register
 def _take_append(event: LogAppended, node: Node, moment: Moment) -> Effects:
-    take_acknowledgement(node, event.record_ids)
-    return [*_begin_read(node, moment), *flush_outbox(node, moment)]
+    take_acknowledgement(node, event)
+    return [*read_directly(node, moment), *flush_outbox(node, moment)]
 
 
 @_take_event.register
@@ -102,22 +129,86 @@
     node: Node,
     moment: Moment,
 ) -> Effects:
-    return take_failure(node, moment)
+    take_append_failure(node, moment, event)
+    return []
 
 
-def _begin_read(node: Node, moment: Moment) -> Effects:
-    if node.following.reading_since is not None:
+@_take_event.register
+def _take_peer_loss(event: PeerLost, node: Node, moment: Moment) -> Effects:
+    ask = node.following.relay.ask
+    if ask is None or ask.relay != event.node:
         return []
-    node.following.reading_since = moment.monotonic
-    return [ReadLog(Offset(node.view.applied + 1))]
-
-
-def _apply_entries(node: Node, entries: tuple[LogEntry, ...]) -> None:
-    for entry in entries:
-        if entry.offset != node.view.applied + 1:
-            continue
-        apply_entry(node.view, entry)
-        drop_seen(node, entry.records)
-        node.reviewed = True
-    if node.reviewed:
-        node.woken.update(node.view.roles)
+    return replace_relay(node, moment)
+
+
+@_take_event.register
+def _take_received(
+    event: MessageReceived,
+    node: Node,
+    moment: Moment,
+) -> Effects:
+    return _take_message(event.message, node, moment, event.sender)
+
+
+@singledispatch
+def _take_message(
+    message: Message,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    return []
+
+
+@_take_message.register
+def _take_relay_read(
+    message: RelayRead,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    take_ask(node, sender, message)
+    return []
+
+
+@_take_message.register
+def _take_relay_entries(
+    message: RelayEntries,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    return [
+        *take_relayed(node, moment, sender, message),
+        *flush_outbox(node, moment),
+    ]
+
+
+@_take_message.register
+def _take_relay_refusal(
+    message: RelayFailed,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    return take_relay_failure(node, moment, sender, message)
+
+
+@_take_message.register
+def _take_state_read(
+    message: StateRead,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    return answer_peer(node, sender, message)
+
+
+@_take_message.register
+def _take_state_reply(
+    message: StateReply,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    return take_peer_view(node, sender, message)
--- a/trefoilsaddle/core/membership.py
+++ b/trefoilsaddle/core/membership.py
@@ -45,6 +45,17 @@
     ]
 
 
+def live_processes(node: Node, zone: ZoneName | None) -> list[NodeId]:
+    """Return the other processes alive, of a zone or of all."""
+    return [
+        rumour.node
+        for rumour in node.membership.processes.values()
+        if rumour.node != node.options.node
+        and rumour.health is Health.alive
+        and zone in {None, rumour.zone}
+    ]
+
+
 @singledispatch
 def _take_event(event: Event, node: Node, moment: Moment) -> Effects:
     return []
--- a/trefoilsaddle/core/options.py
+++ b/trefoilsaddle/core/options.py
@@ -44,6 +44,8 @@
     seed: int
     # Longest time between two reads of the log.
     log_interval: Seconds = Seconds(0.2)
+    # Shortest time that the log keeps a record.
+    log_retention: Seconds = Seconds(3600)
     host_list_interval: Seconds = Seconds(1)
     # Time between two renewals of a server's grants.
     grant_interval: Seconds = Seconds(0.4)
--- a/trefoilsaddle/core/outbox.py
+++ b/trefoilsaddle/core/outbox.py
@@ -1,16 +1,22 @@
 """Append records until the log is seen to hold them.
 
-A reply may be lost after the append has taken effect, so a record is
-appended again with the same id; the view drops the second one.
+A reply may be lost after the append has taken effect.  The record is then
+appended again with the same id, once a newer read has not shown it; the view
+drops the second one.
 """
 
 from itertools import islice
 
 from trefoilsaddle.core.effects import AppendRecords, Effects, SetTimer
-from trefoilsaddle.core.events import TimerKey, TimerKind
+from trefoilsaddle.core.events import (
+    LogAppended,
+    LogAppendFailed,
+    TimerKey,
+    TimerKind,
+)
 from trefoilsaddle.core.node import Node
-from trefoilsaddle.core.records import Record
-from trefoilsaddle.core.units import Moment, RecordId, Seconds
+from trefoilsaddle.core.records import Record, Snapshot
+from trefoilsaddle.core.units import Moment, Seconds
 
 # Most records that share one append.
 _MOST_RECORDS = 64
@@ -36,52 +42,73 @@
 def flush_outbox(node: Node, moment: Moment) -> Effects:
     """Append what waits, unless an append is in flight or too close."""
     following = node.following
-    pending = tuple(
-        islice(
-            (
-                record
-                for record_id, record in following.outbox.items()
-                if record_id not in following.acknowledged
-            ),
-            _MOST_RECORDS,
-        ),
-    )
-    if following.appending or not pending:
+    appends = following.appends
+    if appends.appending or appends.failed_at >= following.fresh_at:
         return []
-    wait = following.append_after - moment.monotonic
+    batch = _choose_batch(node)
+    if not batch:
+        return []
+    wait = appends.append_after - moment.monotonic
     if wait > 0:
         return [SetTimer(_TIMER, Seconds(wait))]
-    following.appending = tuple(record.record_id for record in pending)
-    _space_appends(node, moment, _APPEND_SPACING)
-    return [AppendRecords(pending)]
+    appends.appending = tuple(record.record_id for record in batch)
+    appends.append_after = Seconds(moment.monotonic + _APPEND_SPACING)
+    return [AppendRecords(batch)]
 
 
-def take_acknowledgement(
-    node: Node,
-    record_ids: tuple[RecordId, ...],
-) -> None:
+def take_acknowledgement(node: Node, event: LogAppended) -> None:
     """Note that the log holds some records; the view will show them."""
-    node.following.appending = ()
-    node.following.acknowledged.update(
-        record_id
-        for record_id in record_ids
-        if record_id in node.following.outbox
-    )
+    following = node.following
+    following.appends.appending = ()
+    for record_id in event.record_ids:
+        if record_id in following.outbox:
+            following.appends.acknowledged[record_id] = event.offset
+    drop_settled(node)
 
 
-def take_failure(node: Node, moment: Moment) -> Effects:
+def take_append_failure(
+    node: Node,
+    moment: Moment,
+    event: LogAppendFailed,
+) -> None:
     """Append again later: nobody knows whether it took effect."""
-    node.following.appending = ()
-    _space_appends(node, moment, _RETRY_DELAY)
-    return [SetTimer(_TIMER, _RETRY_DELAY)]
+    appends = node.following.appends
+    appends.appending = ()
+    appends.failed_at = moment.monotonic
+    appends.append_after = Seconds(moment.monotonic + _RETRY_DELAY)
 
 
-def drop_seen(node: Node, records: tuple[Record, ...]) -> None:
+def drop_settled(node: Node) -> None:
     """Drop records that the log was seen to hold."""
-    for record in records:
-        node.following.outbox.pop(record.record_id, None)
-        node.following.acknowledged.discard(record.record_id)
-
-
-def _space_appends(node: Node, moment: Moment, spacing: Seconds) -> None:
-    node.following.append_after = Seconds(moment.monotonic + spacing)
+    following = node.following
+    settled = [
+        record_id
+        for record_id, record in following.outbox.items()
+        if _is_settled(node, record)
+    ]
+    for record_id in settled:
+        following.outbox.pop(record_id)
+        following.appends.acknowledged.pop(record_id, None)
+
+
+def _is_settled(node: Node, record: Record) -> bool:
+    view = node.view
+    if record.record_id in view.verdicts:
+        return True
+    if isinstance(record, Snapshot) and record.covers <= view.snapshot.covers:
+        return True
+    offset = node.following.appends.acknowledged.get(record.record_id)
+    return offset is not None and offset <= view.applied
+
+
+def _choose_batch(node: Node) -> tuple[Record, ...]:
+    """Choose the oldest records; a snapshot's part goes alone and last."""
+    following = node.following
+    pending = [
+        record
+        for record in following.outbox.values()
+        if record.record_id not in following.appends.acknowledged
+    ]
+    small = (record for record in pending if not isinstance(record, Snapshot))
+    batch = tuple(islice(small, _MOST_RECORDS))
+    return batch or tuple(pending[:1])
--- a/trefoilsaddle/core/publishing.py
+++ b/trefoilsaddle/core/publishing.py
@@ -9,7 +9,12 @@
 )
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.records import Publication
-from trefoilsaddle.core.units import ServiceName, SiteName, Version
+from trefoilsaddle.core.units import (
+    RecordId,
+    ServiceName,
+    SiteName,
+    Version,
+)
 from trefoilsaddle.core.view import LogView
 from trefoilsaddle.documents import (
     build_limits,
@@ -49,6 +54,28 @@
     )
 
 
+def join_documents(
+    documents: dict[SiteName | None, str],
+    version: Version,
+) -> Configuration | Failure:
+    """Join the base file and the overlays that were in force together."""
+    view = LogView()
+    for site in sorted(documents, key=lambda name: name or ''):
+        publication = Publication(
+            record_id=RecordId(''),
+            expected=Version(0),
+            site=site,
+            document=documents[site],
+        )
+        joined = judge_publication(view, publication)
+        if isinstance(joined, Failure):
+            return joined
+        view.configuration = joined
+    if view.configuration is None:
+        return _refuse('no base file is in force')
+    return replace(view.configuration, version=version)
+
+
 def _join_base(
     view: LogView,
     document: str,
--- a/trefoilsaddle/core/records.py
+++ b/trefoilsaddle/core/records.py
@@ -115,7 +115,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Carry one part of the whole view as it was after an offset."""
+    """Carry one part of the whole view as it was after an offset.
+
+    The id is the snapshot's name, a slash and the number of the part.
+    """
 
     record_id: RecordId
     # Last offset that the snapshot covers.
@@ -125,6 +128,12 @@
     text: str
 
 
+def name_snapshot(record: Snapshot) -> str:
+    """Return the name that all parts of one snapshot share."""
+    name, _, _ = record.record_id.rpartition('/')
+    return name
+
+
 Record = Publication | Assign | Claim | Move | SplitKey | LostZone | Snapshot
 
 
--- /dev/null
+++ b/trefoilsaddle/core/snapshotting.py
@@ -0,0 +1,92 @@
+"""Append a snapshot again well before the newest one expires."""
+
+from trefoilsaddle.core.effects import Effects, SetTimer
+from trefoilsaddle.core.events import TimerKey, TimerKind
+from trefoilsaddle.core.followstate import NEVER
+from trefoilsaddle.core.hashing import rank_candidates
+from trefoilsaddle.core.membership import live_dispatchers
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.outbox import queue_records
+from trefoilsaddle.core.records import Snapshot
+from trefoilsaddle.core.snapshots import split_view
+from trefoilsaddle.core.units import Moment, Seconds
+
+SNAPSHOT_TIMER = TimerKey(TimerKind.snapshot)
+# Time between two looks at the age of the newest snapshot.
+_CHECK_INTERVAL = Seconds(1)
+# Age of a snapshot, as a fraction of the log's retention, to replace it at.
+_OLDEST = 0.25
+# Each process that the preferred one precedes waits this fraction longer.
+_STAGGER = 0.1
+# Processes that stand by to append a snapshot.
+_MOST_WRITERS = 5
+# Entries after a snapshot that a new process has to read at most.
+_MOST_ENTRIES = 5000
+# Writers let each other's parts arrive before they take over.
+_ENTRIES_STAGGER = 500
+
+
+def check_snapshot(node: Node, moment: Moment) -> Effects:
+    """Append a snapshot if it is due and this process's turn."""
+    timer = SetTimer(SNAPSHOT_TIMER, _CHECK_INTERVAL)
+    _watch_snapshot(node, moment)
+    if _is_due(node, moment):
+        parts = split_view(node.view)
+        return [timer, *queue_records(node, moment, parts)]
+    return [timer]
+
+
+def _watch_snapshot(node: Node, moment: Moment) -> None:
+    watch = node.following.snapshot_watch
+    newest = node.view.snapshot.first_part
+    if not watch.settled:
+        # Its age is unknown to a process that has just started.
+        half_age = node.options.log_retention * _OLDEST / 2
+        watch.since = Seconds(moment.monotonic - half_age)
+        watch.first_part = newest
+        watch.settled = node.following.fresh_at > NEVER
+    if newest != watch.first_part:
+        watch.first_part = newest
+        watch.since = moment.monotonic
+
+
+def _is_due(node: Node, moment: Moment) -> bool:
+    following = node.following
+    if node.view.configuration is None or following.log_away:
+        return False
+    if following.catch_up is not None or _is_waiting(node):
+        return False
+    place = _find_place(node)
+    if place is None:
+        return False
+    age = moment.monotonic - following.snapshot_watch.since
+    limit = node.options.log_retention * _OLDEST * (1 + place * _STAGGER)
+    if age >= limit or _is_expiring(node, place):
+        return True
+    lag = node.view.applied - node.view.snapshot.covers
+    return lag > _MOST_ENTRIES + place * _ENTRIES_STAGGER
+
+
+def _is_expiring(node: Node, place: int) -> bool:
+    """Tell whether the newest snapshot is among the oldest entries kept."""
+    first = node.following.first
+    if first <= 0:
+        return False
+    kept = node.view.applied - first
+    oldest = kept * _OLDEST / (1 + place)
+    return node.view.snapshot.first_part - first < oldest
+
+
+def _is_waiting(node: Node) -> bool:
+    return any(
+        isinstance(record, Snapshot)
+        for record in node.following.outbox.values()
+    )
+
+
+def _find_place(node: Node) -> int | None:
+    """Return this process's place among the writers."""
+    writers = rank_candidates('snapshot', live_dispatchers(node, None))
+    if node.options.node not in writers[:_MOST_WRITERS]:
+        return None
+    return writers.index(node.options.node)
--- a/trefoilsaddle/core/view.py
+++ b/trefoilsaddle/core/view.py
@@ -5,7 +5,7 @@
 changes a view; everything else reads it.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from trefoilsaddle.core.configuration import Configuration, ServerPolicy
@@ -45,7 +45,7 @@
     claim_set: tuple[NodeId, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class HotKey:
     """Identify a key that has a shard of its own."""
 
@@ -64,7 +64,7 @@
     code: ResultCode = ResultCode.ok
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class SnapshotPosition:
     """Say where the newest complete snapshot lies in the log."""
 
@@ -73,6 +73,14 @@
     first_part: Offset = NO_OFFSET
 
 
+@dataclass(frozen=True, slots=True)
+class OpenSnapshot:
+    """Count the parts of a snapshot that is not complete yet."""
+
+    first_part: Offset
+    parts_seen: int
+
+
 @dataclass(slots=True)
 class LogView:
     """Hold configuration, ownership and roles after one log offset."""
@@ -94,6 +102,8 @@
     # Ids applied of late, so that a record appended twice acts once.
     verdicts: dict[RecordId, Verdict] = field(default_factory=dict)
     snapshot: SnapshotPosition = SnapshotPosition()
+    # Snapshots whose parts are still arriving, by name.
+    open_snapshots: dict[str, OpenSnapshot] = field(default_factory=dict)
     # Derived from the fields above, for look-ups; see `put_owner`.
     server_index: dict[ServerId, ServerPolicy] = field(
         default_factory=dict,
@@ -106,6 +116,13 @@
         repr=False,
     )
 
+    # Servers that records applied of late concern.
+    touched: set[ServerId] = field(
+        default_factory=set,
+        compare=False,
+        repr=False,
+    )
+
     @property
     def version(self) -> Version:
         """Return the version in force; zero before the first."""
@@ -157,14 +174,20 @@
         """Count the shards that a server owns."""
         return len(self.shard_index.get(server_id, ()))
 
+    def touch(self, servers: Iterable[ServerId]) -> None:
+        """Note servers that a record concerns; for `application` only."""
+        self.touched.update(servers)
+
     def put_owner(self, shard: ShardId, owner: Ownership | None) -> None:
         """Set or end the ownership of a shard; for `application` only."""
         former = self.owners.pop(shard, None)
         if former is not None:
+            self.touched.add(former.server)
             self.shard_index[former.server].pop(shard)
             if not self.shard_index[former.server]:
                 self.shard_index.pop(former.server)
         if owner is not None:
+            self.touched.add(owner.server)
             self.owners[shard] = owner
             self.shard_index.setdefault(owner.server, {})[shard] = None
 
@@ -176,3 +199,4 @@
             for site in configuration.sites.values()
             for policy in site.servers
         }
+        self.touched.update(self.server_index)
