--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -90,9 +90,9 @@
         """Seed the randomness of the network."""
         self.random = Random(self.seed)
 
-    def start(self, options: Options) -> Node:
+    def start(self, options: Options, rate: float = 1) -> Node:
         """Start a process, or start it again with nothing remembered."""
-        process = Process(build_node(options), self.schedule)
+        process = Process(build_node(options), self.schedule, rate=rate)
         self.processes[options.node] = process
         self.deliver(process, Started())
         return process.node
@@ -169,7 +169,7 @@
         self._answer(target, received, _NEAR_DELAY if near else _FAR_DELAY)
 
     def _read(self, process: Process, effect: ReadLog) -> None:
-        sent = Seconds(self.schedule.now)
+        sent = process.clock
         if self.log.faults.away or process.cut_from_log:
             self._answer(process, LogReadFailed(_AWAY), _LOG_TIMEOUT)
             return
--- /dev/null
+++ b/measure/grantlinks.py
@@ -0,0 +1,102 @@
+"""Carry grant calls to servers and their answers back."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from functools import partial
+
+from measure.fleet import Fleet
+from measure.ownershipscene import Scene
+from measure.process import Process
+from measure.serverlinks import FakeServer, ServerLinks
+from standins.serverstate import GrantCall
+from trefoilsaddle.core.effects import SendGrant
+from trefoilsaddle.core.events import GrantAnswered, GrantVerdict
+from trefoilsaddle.core.units import ServerId
+
+# In seconds.
+_TIMEOUT = 0.3
+_RETRY = 0.01
+
+
+@dataclass(slots=True)
+class GrantLinks:
+    """Hold what grant calls pass through."""
+
+    scene: Scene
+    fleet: Fleet
+    links: ServerLinks
+    servers: dict[ServerId, FakeServer]
+    # Called whenever a server has taken a grant call.
+    check: Callable[[], None]
+
+    def send(self, process: Process, effect: SendGrant) -> None:
+        """Carry one call; it fails after a while without an answer."""
+        failed = GrantAnswered(
+            effect.server,
+            effect.sequence,
+            GrantVerdict.failed,
+            effect.term,
+            process.clock,
+            draining=False,
+        )
+        fail = partial(self.fleet.deliver, process, failed)
+        self.fleet.schedule.add(_TIMEOUT, fail)
+        server = self.servers[effect.server]
+        take = partial(self._take, server, process, effect, failed)
+        arrive = partial(server.receive, take, fail)
+        self.links.carry_call(process.node_id, effect.server, arrive)
+
+    def _take(
+        self,
+        server: FakeServer,
+        process: Process,
+        effect: SendGrant,
+        failed: GrantAnswered,
+    ) -> None:
+        if self.scene.checks_grants:
+            call = _read_call(process, effect)
+            if server.state.holds_running(call):
+                # The server gives its word only after that work.
+                take = partial(self._take, server, process, effect, failed)
+                again = partial(server.receive, take, _lose)
+                self.fleet.schedule.add(_RETRY, again)
+                return
+            answer = self._answer(server, call, failed)
+            self.check()
+        else:
+            answer = replace(failed, verdict=GrantVerdict.accepted)
+        reply = partial(self.fleet.deliver, process, answer)
+        self.links.carry_reply(process.node_id, effect.server, reply)
+
+    def _answer(
+        self,
+        server: FakeServer,
+        call: GrantCall,
+        failed: GrantAnswered,
+    ) -> GrantAnswered:
+        taken = server.state.take_grant(server.clock, call)
+        accepted = taken.accepted
+        return replace(
+            failed,
+            verdict=GrantVerdict.accepted if accepted else GrantVerdict.fenced,
+            term=taken.term,
+            draining=taken.draining,
+            stamp=taken.stamp,
+        )
+
+
+def _read_call(process: Process, effect: SendGrant) -> GrantCall:
+    return GrantCall(
+        process.node_id,
+        effect.term,
+        effect.sequence,
+        effect.duration,
+        effect.whole,
+        effect.granted,
+        effect.revoked,
+        effect.stamp,
+    )
+
+
+def _lose() -> None:
+    """Lose a call to a server that has stopped."""
--- /dev/null
+++ b/measure/ownershipscene.py
@@ -0,0 +1,152 @@
+"""Describe small sites for trials of ownership."""
+
+import json
+from dataclasses import dataclass
+
+from trefoilsaddle.core.options import Options, Peer
+from trefoilsaddle.core.records import Publication
+from trefoilsaddle.core.units import (
+    NodeId,
+    RecordId,
+    RegionName,
+    Seconds,
+    ServerId,
+    ServiceName,
+    ShardId,
+    ShardNumber,
+    SiteName,
+    Version,
+    ZoneName,
+)
+
+SITE = SiteName('site')
+SERVICE = ServiceName('intake')
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """Give the sizes, limits and kinds of one trial."""
+
+    seed: int = 0
+    zones: int = 1
+    # Dispatchers and servers of each zone.
+    dispatchers: int = 3
+    servers: int = 3
+    shards: int = 6
+    checks_grants: bool = True
+    lease: float = 1.5
+    grant: float = 1.5
+    drift: float = 0.01
+    hold: float | None = None
+    # Time that a request takes at a server, and its longest deadline.
+    service_time: float = 0.01
+    deadline: float = 0.5
+
+    @property
+    def zone_names(self) -> tuple[ZoneName, ...]:
+        """Return the names of the zones."""
+        return tuple(ZoneName(f'z{number}') for number in range(self.zones))
+
+    @property
+    def peers(self) -> tuple[Peer, ...]:
+        """Return every dispatcher."""
+        return tuple(
+            Peer(
+                node=NodeId(f'{zone}-d{number}'),
+                zone=zone,
+                host='127.0.0.1',
+                port=7000 + number,
+                dispatches=True,
+            )
+            for zone in self.zone_names
+            for number in range(self.dispatchers)
+        )
+
+    @property
+    def server_ids(self) -> tuple[ServerId, ...]:
+        """Return every server."""
+        return tuple(
+            ServerId(f'{zone}-s{number}')
+            for zone in self.zone_names
+            for number in range(self.servers)
+        )
+
+    @property
+    def shard_ids(self) -> tuple[ShardId, ...]:
+        """Return every shard."""
+        return tuple(
+            ShardId(SERVICE, ShardNumber(number))
+            for number in range(self.shards)
+        )
+
+    def make_options(self, index: int, run: int = 0) -> Options:
+        """Build the options of one dispatcher; a restart has a new name."""
+        peer = self.peers[index]
+        node = NodeId(f'{peer.node}-{run}') if run else peer.node
+        return Options(
+            node=node,
+            zone=peer.zone,
+            region=RegionName('region'),
+            site=SITE,
+            host=peer.host,
+            port=peer.port,
+            dispatches=True,
+            peers=tuple(
+                other for other in self.peers if other.node != peer.node
+            ),
+            seed=(self.seed * 100 + index) * 100 + run,
+            placement_interval=Seconds(10**6),
+        )
+
+    def publications(self) -> tuple[Publication, ...]:
+        """Build the base file and the overlay."""
+        return (
+            Publication(RecordId('base'), Version(0), None, self._base()),
+            Publication(RecordId('site'), Version(0), SITE, self.overlay()),
+        )
+
+    def overlay(
+        self,
+        leaving: tuple[ServerId, ...] = (),
+        lost: tuple[ZoneName, ...] = (),
+    ) -> str:
+        """Write the overlay, some servers leaving and some zones lost."""
+        servers = {
+            server: {
+                'service': SERVICE,
+                'zone': server.partition('-')[0],
+                'host': '127.0.0.1',
+                'port': 9000,
+                'checks_grants': self.checks_grants,
+                'leaving': server in leaving,
+            }
+            for server in self.server_ids
+        }
+        return json.dumps(
+            {
+                'region': 'region',
+                'zones': self.zone_names,
+                'servers': servers,
+                'lost_zones': lost,
+            }
+        )
+
+    def _base(self) -> str:
+        return json.dumps(
+            {
+                'ranks': [{'name': 'urgent', 'target': 1}],
+                'members': ['north'],
+                'services': {
+                    SERVICE: {
+                        'shards': self.shards,
+                        'longest_deadline': self.deadline,
+                        'isolation_hold': self.hold,
+                    },
+                },
+                'limits': {
+                    'lease_duration': self.lease,
+                    'grant_duration': self.grant,
+                    'clock_drift': self.drift,
+                },
+            }
+        )
--- a/measure/process.py
+++ b/measure/process.py
@@ -23,6 +23,8 @@
     schedule: Schedule
     alive: bool = True
     paused: bool = False
+    # Seconds of its own clock that pass in a second.
+    rate: float = 1
     # Cut off from the log alone.
     cut_from_log: bool = False
     # Action that each running timer ends in.
@@ -36,9 +38,14 @@
         """Return the name of the process."""
         return self.node.options.node
 
+    @property
+    def clock(self) -> Seconds:
+        """Return the time of the process's own clock."""
+        return Seconds(self.schedule.now * self.rate)
+
     def take(self, event: Event) -> Effects:
         """Reduce one event."""
-        now = Seconds(self.schedule.now)
+        now = self.clock
         return reduce(self.node, Occurrence(Moment(now, now), event))
 
     def start_timer(
@@ -48,7 +55,9 @@
         expire: Action,
     ) -> None:
         """Start a timer, or start it again."""
-        self.timers[timer] = self.schedule.add(max(delay, 0), expire)
+        self.timers[timer] = self.schedule.add(
+            max(delay, 0) / self.rate, expire
+        )
 
     def end_timer(self, timer: TimerKey, number: int) -> Event | None:
         """Return the expiry, unless the timer was stopped or set again."""
--- a/standins/serverstate.py
+++ b/standins/serverstate.py
@@ -165,6 +165,10 @@
             self._running.remove(execution)
             execution.ended = now
 
+    def owns(self, now: Seconds, shard: ShardId) -> bool:
+        """Tell whether an unlapsed grant covers a shard."""
+        return now < self._fence.lapses and shard in self._fence.epochs
+
     def holds_running(self, call: GrantCall) -> bool:
         """Tell whether work still runs on a shard that a call takes away.
 
--- a/trefoilsaddle/core/authority.py
+++ b/trefoilsaddle/core/authority.py
@@ -77,6 +77,9 @@
 ) -> Authority | Failure:
     if moment.monotonic < duty.usable_from:
         return Failure(ResultCode.owner_changing, 'a former lease may hold')
+    if duty.grants.silent:
+        # The last deadline in flight is to pass soon.
+        return Failure(ResultCode.owner_changing, 'the server is silent')
     end = lease_end(node, duty, every=True)
     if moment.monotonic >= end:
         return Failure(ResultCode.lease_lapsed, 'the lease has lapsed')
--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -1,6 +1,6 @@
 """Claim servers that lack a dispatcher, and follow the log's verdicts."""
 
-from trefoilsaddle.core.assignment import make_record_id
+from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.dutystate import Claiming, Duty
 from trefoilsaddle.core.effects import (
     Effects,
--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -23,6 +23,9 @@
 NEVER = Seconds(float('-inf'))
 FOREVER = Seconds(float('inf'))
 
+# Unanswered calls in a row after which a server is thought lost.
+SUSPICIOUS_FAILURES = 2
+
 
 @unique
 class MoveStage(Enum):
@@ -113,6 +116,11 @@
     failures: int = 0
     draining: bool = False
 
+    @property
+    def silent(self) -> bool:
+        """Tell that several calls in a row got no answer."""
+        return self.failures >= SUSPICIOUS_FAILURES
+
 
 @dataclass(slots=True)
 class Duty:
--- a/trefoilsaddle/core/isolation.py
+++ b/trefoilsaddle/core/isolation.py
@@ -6,7 +6,7 @@
 what the log renews, and whoever does not read it has no longer than the hold.
 """
 
-from trefoilsaddle.core.assignment import make_record_id
+from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.claims import append_claim
 from trefoilsaddle.core.configuration import ServerPolicy
 from trefoilsaddle.core.effects import (
--- a/trefoilsaddle/core/outage.py
+++ b/trefoilsaddle/core/outage.py
@@ -5,7 +5,7 @@
 the lost dispatcher can neither go on nor move shards without our knowledge.
 """
 
-from trefoilsaddle.core.assignment import make_record_id
+from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.claims import STAGGER
 from trefoilsaddle.core.dutystate import (
     Duty,
--- a/trefoilsaddle/core/recovery.py
+++ b/trefoilsaddle/core/recovery.py
@@ -34,15 +34,12 @@
 from trefoilsaddle.core.units import Moment, Seconds, ShardId
 from trefoilsaddle.core.view import Ownership
 
-# Unanswered calls in a row after which a server is thought lost.
-SUSPICIOUS_FAILURES = 2
-
 
 def recover_server(node: Node, moment: Moment, duty: Duty) -> Effects:
     """Move the shards of a server that is lost beyond doubt."""
+    effects = gather_followers(node, moment, duty)
     if not is_suspect(node, moment, duty):
-        return []
-    effects = _gather_followers(node, moment, duty)
+        return effects
     if moment.monotonic <= quiet_after(node, duty):
         return effects
     if moment.monotonic >= lease_end(node, duty, every=False):
@@ -68,7 +65,7 @@
 def is_suspect(node: Node, moment: Moment, duty: Duty) -> bool:
     """Say whether a server has not answered for as long as grants last."""
     limits = limits_of(node)
-    if limits is None or duty.grants.failures < SUSPICIOUS_FAILURES:
+    if limits is None or not duty.grants.silent:
         return False
     heard = max(duty.grants.answered_at, duty.started)
     return moment.monotonic - heard > limits.grant_duration
@@ -125,7 +122,8 @@
     return Seconds(start + service.longest_deadline)
 
 
-def _gather_followers(node: Node, moment: Moment, duty: Duty) -> Effects:
+def gather_followers(node: Node, moment: Moment, duty: Duty) -> Effects:
+    """Have the former claim set follow us while the server does not answer."""
     missing = [
         member for member in duty.former_members if member not in duty.followers
     ]
--- a/trefoilsaddle/core/roles.py
+++ b/trefoilsaddle/core/roles.py
@@ -11,6 +11,7 @@
 from trefoilsaddle.core.outage import exclude_moved, repeat_moves
 from trefoilsaddle.core.outcomes import adopt_shard, release_shard
 from trefoilsaddle.core.provisional import arrivals_at, drop_settled
+from trefoilsaddle.core.recovery import gather_followers
 from trefoilsaddle.core.units import Epoch, Moment, ServerId, ShardId
 from trefoilsaddle.core.view import Ownership, Role
 
@@ -58,8 +59,10 @@
         return repeat_moves(node, moment, duty)
     former = duties.seen_roles.get(server)
     effects = take_role(node, moment, server, role, former)
-    exclude_moved(node, moment, duties.held[server])
-    effects.extend(repeat_moves(node, moment, duties.held[server]))
+    duty = duties.held[server]
+    exclude_moved(node, moment, duty)
+    effects.extend(gather_followers(node, moment, duty))
+    effects.extend(repeat_moves(node, moment, duty))
     return effects
 
 
--- a/trefoilsaddle/core/sharing.py
+++ b/trefoilsaddle/core/sharing.py
@@ -6,7 +6,7 @@
 each of them may be the next to claim alone.
 """
 
-from trefoilsaddle.core.assignment import make_record_id
+from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.dutystate import (
     Duty,
     MoveStage,
--- a/trefoilsaddle/core/stopping.py
+++ b/trefoilsaddle/core/stopping.py
@@ -5,7 +5,7 @@
 nothing more will be sent, so that no lease has to be waited out.
 """
 
-from trefoilsaddle.core.assignment import make_record_id
+from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.claims import choose_claim_set
 from trefoilsaddle.core.dutystate import Duty
 from trefoilsaddle.core.effects import Effects
