Tell every possible successor of moves made without the log

Moves without the log are now repeated under a new term, and acknowledged by the members of a pending claim as well.

--- a/measure/ownershipscene.py
+++ b/measure/ownershipscene.py
@@ -131,6 +131,15 @@
             }
         )
 
+    def republish(
+        self,
+        version: Version,
+        overlay: str,
+    ) -> Publication:
+        """Build a publication that replaces the overlay."""
+        name = '-'.join(('site', str(version)))
+        return Publication(RecordId(name), version, SITE, overlay)
+
     def _base(self) -> str:
         return json.dumps(
             {
--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -1,6 +1,8 @@
 """Claim servers that lack a dispatcher, and follow the log's verdicts."""
 
 from trefoilsaddle.core.recordids import make_record_id
+from dataclasses import replace
+
 from trefoilsaddle.core.dutystate import Claiming, Duty
 from trefoilsaddle.core.effects import (
     Effects,
@@ -10,7 +12,6 @@
 )
 from trefoilsaddle.core.events import TimerKey, TimerKind
 from trefoilsaddle.core.following import append_records
-from trefoilsaddle.core.grants import renew_grants
 from trefoilsaddle.core.hashing import rank_candidates
 from trefoilsaddle.core.leases import former_end, raise_term
 from trefoilsaddle.core.membership import health_of, live_dispatchers
@@ -113,7 +114,7 @@
         claim_set=choose_claim_set(node, server, node.options.node),
         provisional=None,
     )
-    node.duties.claiming[server] = Claiming(record_id)
+    node.duties.claiming[server] = Claiming(record_id, claim.claim_set)
     sentence = f'claiming {server}'
     return [
         WriteLogLine(Part.ownership, sentence),
@@ -188,7 +189,7 @@
     )
     present = node.duties.held.get(server)
     if present is not None:
-        _carry_grants(present, duty)
+        _carry_over(present, duty)
     node.duties.held[server] = duty
     node.duties.vacant_since.pop(server, None)
     if former is not None and former.dispatcher != node.options.node:
@@ -198,15 +199,21 @@
             release_former(moment, duty)
     node.woken.add(server)
     sentence = f'dispatching to {server} now'
-    return [
-        WriteLogLine(Part.ownership, sentence),
-        *renew_grants(node, moment, duty),
-    ]
+    return [WriteLogLine(Part.ownership, sentence)]
+
 
+def _carry_over(present: Duty, duty: Duty) -> None:
+    """Keep what this process did for the server under a lower term.
 
-def _carry_grants(present: Duty, duty: Duty) -> None:
-    """Keep what the server was granted by this process under a lower term."""
+    Moves without the log are repeated under the new term, see
+    `trefoilsaddle.core.outage`.
+    """
     former = present.grants
+    duty.moves = {
+        shard: replace(move, record_id=None)
+        for shard, move in present.moves.items()
+        if move.provisional is not None
+    }
     duty.shards = present.shards
     duty.grants.stamp = former.stamp
     duty.grants.stamp_sent = former.stamp_sent
@@ -257,7 +264,8 @@
 def _needs_members(node: Node, duty: Duty) -> bool:
     if not duty.grants.contacted:
         return False
-    if any(shared.in_force for shared in duty.shared.values()):
+    if duty.moves_without_log:
+        # A new member would not know of them.
         return False
     chosen = choose_claim_set(node, duty.server, node.options.node)
     return set(chosen) != set(duty.claim_set)
--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -157,6 +157,11 @@
     fenced_by: Epoch = FIRST_EPOCH
     fenced_at: Seconds = NEVER
 
+    @property
+    def moves_without_log(self) -> bool:
+        """Tell that a move may be in force which the log does not hold."""
+        return any(move.provisional is not None for move in self.moves.values())
+
     @property
     def superseded(self) -> bool:
         """Tell that another dispatcher serves under no lower a term."""
@@ -174,6 +179,7 @@
     """Hold a claim that the log has not settled yet."""
 
     record_id: RecordId
+    claim_set: tuple[NodeId, ...]
     # When the log acknowledged the append, if it did.
     acknowledged: Seconds | None = None
 
--- a/trefoilsaddle/core/isolation.py
+++ b/trefoilsaddle/core/isolation.py
@@ -43,7 +43,7 @@
     _note_losses(node, moment)
     for policy in node.view.servers():
         role = node.view.roles.get(policy.server_id)
-        if role is not None and policy.zone != node.options.zone:
+        if role is not None:
             effects.extend(_consider_server(node, moment, policy, role))
     return effects
 
@@ -91,6 +91,8 @@
 
 def _is_silent(node: Node, role: Role) -> bool:
     everyone = (role.dispatcher, *role.claim_set)
+    if node.options.node in everyone:
+        return False
     return all(health_of(node, member) is Health.dead for member in everyone)
 
 
--- a/trefoilsaddle/core/outage.py
+++ b/trefoilsaddle/core/outage.py
@@ -23,7 +23,7 @@
 )
 from trefoilsaddle.core.events import TimerKey, TimerKind
 from trefoilsaddle.core.following import append_records
-from trefoilsaddle.core.grants import checks_grants, renew_grants
+from trefoilsaddle.core.grants import checks_grants
 from trefoilsaddle.core.hashing import rank_candidates
 from trefoilsaddle.core.leases import (
     known_term,
@@ -141,7 +141,8 @@
         remembered = RememberedMove(take_over.term, moved)
         known.moves.setdefault(moved.shard, remembered)
     take_over.followers.add(sender)
-    return _ask_server(node, moment, promise.server, take_over)
+    _ask_server(node, moment, promise.server, take_over)
+    return []
 
 
 def _ask_server(
@@ -165,8 +166,9 @@
     )
     node.duties.held[server] = duty
     exclude_moved(node, moment, duty)
+    # The shards and the first grant call follow within this event.
     node.duties.unsettled = True
-    return renew_grants(node, moment, duty)
+    return []
 
 
 def exclude_moved(node: Node, moment: Moment, duty: Duty) -> None:
--- a/trefoilsaddle/core/roles.py
+++ b/trefoilsaddle/core/roles.py
@@ -104,9 +104,14 @@
         for shard in node.view.shards_on(duty.server)
     }
     shards.update(arrivals_at(node, duty.server))
-    if shards == duty.shards:
-        return []
-    return _change_shards(node, moment, duty, shards)
+    changed = shards != duty.shards
+    effects: Effects = []
+    if changed:
+        effects = _change_shards(node, moment, duty, shards)
+    # A new duty grants nothing before it knows what is the server's.
+    if duty.grants.sequence == 0 or (changed and duty.grants.seeded):
+        effects.extend(renew_grants(node, moment, duty))
+    return effects
 
 
 def _change_shards(
@@ -125,8 +130,6 @@
             adopt_shard(node, moment, shard, fresh=fresh)
     duty.shards = shards
     node.woken.add(duty.server)
-    if duty.grants.seeded:
-        effects.extend(renew_grants(node, moment, duty))
     return effects
 
 
--- a/trefoilsaddle/core/sharing.py
+++ b/trefoilsaddle/core/sharing.py
@@ -47,7 +47,7 @@
     duty.shared[sequence] = shared
     if not duty.claim_set:
         return _complete(node, moment, duty, shared)
-    return _send(duty, sequence, shared)
+    return _send(node, duty, sequence, shared)
 
 
 def _describe_move(node: Node, duty: Duty, shard: ShardId) -> MovedShard:
@@ -57,7 +57,22 @@
     return MovedShard(shard, move.expected, move.target, move.provisional)
 
 
-def _send(duty: Duty, sequence: int, shared: SharedMove) -> Effects:
+def _audience(node: Node, duty: Duty) -> set[NodeId]:
+    """Return all who may claim the server next, in or without the log."""
+    members = set(duty.claim_set)
+    claiming = node.duties.claiming.get(duty.server)
+    if claiming is not None:
+        # This claim of ours may take effect at any time.
+        members.update(claiming.claim_set)
+    return members - {node.options.node}
+
+
+def _send(
+    node: Node,
+    duty: Duty,
+    sequence: int,
+    shared: SharedMove,
+) -> Effects:
     message = ShareMove(
         duty.server,
         duty.term,
@@ -66,8 +81,7 @@
     )
     return [
         SendMessage(member, message)
-        for member in duty.claim_set
-        if member not in shared.acknowledged
+        for member in sorted(_audience(node, duty) - shared.acknowledged)
     ]
 
 
@@ -76,7 +90,7 @@
     effects: Effects = []
     for sequence, shared in duty.shared.items():
         if not (shared.queued and not node.following.log_away):
-            effects.extend(_send(duty, sequence, shared))
+            effects.extend(_send(node, duty, sequence, shared))
     return effects
 
 
@@ -107,7 +121,7 @@
     if duty is None or duty.term != ack.term:
         return []
     shared = duty.shared.get(ack.sequence)
-    if shared is None or sender not in duty.claim_set:
+    if shared is None or sender not in _audience(node, duty):
         return []
     shared.acknowledged.add(sender)
     return _complete(node, moment, duty, shared)
@@ -120,11 +134,12 @@
     shared: SharedMove,
 ) -> Effects:
     effects: Effects = []
-    if not shared.queued:
+    told = not duty.claim_set or shared.acknowledged & set(duty.claim_set)
+    if told and not shared.queued:
         shared.queued = True
         _set_stage(duty, shared, MoveStage.appending)
         effects.extend(append_records(node, moment, (shared.record,)))
-    known_to_all = shared.acknowledged.issuperset(duty.claim_set)
+    known_to_all = shared.acknowledged.issuperset(_audience(node, duty))
     provisional = shared.record.shards[0].provisional is not None
     if known_to_all and provisional and not shared.in_force:
         shared.in_force = True
--- a/trefoilsaddle/core/stopping.py
+++ b/trefoilsaddle/core/stopping.py
@@ -33,7 +33,7 @@
 
 
 def _choose_heir(node: Node, duty: Duty) -> NodeId | None:
-    if duty.provisional:
+    if duty.provisional or duty.moves_without_log:
         return None
     alive = [
         member
