--- a/standins/serverstate.py
+++ b/standins/serverstate.py
@@ -142,10 +142,8 @@
             return self._answer_grant(now, accepted=False)
         if call.term > self._fence.term:
             self._fence = _Fence(term=call.term, dispatcher=call.dispatcher)
-        if call.sequence >= self._fence.sequence:
-            # A late call of the same dispatcher must not undo a newer one.
-            self._fence.sequence = call.sequence
-            self._change_grants(now, call)
+        self._fence.sequence = call.sequence
+        self._change_grants(now, call)
         return self._answer_grant(now, accepted=True)
 
     def begin(self, now: Seconds, call: RunCall) -> Execution | NotRun:
@@ -184,9 +182,12 @@
         return len(self._running) / self.traits.slots
 
     def _is_fenced(self, call: GrantCall) -> bool:
-        if call.term == self._fence.term:
-            return call.dispatcher != self._fence.dispatcher
-        return call.term < self._fence.term
+        fence = self._fence
+        if call.term != fence.term:
+            return call.term < fence.term
+        # A late call of the same dispatcher must not undo a newer one.
+        late = call.sequence < fence.sequence
+        return late or call.dispatcher != fence.dispatcher
 
     def _change_grants(self, now: Seconds, call: GrantCall) -> None:
         if call.whole or now >= self._fence.lapses:
--- /dev/null
+++ b/tests/scriptedserver.py
@@ -0,0 +1,121 @@
+"""Serve scripted bytes over a socket, to meet clients with every fault."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import trio
+
+# Bounds a run whose expected event never comes, in seconds.
+_LIVENESS_BOUND = 20
+_HEAD_END = b'\r\n\r\n'
+_LENGTH = b'content-length:'
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """Say what a server does after it has read one request."""
+
+    reply: bytes = b''
+    close: bool = False
+    # Say nothing and keep the connection until the client closes it.
+    silent: bool = False
+
+
+def whole(body: bytes, *headers: bytes, status: bytes = b'200 OK') -> bytes:
+    """Write a whole answer."""
+    lines = (
+        b'HTTP/1.1 %b' % status,
+        b'content-length: %d' % len(body),
+        *headers,
+    )
+    return b'\r\n'.join(lines) + _HEAD_END + body
+
+
+@dataclass(slots=True)
+class ScriptedServer:
+    """Take one step of the script for each request, over all connections."""
+
+    script: list[Step]
+    # Whole requests, and the start of one that was cut short.
+    requests: list[bytes] = field(default_factory=list)
+    heads: int = 0
+    closed: trio.Event = field(default_factory=trio.Event)
+    heard: trio.Event = field(default_factory=trio.Event)
+    port: int = 0
+
+    async def serve(
+        self,
+        *,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve connections on a free port until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        self.port = listeners[0].socket.getsockname()[1]
+        task_status.started(self.port)
+        await trio.serve_listeners(self._serve_connection, listeners)
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        async with stream:
+            going_on = True
+            while going_on:
+                going_on = await self._serve_request(stream)
+
+    async def _serve_request(self, stream: trio.SocketStream) -> bool:
+        request = await self._read_request(stream)
+        if request is None:
+            self.closed.set()
+            return False
+        self.requests.append(request)
+        step = self.script.pop(0)
+        self.heard.set()
+        if step.reply:
+            await stream.send_all(step.reply)
+        if step.silent:
+            await _wait_for_end(stream)
+            self.closed.set()
+        return not (step.close or step.silent)
+
+    async def _read_request(self, stream: trio.SocketStream) -> bytes | None:
+        received = b''
+        while not _is_whole(received):
+            if _HEAD_END in received:
+                self.heads += 1
+            chunk = await _receive(stream)
+            if not chunk:
+                return None
+            received += chunk
+        return received
+
+
+@asynccontextmanager
+async def serve_script(server: ScriptedServer) -> AsyncIterator[None]:
+    """Serve a script within a bounded time."""
+    with trio.fail_after(_LIVENESS_BOUND):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.serve)
+            yield
+            nursery.cancel_scope.cancel()
+
+
+async def _receive(stream: trio.SocketStream) -> bytes:
+    try:
+        return bytes(await stream.receive_some())
+    except trio.BrokenResourceError:
+        return b''
+
+
+async def _wait_for_end(stream: trio.SocketStream) -> None:
+    chunk = await _receive(stream)
+    while chunk:
+        chunk = await _receive(stream)
+
+
+def _is_whole(received: bytes) -> bool:
+    head, separator, body = received.partition(_HEAD_END)
+    if not separator:
+        return False
+    for line in head.lower().split(b'\r\n'):
+        if line.startswith(_LENGTH):
+            return len(body) >= int(line.removeprefix(_LENGTH))
+    return True
