Refuse strange log entries without raising

A str with half a surrogate pair made pydantic's parser raise a TypeError, and a version of true or 1.0 passed as 1: both found by the table, both mended.

--- a/trefoilsaddle/platform/recordcodec.py
+++ b/trefoilsaddle/platform/recordcodec.py
@@ -27,6 +27,7 @@
 
 FORMAT_VERSION = 1
 
+_VERSION_TEXT = write_json(FORMAT_VERSION)
 _KIND = 'kind'
 _CLASSES: Mapping[str, type[Record]] = MappingProxyType(
     {
@@ -63,11 +64,13 @@
     """Read the records of one entry; refuse what is unknown (malformed)."""
     try:
         document = parse_json(text, allow_inf_nan=False)
-    except ValueError:
+    except (ValueError, TypeError):
+        # Half a surrogate pair is a TypeError, such as `'\ud800'`.
         return _refuse('the entry is no JSON text')
     if not isinstance(document, dict):
         return _refuse('the entry is no JSON object')
-    if document.get('version') != FORMAT_VERSION:
+    # Compared as text: `true` and `1.0` equal 1 otherwise.
+    if write_json(document.get('version')) != _VERSION_TEXT:
         return _refuse('the version of the entry is unknown')
     written = document.get('records')
     if not isinstance(written, list):
@@ -118,8 +121,9 @@
     if isinstance(part, list):
         return all(_holds_fitting_integers(inner, name) for inner in part)
     if isinstance(part, int):
-        end = _HASH_END if name == _KEY_HASH else _INTEGER_END
-        return -1 <= part < end
+        if name == _KEY_HASH:
+            return 0 <= part < _HASH_END
+        return -1 <= part < _INTEGER_END
     return True
 
 
