--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,138 @@
+"""Run a small deployment as separate processes, with its files in force."""
+
+from collections.abc import AsyncIterator, Iterable
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import trio
+
+from standins.caller import Caller, CallerRequest
+from standins.fleetplan import (
+    EXAMPLES,
+    SITES,
+    FleetPlan,
+    NodePlan,
+    plan_fleet,
+)
+from standins.processes import Output, Processes, wait_for_port
+from standins.services import OutsideServices
+
+SERVICES = ('catalogue', 'filings')
+
+_READY_TIMEOUT = 60.0
+_PROGRAMS = 'trefoilsaddle.programs'
+_SETTINGS = '--settings'
+
+
+class FleetError(Exception):
+    """Tell that the deployment does not do what it was asked."""
+
+
+class Fleet:
+    """Run a deployment; each part can be reached, frozen and killed."""
+
+    def __init__(self, plan: FleetPlan, folder: Path) -> None:
+        """Start nothing yet."""
+        self.plan = plan
+        self.processes = Processes(folder)
+        self.services = OutsideServices(plan, self.processes)
+        self._callers = {
+            node.name: Caller(node.callers or 0) for node in plan.entries
+        }
+
+    async def start(self) -> None:
+        """Start every process and put the files in force."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.services.start)
+            for node in self.plan.nodes:
+                nursery.start_soon(self.start_node, node)
+        await self._publish_files()
+        await self._wait_until_ready()
+
+    async def start_node(self, node: NodePlan) -> None:
+        """Start an entry process or a dispatcher, at first or again."""
+        program = 'dispatcher' if node.callers is None else 'entry'
+        settings = self.plan.write_node_settings(node, self.processes.folder)
+        await self.processes.start(
+            node.name,
+            f'{_PROGRAMS}.{program}',
+            (_SETTINGS, str(settings)),
+        )
+        await wait_for_port(node.port)
+
+    async def publish(self, path: Path, *options: str) -> Output:
+        """Publish a file as an operator does."""
+        return await self._run_command('publish', str(path), *options)
+
+    async def dump_state(self, node: str) -> Output:
+        """Ask a process for a dump of its state as an operator does."""
+        return await self._run_command('status', node)
+
+    def caller(self, entry: str) -> Caller:
+        """Return a caller of one entry process."""
+        return self._callers[entry]
+
+    async def stop_nodes(self) -> dict[str, int]:
+        """Stop the entry processes, then the dispatchers, gracefully."""
+        codes = await self._stop(self.plan.entries)
+        codes.update(await self._stop(self.plan.dispatchers))
+        return codes
+
+    async def aclose(self) -> None:
+        """Stop whatever still runs."""
+        with trio.CancelScope(shield=True):
+            async with trio.open_nursery() as nursery:
+                for caller in self._callers.values():
+                    nursery.start_soon(caller.aclose)
+                nursery.start_soon(self.processes.stop_all)
+
+    async def _stop(self, nodes: Iterable[NodePlan]) -> dict[str, int]:
+        running = self.processes.running
+        names = [node.name for node in nodes if node.name in running]
+        return await self.processes.stop(names)
+
+    async def _run_command(self, program: str, *arguments: str) -> Output:
+        settings = self.plan.write_operator_settings(self.processes.folder)
+        return await self.processes.run(
+            f'{_PROGRAMS}.{program}',
+            (*arguments, _SETTINGS, str(settings)),
+        )
+
+    async def _publish_files(self) -> None:
+        outputs = [await self.publish(EXAMPLES / 'base.yaml')]
+        sites = list(SITES)
+        while sites:
+            site = sites.pop()
+            overlay = self.plan.write_overlay(site, self.processes.folder)
+            outputs.append(await self.publish(overlay, '--site', site))
+        for output in outputs:
+            if output.code != 0:
+                raise FleetError(output.text)
+
+    async def _wait_until_ready(self) -> None:
+        """Wait until every entry process gets answers from every service."""
+        with trio.move_on_after(_READY_TIMEOUT):
+            async with trio.open_nursery() as nursery:
+                for caller in self._callers.values():
+                    nursery.start_soon(_wait_for_answers, caller)
+            return
+        raise FleetError('the deployment does not come up')
+
+
+@asynccontextmanager
+async def run_fleet(folder: Path) -> AsyncIterator[Fleet]:
+    """Run a deployment; stop all of it at the end."""
+    fleet = Fleet(plan_fleet(), folder)
+    async with AsyncExitStack() as stack:
+        stack.push_async_callback(fleet.aclose)
+        await fleet.start()
+        yield fleet
+
+
+async def _wait_for_answers(caller: Caller) -> None:
+    waiting = list(SERVICES)
+    while waiting:
+        request = CallerRequest(waiting[-1], 'ready', deadline=2)
+        answer = await caller.insist(request)
+        if answer.outcome == 'answered':
+            waiting.pop()
--- /dev/null
+++ b/standins/services.py
@@ -0,0 +1,109 @@
+"""Start the log service, the host list and the backend servers of a fleet."""
+
+from collections.abc import Iterable
+
+import httpcore
+import trio
+from pydantic import TypeAdapter
+from pydantic_core import to_json as write_json
+
+from standins.fleetplan import Document, FleetPlan, Name, ServerPlan
+from standins.processes import LOOPBACK, Processes, wait_for_port
+from standins.serverstate import Execution
+
+_EXECUTIONS = TypeAdapter(list[Execution])
+_OK = 200
+
+
+class ControlError(Exception):
+    """Tell that a stand-in did not take a control request."""
+
+
+class OutsideServices:
+    """Run the stand-ins of a deployment and turn their faults on and off."""
+
+    def __init__(self, plan: FleetPlan, processes: Processes) -> None:
+        """Start nothing yet."""
+        self._plan = plan
+        self._processes = processes
+
+    async def start(self) -> None:
+        """Start every stand-in."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._start_log)
+            nursery.start_soon(self._start_hosts)
+            for server in self._plan.servers:
+                nursery.start_soon(self._start_server, server)
+
+    async def control_log(self, **switches: object) -> None:
+        """Turn faults of the log service on or off."""
+        await self._control(self._plan.log, switches)
+
+    async def control_server(self, server: str, **switches: object) -> None:
+        """Turn faults of a backend server on or off."""
+        ports = {plan.name: plan.port for plan in self._plan.servers}
+        await self._control(ports[server], switches)
+
+    async def list_hosts(self, states: Document) -> None:
+        """Replace the host list: `live` or `leaving` by name."""
+        await self._control(self._plan.hosts, {'hosts': states})
+
+    async def read_executions(self) -> list[Execution]:
+        """Return what all backend servers have run."""
+        executions: list[Execution] = []
+        async with trio.open_nursery() as nursery:
+            for server in self._plan.servers:
+                nursery.start_soon(_read_executions, server.port, executions)
+        return executions
+
+    async def _control(self, port: int, switches: Document) -> None:
+        await _exchange('POST', port, '/control', write_json(switches))
+
+    async def _start_log(self) -> None:
+        await self._start(Name.log, 'logservice', self._plan.log)
+
+    async def _start_hosts(self) -> None:
+        await self._start(Name.hosts, 'hostservice', self._plan.hosts)
+        names = [server.name for server in self._plan.servers]
+        names.extend(node.name for node in self._plan.nodes)
+        await self.list_hosts(dict.fromkeys(names, 'live'))
+
+    async def _start_server(self, server: ServerPlan) -> None:
+        checks = 'checks' if server.checks_grants else 'no-checks'
+        await self._start(
+            server.name,
+            'backendserver',
+            server.port,
+            (server.name, f'--{checks}-grants'),
+        )
+
+    async def _start(
+        self,
+        name: str,
+        module: str,
+        port: int,
+        arguments: Iterable[str] = (),
+    ) -> None:
+        await self._processes.start(
+            name,
+            f'standins.{module}',
+            (str(port), *arguments),
+        )
+        await wait_for_port(port)
+
+
+async def _read_executions(port: int, executions: list[Execution]) -> None:
+    body = await _exchange('GET', port, '/executions', b'')
+    executions.extend(_EXECUTIONS.validate_json(body))
+
+
+async def _exchange(method: str, port: int, path: str, body: bytes) -> bytes:
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request(
+            method,
+            f'http://{LOOPBACK}:{port}{path}',
+            content=body,
+        )
+    if response.status != _OK:
+        raise ControlError(f'the stand-in answered {response.status}')
+    return response.content
--- a/trefoilsaddle/backend/exchange.py
+++ b/trefoilsaddle/backend/exchange.py
@@ -18,6 +18,8 @@
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 _HEADER_ENCODING = 'latin-1'
+# What HTTP cannot carry makes h11 refuse the request before it is sent.
+_ESCAPE = 'replace'
 
 # Every way in which httpcore reports a lost or a broken exchange.
 _FAULTS = (
@@ -123,7 +125,7 @@
         fault = Fault.lost
         try:
             async with self._pool.stream(
-                request.method.encode(),
+                request.method.encode('ascii', _ESCAPE),
                 self._build_url(request),
                 headers=self._build_headers(request),
                 content=request.body,
@@ -139,7 +141,7 @@
             scheme=b'http',
             host=self.policy.host.encode(),
             port=self.policy.port,
-            target=request.path.encode(),
+            target=request.path.encode('utf-8', _ESCAPE),
         )
 
     def _build_headers(
@@ -149,7 +151,10 @@
         policy = self.policy
         host = f'{policy.host}:{policy.port}'
         return [
-            (name.encode(_HEADER_ENCODING), text.encode(_HEADER_ENCODING))
+            (
+                name.encode(_HEADER_ENCODING),
+                text.encode(_HEADER_ENCODING, _ESCAPE),
+            )
             for name, text in (('host', host), *request.headers)
         ]
 
