--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -14,13 +14,15 @@
     NodePlan,
     plan_fleet,
 )
-from standins.processes import Output, Processes, wait_for_port
+from standins.processes import LOOPBACK, Output, Processes, wait_for_port
 from standins.services import OutsideServices
 
 SERVICES = ('catalogue', 'filings')
 
 _READY_TIMEOUT = 60.0
 _PROGRAMS = 'trefoilsaddle.programs'
+# No version of the file is in force yet.
+_FIRST = ('--expect', '0')
 _SETTINGS = '--settings'
 
 
@@ -62,11 +64,17 @@
 
     async def publish(self, path: Path, *options: str) -> Output:
         """Publish a file as an operator does."""
-        return await self._run_command('publish', str(path), *options)
+        command = ('publish', 'publish', str(path))
+        return await self._run_command(*command, *options)
 
-    async def dump_state(self, node: str) -> Output:
+    async def dump_state(self, name: str) -> Output:
         """Ask a process for a dump of its state as an operator does."""
-        return await self._run_command('status', node)
+        port = self.plan.find_node(name).port
+        return await self._run_command('status', 'dump', f'{LOOPBACK}:{port}')
+
+    async def show_table(self) -> Output:
+        """Ask which version is in force where, as an operator does."""
+        return await self._run_command('status', 'table')
 
     def caller(self, entry: str) -> Caller:
         """Return a caller of one entry process."""
@@ -99,12 +107,12 @@
         )
 
     async def _publish_files(self) -> None:
-        outputs = [await self.publish(EXAMPLES / 'base.yaml')]
+        outputs = [await self.publish(EXAMPLES / 'base.yaml', *_FIRST)]
         sites = list(SITES)
         while sites:
             site = sites.pop()
             overlay = self.plan.write_overlay(site, self.processes.folder)
-            outputs.append(await self.publish(overlay, '--site', site))
+            outputs.append(await self.publish(overlay, *_FIRST, '--site', site))
         for output in outputs:
             if output.code != 0:
                 raise FleetError(output.text)
