Carry a request from the entry process to the server and back

First whole way: entry -> Forward -> queue by rank and member -> authority -> attempt -> answer, with deadlines on the monotonic clock at each hop, and outcomes of idempotency keys with floors and handovers.

--- /dev/null
+++ b/tests/bench.py
@@ -0,0 +1,360 @@
+"""Join entry processes, dispatchers and a fake server in virtual time.
+
+Only the interfaces are faked: messages, timers, the server and the word of
+`check_authority`.  Faults are put in between by a test's own hooks.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+
+from trefoilsaddle.core.authority import Authority
+from trefoilsaddle.core.calls import (
+    Answer,
+    Call,
+    IdempotencyKey,
+    Reply,
+    Request,
+)
+from trefoilsaddle.core.configuration import (
+    Configuration,
+    LimitPolicy,
+    RankPolicy,
+    ServerPolicy,
+    ServicePolicy,
+    SitePolicy,
+)
+from trefoilsaddle.core.effects import (
+    AnswerCaller,
+    CancelAttempt,
+    CancelTimer,
+    Effect,
+    Effects,
+    RunAttempt,
+    SendMessage,
+    SetTimer,
+)
+from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.events import (
+    AttemptEnded,
+    AttemptVerdict,
+    CallArrived,
+    Event,
+    MessageReceived,
+    Occurrence,
+    TimerExpired,
+    TimerKey,
+)
+from trefoilsaddle.core.node import Node, build_node
+from trefoilsaddle.core.options import Options
+from trefoilsaddle.core.reducer import reduce
+from trefoilsaddle.core.units import (
+    CallId,
+    Epoch,
+    MemberName,
+    Moment,
+    NodeId,
+    Offset,
+    Rank,
+    RegionName,
+    Seconds,
+    ServerId,
+    ServiceName,
+    ShardId,
+    ShardNumber,
+    SiteName,
+    Version,
+    ZoneName,
+)
+from trefoilsaddle.core.view import Ownership, Role
+from trefoilsaddle.results import ResultCode
+
+SERVICE = ServiceName('checkout')
+MEMBER = MemberName('north')
+OTHER_MEMBER = MemberName('south')
+ENTRY = NodeId('entry-1')
+FIRST = NodeId('dispatcher-1')
+SECOND = NodeId('dispatcher-2')
+SERVER = ServerId('checkout-1')
+OTHER_SERVER = ServerId('checkout-2')
+SHARD = ShardId(SERVICE, ShardNumber(0))
+TERM = Epoch(Offset(5), 0)
+EPOCH = Epoch(Offset(6), 0)
+# Time of day at which every test begins.
+WALL = 1_000_000
+SKEW = Seconds(0.05)
+HOP = 0.001
+SERVICE_TIME = 0.01
+
+ZONE = ZoneName('zone-1')
+REGION = RegionName('region-1')
+SITE = SiteName('site-1')
+
+Hook = Callable[['Bench', NodeId, Effect], bool]
+
+
+def build_configuration(
+    *,
+    queue_limit: int = 60,
+    idempotency_limit: int = 1000,
+    retry_budget: float = 0.1,
+) -> Configuration:
+    """Build a configuration with one service of one shard on two servers."""
+    servers = tuple(
+        ServerPolicy(
+            server_id=server,
+            service=SERVICE,
+            zone=ZONE,
+            host='127.0.0.1',
+            port=1,
+            slots=3,
+            connections=45,
+            checks_grants=True,
+            leaving=False,
+        )
+        for server in (SERVER, OTHER_SERVER)
+    )
+    service = ServicePolicy(
+        name=SERVICE,
+        shard_count=1,
+        longest_deadline=Seconds(30),
+        queue_limit=queue_limit,
+        largest_body=65_536,
+        isolation_hold=None,
+    )
+    limits = LimitPolicy(
+        retry_budget=retry_budget,
+        grant_duration=Seconds(2),
+        lease_duration=Seconds(2),
+        clock_drift=0.01,
+        clock_skew=SKEW,
+        idempotency_window=Seconds(600),
+        idempotency_limit=idempotency_limit,
+        imbalance=0.2,
+        hot_fraction=0.1,
+    )
+    ranks = (
+        RankPolicy('payment', Seconds(0.05), worth=10, share=0.6),
+        RankPolicy('lookup', Seconds(0.1), worth=3, share=0.2),
+        RankPolicy('intake', Seconds(1), worth=1, share=0.1),
+    )
+    site = SitePolicy(SITE, REGION, (ZONE,), servers, ())
+    return Configuration(
+        version=Version(1),
+        ranks=ranks,
+        services={SERVICE: service},
+        members=(MEMBER, OTHER_MEMBER),
+        limits=limits,
+        sites={SITE: site},
+    )
+
+
+def build_request(
+    token: str = '',
+    *,
+    member: MemberName = MEMBER,
+    rank: int = 0,
+    body: bytes = b'body',
+    created: float = WALL,
+    remaining: float = 1,
+) -> Request:
+    """Build a request; with a token it must not be repeated."""
+    key = None
+    if token:
+        key = IdempotencyKey(Seconds(created), token)
+    return Request(
+        service=SERVICE,
+        member=member,
+        rank=Rank(rank),
+        key=b'key',
+        method='POST',
+        path='/pay',
+        content_type='text/plain',
+        body=body,
+        idempotent=not token,
+        idempotency_key=key,
+        remaining=Seconds(remaining),
+    )
+
+
+@dataclass(slots=True)
+class Bench:
+    """Run nodes and a fake server in virtual time."""
+
+    nodes: dict[NodeId, Node]
+    now: float = 0
+    queue: list[tuple[float, int, NodeId, Event]] = field(default_factory=list)
+    timers: dict[tuple[NodeId, TimerKey], int] = field(default_factory=dict)
+    # Returns true to swallow an effect.
+    hook: Hook | None = None
+    # Requests that the fake server has run, by token or body.
+    ran: list[str] = field(default_factory=list)
+    cancelled: set[tuple[NodeId, int]] = field(default_factory=set)
+    answers: dict[CallId, list[Answer]] = field(default_factory=dict)
+    answered_at: dict[CallId, float] = field(default_factory=dict)
+    # What `check_authority` says; by process and server.
+    refusals: dict[tuple[NodeId, ServerId], ResultCode] = field(
+        default_factory=dict,
+    )
+    terms: dict[NodeId, Epoch] = field(default_factory=dict)
+    wall_offsets: dict[NodeId, float] = field(default_factory=dict)
+    effects: list[tuple[NodeId, Effect]] = field(default_factory=list)
+    counter: int = 0
+
+    def check_authority(
+        self,
+        node: Node,
+        moment: Moment,
+        server: ServerId,
+        shard: ShardId,
+    ) -> Authority | Failure:
+        """Answer in the place of the duties."""
+        refusal = self.refusals.get((node.options.node, server))
+        if refusal is not None:
+            return Failure(refusal, 'as the test says')
+        role = node.view.roles.get(server)
+        owner = node.view.owners.get(shard)
+        if role is None or role.dispatcher != node.options.node:
+            return Failure(ResultCode.not_holder, 'another has the role')
+        if owner is None or owner.server != server:
+            return Failure(ResultCode.not_holder, 'another owns the shard')
+        until = Seconds(moment.monotonic + 1)
+        return Authority(role.term, owner.epoch, until)
+
+    def call(self, number: int, request: Request) -> CallId:
+        """Let a caller's request arrive at the entry process."""
+        call_id = CallId(number)
+        self.feed(ENTRY, CallArrived(Call(call_id, request)))
+        return call_id
+
+    def feed(self, node_id: NodeId, event: Event) -> None:
+        """Give an event to a process at once."""
+        wall = WALL + self.now + self.wall_offsets.get(node_id, 0)
+        moment = Moment(Seconds(self.now), Seconds(wall))
+        occurrence = Occurrence(moment, event)
+        self._perform(node_id, reduce(self.nodes[node_id], occurrence))
+
+    def schedule(self, delay: float, node_id: NodeId, event: Event) -> int:
+        """Give an event to a process later."""
+        self.counter += 1
+        entry = (self.now + delay, self.counter, node_id, event)
+        heappush(self.queue, entry)
+        return self.counter
+
+    def run(self, duration: float = 5) -> None:
+        """Work off what is due within a duration."""
+        end = self.now + duration
+        while self.queue and self.queue[0][0] <= end:
+            due, number, node_id, event = heappop(self.queue)
+            self.now = due
+            if self._is_current(number, node_id, event):
+                self.feed(node_id, event)
+        self.now = end
+
+    def last_answer(self, call_id: CallId) -> Answer:
+        """Return the one answer that a caller has got."""
+        answers = self.answers[call_id]
+        assert len(answers) == 1
+        return answers[0]
+
+    def end(
+        self,
+        node_id: NodeId,
+        effect: RunAttempt,
+        verdict: AttemptVerdict,
+        delay: float = SERVICE_TIME,
+    ) -> None:
+        """Let an attempt end."""
+        reply = None
+        if verdict is AttemptVerdict.answered:
+            reply = Reply(200, 'text/plain', effect.request.body)
+        event = AttemptEnded(effect.server, effect.attempt, verdict, reply)
+        self.schedule(delay, node_id, event)
+
+    def note_run(self, effect: RunAttempt) -> None:
+        """Note that the fake server has begun to run a request."""
+        key = effect.request.idempotency_key
+        name = effect.request.body.decode() if key is None else key.token
+        self.ran.append(name)
+
+    def perform(self, node_id: NodeId, effect: Effect) -> None:
+        """Perform one effect as a process would without any fault."""
+        match effect:
+            case SendMessage(target, message):
+                event = MessageReceived(node_id, message)
+                self.schedule(HOP, target, event)
+            case SetTimer(timer, delay):
+                expiry = TimerExpired(timer)
+                number = self.schedule(delay, node_id, expiry)
+                self.timers[node_id, timer] = number
+            case CancelTimer(timer):
+                self.timers.pop((node_id, timer), None)
+            case RunAttempt():
+                self.note_run(effect)
+                self.end(node_id, effect, AttemptVerdict.answered)
+            case CancelAttempt():
+                self.cancelled.add((node_id, effect.attempt))
+            case AnswerCaller(call_id, answer):
+                self.answers.setdefault(call_id, []).append(answer)
+                self.answered_at[call_id] = self.now
+
+    def _is_current(self, number: int, node_id: NodeId, event: Event) -> bool:
+        if node_id not in self.nodes:
+            return False
+        if isinstance(event, TimerExpired):
+            return self.timers.get((node_id, event.timer)) == number
+        return True
+
+    def _perform(self, node_id: NodeId, effects: Effects) -> None:
+        for effect in effects:
+            self.effects.append((node_id, effect))
+            if self.hook is None or not self.hook(self, node_id, effect):
+                self.perform(node_id, effect)
+
+
+def build_bench(configuration: Configuration | None = None) -> Bench:
+    """Build one entry process and two dispatchers; the first has the role."""
+    nodes = {
+        name: build_node(_build_options(name, seed))
+        for seed, name in enumerate((ENTRY, FIRST, SECOND))
+    }
+    for node in nodes.values():
+        node.view.configuration = configuration or build_configuration()
+        node.view.applied = Offset(6)
+    bench = Bench(nodes)
+    assign_role(bench, FIRST, TERM)
+    assign_shard(bench, SERVER, EPOCH)
+    return bench
+
+
+def assign_role(
+    bench: Bench,
+    dispatcher: NodeId,
+    term: Epoch,
+    server: ServerId = SERVER,
+) -> None:
+    """Put a claim into every view."""
+    for node in bench.nodes.values():
+        node.view.roles[server] = Role(dispatcher, term, (FIRST, SECOND))
+        node.view.applied = max(node.view.applied, term.offset)
+
+
+def assign_shard(bench: Bench, server: ServerId, epoch: Epoch) -> None:
+    """Put an assignment or a move into every view."""
+    for node in bench.nodes.values():
+        node.view.owners[SHARD] = Ownership(server, epoch)
+        node.view.applied = max(node.view.applied, epoch.offset)
+
+
+def _build_options(name: NodeId, seed: int) -> Options:
+    return Options(
+        node=name,
+        zone=ZONE,
+        region=REGION,
+        site=SITE,
+        host='127.0.0.1',
+        port=1,
+        dispatches=name != ENTRY,
+        peers=(),
+        seed=seed,
+    )
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,39 @@
+"""Check that requests are answered once and truthfully, step by step."""
+
+import pytest
+
+from tests.bench import (
+    FIRST,
+    SHARD,
+    WALL,
+    Bench,
+    build_bench,
+    build_request,
+)
+from trefoilsaddle.core import acceptance, sending
+from trefoilsaddle.core.outcomes import adopt_shard
+from trefoilsaddle.core.units import Moment, Seconds
+from trefoilsaddle.results import Outcome
+
+
+@pytest.fixture
+def bench(monkeypatch: pytest.MonkeyPatch) -> Bench:
+    """Build a bench whose first dispatcher serves a fresh shard."""
+    built = build_bench()
+    for module in (acceptance, sending):
+        monkeypatch.setattr(module, 'check_authority', built.check_authority)
+    moment = Moment(Seconds(0), Seconds(WALL))
+    adopt_shard(built.nodes[FIRST], moment, SHARD, fresh=True)
+    return built
+
+
+@pytest.mark.parametrize('token', ['', 'token-1'])
+def test_request_is_answered(bench: Bench, token: str) -> None:
+    """Answer a request with the server's whole reply."""
+    call_id = bench.call(1, build_request(token))
+    bench.run()
+    answer = bench.last_answer(call_id)
+    assert answer.outcome is Outcome.answered
+    assert answer.reply is not None
+    assert answer.reply.body == b'body'
+    assert len(bench.ran) == 1
--- /dev/null
+++ b/trefoilsaddle/core/admission.py
@@ -0,0 +1,73 @@
+"""Estimate waits, so that hopeless requests are refused at once."""
+
+from trefoilsaddle.core.calls import Pressure
+from trefoilsaddle.core.queues import RankQueue, ServerQueue
+from trefoilsaddle.core.tickets import Ticket
+from trefoilsaddle.core.units import MemberName, Rank, Seconds
+
+# Least part of the slots that an estimate counts on.
+_LEAST_CAPACITY = 0.05
+
+
+def needed_time(queue: ServerQueue, ticket: Ticket) -> Seconds:
+    """Return the time that a request must have left when it is sent."""
+    return Seconds(queue.rank_queue(ticket).service.mean)
+
+
+def estimate_wait(
+    queue: ServerQueue,
+    rank: Rank,
+    member: MemberName | None,
+    now: Seconds,
+) -> Seconds:
+    """Estimate how long a member's next request of a rank waits."""
+    pause = queue.pacing.pause_left(now)
+    slots = max(min(queue.pacing.limit, queue.rules.slots), 1)
+    ranked = queue.ranks[rank]
+    ahead = ranked.count_ahead(member)
+    more_urgent = queue.ranks[:rank]
+    busy = len(queue.running) + ahead
+    if busy + sum(other.size for other in more_urgent) < slots:
+        return pause
+    urgent = sum(_waiting_work(other) for other in more_urgent)
+    own = (ahead + 1) * ranked.service.mean
+    wait = own / (slots * _capacity_left(queue, rank, now)) + urgent / slots
+    guaranteed = queue.rules.ranks[rank].share * slots
+    if guaranteed > 0:
+        wait = min(wait, own / guaranteed)
+    return Seconds(pause + wait)
+
+
+def tell_pressure(queue: ServerQueue, now: Seconds) -> Pressure:
+    """Tell how long the next request of each rank would wait."""
+    waits = tuple(
+        estimate_wait(queue, ranked.rank, None, now) for ranked in queue.ranks
+    )
+    return Pressure(queue.server, waits)
+
+
+def find_over_share(queue: ServerQueue) -> RankQueue | None:
+    """Return the least urgent rank that holds more than its share."""
+    limit = queue.rules.queue_limit
+    for ranked in reversed(queue.ranks):
+        share = queue.rules.ranks[ranked.rank].share
+        if ranked.size > share * limit:
+            return ranked
+    return None
+
+
+def _waiting_work(ranked: RankQueue) -> float:
+    return ranked.size * ranked.service.mean
+
+
+def _capacity_left(queue: ServerQueue, rank: Rank, now: Seconds) -> float:
+    """Return the part of the slots that more urgent ranks leave."""
+    slots = queue.rules.slots
+    urgent = sum(queue.ranks[other].load.read(now) for other in range(rank))
+    reserved = sum(
+        queue.rules.ranks[ranked.rank].share
+        for ranked in queue.ranks[rank + 1 :]
+        if ranked.size
+    )
+    left = 1 - urgent / slots - reserved
+    return max(left, queue.rules.ranks[rank].share, _LEAST_CAPACITY)
--- /dev/null
+++ b/trefoilsaddle/core/disciplines.py
@@ -0,0 +1,71 @@
+"""Decide which requests a server's queue takes, and which is sent next."""
+
+from abc import ABC, abstractmethod
+
+from trefoilsaddle.core.admission import (
+    estimate_wait,
+    find_over_share,
+    needed_time,
+)
+from trefoilsaddle.core.answers import refuse
+from trefoilsaddle.core.calls import Answer
+from trefoilsaddle.core.fairness import charge_shares, choose_rank
+from trefoilsaddle.core.queues import ServerQueue
+from trefoilsaddle.core.tickets import Ticket
+from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.results import ResultCode
+
+
+class Discipline(ABC):
+    """Order the requests for one server."""
+
+    @abstractmethod
+    def admit(
+        self,
+        queue: ServerQueue,
+        ticket: Ticket,
+        now: Seconds,
+    ) -> Answer | None:
+        """Return a refusal, or None to let the request wait."""
+
+    @abstractmethod
+    def choose(self, queue: ServerQueue, now: Seconds) -> Ticket | None:
+        """Take the next request to send out of the queue."""
+
+    @abstractmethod
+    def displace(self, queue: ServerQueue) -> Ticket | None:
+        """Take out the request that gives way when the queue is too long."""
+
+
+class RankDiscipline(Discipline):
+    """Serve by rank, with guaranteed shares and a bound by deadline."""
+
+    def admit(
+        self,
+        queue: ServerQueue,
+        ticket: Ticket,
+        now: Seconds,
+    ) -> Answer | None:
+        """Refuse what can not make its deadline."""
+        request = ticket.request
+        wait = estimate_wait(queue, request.rank, request.member, now)
+        excess = wait + needed_time(queue, ticket) - ticket.remaining(now)
+        if excess <= 0:
+            return None
+        return refuse(ResultCode.deadline_unreachable, Seconds(excess))
+
+    def choose(self, queue: ServerQueue, now: Seconds) -> Ticket | None:
+        """Take the most urgent, unless a lower rank's share is due."""
+        ranked = choose_rank(queue)
+        if ranked is None:
+            return None
+        ticket = ranked.pop()
+        charge_shares(queue, ranked, now)
+        return ticket
+
+    def displace(self, queue: ServerQueue) -> Ticket | None:
+        """Take the newest request of the rank most over its share."""
+        if queue.count_waiting() <= queue.rules.queue_limit:
+            return None
+        ranked = find_over_share(queue)
+        return None if ranked is None else ranked.pop_newest()
--- a/trefoilsaddle/core/dispatching.py
+++ b/trefoilsaddle/core/dispatching.py
@@ -2,14 +2,48 @@
 
 from collections.abc import Iterable
 
+from trefoilsaddle.core.acceptance import take_forward
 from trefoilsaddle.core.effects import Effects
-from trefoilsaddle.core.events import Event
+from trefoilsaddle.core.endings import (
+    abandon_ticket,
+    end_attempt,
+    lose_sender,
+    pass_deadline,
+)
+from trefoilsaddle.core.events import (
+    AttemptEnded,
+    Event,
+    MessageReceived,
+    PeerLost,
+    TimerExpired,
+    TimerKey,
+    TimerKind,
+)
+from trefoilsaddle.core.messages import Abandon, Forward, Handover
 from trefoilsaddle.core.node import Node
-from trefoilsaddle.core.units import Moment, Seconds, ServerId, ShardId
+from trefoilsaddle.core.outcomes import take_handover
+from trefoilsaddle.core.sending import fill_slots, review_waiting
+from trefoilsaddle.core.tickets import Origin
+from trefoilsaddle.core.units import (
+    AttemptId,
+    Moment,
+    Seconds,
+    ServerId,
+    ShardId,
+)
 
 
 def handle_event(node: Node, moment: Moment, event: Event) -> Effects:
     """Take one event for the queues of this process."""
+    match event:
+        case MessageReceived():
+            return _take_message(node, moment, event)
+        case AttemptEnded():
+            return end_attempt(node, moment, event)
+        case TimerExpired(timer):
+            return _take_timer(node, moment, timer)
+        case PeerLost():
+            return lose_sender(node, moment, event.node)
     return []
 
 
@@ -19,14 +53,56 @@
     servers: Iterable[ServerId],
 ) -> Effects:
     """Send what the servers' free slots and the authority allow."""
-    return []
+    effects: Effects = []
+    for server in servers:
+        queue = node.dispatching.queues.get(server)
+        if queue is not None:
+            effects.extend(review_waiting(node, moment, queue))
+            effects.extend(fill_slots(node, moment, queue))
+    return effects
 
 
 def count_running(node: Node, server: ServerId, shard: ShardId | None) -> int:
     """Count attempts in flight at a server, of one shard or of all."""
-    return 0
+    queue = node.dispatching.queues.get(server)
+    if queue is None:
+        return 0
+    if shard is None:
+        return len(queue.running)
+    return sum(ticket.shard == shard for ticket in queue.running.values())
 
 
 def latest_deadline(node: Node, server: ServerId) -> Seconds:
-    """Return the monotonic time by which all in flight will have ended."""
-    return Seconds(0)
+    """Return the monotonic time by which all in flight will have ended.
+
+    Requests whose connection was closed count until their deadline: the
+    server may go on with them.
+    """
+    queue = node.dispatching.queues.get(server)
+    if queue is None:
+        return Seconds(0)
+    deadlines = [ticket.deadline for ticket in queue.running.values()]
+    return max(queue.uncertain_until, *deadlines, Seconds(0))
+
+
+def _take_message(
+    node: Node,
+    moment: Moment,
+    event: MessageReceived,
+) -> Effects:
+    match event.message:
+        case Forward() as forward:
+            return take_forward(node, moment, event.sender, forward)
+        case Abandon(attempt):
+            return abandon_ticket(node, moment, Origin(event.sender, attempt))
+        case Handover() as handover:
+            take_handover(node, handover)
+    return []
+
+
+def _take_timer(node: Node, moment: Moment, timer: TimerKey) -> Effects:
+    if timer.kind is TimerKind.attempt:
+        return pass_deadline(node, moment, AttemptId(int(timer.subject)))
+    if timer.kind is TimerKind.queue:
+        return send_ready(node, moment, (ServerId(timer.subject),))
+    return []
--- /dev/null
+++ b/trefoilsaddle/core/endings.py
@@ -0,0 +1,149 @@
+"""End requests: answered, refused, out of time or no longer wanted."""
+
+from types import MappingProxyType
+
+from trefoilsaddle.core.answers import doubt, pass_on, refuse
+from trefoilsaddle.core.calls import Answer
+from trefoilsaddle.core.effects import CancelAttempt, Effects
+from trefoilsaddle.core.events import AttemptEnded, AttemptVerdict
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.outcomes import record_answer
+from trefoilsaddle.core.queues import ServerQueue
+from trefoilsaddle.core.replies import answer_ticket, close_ticket
+from trefoilsaddle.core.sending import fill_slots, take_out
+from trefoilsaddle.core.tickets import Origin, Ticket, TicketState
+from trefoilsaddle.core.units import AttemptId, Moment, NodeId, Seconds
+from trefoilsaddle.results import ResultCode
+
+# What a server says of a request that it did not run.
+_REFUSALS = MappingProxyType(
+    {
+        AttemptVerdict.unsent: ResultCode.server_unreachable,
+        AttemptVerdict.fenced: ResultCode.fenced,
+        AttemptVerdict.shed: ResultCode.shed_by_server,
+        AttemptVerdict.draining: ResultCode.stopping,
+        AttemptVerdict.expired: ResultCode.deadline_unreachable,
+    }
+)
+_DOUBTS = MappingProxyType(
+    {
+        AttemptVerdict.lost: ResultCode.server_lost,
+        AttemptVerdict.cut_short: ResultCode.answer_cut_short,
+    }
+)
+# Signs that a server can not take more for now.
+_STRAINS = frozenset(
+    (
+        AttemptVerdict.unsent,
+        AttemptVerdict.shed,
+        AttemptVerdict.lost,
+        AttemptVerdict.cut_short,
+    )
+)
+
+
+def end_attempt(node: Node, moment: Moment, event: AttemptEnded) -> Effects:
+    """Answer a request by how its attempt ended; drop what comes late."""
+    queue = node.dispatching.queues.get(event.server)
+    if queue is None:
+        return []
+    ticket = queue.running.pop(event.attempt, None)
+    if ticket is None:
+        return []
+    _learn_ending(queue, ticket, moment, event.verdict)
+    answer = _judge_ending(event)
+    effects = answer_ticket(node, moment, ticket, answer)
+    return effects + fill_slots(node, moment, queue)
+
+
+def pass_deadline(node: Node, moment: Moment, number: AttemptId) -> Effects:
+    """End a request whose time is up."""
+    ticket = node.dispatching.tickets.get(number)
+    if ticket is None:
+        return []
+    queue = node.dispatching.queues[ticket.server]
+    if ticket.state is TicketState.joined:
+        answer = doubt(ResultCode.in_progress)
+        return answer_ticket(node, moment, ticket, answer)
+    if ticket.state is not TicketState.running:
+        take_out(queue, ticket)
+        answer = refuse(ResultCode.deadline_unreachable)
+        return answer_ticket(node, moment, ticket, answer)
+    effects = _cancel_attempt(queue, ticket)
+    queue.pacing.note_failure(moment.monotonic)
+    answer = doubt(ResultCode.deadline_passed)
+    effects.extend(answer_ticket(node, moment, ticket, answer))
+    return effects + fill_slots(node, moment, queue)
+
+
+def abandon_ticket(node: Node, moment: Moment, origin: Origin) -> Effects:
+    """Stop a request that no one waits for any more."""
+    number = node.dispatching.origins.get(origin)
+    if number is None:
+        return []
+    ticket = node.dispatching.tickets[number]
+    queue = node.dispatching.queues[ticket.server]
+    if ticket.state is TicketState.joined:
+        return close_ticket(node, ticket)
+    if ticket.followers or _is_worth_keeping(ticket):
+        ticket.abandoned = True
+        return []
+    effects: Effects = []
+    answer = refuse(ResultCode.cancelled)
+    if ticket.state is TicketState.running:
+        effects = _cancel_attempt(queue, ticket)
+        answer = doubt(ResultCode.cancelled)
+    take_out(queue, ticket)
+    record_answer(node, ticket, answer)
+    effects.extend(close_ticket(node, ticket))
+    return effects + fill_slots(node, moment, queue)
+
+
+def lose_sender(node: Node, moment: Moment, sender: NodeId) -> Effects:
+    """Stop what a lost entry process has asked for."""
+    lost = [
+        origin for origin in node.dispatching.origins if origin.node == sender
+    ]
+    effects: Effects = []
+    for origin in lost:
+        effects.extend(abandon_ticket(node, moment, origin))
+    return effects
+
+
+def _is_worth_keeping(ticket: Ticket) -> bool:
+    """Let work that must not be repeated end, for the caller's retry."""
+    running = ticket.state is TicketState.running
+    return running and not ticket.request.idempotent
+
+
+def _cancel_attempt(queue: ServerQueue, ticket: Ticket) -> Effects:
+    queue.running.pop(ticket.number)
+    # The server may go on until the deadline that it was told.
+    queue.uncertain_until = max(queue.uncertain_until, ticket.deadline)
+    return [CancelAttempt(ticket.server, ticket.number)]
+
+
+def _judge_ending(event: AttemptEnded) -> Answer:
+    if event.reply is not None:
+        return pass_on(event.reply)
+    refusal = _REFUSALS.get(event.verdict)
+    if refusal is not None:
+        return refuse(refusal)
+    return doubt(_DOUBTS.get(event.verdict, ResultCode.answer_lost))
+
+
+def _learn_ending(
+    queue: ServerQueue,
+    ticket: Ticket,
+    moment: Moment,
+    verdict: AttemptVerdict,
+) -> None:
+    now = moment.monotonic
+    if verdict is AttemptVerdict.answered:
+        duration = Seconds(now - ticket.started)
+        queue.rank_queue(ticket).service.observe(duration)
+        queue.pacing.note_answer(queue.rules.slots)
+    elif verdict in _STRAINS:
+        queue.pacing.note_failure(now)
+    if verdict in _DOUBTS:
+        queue.uncertain_until = max(queue.uncertain_until, ticket.deadline)
--- /dev/null
+++ b/trefoilsaddle/core/handovers.py
@@ -0,0 +1,184 @@
+"""Hand outcomes to the next dispatcher of a shard that moves."""
+
+from dataclasses import dataclass, replace
+
+from trefoilsaddle.core.calls import Answer
+from trefoilsaddle.core.floors import set_floor
+from trefoilsaddle.core.messages import Handover, KeptOutcome, MemberFloor
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.outcomestate import (
+    NO_FLOOR,
+    Floor,
+    KeyOutcome,
+    OutcomeKey,
+)
+from trefoilsaddle.core.tickets import TicketState
+from trefoilsaddle.core.units import (
+    Epoch,
+    Seconds,
+    ShardId,
+    ShardNumber,
+)
+from trefoilsaddle.core.view import HotKey
+
+# Most outcomes and bytes of answers in one handover.
+_LARGEST_COUNT = 4096
+_LARGEST_BYTES = 1_048_576
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    """Pair a key with its outcome."""
+
+    key: OutcomeKey
+    outcome: KeyOutcome
+
+
+def build_handover(node: Node, shard: ShardId, epoch: Epoch) -> Handover:
+    """Take a shard's outcomes out of the state; ask again for the same."""
+    state = node.dispatching.outcomes
+    kept = state.floors.pop(shard, None)
+    if kept is None:
+        former = state.handovers.get(shard)
+        if former is not None and former.epoch == epoch:
+            return former
+        return Handover(shard, epoch, Seconds(float('inf')), ())
+    leaving = [
+        _Entry(key, outcome)
+        for key, outcome in state.outcomes.items()
+        if _shard_of(node, key, outcome) == shard
+    ]
+    empty = Handover(shard, epoch, kept.floor, ())
+    return _join_outcomes(node, empty, leaving)
+
+
+def use_handover(node: Node, handover: Handover) -> None:
+    """Lower the floor of an adopted shard to what its sender vouches for.
+
+    Only if no other process can have served it in between: the ownership
+    is the very one that the move began, and this process has held the role
+    for its server since before.
+    """
+    state = node.dispatching.outcomes
+    kept = state.floors.get(handover.shard)
+    if kept is None or not _follows_directly(node, handover):
+        return
+    state.handovers.pop(handover.shard)
+    set_floor(
+        node,
+        handover.shard,
+        Floor(handover.floor, kept.term, kept.epoch),
+    )
+    for member in handover.member_floors:
+        known = state.member_floors.get(member.member, NO_FLOOR)
+        state.member_floors[member.member] = max(known, member.floor)
+    for outcome in handover.outcomes:
+        _adopt_outcome(node, handover.shard, outcome)
+
+
+def _join_outcomes(
+    node: Node,
+    handover: Handover,
+    leaving: list[_Entry],
+) -> Handover:
+    """Put outcomes in, the newest first, as far as the bounds allow."""
+    outcomes: list[KeptOutcome] = []
+    floor = handover.floor
+    room = _LARGEST_BYTES
+    for entry in reversed(leaving):
+        if _is_unsent(node, entry.outcome):
+            continue
+        kept = _keep_entry(entry, room)
+        room -= _answer_size(kept.answer)
+        if len(outcomes) < _LARGEST_COUNT:
+            outcomes.append(kept)
+        else:
+            floor = max(floor, kept.created)
+        _remove_entry(node, entry)
+    return replace(
+        handover,
+        floor=floor,
+        outcomes=tuple(reversed(outcomes)),
+        member_floors=_list_member_floors(node),
+    )
+
+
+def _list_member_floors(node: Node) -> tuple[MemberFloor, ...]:
+    floors = node.dispatching.outcomes.member_floors
+    return tuple(
+        MemberFloor(member, floor) for member, floor in sorted(floors.items())
+    )
+
+
+def _is_unsent(node: Node, outcome: KeyOutcome) -> bool:
+    """Say whether a request is in progress but has not left yet."""
+    if outcome.ticket is None:
+        return False
+    ticket = node.dispatching.tickets.get(outcome.ticket)
+    return ticket is not None and ticket.state is not TicketState.running
+
+
+def _keep_entry(entry: _Entry, room: int) -> KeptOutcome:
+    answer = entry.outcome.answer
+    if _answer_size(answer) > room:
+        answer = None
+    return KeptOutcome(
+        member=entry.key.member,
+        created=entry.outcome.created,
+        token=entry.key.token,
+        fingerprint=entry.outcome.fingerprint,
+        key_hash=entry.outcome.key_hash,
+        answer=answer,
+    )
+
+
+def _remove_entry(node: Node, entry: _Entry) -> None:
+    state = node.dispatching.outcomes
+    state.outcomes.pop(entry.key)
+    state.kept_bytes -= _answer_size(entry.outcome.answer)
+
+
+def _answer_size(answer: Answer | None) -> int:
+    if answer is None or answer.reply is None:
+        return 0
+    return len(answer.reply.body)
+
+
+def _follows_directly(node: Node, handover: Handover) -> bool:
+    owner = node.view.owners.get(handover.shard)
+    if owner is None or owner.epoch != handover.epoch:
+        return False
+    role = node.view.roles.get(owner.server)
+    if role is None or role.dispatcher != node.options.node:
+        return False
+    kept = node.dispatching.outcomes.floors[handover.shard]
+    return role.term < owner.epoch and kept.term == role.term
+
+
+def _shard_of(node: Node, key: OutcomeKey, outcome: KeyOutcome) -> ShardId:
+    hot_key = HotKey(key.service, outcome.key_hash)
+    hot_shard = node.view.hot_keys.get(hot_key)
+    if hot_shard is not None:
+        return hot_shard
+    count = 1
+    configuration = node.view.configuration
+    if configuration is not None:
+        count = configuration.services[key.service].shard_count
+    return ShardId(key.service, ShardNumber(outcome.key_hash % count))
+
+
+def _adopt_outcome(node: Node, shard: ShardId, kept: KeptOutcome) -> None:
+    state = node.dispatching.outcomes
+    key = OutcomeKey(shard.service, kept.member, kept.token)
+    former = state.outcomes.get(key)
+    if former is not None:
+        state.kept_bytes -= _answer_size(former.answer)
+    outcome = KeyOutcome(
+        created=kept.created,
+        fingerprint=kept.fingerprint,
+        key_hash=kept.key_hash,
+        ticket=None,
+        answer=kept.answer,
+    )
+    state.outcomes[key] = outcome
+    state.kept_bytes += _answer_size(kept.answer)
--- a/trefoilsaddle/core/hashing.py
+++ b/trefoilsaddle/core/hashing.py
@@ -9,6 +9,7 @@
 
 # Keeps ('ab', 'c') and ('a', 'bc') apart.
 _SEPARATOR = b'\0'
+_LENGTH_BYTES = 8
 
 _Candidate = TypeVar('_Candidate', bound=str)
 
@@ -30,3 +31,11 @@
         key=lambda candidate: xxh3_64_intdigest(prefix + candidate.encode()),
         reverse=True,
     )
+
+
+def hash_parts(parts: Iterable[bytes]) -> int:
+    """Hash a sequence of byte strings to 64 bits, lengths included."""
+    whole = b''.join(
+        len(part).to_bytes(_LENGTH_BYTES, 'big') + part for part in parts
+    )
+    return xxh3_64_intdigest(whole)
--- a/trefoilsaddle/core/outcomes.py
+++ b/trefoilsaddle/core/outcomes.py
@@ -1,8 +1,36 @@
-"""Remember outcomes of idempotency keys, so that work runs at most once."""
+"""Remember outcomes of idempotency keys, so that work runs at most once.
 
+See docs/design/at-most-once.md for the floors and what they rest on.
+"""
+
+from trefoilsaddle.core.answers import doubt, refuse
+from trefoilsaddle.core.authority import Authority
+from trefoilsaddle.core.calls import Answer
+from trefoilsaddle.core.floors import (
+    adopt_floor,
+    drop_answers,
+    follow_tokens,
+    forget_old,
+    is_forgotten,
+    shrink_outcomes,
+)
+from trefoilsaddle.core.handovers import build_handover, use_handover
+from trefoilsaddle.core.hashing import hash_key, hash_parts
 from trefoilsaddle.core.messages import Handover
 from trefoilsaddle.core.node import Node
-from trefoilsaddle.core.units import Epoch, Moment, Seconds, ShardId
+from trefoilsaddle.core.outcomestate import KeyOutcome, OutcomeKey
+from trefoilsaddle.core.tickets import Ticket
+from trefoilsaddle.core.units import (
+    AttemptId,
+    Epoch,
+    Moment,
+    Seconds,
+    ShardId,
+)
+from trefoilsaddle.results import Outcome, ResultCode
+
+# Longer answers are not kept; a retry is told that they are forgotten.
+_LARGEST_KEPT_BODY = 65_536
 
 
 def adopt_shard(
@@ -14,11 +42,151 @@
 ) -> None:
     """Begin to keep outcomes of a shard that this process now serves.
 
+    To be called once no other process can send work of the shard any more.
     A fresh shard never had an owner, so that no key can have been sent.
-    For any other, keys older than now have an unknown outcome.
+    For any other, keys older than now have an unknown outcome, unless its
+    last dispatcher hands over what it knows.
     """
+    adopt_floor(node, moment, shard, fresh=fresh)
+    handover = node.dispatching.outcomes.handovers.get(shard)
+    if handover is not None:
+        use_handover(node, handover)
 
 
 def release_shard(node: Node, shard: ShardId, epoch: Epoch) -> Handover:
-    """Stop keeping outcomes of a shard and return what is known."""
-    return Handover(shard, epoch, Seconds(0), ())
+    """Stop keeping outcomes of a shard and return what is known.
+
+    `epoch` is the one that the move gave the shard, read in the view; the
+    receiver compares it with its own view.
+    """
+    handover = build_handover(node, shard, epoch)
+    node.dispatching.outcomes.handovers[shard] = handover
+    return handover
+
+
+def take_handover(node: Node, handover: Handover) -> None:
+    """Keep a handover until its shard is adopted, or use it at once."""
+    node.dispatching.outcomes.handovers[handover.shard] = handover
+    use_handover(node, handover)
+
+
+def claim_key(node: Node, moment: Moment, ticket: Ticket) -> Answer | None:
+    """Meet the state of a request's key, or put it in progress.
+
+    A ticket that meets an earlier request in progress joins it; the caller
+    of this function sees that by `find_leader`.
+    """
+    request = ticket.request
+    key = request.idempotency_key
+    configuration = node.view.configuration
+    if key is None or configuration is None:
+        return None
+    if key.created > moment.wall + configuration.limits.clock_skew:
+        return refuse(ResultCode.idempotency_key_in_future)
+    known = node.dispatching.outcomes.outcomes.get(_name_key(ticket))
+    if known is not None:
+        return _meet_outcome(known, ticket)
+    if request.idempotent:
+        return None
+    if not shrink_outcomes(node):
+        return refuse(ResultCode.memory_bound)
+    forget_old(node, moment)
+    outcome = KeyOutcome(
+        created=key.created,
+        fingerprint=_fingerprint(ticket),
+        key_hash=hash_key(request.service, request.member, request.key),
+        ticket=ticket.number,
+    )
+    node.dispatching.outcomes.outcomes[_name_key(ticket)] = outcome
+    return None
+
+
+def find_leader(node: Node, ticket: Ticket) -> AttemptId | None:
+    """Return the earlier ticket in progress with a request's key, if any."""
+    known = _find_outcome(node, ticket)
+    if known is None or known.ticket == ticket.number:
+        return None
+    return known.ticket
+
+
+def authorise_send(
+    node: Node,
+    moment: Moment,
+    ticket: Ticket,
+    authority: Authority,
+) -> Answer | None:
+    """Return None if a request may be sent, for the first and last time.
+
+    Asked again directly before the send: since the request was accepted the
+    shard may have come with a greater floor or with outcomes handed over.
+    """
+    if ticket.request.idempotent:
+        return None
+    known = _find_outcome(node, ticket)
+    if known is None:
+        return doubt(ResultCode.outcome_forgotten)
+    if known.ticket != ticket.number:
+        return _meet_outcome(known, ticket)
+    follow_tokens(node, moment, ticket.shard, authority)
+    if is_forgotten(node, moment, ticket.shard, ticket.request):
+        return doubt(ResultCode.outcome_forgotten)
+    return None
+
+
+def record_answer(node: Node, ticket: Ticket, answer: Answer) -> None:
+    """Keep what became of a request with an idempotency key."""
+    known = _find_outcome(node, ticket)
+    if known is None or known.ticket != ticket.number:
+        return
+    if answer.outcome is Outcome.not_run:
+        node.dispatching.outcomes.outcomes.pop(_name_key(ticket))
+        return
+    known.ticket = None
+    if answer.reply is None:
+        return
+    size = len(answer.reply.body)
+    if size <= _LARGEST_KEPT_BODY:
+        known.answer = answer
+        node.dispatching.outcomes.kept_bytes += size
+        drop_answers(node)
+
+
+def _meet_outcome(known: KeyOutcome, ticket: Ticket) -> Answer | None:
+    """Answer a retry by the state of its key; None joins the first try."""
+    if known.fingerprint != _fingerprint(ticket):
+        return refuse(ResultCode.idempotency_key_reused)
+    if known.ticket is not None:
+        return None
+    if known.answer is not None:
+        return known.answer
+    return doubt(ResultCode.outcome_forgotten)
+
+
+def _find_outcome(node: Node, ticket: Ticket) -> KeyOutcome | None:
+    if ticket.request.idempotency_key is None:
+        return None
+    return node.dispatching.outcomes.outcomes.get(_name_key(ticket))
+
+
+def _name_key(ticket: Ticket) -> OutcomeKey:
+    request = ticket.request
+    key = request.idempotency_key
+    token = '' if key is None else key.token
+    return OutcomeKey(request.service, request.member, token)
+
+
+def _fingerprint(ticket: Ticket) -> int:
+    """Hash all that makes a request the same as another."""
+    request = ticket.request
+    key = request.idempotency_key
+    created = Seconds(0) if key is None else key.created
+    parts = (
+        request.key,
+        request.method.encode(),
+        request.path.encode(),
+        request.content_type.encode(),
+        request.body,
+        str(created).encode(),
+        str(request.idempotent).encode(),
+    )
+    return hash_parts(parts)
--- /dev/null
+++ b/trefoilsaddle/core/replies.py
@@ -0,0 +1,100 @@
+"""Answer forwarded requests, with what the sender may learn from."""
+
+from trefoilsaddle.core.admission import tell_pressure
+from trefoilsaddle.core.calls import Answer, Pressure
+from trefoilsaddle.core.effects import (
+    CancelTimer,
+    Effects,
+    SendMessage,
+)
+from trefoilsaddle.core.events import TimerKey, TimerKind
+from trefoilsaddle.core.messages import ForwardAnswer
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.outcomes import record_answer
+from trefoilsaddle.core.tickets import Origin, Ticket, TicketState
+from trefoilsaddle.core.units import (
+    AttemptId,
+    Moment,
+    NodeId,
+    ServerId,
+    ShardId,
+)
+
+
+def answer_ticket(
+    node: Node,
+    moment: Moment,
+    ticket: Ticket,
+    answer: Answer,
+) -> Effects:
+    """Answer a request and all that have joined it; it is over then."""
+    record_answer(node, ticket, answer)
+    effects = close_ticket(node, ticket)
+    if not ticket.abandoned:
+        effects.append(_answer_origin(node, moment, ticket, answer))
+    for number in ticket.followers:
+        follower = node.dispatching.tickets.get(number)
+        if follower is not None:
+            effects.extend(close_ticket(node, follower))
+            effects.append(_answer_origin(node, moment, follower, answer))
+    return effects
+
+
+def close_ticket(node: Node, ticket: Ticket) -> Effects:
+    """Forget a request without an answer."""
+    ticket.state = TicketState.ended
+    node.dispatching.tickets.pop(ticket.number, None)
+    node.dispatching.origins.pop(ticket.origin, None)
+    return [CancelTimer(attempt_timer(ticket.number))]
+
+
+def attempt_timer(number: AttemptId) -> TimerKey:
+    """Name the timer of a request's deadline."""
+    return TimerKey(TimerKind.attempt, str(number))
+
+
+def answer_origin(
+    node: Node,
+    origin: Origin,
+    shard: ShardId | None,
+    answer: Answer,
+    pressure: Pressure | None = None,
+) -> SendMessage:
+    """Send an answer with the route that this process knows of."""
+    owner = _find_owner(node, shard)
+    message = ForwardAnswer(
+        attempt=origin.attempt,
+        answer=answer,
+        owner=owner,
+        holder=_find_holder(node, owner),
+        applied=node.view.applied,
+        pressure=pressure,
+    )
+    return SendMessage(origin.node, message)
+
+
+def _answer_origin(
+    node: Node,
+    moment: Moment,
+    ticket: Ticket,
+    answer: Answer,
+) -> SendMessage:
+    queue = node.dispatching.queues.get(ticket.server)
+    pressure = None
+    if queue is not None:
+        pressure = tell_pressure(queue, moment.monotonic)
+    return answer_origin(node, ticket.origin, ticket.shard, answer, pressure)
+
+
+def _find_owner(node: Node, shard: ShardId | None) -> ServerId | None:
+    if shard is None:
+        return None
+    owner = node.view.owners.get(shard)
+    return None if owner is None else owner.server
+
+
+def _find_holder(node: Node, server: ServerId | None) -> NodeId | None:
+    if server is None:
+        return None
+    role = node.view.roles.get(server)
+    return None if role is None else role.dispatcher
--- /dev/null
+++ b/trefoilsaddle/core/routes.py
@@ -0,0 +1,86 @@
+"""Choose routes by the view and by what dispatchers have told since."""
+
+from trefoilsaddle.core.messages import ForwardAnswer
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.routestate import (
+    LearntHolder,
+    LearntOwner,
+    PendingCall,
+    Route,
+)
+from trefoilsaddle.core.units import (
+    Moment,
+    NodeId,
+    Seconds,
+    ServerId,
+    ShardId,
+)
+
+# How long a lost connection keeps requests that can not be repeated back.
+_LOSS_MEMORY = Seconds(0.1)
+
+
+def choose_route(
+    node: Node,
+    moment: Moment,
+    pending: PendingCall,
+) -> Route | None:
+    """Return the server and dispatcher to send a call to, if known."""
+    server = _find_owner(node, pending.shard)
+    if server is None:
+        return None
+    dispatcher = _find_holder(node, server)
+    if dispatcher is None:
+        return None
+    if not pending.call.request.idempotent:
+        # After a send without an answer its outcome would be unknown.
+        if _is_lost(node, moment, dispatcher):
+            return None
+    return Route(server, dispatcher)
+
+
+def learn_route(
+    node: Node,
+    pending: PendingCall,
+    message: ForwardAnswer,
+) -> None:
+    """Keep the owner and holder that a refusal names, if as new as ours."""
+    forget_route(node, pending)
+    if message.owner is None or message.applied < node.view.applied:
+        return
+    owner = LearntOwner(message.owner, message.applied)
+    node.routing.owners[pending.shard] = owner
+    if message.holder is None:
+        return
+    holder = LearntHolder(message.holder, message.applied)
+    node.routing.holders[message.owner] = holder
+
+
+def forget_route(node: Node, pending: PendingCall) -> None:
+    """Drop what was learnt of a route that failed."""
+    node.routing.owners.pop(pending.shard, None)
+    if pending.route is not None:
+        node.routing.holders.pop(pending.route.server, None)
+
+
+def _find_owner(node: Node, shard: ShardId) -> ServerId | None:
+    learnt = node.routing.owners.get(shard)
+    if learnt is not None and learnt.applied >= node.view.applied:
+        return learnt.server
+    owner = node.view.owners.get(shard)
+    return None if owner is None else owner.server
+
+
+def _find_holder(node: Node, server: ServerId) -> NodeId | None:
+    learnt = node.routing.holders.get(server)
+    if learnt is not None and learnt.applied >= node.view.applied:
+        return learnt.node
+    role = node.view.roles.get(server)
+    return None if role is None else role.dispatcher
+
+
+def _is_lost(node: Node, moment: Moment, dispatcher: NodeId) -> bool:
+    lost_at = node.routing.lost_at.get(dispatcher)
+    if lost_at is None:
+        return False
+    return moment.monotonic < lost_at + _LOSS_MEMORY
