--- a/tests/bench.py
+++ b/tests/bench.py
@@ -45,10 +45,12 @@
     TimerExpired,
     TimerKey,
 )
+from trefoilsaddle.core.messages import Forward, Message
 from trefoilsaddle.core.node import Node, build_node
 from trefoilsaddle.core.options import Options
 from trefoilsaddle.core.reducer import reduce
 from trefoilsaddle.core.units import (
+    AttemptId,
     CallId,
     Epoch,
     MemberName,
@@ -177,6 +179,16 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Run:
+    """Note one run of a request at the fake server."""
+
+    # Token, or the body of a request without one.
+    name: str
+    call_id: CallId
+    server: ServerId
+
+
 @dataclass(slots=True)
 class Bench:
     """Run nodes and a fake server in virtual time."""
@@ -187,8 +199,10 @@
     timers: dict[tuple[NodeId, TimerKey], int] = field(default_factory=dict)
     # Returns true to swallow an effect.
     hook: Hook | None = None
-    # Requests that the fake server has run, by token or body.
-    ran: list[str] = field(default_factory=list)
+    # Requests that the fake server has run, in order.
+    ran: list[Run] = field(default_factory=list)
+    # Calls by the attempt that the entry process forwarded for them.
+    forwarded: dict[AttemptId, CallId] = field(default_factory=dict)
     cancelled: set[tuple[NodeId, int]] = field(default_factory=set)
     answers: dict[CallId, list[Answer]] = field(default_factory=dict)
     answered_at: dict[CallId, float] = field(default_factory=dict)
@@ -271,11 +285,18 @@
         event = AttemptEnded(effect.server, effect.attempt, verdict, reply)
         self.schedule(delay, node_id, event)
 
-    def note_run(self, effect: RunAttempt) -> None:
+    def note_run(self, node_id: NodeId, effect: RunAttempt) -> None:
         """Note that the fake server has begun to run a request."""
         key = effect.request.idempotency_key
         name = effect.request.body.decode() if key is None else key.token
-        self.ran.append(name)
+        dispatching = self.nodes[node_id].dispatching
+        ticket = dispatching.tickets[effect.attempt]
+        call_id = self.forwarded[ticket.origin.attempt]
+        self.ran.append(Run(name, call_id, effect.server))
+
+    def count_runs(self, name: str) -> int:
+        """Count the runs of a token, or of a body without one."""
+        return sum(run.name == name for run in self.ran)
 
     def perform(self, node_id: NodeId, effect: Effect) -> None:
         """Perform one effect as a process would without any fault."""
@@ -290,7 +311,7 @@
             case CancelTimer(timer):
                 self.timers.pop((node_id, timer), None)
             case RunAttempt():
-                self.note_run(effect)
+                self.note_run(node_id, effect)
                 self.end(node_id, effect, AttemptVerdict.answered)
             case CancelAttempt():
                 self.cancelled.add((node_id, effect.attempt))
@@ -308,9 +329,17 @@
     def _perform(self, node_id: NodeId, effects: Effects) -> None:
         for effect in effects:
             self.effects.append((node_id, effect))
+            if isinstance(effect, SendMessage):
+                self._note_forward(effect.message)
             if self.hook is None or not self.hook(self, node_id, effect):
                 self.perform(node_id, effect)
 
+    def _note_forward(self, message: Message) -> None:
+        if isinstance(message, Forward):
+            routing = self.nodes[ENTRY].routing
+            call_id = routing.attempts[message.attempt]
+            self.forwarded[message.attempt] = call_id
+
 
 def build_bench(configuration: Configuration | None = None) -> Bench:
     """Build one entry process and two dispatchers; the first has the role."""
--- a/trefoilsaddle/core/acceptance.py
+++ b/trefoilsaddle/core/acceptance.py
@@ -40,11 +40,8 @@
     """Queue a forwarded request, unless it must be refused."""
     origin = Origin(sender, forward.attempt)
     state = node.dispatching
-    last = state.last_attempts.get(sender, AttemptId(0))
-    if forward.attempt <= last:
-        # A duplicate: its first copy has been or will be answered.
+    if is_duplicate(node, origin):
         return []
-    state.last_attempts[sender] = forward.attempt
     request = forward.request
     shard = node.view.shard_of(request.service, request.member, request.key)
     if shard is None:
@@ -71,6 +68,19 @@
     return _accept_ticket(node, moment, queue, ticket)
 
 
+def is_duplicate(node: Node, origin: Origin) -> bool:
+    """Say whether a sender's id is not above all its earlier ones.
+
+    The first copy has been or will be answered; a second one must not run
+    after the first was answered as not run.
+    """
+    lasts = node.dispatching.last_attempts
+    if origin.attempt <= lasts.get(origin.node, AttemptId(0)):
+        return True
+    lasts[origin.node] = origin.attempt
+    return False
+
+
 def _accept_ticket(
     node: Node,
     moment: Moment,
@@ -93,6 +103,7 @@
     answer = state.discipline.admit(queue, ticket, moment.monotonic)
     if answer is not None:
         return answer_ticket(node, moment, ticket, answer)
+    queue.budget.earn(queue.rules.retry_budget)
     queue.rank_queue(ticket).push(ticket)
     effects: Effects = [start]
     effects.extend(fill_slots(node, moment, queue))
@@ -147,6 +158,7 @@
         version=configuration.version,
         slots=policy.slots,
         queue_limit=configuration.services[policy.service].queue_limit,
+        retry_budget=configuration.limits.retry_budget,
         ranks=configuration.ranks,
     )
     if queue is None:
--- a/trefoilsaddle/core/endings.py
+++ b/trefoilsaddle/core/endings.py
@@ -31,6 +31,8 @@
         AttemptVerdict.cut_short: ResultCode.answer_cut_short,
     }
 )
+# Most times that one request is sent again after the server has shed it.
+_MOST_SHEDS = 3
 # Signs that a server can not take more for now.
 _STRAINS = frozenset(
     (
@@ -51,8 +53,13 @@
     if ticket is None:
         return []
     _learn_ending(queue, ticket, moment, event.verdict)
-    answer = _judge_ending(event)
-    effects = answer_ticket(node, moment, ticket, answer)
+    effects: Effects = []
+    if _tries_again(queue, ticket, event.verdict):
+        ticket.state = TicketState.waiting
+        queue.rank_queue(ticket).push_front(ticket)
+    else:
+        answer = _judge_ending(event)
+        effects = answer_ticket(node, moment, ticket, answer)
     return effects + fill_slots(node, moment, queue)
 
 
@@ -123,6 +130,18 @@
     return [CancelAttempt(ticket.server, ticket.number)]
 
 
+def _tries_again(
+    queue: ServerQueue,
+    ticket: Ticket,
+    verdict: AttemptVerdict,
+) -> bool:
+    """Keep a request that was shed waiting; entry processes do not retry it."""
+    if verdict is not AttemptVerdict.shed or ticket.abandoned:
+        return False
+    ticket.sheds += 1
+    return ticket.sheds <= _MOST_SHEDS and queue.budget.spend()
+
+
 def _judge_ending(event: AttemptEnded) -> Answer:
     if event.reply is not None:
         return pass_on(event.reply)
--- a/trefoilsaddle/core/outcomes.py
+++ b/trefoilsaddle/core/outcomes.py
@@ -143,6 +143,8 @@
         return
     known.ticket = None
     if answer.reply is None:
+        # The code tells of the first try; a retry has not been too late.
+        known.answer = doubt(ResultCode.answer_lost)
         return
     size = len(answer.reply.body)
     if size <= _LARGEST_KEPT_BODY:
--- a/trefoilsaddle/core/queues.py
+++ b/trefoilsaddle/core/queues.py
@@ -7,6 +7,7 @@
 from trefoilsaddle.core.configuration import RankPolicy
 from trefoilsaddle.core.estimates import LoadEstimate, ServiceEstimate
 from trefoilsaddle.core.pacing import Pacing
+from trefoilsaddle.core.retries import RetryBudget
 from trefoilsaddle.core.tickets import Ticket
 from trefoilsaddle.core.units import (
     AttemptId,
@@ -104,6 +105,7 @@
     version: Version
     slots: int
     queue_limit: int
+    retry_budget: float
     ranks: tuple[RankPolicy, ...]
 
 
@@ -118,6 +120,8 @@
     ranks: list[RankQueue]
     parked: list[Ticket] = field(default_factory=list)
     running: dict[AttemptId, Ticket] = field(default_factory=dict)
+    # Bounds how often requests are sent again that the server has shed.
+    budget: RetryBudget = field(default_factory=RetryBudget)
     # Deadline of the last request that may still run unobserved.
     uncertain_until: Seconds = Seconds(0)
 
