--- /dev/null
+++ b/trefoilsaddle/core/claims.py
@@ -0,0 +1,263 @@
+"""Claim servers that lack a dispatcher, and follow the log's verdicts."""
+
+from trefoilsaddle.core.assignment import make_record_id
+from trefoilsaddle.core.dutystate import Claiming, Duty
+from trefoilsaddle.core.effects import (
+    Effects,
+    Part,
+    SetTimer,
+    WriteLogLine,
+)
+from trefoilsaddle.core.events import TimerKey, TimerKind
+from trefoilsaddle.core.following import append_records
+from trefoilsaddle.core.grants import renew_grants
+from trefoilsaddle.core.hashing import rank_candidates
+from trefoilsaddle.core.leases import former_end, raise_term
+from trefoilsaddle.core.membership import health_of, live_dispatchers
+from trefoilsaddle.core.messages import Health, Promise
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.provisional import holder_of
+from trefoilsaddle.core.records import Claim
+from trefoilsaddle.core.units import (
+    FIRST_EPOCH,
+    Epoch,
+    Moment,
+    NodeId,
+    RecordId,
+    Seconds,
+    ServerId,
+)
+from trefoilsaddle.core.view import Role
+
+# Most dispatchers besides the holder that may take a server over.
+CLAIM_SET_SIZE = 2
+# Head start of each candidate over the next one.
+STAGGER = Seconds(3 / 10)
+# Time for a starting process to hear of the others before its first claim.
+_SETTLE_TIME = Seconds(7 / 10)
+
+# Least time between two claims of one holder for the same server.
+_RECLAIM_AFTER = Seconds(3)
+
+
+def review_claims(node: Node, moment: Moment) -> Effects:
+    """Claim the servers of this zone whose turn has come."""
+    effects: Effects = []
+    if not node.options.dispatches or node.stopping:
+        return effects
+    if node.following.log_away:
+        return effects
+    for policy in node.view.servers():
+        if policy.zone == node.options.zone:
+            effects.extend(_consider_server(node, moment, policy.server_id))
+    return effects
+
+
+def _consider_server(node: Node, moment: Moment, server: ServerId) -> Effects:
+    role = node.view.roles.get(server)
+    candidates = _candidates(node, server, role)
+    me = node.options.node
+    if me not in candidates or server in node.duties.claiming:
+        return []
+    since = node.duties.vacant_since.setdefault(server, moment.monotonic)
+    turn = since + STAGGER * candidates.index(me)
+    if role is None and len(candidates) <= CLAIM_SET_SIZE:
+        turn += _SETTLE_TIME
+    known = node.duties.known.get(server)
+    if known is not None:
+        # A promise to the former dispatcher is kept to its end.
+        turn = max(turn, known.promised_until)
+    left = Seconds(turn - moment.monotonic)
+    if left > 0:
+        return [SetTimer(TimerKey(TimerKind.claim, server), left)]
+    expected = role.term if role else FIRST_EPOCH
+    return append_claim(node, moment, server, expected)
+
+
+def _candidates(
+    node: Node,
+    server: ServerId,
+    role: Role | None,
+) -> list[NodeId]:
+    """Order those that may claim now; the first has no delay."""
+    if role is None:
+        alive = live_dispatchers(node, node.options.zone)
+        everyone = {*alive, node.options.node}
+        return rank_candidates(server, everyone)
+    holder = holder_of(node, server) or role.dispatcher
+    if health_of(node, holder) is not Health.dead:
+        node.duties.vacant_since.pop(server, None)
+        return []
+    members = [
+        member
+        for member in role.claim_set
+        if member == node.options.node
+        or health_of(node, member) is Health.alive
+    ]
+    return rank_candidates(server, members)
+
+
+def append_claim(
+    node: Node,
+    moment: Moment,
+    server: ServerId,
+    expected: Epoch,
+) -> Effects:
+    """Append a claim of this process to the log."""
+    record_id = make_record_id(node)
+    claim = Claim(
+        record_id=record_id,
+        server=server,
+        expected=expected,
+        dispatcher=node.options.node,
+        claim_set=choose_claim_set(node, server, node.options.node),
+        provisional=None,
+    )
+    node.duties.claiming[server] = Claiming(record_id)
+    sentence = f'claiming {server}'
+    return [
+        WriteLogLine(Part.ownership, sentence),
+        *append_records(node, moment, (claim,)),
+    ]
+
+
+def choose_claim_set(
+    node: Node,
+    server: ServerId,
+    holder: NodeId,
+) -> tuple[NodeId, ...]:
+    """Choose who may take a server over from its next holder.
+
+    Until the server has accepted the new term, the former group stays in
+    charge: a former dispatcher that is cut off may still rely on it.
+    """
+    role = node.view.roles.get(server)
+    duty = node.duties.held.get(server)
+    settled = duty is not None and duty.grants.contacted
+    inside = role is not None and holder in _group(role)
+    if role is not None and inside and not settled:
+        rest = [member for member in _group(role) if member != holder]
+        return tuple(rest[:CLAIM_SET_SIZE])
+    alive = live_dispatchers(node, node.options.zone)
+    others = rank_candidates(server, set(alive) - {holder})
+    # Members that are alive stay, so that a newcomer changes no term.
+    present = role.claim_set if role and inside else ()
+    kept = [member for member in present if member in others]
+    added = [member for member in others if member not in kept]
+    return tuple((*kept, *added)[:CLAIM_SET_SIZE])
+
+
+def _group(role: Role) -> tuple[NodeId, ...]:
+    return (*role.claim_set, role.dispatcher)
+
+
+def note_appended(
+    node: Node,
+    moment: Moment,
+    record_ids: tuple[RecordId, ...],
+) -> None:
+    """Remember when the log acknowledged a claim."""
+    for claiming in node.duties.claiming.values():
+        if claiming.record_id in record_ids:
+            claiming.acknowledged = moment.monotonic
+
+
+def take_role(
+    node: Node,
+    moment: Moment,
+    server: ServerId,
+    role: Role,
+    former: Role | None,
+) -> Effects:
+    """Begin a duty: the log, or the server's fence, gave it to us."""
+    claiming = node.duties.claiming.pop(server, None)
+    started = moment.monotonic
+    if claiming is not None and claiming.acknowledged is not None:
+        started = claiming.acknowledged
+    raise_term(node, server, role.term)
+    others = former.claim_set if former else ()
+    duty = Duty(
+        server=server,
+        term=role.term,
+        claim_set=role.claim_set,
+        former_members=tuple(
+            member for member in others if member != node.options.node
+        ),
+        former_dispatcher=former.dispatcher if former else None,
+        started=started,
+    )
+    present = node.duties.held.get(server)
+    if present is not None:
+        _carry_grants(present, duty)
+    node.duties.held[server] = duty
+    node.duties.vacant_since.pop(server, None)
+    if former is not None and former.dispatcher != node.options.node:
+        duty.outsider = node.options.node not in former.claim_set
+        duty.usable_from = former_end(node, started)
+        if node.duties.released.pop(server, None) == role.term:
+            release_former(moment, duty)
+    node.woken.add(server)
+    sentence = f'dispatching to {server} now'
+    return [
+        WriteLogLine(Part.ownership, sentence),
+        *renew_grants(node, moment, duty),
+    ]
+
+
+def _carry_grants(present: Duty, duty: Duty) -> None:
+    """Keep what the server was granted by this process under a lower term."""
+    former = present.grants
+    duty.shards = present.shards
+    duty.grants.stamp = former.stamp
+    duty.grants.stamp_sent = former.stamp_sent
+    duty.grants.stamp_received = former.stamp_received
+    duty.grants.lapsed_after = former.lapsed_after
+    duty.grants.answered_at = former.answered_at
+
+
+def release_former(moment: Moment, duty: Duty) -> None:
+    """Wait no longer: the former dispatcher sends nothing more."""
+    duty.released = True
+    duty.usable_from = min(duty.usable_from, moment.monotonic)
+
+
+def note_release(
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+    promise: Promise,
+) -> None:
+    """Take a former dispatcher's word that it has stopped."""
+    duty = node.duties.held.get(promise.server)
+    if duty is None or duty.term < promise.term:
+        node.duties.released[promise.server] = promise.term
+        return
+    if duty.term == promise.term and sender == duty.former_dispatcher:
+        release_former(moment, duty)
+        node.woken.add(promise.server)
+
+
+def maintain_claim(node: Node, moment: Moment, duty: Duty) -> Effects:
+    """Claim a role of ours again: to renew its claim set, or its term."""
+    following = node.following
+    unsafe = following.log_away or node.stopping or duty.provisional
+    if unsafe or duty.server in node.duties.claiming:
+        return []
+    role = node.view.roles.get(duty.server)
+    if role is None or role.term != duty.term:
+        return []
+    since = max(duty.started, duty.fenced_at)
+    if moment.monotonic - since < _RECLAIM_AFTER:
+        return []
+    if duty.superseded or _needs_members(node, duty):
+        return append_claim(node, moment, duty.server, duty.term)
+    return []
+
+
+def _needs_members(node: Node, duty: Duty) -> bool:
+    if not duty.grants.contacted:
+        return False
+    if any(shared.in_force for shared in duty.shared.values()):
+        return False
+    chosen = choose_claim_set(node, duty.server, node.options.node)
+    return set(chosen) != set(duty.claim_set)
