--- /dev/null
+++ b/trefoilsaddle/programs/tickets.py
@@ -0,0 +1,170 @@
+"""Check a caller's headers against the configuration in force."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from math import isfinite
+from types import MappingProxyType
+
+from trefoilsaddle.core.calls import IdempotencyKey
+from trefoilsaddle.core.configuration import Configuration, ServicePolicy
+from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.units import MemberName, Rank, Seconds, ServiceName
+from trefoilsaddle.programs.headers import CallerHeader
+from trefoilsaddle.results import ResultCode
+
+_LARGEST_KEY = 1024
+_LARGEST_TOKEN = 128
+# Bytes that a header carries are taken one to one.
+_ENCODING = 'latin-1'
+_PREFIX = b'x-trefoil-'
+_TRUTHS: Mapping[bytes, bool] = MappingProxyType(
+    {b'true': True, b'false': False},
+)
+_DASH = '-'
+
+Headers = Mapping[bytes, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Hold what a caller's headers say, checked."""
+
+    service: ServicePolicy
+    member: MemberName
+    rank: Rank
+    key: bytes = field(repr=False)
+    idempotent: bool
+    idempotency_key: IdempotencyKey | None
+    remaining: Seconds
+
+
+def check_headers(
+    pairs: Iterable[tuple[bytes, bytes]],
+    configuration: Configuration | None,
+) -> Ticket | Failure:
+    """Check the headers of a request; each fault has its own code."""
+    if configuration is None:
+        return Failure(ResultCode.configuration_missing, 'starting')
+    headers = _collect_headers(pairs)
+    if isinstance(headers, Failure):
+        return headers
+    service = _find_service(headers, configuration)
+    if isinstance(service, Failure):
+        return service
+    return _check_fields(headers, configuration, service)
+
+
+def _collect_headers(pairs: Iterable[tuple[bytes, bytes]]) -> Headers | Failure:
+    headers: dict[bytes, bytes] = {}
+    for name, text in pairs:
+        if name in headers and name.startswith(_PREFIX):
+            return Failure(ResultCode.malformed, 'a header is there twice')
+        headers[name] = text
+    return headers
+
+
+def _check_fields(
+    headers: Headers,
+    configuration: Configuration,
+    service: ServicePolicy,
+) -> Ticket | Failure:
+    member = _find_member(headers, configuration)
+    if isinstance(member, Failure):
+        return member
+    rank = _find_rank(headers, configuration)
+    if isinstance(rank, Failure):
+        return rank
+    key = _read_key(headers)
+    if isinstance(key, Failure):
+        return key
+    remaining = _read_deadline(headers, service)
+    if isinstance(remaining, Failure):
+        return remaining
+    idempotent = _TRUTHS.get(headers.get(CallerHeader.idempotent, b'false'))
+    if idempotent is None:
+        return Failure(ResultCode.malformed, 'neither true nor false')
+    token = _read_idempotency_key(headers, needed=not idempotent)
+    if isinstance(token, Failure):
+        return token
+    return Ticket(service, member, rank, key, idempotent, token, remaining)
+
+
+def _find_service(
+    headers: Headers,
+    configuration: Configuration,
+) -> ServicePolicy | Failure:
+    name = ServiceName(_read_text(headers, CallerHeader.service))
+    service = configuration.services.get(name)
+    if service is None:
+        return Failure(ResultCode.service_unknown, 'no such service')
+    return service
+
+
+def _find_member(
+    headers: Headers,
+    configuration: Configuration,
+) -> MemberName | Failure:
+    member = MemberName(_read_text(headers, CallerHeader.member))
+    if member not in configuration.members:
+        return Failure(ResultCode.member_unknown, 'no such member')
+    return member
+
+
+def _find_rank(headers: Headers, configuration: Configuration) -> Rank | Failure:
+    name = _read_text(headers, CallerHeader.rank)
+    for position, policy in enumerate(configuration.ranks):
+        if policy.name == name:
+            return Rank(position)
+    return Failure(ResultCode.rank_unknown, 'no such rank')
+
+
+def _read_key(headers: Headers) -> bytes | Failure:
+    key = headers.get(CallerHeader.key, b'')
+    if not key:
+        return Failure(ResultCode.key_missing, 'no key')
+    if len(key) > _LARGEST_KEY:
+        return Failure(ResultCode.header_too_large, 'the key is too long')
+    return key
+
+
+def _read_deadline(
+    headers: Headers,
+    service: ServicePolicy,
+) -> Seconds | Failure:
+    text = headers.get(CallerHeader.deadline)
+    if text is None:
+        return service.longest_deadline
+    seconds = _read_number(text.decode(_ENCODING))
+    if seconds is None or not 0 < seconds <= service.longest_deadline:
+        return Failure(ResultCode.deadline_invalid, 'not within the limit')
+    return seconds
+
+
+def _read_idempotency_key(
+    headers: Headers,
+    *,
+    needed: bool,
+) -> IdempotencyKey | None | Failure:
+    text = _read_text(headers, CallerHeader.idempotency_key)
+    if not text:
+        if needed:
+            return Failure(ResultCode.idempotency_key_missing, 'no key')
+        return None
+    created, _, token = text.partition(_DASH)
+    seconds = _read_number(created)
+    if seconds is None or not 0 < len(token) <= _LARGEST_TOKEN:
+        return Failure(ResultCode.idempotency_key_invalid, 'not time-token')
+    return IdempotencyKey(seconds, token)
+
+
+def _read_text(headers: Headers, name: bytes) -> str:
+    return headers.get(name, b'').decode(_ENCODING)
+
+
+def _read_number(text: str) -> Seconds | None:
+    # Takes plain decimals: no sign, exponent, blank, `nan` or `1_000`.
+    whole, _, fraction = text.partition('.')
+    if not (whole + fraction).isdecimal() or not text.isascii():
+        return None
+    seconds = float(text)
+    return Seconds(seconds) if isfinite(seconds) else None
--- /dev/null
+++ b/trefoilsaddle/wire/conversion.py
@@ -0,0 +1,243 @@
+"""Convert data classes to Cap'n Proto structs and back, field by field.
+
+The converters are built once, from the type hints of the data classes; a
+field's wire name is its own name in camel case.
+"""
+
+from abc import ABC, abstractmethod
+from enum import Enum
+from math import isnan
+from operator import attrgetter, methodcaller
+from typing import Any
+
+# A builder or a reader of pycapnp, which ships no types.
+Struct = Any
+
+
+class BrokenMessageError(Exception):
+    """Tell the codec that a well-formed message lacks a part."""
+
+
+class FieldConverter(ABC):
+    """Write and read one field of a struct."""
+
+    def __init__(self, name: str) -> None:
+        """Prepare for the field with a wire name."""
+        self.name = name
+        # Calling these is twice as fast as the attributes of a reader.
+        self.fetch = methodcaller('_get', name)
+        self.has = methodcaller('_has', name)
+
+    @abstractmethod
+    def put(self, builder: Struct, carried: Any) -> None:
+        """Write a value into the field."""
+
+    @abstractmethod
+    def get(self, reader: Struct) -> Any:
+        """Read the field's value."""
+
+
+class NumberField(FieldConverter):
+    """Carry an integer or a truth value, which cannot be absent."""
+
+    def put(self, builder: Struct, carried: Any) -> None:
+        """Write the number."""
+        setattr(builder, self.name, carried)
+
+    def get(self, reader: Struct) -> Any:
+        """Read the number."""
+        return self.fetch(reader)
+
+
+class FloatField(NumberField):
+    """Carry a float other than NaN, which would defeat comparisons."""
+
+    def get(self, reader: Struct) -> Any:
+        """Read the float."""
+        number = self.fetch(reader)
+        if isnan(number):
+            raise BrokenMessageError(self.name)
+        return number
+
+
+class NumberedField(NumberField):
+    """Carry an enumeration whose values are the numbers on the wire."""
+
+    def __init__(self, name: str, enumeration: type[Enum]) -> None:
+        """Prepare for an enumeration."""
+        super().__init__(name)
+        self._enumeration = enumeration
+
+    def put(self, builder: Struct, carried: Any) -> None:
+        """Write the member's number."""
+        setattr(builder, self.name, carried.value)
+
+    def get(self, reader: Struct) -> Any:
+        """Read the enumeration's member, or fail if there is none."""
+        return self._enumeration(self.fetch(reader))
+
+
+class EnumField(FieldConverter):
+    """Carry an enumeration by its order in the schema."""
+
+    def __init__(self, name: str, enumeration: type[Enum]) -> None:
+        """Prepare for an enumeration."""
+        super().__init__(name)
+        self._members = tuple(enumeration)
+        self._numbers = {
+            member: number for number, member in enumerate(self._members)
+        }
+
+    def put(self, builder: Struct, carried: Any) -> None:
+        """Write the member's number."""
+        setattr(builder, self.name, self._numbers[carried])
+
+    def get(self, reader: Struct) -> Any:
+        """Read the member, or fail if the number is not known."""
+        return self._members[self.fetch(reader).raw]
+
+
+class BlobField(NumberField):
+    """Carry a text or bytes that must be present."""
+
+    def get(self, reader: Struct) -> Any:
+        """Read the content, or fail if the sender left it out."""
+        if not self.has(reader):
+            raise BrokenMessageError(self.name)
+        return self.fetch(reader)
+
+
+class StructConverter:
+    """Write and read one data class as a struct."""
+
+    def __init__(
+        self,
+        data_class: type,
+        converters: dict[str, FieldConverter],
+    ) -> None:
+        """Prepare for a data class, with converters by attribute."""
+        self.data_class = data_class
+        self._writers = tuple(
+            (attrgetter(attribute), converter.put)
+            for attribute, converter in converters.items()
+        )
+        self._readers = tuple(
+            converter.get for converter in converters.values()
+        )
+
+    def write(self, builder: Struct, carried: Any) -> None:
+        """Write an object into a struct."""
+        for select, put in self._writers:
+            put(builder, select(carried))
+
+    def read(self, reader: Struct) -> Any:
+        """Read an object from a struct."""
+        return self.data_class(*[get(reader) for get in self._readers])
+
+
+class UnionConverter:
+    """Write and read one of several data classes."""
+
+    def __init__(self, members: dict[str, StructConverter]) -> None:
+        """Prepare for the members of a union, by wire name."""
+        self._by_name = members
+        self._by_class = {
+            converter.data_class: (name, converter)
+            for name, converter in members.items()
+        }
+        self._which = methodcaller('_which_str')
+
+    def write(self, builder: Struct, carried: Any) -> None:
+        """Write an object as the member for its class."""
+        name, converter = self._by_class[type(carried)]
+        converter.write(builder.init(name), carried)
+
+    def read(self, reader: Struct) -> Any:
+        """Read the object of whichever member is set."""
+        name = self._which(reader)
+        if not methodcaller('_has', name)(reader):
+            raise BrokenMessageError(name)
+        return self._by_name[name].read(methodcaller('_get', name)(reader))
+
+
+Converter = StructConverter | UnionConverter
+
+
+class StructField(FieldConverter):
+    """Carry a struct that must be present."""
+
+    def __init__(self, name: str, converter: Converter) -> None:
+        """Prepare for a field with a struct's converter."""
+        super().__init__(name)
+        self._converter = converter
+
+    def put(self, builder: Struct, carried: Any) -> None:
+        """Write the struct."""
+        self._converter.write(builder.init(self.name), carried)
+
+    def get(self, reader: Struct) -> Any:
+        """Read the struct, or fail if the sender left it out."""
+        if not self.has(reader):
+            raise BrokenMessageError(self.name)
+        return self._converter.read(self.fetch(reader))
+
+
+class StructListField(FieldConverter):
+    """Carry several structs."""
+
+    def __init__(self, name: str, converter: Converter) -> None:
+        """Prepare for a field with the converter of each element."""
+        super().__init__(name)
+        self._converter = converter
+
+    def put(self, builder: Struct, carried: Any) -> None:
+        """Write the structs."""
+        elements = builder.init(self.name, len(carried))
+        for element, part in zip(elements, carried, strict=True):
+            self._converter.write(element, part)
+
+    def get(self, reader: Struct) -> Any:
+        """Read the structs."""
+        read = self._converter.read
+        return tuple([read(element) for element in self.fetch(reader)])
+
+
+class ListField(FieldConverter):
+    """Carry several numbers or texts."""
+
+    def put(self, builder: Struct, carried: Any) -> None:
+        """Write the elements."""
+        setattr(builder, self.name, list(carried))
+
+    def get(self, reader: Struct) -> Any:
+        """Read the elements."""
+        return tuple(self.fetch(reader))
+
+
+class FloatListField(ListField):
+    """Carry several floats, none of them NaN."""
+
+    def get(self, reader: Struct) -> Any:
+        """Read the floats."""
+        numbers = tuple(self.fetch(reader))
+        if any(isnan(number) for number in numbers):
+            raise BrokenMessageError(self.name)
+        return numbers
+
+
+class OptionalField(FieldConverter):
+    """Carry a text or struct that may be absent."""
+
+    def __init__(self, inner: FieldConverter) -> None:
+        """Wrap the converter of what may be absent."""
+        super().__init__(inner.name)
+        self._inner = inner
+
+    def put(self, builder: Struct, carried: Any) -> None:
+        """Write the content, if there is any."""
+        if carried is not None:
+            self._inner.put(builder, carried)
+
+    def get(self, reader: Struct) -> Any:
+        """Read the content, or None if there is none."""
+        return self._inner.get(reader) if self.has(reader) else None
--- /dev/null
+++ b/trefoilsaddle/wire/links.py
@@ -0,0 +1,76 @@
+"""Carry frames to and from one peer over one connection."""
+
+from collections import deque
+from collections.abc import Callable
+
+from trio import CancelScope, Event, open_nursery
+
+from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.messages import Message
+from trefoilsaddle.core.units import NodeId
+from trefoilsaddle.wire.codec import decode_message
+from trefoilsaddle.wire.framing import FrameStream
+
+Receive = Callable[[NodeId, Message], None]
+
+
+class Link:
+    """Queue frames for one peer and carry them once it is connected.
+
+    The queue is bounded, so that a peer that does not read its connection
+    costs little memory and never delays anyone else.
+    """
+
+    def __init__(self, node: NodeId, largest_queue: int) -> None:
+        """Hold frames of up to so many bytes for a peer."""
+        self.node = node
+        self.scope = CancelScope()
+        self._largest_queue = largest_queue
+        self._queue: deque[bytes] = deque()
+        self._queued_bytes = 0
+        self._filled = Event()
+
+    def offer(self, frame: bytes) -> bool:
+        """Queue a frame, or close the connection if the queue is full."""
+        if self._queued_bytes + len(frame) > self._largest_queue:
+            self.scope.cancel()
+            return False
+        self._queue.append(frame)
+        self._queued_bytes += len(frame)
+        self._filled.set()
+        return True
+
+    async def carry(self, frames: FrameStream, receive: Receive) -> None:
+        """Send and receive until either end closes the connection."""
+        async with open_nursery() as nursery:
+            nursery.start_soon(self._send_queue, frames, nursery.cancel_scope)
+            await self._receive_messages(frames, receive)
+            nursery.cancel_scope.cancel()
+
+    async def _send_queue(self, frames: FrameStream, both: CancelScope) -> None:
+        while True:
+            await self._filled.wait()
+            if await frames.send(self._drain_queue()) is not None:
+                both.cancel()
+                return
+
+    def _drain_queue(self) -> bytes:
+        joined = b''.join(self._queue)
+        self._queue.clear()
+        self._queued_bytes = 0
+        self._filled = Event()
+        return joined
+
+    async def _receive_messages(
+        self,
+        frames: FrameStream,
+        receive: Receive,
+    ) -> None:
+        while True:
+            payload = await frames.receive()
+            if isinstance(payload, Failure):
+                return
+            message = decode_message(payload)
+            if isinstance(message, Failure):
+                return
+            receive(self.node, message)
--- /dev/null
+++ b/trefoilsaddle/wire/peers.py
@@ -0,0 +1,188 @@
+"""Keep connections to the other processes of the system.
+
+A process sends on the connection that it has dialled itself and receives on
+those that its peers have dialled; see docs/design/peers.md for why.
+"""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from trio import (
+    Nursery,
+    SocketStream,
+    aclose_forcefully,
+    move_on_after,
+    open_tcp_stream,
+)
+
+from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.messages import Message
+from trefoilsaddle.core.units import NodeId, Seconds
+from trefoilsaddle.results import ResultCode
+from trefoilsaddle.wire.codec import encode_message
+from trefoilsaddle.wire.framing import FrameStream, pack_frame
+from trefoilsaddle.wire.greeting import (
+    LARGEST_GREETING,
+    Hello,
+    Identity,
+    greet_as_acceptor,
+    greet_as_dialler,
+)
+from trefoilsaddle.wire.links import Link
+from trefoilsaddle.wire.sockets import prepare_stream
+
+_TIMED_OUT = Failure(ResultCode.peer_unauthentic, 'the greeting timed out')
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Give the IP number and port at which a process listens."""
+
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLimits:
+    """Bound what peers can cost this process."""
+
+    # Bytes of the largest message.
+    largest_message: int = 8_388_608
+    # Bytes that wait for one peer.
+    largest_queue: int = 16_777_216
+    greeting_timeout: Seconds = Seconds(2)
+    dial_timeout: Seconds = Seconds(1)
+    # Connections that have not proved the secret yet.
+    most_greetings: int = 128
+
+
+class PeerListener(ABC):
+    """Take what arrives from peers."""
+
+    @abstractmethod
+    def find_address(self, node: NodeId) -> Address | None:
+        """Return where a process listens, if that is known."""
+
+    @abstractmethod
+    def receive_message(self, sender: NodeId, message: Message) -> None:
+        """Take a message of an authenticated peer."""
+
+    @abstractmethod
+    def lose_peer(self, node: NodeId) -> None:
+        """Learn that messages to or from a peer may have been lost."""
+
+    @abstractmethod
+    def count_failure(self, code: ResultCode) -> None:
+        """Count a connection that was refused."""
+
+
+class Peers:
+    """Send messages to peers and receive theirs."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        limits: PeerLimits,
+        listener: PeerListener,
+        nursery: Nursery,
+    ) -> None:
+        """Run the connections in a nursery."""
+        self._identity = identity
+        self._limits = limits
+        self._listener = listener
+        self._nursery = nursery
+        self._outgoing: dict[NodeId, Link] = {}
+        self._incoming: dict[NodeId, Link] = {}
+        self._greetings = 0
+
+    def send_message(self, node: NodeId, message: Message) -> None:
+        """Queue a message for a peer; dial the peer if need be."""
+        link = self._outgoing.get(node) or self._dial_peer(node)
+        if link is None:
+            self._listener.lose_peer(node)
+            return
+        frame = pack_frame(encode_message(message))
+        if not link.offer(frame):
+            self._remove_link(self._outgoing, link)
+
+    async def accept_stream(self, stream: SocketStream) -> None:
+        """Serve a connection that someone has dialled."""
+        if self._greetings >= self._limits.most_greetings:
+            self._listener.count_failure(ResultCode.peer_unauthentic)
+            await aclose_forcefully(stream)
+            return
+        prepare_stream(stream)
+        frames = FrameStream(stream, LARGEST_GREETING)
+        async with stream:
+            peer = await self._greet_peer(frames)
+            if isinstance(peer, Failure):
+                self._listener.count_failure(peer.code)
+                return
+            await self._serve_peer(peer, frames)
+
+    async def _greet_peer(self, frames: FrameStream) -> Hello | Failure:
+        peer: Hello | Failure = _TIMED_OUT
+        self._greetings += 1
+        with move_on_after(self._limits.greeting_timeout):
+            peer = await greet_as_acceptor(frames, self._identity)
+        self._greetings -= 1
+        return peer
+
+    async def _serve_peer(self, peer: Hello, frames: FrameStream) -> None:
+        link = Link(peer.node, self._limits.largest_queue)
+        former = self._incoming.get(peer.node)
+        if former is not None:
+            former.scope.cancel()
+            self._listener.lose_peer(peer.node)
+        self._incoming[peer.node] = link
+        if not peer.listens:
+            self._outgoing[peer.node] = link
+        await self._carry_link(link, frames)
+        self._remove_link(self._outgoing, link)
+        self._remove_link(self._incoming, link)
+
+    def _dial_peer(self, node: NodeId) -> Link | None:
+        address = self._listener.find_address(node)
+        if address is None:
+            return None
+        link = Link(node, self._limits.largest_queue)
+        self._outgoing[node] = link
+        self._nursery.start_soon(self._run_dialled, link, address)
+        return link
+
+    async def _run_dialled(self, link: Link, address: Address) -> None:
+        stream = await self._connect(address)
+        if stream is not None:
+            async with stream:
+                await self._greet_and_carry(link, stream)
+        self._remove_link(self._outgoing, link)
+
+    async def _connect(self, address: Address) -> SocketStream | None:
+        with move_on_after(self._limits.dial_timeout):
+            try:
+                return await open_tcp_stream(address.host, address.port)
+            except OSError:
+                return None
+        return None
+
+    async def _greet_and_carry(self, link: Link, stream: SocketStream) -> None:
+        prepare_stream(stream)
+        frames = FrameStream(stream, LARGEST_GREETING)
+        peer: Hello | Failure | None = None
+        with move_on_after(self._limits.greeting_timeout):
+            peer = await greet_as_dialler(frames, self._identity)
+        # Someone else may listen there since the address was learnt.
+        if isinstance(peer, Hello) and peer.node == link.node:
+            await self._carry_link(link, frames)
+        else:
+            self._listener.count_failure(ResultCode.peer_unauthentic)
+
+    async def _carry_link(self, link: Link, frames: FrameStream) -> None:
+        frames.allow_payload(self._limits.largest_message)
+        with link.scope:
+            await link.carry(frames, self._listener.receive_message)
+
+    def _remove_link(self, links: dict[NodeId, Link], link: Link) -> None:
+        if links.get(link.node) is link:
+            links.pop(link.node)
+            self._listener.lose_peer(link.node)
