--- /dev/null
+++ b/trefoilsaddle/settings.py
@@ -0,0 +1,194 @@
+"""Read a process's YAML settings and build the core's options.
+
+A wrong setting gives one line that names the file, the key and what was
+expected there.
+"""
+
+from pathlib import Path
+from secrets import randbits
+from typing import Annotated, Any, Literal, TypeVar
+
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    IPvAnyAddress,
+    SecretStr,
+    ValidationError,
+)
+from yaml import YAMLError, safe_load
+
+from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.options import Options, Peer
+from trefoilsaddle.core.units import (
+    NodeId,
+    RegionName,
+    Seconds,
+    SiteName,
+    ZoneName,
+)
+from trefoilsaddle.results import ResultCode
+
+# Bits of the seed that a process draws for itself.
+_SEED_BITS = 63
+
+Name = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9.-]{0,62}$')]
+Port = Annotated[int, Field(ge=1, le=65_535)]
+Positive = Annotated[float, Field(gt=0, le=3600, allow_inf_nan=False)]
+Secret = Annotated[SecretStr, Field(min_length=16)]
+LogLevel = Literal['DEBUG', 'INFO', 'WARNING', 'ERROR']
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class AddressSettings(_Model):
+    """Give an IP number and a port."""
+
+    host: IPvAnyAddress
+    port: Port
+
+
+class PeerSettings(AddressSettings):
+    """Name a process that can be asked for the list of all others."""
+
+    node: Name
+    zone: Name
+    dispatches: bool
+
+
+class PlatformSettings(_Model):
+    """Say where the platform's services are."""
+
+    log: AddressSettings
+    hosts: AddressSettings
+
+
+class TraceSettings(_Model):
+    """Say where events are recorded, and whether with keys and bodies."""
+
+    path: Path
+    clear: bool = False
+
+
+class PaceSettings(_Model):
+    """Pace the loops of a process, in seconds."""
+
+    log_interval: Positive = 0.2
+    host_list_interval: Positive = 1
+    grant_interval: Positive = 0.4
+    probe_interval: Positive = 0.25
+    probe_timeout: Positive = 0.15
+    suspicion_timeout: Positive = 0.6
+    placement_interval: Positive = 5
+    stop_timeout: Positive = 20
+
+
+class DispatcherSettings(_Model):
+    """Hold the settings of a dispatcher."""
+
+    node: Name
+    site: Name
+    region: Name
+    zone: Name
+    # Where peers reach the process.
+    listen: AddressSettings
+    peers: tuple[PeerSettings, ...] = ()
+    # Shared by all processes of the system.
+    secret: Secret
+    platform: PlatformSettings
+    statsd: AddressSettings | None = None
+    trace: TraceSettings | None = None
+    pace: PaceSettings = PaceSettings()
+    # Drawn at random unless it is given.
+    seed: Annotated[int, Field(ge=0)] | None = None
+    log_level: LogLevel = 'INFO'
+
+
+class EntrySettings(DispatcherSettings):
+    """Hold the settings of an entry process."""
+
+    # Where callers reach the process.
+    callers: AddressSettings
+
+
+class OperatorSettings(_Model):
+    """Hold the settings of the operators' commands."""
+
+    secret: Secret
+    platform: PlatformSettings
+    # Processes that are asked for a dump of their state.
+    peers: tuple[PeerSettings, ...] = ()
+
+
+_Settings = TypeVar('_Settings', bound=BaseModel)
+
+
+def read_settings(path: Path, model: type[_Settings]) -> _Settings | Failure:
+    """Read and check a file of settings (settings_invalid)."""
+    try:
+        text = path.read_text('utf-8')
+    except (OSError, UnicodeDecodeError):
+        return _fail(path, 'the file', 'a readable text file')
+    try:
+        document = safe_load(text)
+    except YAMLError:
+        return _fail(path, 'the file', 'valid YAML')
+    try:
+        return model.model_validate(document)
+    except ValidationError as invalid:
+        first = invalid.errors(include_input=False, include_url=False)[0]
+        return _fail(path, _name_key(first), _say_expected(first))
+
+
+def build_options(settings: DispatcherSettings) -> Options:
+    """Build the core's options from the settings of a process."""
+    pace = settings.pace.model_dump()
+    seed = settings.seed
+    return Options(
+        node=NodeId(settings.node),
+        zone=ZoneName(settings.zone),
+        region=RegionName(settings.region),
+        site=SiteName(settings.site),
+        host=str(settings.listen.host),
+        port=settings.listen.port,
+        dispatches=not isinstance(settings, EntrySettings),
+        peers=build_peers(settings.peers),
+        seed=randbits(_SEED_BITS) if seed is None else seed,
+        **{name: Seconds(pause) for name, pause in pace.items()},
+    )
+
+
+def build_peers(peers: tuple[PeerSettings, ...]) -> tuple[Peer, ...]:
+    """Build the core's peers from their settings."""
+    return tuple(
+        Peer(
+            node=NodeId(peer.node),
+            zone=ZoneName(peer.zone),
+            host=str(peer.host),
+            port=peer.port,
+            dispatches=peer.dispatches,
+        )
+        for peer in peers
+    )
+
+
+def _fail(path: Path, key: str, expected: str) -> Failure:
+    return Failure(
+        ResultCode.settings_invalid,
+        f'{path}: {key}: expected {expected}',
+    )
+
+
+def _name_key(error: Any) -> str:
+    return '.'.join(str(part) for part in error['loc']) or 'the file'
+
+
+def _say_expected(error: Any) -> str:
+    if error['type'] == 'extra_forbidden':
+        return 'no such key'
+    if error['type'] == 'missing':
+        return 'a value'
+    message: str = error['msg']
+    return message.removeprefix('Input should be ').removeprefix('Value ')
--- a/trefoilsaddle/traces.py
+++ b/trefoilsaddle/traces.py
@@ -1,8 +1,21 @@
-"""Record the events of a process as JSON lines and read them back.
-
-Keys and bodies are the callers' secrets and the reducer looks at neither
-beyond comparing them.  Unless the settings say otherwise, each is recorded as
-a keyed hash, so that a replay tells the same ones from different ones.  The
-hash of a key falls into another shard than the key itself: see
-docs/design/traces.md for what such a trace can and cannot show.
-"""
+"""Record the events of a process and replay them through the reducer."""
+
+from abc import ABC, abstractmethod
+
+from trefoilsaddle.core.events import Occurrence
+from trefoilsaddle.core.node import Node
+
+
+class Recorder(ABC):
+    """Take every event that a process reduces, before it does."""
+
+    @abstractmethod
+    def record(self, node: Node, occurrence: Occurrence) -> None:
+        """Record one event."""
+
+
+class NoRecorder(Recorder):
+    """Record nothing."""
+
+    def record(self, node: Node, occurrence: Occurrence) -> None:
+        """Do nothing."""
