--- a/trefoilsaddle/metrics.py
+++ b/trefoilsaddle/metrics.py
@@ -50,3 +50,8 @@
 def build_metrics(host: str, port: int, prefix: str) -> Metrics:
     """Connect to a statsd address."""
     return StatsdMetrics(StatsClient(host, port, prefix=prefix))
+
+
+def join_name(part: str, name: str) -> str:
+    """Name a metric under its part's prefix."""
+    return '.'.join((part, name))
--- a/trefoilsaddle/programs/callers.py
+++ b/trefoilsaddle/programs/callers.py
@@ -16,7 +16,7 @@
 from trefoilsaddle.core.units import CallId, Seconds
 from trefoilsaddle.programs.headers import AnswerHeader, CallerHeader
 from trefoilsaddle.programs.statuses import find_status
-from trefoilsaddle.programs.tickets import Ticket, check_headers
+from trefoilsaddle.programs.requesthead import RequestHead, check_head
 from trefoilsaddle.results import Outcome, ResultCode
 
 # The shapes that the ASGI specification gives to an application.
@@ -92,20 +92,22 @@
         """Serve one request; raise on any scope but HTTP."""
         if scope['type'] != _HTTP:
             raise UnknownScopeError(scope['type'])
-        ticket = check_headers(
+        head = check_head(
             scope['headers'],
             self._shell.read_configuration(),
         )
-        if isinstance(ticket, Failure):
-            await self._refuse(ticket, send)
+        if isinstance(head, Failure):
+            await self._refuse(head, send)
             return
-        body = await _read_body(scope, receive, ticket.service.largest_body)
+        body = await _read_body(scope, receive, head.service.largest_body)
         if isinstance(body, Failure):
             await self._refuse(body, send)
             return
         if body is None:
             return
-        answer = await self._run_call(_build_request(scope, ticket, body), receive)
+        answer = await self._run_call(
+            _build_request(scope, head, body), receive
+        )
         await self._send_answer(answer, send)
 
     def deliver_answer(self, effect: AnswerCaller) -> None:
@@ -140,11 +142,13 @@
         headers = _build_headers(answer, reply)
         if self.closing:
             headers.append((AnswerHeader.connection, b'close'))
-        await send({
-            'type': 'http.response.start',
-            'status': reply.status,
-            'headers': headers,
-        })
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': reply.status,
+                'headers': headers,
+            }
+        )
         await send({'type': 'http.response.body', 'body': reply.body})
 
 
@@ -177,7 +181,7 @@
     return 0
 
 
-def _build_request(scope: Scope, ticket: Ticket, body: bytes) -> Request:
+def _build_request(scope: Scope, head: RequestHead, body: bytes) -> Request:
     content_types = [
         text.decode(_ENCODING)
         for name, text in scope['headers']
@@ -185,25 +189,26 @@
     ]
     path = scope['raw_path']
     if scope['query_string']:
-        path += b'?' + scope['query_string']
+        path = b'?'.join((path, scope['query_string']))
     return Request(
-        service=ticket.service.name,
-        member=ticket.member,
-        rank=ticket.rank,
-        key=ticket.key,
+        service=head.service.name,
+        member=head.member,
+        rank=head.rank,
+        key=head.key,
         method=scope['method'],
         path=path.decode(_ENCODING),
         content_type=''.join(content_types[:1]),
         body=body,
-        idempotent=ticket.idempotent,
-        idempotency_key=ticket.idempotency_key,
-        remaining=ticket.remaining,
+        idempotent=head.idempotent,
+        idempotency_key=head.idempotency_key,
+        remaining=head.remaining,
     )
 
 
 def _build_reply(answer: Answer) -> Reply:
-    sentence = f'{answer.code.value} {answer.code.name}\n'
-    return Reply(find_status(answer.code), 'text/plain', sentence.encode())
+    name = answer.code.name
+    sentence = f'{name}\n'.encode()
+    return Reply(find_status(answer.code), 'text/plain', sentence)
 
 
 def _build_headers(answer: Answer, reply: Reply) -> list[tuple[bytes, bytes]]:
--- /dev/null
+++ b/trefoilsaddle/programs/entry.py
@@ -0,0 +1,106 @@
+"""Run an entry process: HTTP for callers, messages to dispatchers."""
+
+from functools import partial
+from typing import cast
+
+import trio
+from hypercorn import Config
+from hypercorn.trio import serve as serve_http
+from hypercorn.typing import ASGIFramework
+from typer import Typer
+
+from trefoilsaddle.core.configuration import Configuration
+from trefoilsaddle.core.effects import AnswerCaller
+from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.events import Event
+from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.logs import ShellPart, start_logging
+from trefoilsaddle.metrics import join_name
+from trefoilsaddle.programs.callers import Callers, CallShell
+from trefoilsaddle.programs.commands import (
+    SettingsPath,
+    end_command,
+    load_settings,
+)
+from trefoilsaddle.programs.process import Stage, run_process
+from trefoilsaddle.results import ResultCode
+from trefoilsaddle.settings import EntrySettings
+
+app = Typer(add_completion=False)
+
+# Bytes of the largest head of a request.
+_LARGEST_HEAD = 16_384
+_KEEPALIVE_SECONDS = 30
+_KEEPALIVE_REQUESTS = 100_000
+# Time in which callers learn from answers that connections will be closed.
+_NOTICE = Seconds(0.5)
+
+
+class _StageShell(CallShell):
+    """Connect the callers with the reducer of this process."""
+
+    def __init__(self, stage: Stage) -> None:
+        self._stage = stage
+        self._node = stage.performer.node
+
+    def feed_event(self, event: Event) -> None:
+        """Reduce an event and perform its effects."""
+        self._stage.performer.feed_event(event)
+
+    def read_configuration(self) -> Configuration | None:
+        """Return the configuration in force."""
+        return self._node.view.configuration
+
+    def count_refusal(self, code: ResultCode) -> None:
+        """Count a request that was refused before the reducer saw it."""
+        name = join_name(ShellPart.callers.value, code.name)
+        self._stage.metrics.count(name)
+
+
+@app.command()
+def run_entry(settings: SettingsPath) -> None:
+    """Run an entry process until SIGTERM, which cuts no request in flight.
+
+    It takes callers' requests over HTTP and forwards each to the dispatcher
+    of the backend server that owns its key. SIGUSR1 writes a dump of its
+    state to its log.
+    """
+    loaded = load_settings(settings, EntrySettings)
+    start_logging(loaded.log_level)
+    serve = partial(serve_callers, settings=loaded)
+    failure = trio.run(run_process, loaded, serve)
+    if isinstance(failure, Failure):
+        end_command(failure)
+
+
+async def serve_callers(stage: Stage, settings: EntrySettings) -> None:
+    """Serve HTTP until a shutdown is asked for and all are answered."""
+    callers = Callers(_StageShell(stage))
+    stage.performer.attach_action(AnswerCaller, callers.deliver_answer)
+    config = build_config(settings)
+    await serve_http(
+        cast(ASGIFramework, callers),
+        config,
+        shutdown_trigger=partial(_give_notice, stage, callers),
+        mode='asgi',
+    )
+
+
+def build_config(settings: EntrySettings) -> Config:
+    """Build the HTTP library's configuration."""
+    config = Config()
+    address = settings.callers
+    config.bind = [f'{address.host}:{address.port}']
+    config.errorlog = None
+    config.include_server_header = False
+    config.h11_max_incomplete_size = _LARGEST_HEAD
+    config.keep_alive_timeout = _KEEPALIVE_SECONDS
+    config.keep_alive_max_requests = _KEEPALIVE_REQUESTS
+    config.graceful_timeout = settings.pace.stop_timeout
+    return config
+
+
+async def _give_notice(stage: Stage, callers: Callers) -> None:
+    await stage.stopping.wait()
+    callers.closing = True
+    await trio.sleep(_NOTICE)
--- /dev/null
+++ b/trefoilsaddle/programs/process.py
@@ -0,0 +1,139 @@
+"""Run a process of the system from its settings to its last answer."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from signal import SIGINT, SIGTERM, SIGUSR1
+
+from trio import Event as Signal
+from trio import (
+    open_nursery,
+    open_signal_receiver,
+    open_tcp_listeners,
+    serve_listeners,
+)
+
+from trefoilsaddle.backend.client import HttpBackendClient
+from trefoilsaddle.clock import SystemClock
+from trefoilsaddle.core.effects import SendMessage
+from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.events import DumpRequested, Started, StopRequested
+from trefoilsaddle.core.node import Node, build_node
+from trefoilsaddle.core.units import NodeId
+from trefoilsaddle.logs import ShellPart, write_line
+from trefoilsaddle.metrics import Metrics, NoMetrics, build_metrics
+from trefoilsaddle.platform.exchange import ServiceAddress
+from trefoilsaddle.platform.hostlist import HttpHostList
+from trefoilsaddle.platform.logclient import HttpLogClient
+from trefoilsaddle.programs.exchanges import Exchanges
+from trefoilsaddle.programs.peerevents import MessageSender, PeerEvents
+from trefoilsaddle.programs.performer import Performer, Tools
+from trefoilsaddle.results import ResultCode
+from trefoilsaddle.settings import (
+    AddressSettings,
+    DispatcherSettings,
+    build_options,
+)
+from trefoilsaddle.traces import NoRecorder
+from trefoilsaddle.wire.greeting import Identity
+from trefoilsaddle.wire.peers import PeerLimits, Peers
+
+
+@dataclass(frozen=True, slots=True)
+class Stage:
+    """Hand a running process to the part that serves its users."""
+
+    performer: Performer
+    metrics: Metrics
+    # Set once a graceful shutdown is asked for.
+    stopping: Signal
+
+
+Serve = Callable[[Stage], Awaitable[None]]
+
+
+async def wait_for_stop(stage: Stage) -> None:
+    """Serve no one but peers until a shutdown is asked for."""
+    await stage.stopping.wait()
+
+
+async def run_process(
+    settings: DispatcherSettings,
+    serve: Serve,
+) -> Failure | None:
+    """Run until a graceful shutdown has ended (settings_invalid)."""
+    node = build_node(build_options(settings))
+    tools = _build_tools(settings, node)
+    address = settings.listen
+    try:
+        listeners = await open_tcp_listeners(
+            address.port,
+            host=str(address.host),
+        )
+    except OSError:
+        reason = f'listen: expected a free address, not {address.host}'
+        return Failure(ResultCode.settings_invalid, reason)
+    async with open_nursery() as nursery:
+        performer = Performer(node, tools, nursery)
+        listener = PeerEvents(performer, tools.metrics)
+        peers = Peers(_identify(settings), PeerLimits(), listener, nursery)
+        sender = MessageSender(performer, peers)
+        performer.attach_action(SendMessage, sender.send_message)
+        nursery.start_soon(serve_listeners, peers.accept_stream, listeners)
+        nursery.start_soon(performer.run_timers)
+        stage = Stage(performer, tools.metrics, Signal())
+        nursery.start_soon(_watch_signals, stage)
+        await _run_stage(stage, serve)
+        await peers.flush()
+        nursery.cancel_scope.cancel()
+    write_line(ShellPart.programs, 'stopped')
+    return None
+
+
+async def _run_stage(stage: Stage, serve: Serve) -> None:
+    stage.performer.feed_event(Started())
+    write_line(ShellPart.programs, 'started')
+    await serve(stage)
+    stage.performer.feed_event(StopRequested())
+    await stage.performer.exited.wait()
+
+
+async def _watch_signals(stage: Stage) -> None:
+    with open_signal_receiver(SIGTERM, SIGINT, SIGUSR1) as signals:
+        async for number in signals:
+            if number == SIGUSR1:
+                stage.performer.feed_event(DumpRequested())
+            else:
+                write_line(ShellPart.programs, 'stopping on request')
+                stage.stopping.set()
+
+
+def _build_tools(settings: DispatcherSettings, node: Node) -> Tools:
+    clock = SystemClock()
+    exchanges = Exchanges(
+        clock=clock,
+        log=HttpLogClient(_reach(settings.platform.log)),
+        hosts=HttpHostList(_reach(settings.platform.hosts)),
+        backends=HttpBackendClient(
+            node.options.node,
+            node.view.server,
+            clock.read_monotonic,
+        ),
+    )
+    return Tools(exchanges, _build_metrics(settings), NoRecorder())
+
+
+def _identify(settings: DispatcherSettings) -> Identity:
+    secret = settings.secret.get_secret_value().encode()
+    return Identity(NodeId(settings.node), secret)
+
+
+def _build_metrics(settings: DispatcherSettings) -> Metrics:
+    address = settings.statsd
+    if address is None:
+        return NoMetrics()
+    prefix = f'trefoil.{settings.node}'
+    return build_metrics(str(address.host), address.port, prefix)
+
+
+def _reach(address: AddressSettings) -> ServiceAddress:
+    return ServiceAddress(str(address.host), address.port)
--- a/trefoilsaddle/programs/tickets.py
+++ b/trefoilsaddle/programs/requesthead.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from math import isfinite
-from types import MappingProxyType
 
 from trefoilsaddle.core.calls import IdempotencyKey
 from trefoilsaddle.core.configuration import Configuration, ServicePolicy
@@ -17,16 +16,16 @@
 # Bytes that a header carries are taken one to one.
 _ENCODING = 'latin-1'
 _PREFIX = b'x-trefoil-'
-_TRUTHS: Mapping[bytes, bool] = MappingProxyType(
-    {b'true': True, b'false': False},
-)
+_TRUE = b'true'
+_FALSE = b'false'
+_TRUTHS = frozenset((_TRUE, _FALSE))
 _DASH = '-'
 
 Headers = Mapping[bytes, bytes]
 
 
 @dataclass(frozen=True, slots=True)
-class Ticket:
+class RequestHead:
     """Hold what a caller's headers say, checked."""
 
     service: ServicePolicy
@@ -38,10 +37,10 @@
     remaining: Seconds
 
 
-def check_headers(
+def check_head(
     pairs: Iterable[tuple[bytes, bytes]],
     configuration: Configuration | None,
-) -> Ticket | Failure:
+) -> RequestHead | Failure:
     """Check the headers of a request; each fault has its own code."""
     if configuration is None:
         return Failure(ResultCode.configuration_missing, 'starting')
@@ -67,7 +66,7 @@
     headers: Headers,
     configuration: Configuration,
     service: ServicePolicy,
-) -> Ticket | Failure:
+) -> RequestHead | Failure:
     member = _find_member(headers, configuration)
     if isinstance(member, Failure):
         return member
@@ -80,13 +79,11 @@
     remaining = _read_deadline(headers, service)
     if isinstance(remaining, Failure):
         return remaining
-    idempotent = _TRUTHS.get(headers.get(CallerHeader.idempotent, b'false'))
-    if idempotent is None:
-        return Failure(ResultCode.malformed, 'neither true nor false')
-    token = _read_idempotency_key(headers, needed=not idempotent)
+    token = _read_idempotency_key(headers)
     if isinstance(token, Failure):
         return token
-    return Ticket(service, member, rank, key, idempotent, token, remaining)
+    idempotent = headers.get(CallerHeader.idempotent) == _TRUE
+    return RequestHead(service, member, rank, key, idempotent, token, remaining)
 
 
 def _find_service(
@@ -110,7 +107,9 @@
     return member
 
 
-def _find_rank(headers: Headers, configuration: Configuration) -> Rank | Failure:
+def _find_rank(
+    headers: Headers, configuration: Configuration
+) -> Rank | Failure:
     name = _read_text(headers, CallerHeader.rank)
     for position, policy in enumerate(configuration.ranks):
         if policy.name == name:
@@ -140,16 +139,15 @@
     return seconds
 
 
-def _read_idempotency_key(
-    headers: Headers,
-    *,
-    needed: bool,
-) -> IdempotencyKey | None | Failure:
+def _read_idempotency_key(headers: Headers) -> IdempotencyKey | None | Failure:
+    idempotent = headers.get(CallerHeader.idempotent, _FALSE)
+    if idempotent not in _TRUTHS:
+        return Failure(ResultCode.malformed, 'neither true nor false')
     text = _read_text(headers, CallerHeader.idempotency_key)
-    if not text:
-        if needed:
-            return Failure(ResultCode.idempotency_key_missing, 'no key')
+    if not text and idempotent == _TRUE:
         return None
+    if not text:
+        return Failure(ResultCode.idempotency_key_missing, 'no key')
     created, _, token = text.partition(_DASH)
     seconds = _read_number(created)
     if seconds is None or not 0 < len(token) <= _LARGEST_TOKEN:
--- a/trefoilsaddle/programs/statuses.py
+++ b/trefoilsaddle/programs/statuses.py
@@ -6,26 +6,25 @@
 
 from trefoilsaddle.results import ResultCode
 
-_BAD_INPUT: Mapping[ResultCode, HTTPStatus] = MappingProxyType({
-    ResultCode.malformed: HTTPStatus.BAD_REQUEST,
-    ResultCode.key_missing: HTTPStatus.BAD_REQUEST,
-    ResultCode.service_unknown: HTTPStatus.NOT_FOUND,
-    ResultCode.rank_unknown: HTTPStatus.BAD_REQUEST,
-    ResultCode.member_unknown: HTTPStatus.FORBIDDEN,
-    ResultCode.body_too_large: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-    ResultCode.header_too_large: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-    ResultCode.deadline_invalid: HTTPStatus.BAD_REQUEST,
-    ResultCode.idempotency_key_missing: HTTPStatus.BAD_REQUEST,
-    ResultCode.idempotency_key_invalid: HTTPStatus.BAD_REQUEST,
-    ResultCode.idempotency_key_in_future: HTTPStatus.BAD_REQUEST,
-    ResultCode.idempotency_key_reused: HTTPStatus.UNPROCESSABLE_ENTITY,
-})
-
-_OTHERS: Mapping[ResultCode, HTTPStatus] = MappingProxyType({
-    ResultCode.share_exceeded: HTTPStatus.TOO_MANY_REQUESTS,
-    ResultCode.in_progress: HTTPStatus.CONFLICT,
-    ResultCode.deadline_passed: HTTPStatus.GATEWAY_TIMEOUT,
-})
+_STATUSES: Mapping[ResultCode, HTTPStatus] = MappingProxyType(
+    {
+        ResultCode.malformed: HTTPStatus.BAD_REQUEST,
+        ResultCode.key_missing: HTTPStatus.BAD_REQUEST,
+        ResultCode.service_unknown: HTTPStatus.NOT_FOUND,
+        ResultCode.rank_unknown: HTTPStatus.BAD_REQUEST,
+        ResultCode.member_unknown: HTTPStatus.FORBIDDEN,
+        ResultCode.body_too_large: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        ResultCode.header_too_large: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+        ResultCode.deadline_invalid: HTTPStatus.BAD_REQUEST,
+        ResultCode.idempotency_key_missing: HTTPStatus.BAD_REQUEST,
+        ResultCode.idempotency_key_invalid: HTTPStatus.BAD_REQUEST,
+        ResultCode.idempotency_key_in_future: HTTPStatus.BAD_REQUEST,
+        ResultCode.idempotency_key_reused: HTTPStatus.UNPROCESSABLE_ENTITY,
+        ResultCode.share_exceeded: HTTPStatus.TOO_MANY_REQUESTS,
+        ResultCode.in_progress: HTTPStatus.CONFLICT,
+        ResultCode.deadline_passed: HTTPStatus.GATEWAY_TIMEOUT,
+    }
+)
 
 # First numbers of the groups of result codes.
 _REFUSALS = 200
@@ -34,10 +33,6 @@
 
 def find_status(code: ResultCode) -> HTTPStatus:
     """Return the status of an answer that no backend server gave."""
-    if code in _BAD_INPUT:
-        return _BAD_INPUT[code]
-    if code in _OTHERS:
-        return _OTHERS[code]
     if _REFUSALS <= code < _UNKNOWN_OUTCOMES:
-        return HTTPStatus.SERVICE_UNAVAILABLE
-    return HTTPStatus.BAD_GATEWAY
+        return _STATUSES.get(code, HTTPStatus.SERVICE_UNAVAILABLE)
+    return _STATUSES.get(code, HTTPStatus.BAD_GATEWAY)
--- a/trefoilsaddle/settings.py
+++ b/trefoilsaddle/settings.py
@@ -16,7 +16,7 @@
     SecretStr,
     ValidationError,
 )
-from yaml import YAMLError, safe_load
+import yaml
 
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.options import Options, Peer
@@ -132,8 +132,8 @@
     except (OSError, UnicodeDecodeError):
         return _fail(path, 'the file', 'a readable text file')
     try:
-        document = safe_load(text)
-    except YAMLError:
+        document = yaml.safe_load(text)
+    except yaml.YAMLError:
         return _fail(path, 'the file', 'valid YAML')
     try:
         return model.model_validate(document)
--- a/trefoilsaddle/wire/links.py
+++ b/trefoilsaddle/wire/links.py
@@ -29,6 +29,8 @@
         self._queue: deque[bytes] = deque()
         self._queued_bytes = 0
         self._filled = Event()
+        self._emptied = Event()
+        self._emptied.set()
 
     def offer(self, frame: bytes) -> bool:
         """Queue a frame, or close the connection if the queue is full."""
@@ -38,14 +40,21 @@
         self._queue.append(frame)
         self._queued_bytes += len(frame)
         self._filled.set()
+        if self._emptied.is_set():
+            self._emptied = Event()
         return True
 
+    async def flush(self) -> None:
+        """Wait until everything queued has gone to the network."""
+        await self._emptied.wait()
+
     async def carry(self, frames: FrameStream, receive: Receive) -> None:
         """Send and receive until either end closes the connection."""
         async with open_nursery() as nursery:
             nursery.start_soon(self._send_queue, frames, nursery.cancel_scope)
             await self._receive_messages(frames, receive)
             nursery.cancel_scope.cancel()
+        self._emptied.set()
 
     async def _send_queue(self, frames: FrameStream, both: CancelScope) -> None:
         while True:
@@ -53,6 +62,8 @@
             if await frames.send(self._drain_queue()) is not None:
                 both.cancel()
                 return
+            if not self._queue:
+                self._emptied.set()
 
     def _drain_queue(self) -> bytes:
         joined = b''.join(self._queue)
--- a/trefoilsaddle/wire/peers.py
+++ b/trefoilsaddle/wire/peers.py
@@ -12,6 +12,7 @@
     SocketStream,
     aclose_forcefully,
     move_on_after,
+    open_nursery,
     open_tcp_stream,
 )
 
@@ -52,6 +53,7 @@
     largest_queue: int = 16_777_216
     greeting_timeout: Seconds = Seconds(2)
     dial_timeout: Seconds = Seconds(1)
+    flush_timeout: Seconds = Seconds(2)
     # Connections that have not proved the secret yet.
     most_greetings: int = 128
 
@@ -120,6 +122,13 @@
                 return
             await self._serve_peer(peer, frames)
 
+    async def flush(self) -> None:
+        """Wait a short while until all queued messages have been sent."""
+        with move_on_after(self._limits.flush_timeout):
+            async with open_nursery() as nursery:
+                for link in self._outgoing.values():
+                    nursery.start_soon(link.flush)
+
     async def _greet_peer(self, frames: FrameStream) -> Hello | Failure:
         peer: Hello | Failure = _TIMED_OUT
         self._greetings += 1
