--- /dev/null
+++ b/trefoilsaddle/core/dumps.py
@@ -0,0 +1,156 @@
+"""Write a dump of a process's state, without any key, body or token."""
+
+from dataclasses import asdict, astuple, dataclass
+from json import dumps as write_json
+
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.units import (
+    Moment,
+    NodeId,
+    Offset,
+    RegionName,
+    ServerId,
+    SiteName,
+    Version,
+    ZoneName,
+)
+from trefoilsaddle.core.view import LogView
+
+_BASE_FILE = 'base file'
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentDump:
+    """Say in which version a document was last replaced."""
+
+    # Name of the site, or `base file`.
+    document: str
+    version: Version
+
+
+@dataclass(frozen=True, slots=True)
+class ServerDump:
+    """Say who holds a server and how much it owns."""
+
+    server: ServerId
+    shards: int
+    dispatcher: NodeId | None
+    # Offset and sequence of the dispatcher's term.
+    term: tuple[int, int] | None
+
+
+@dataclass(frozen=True, slots=True)
+class QueueDump:
+    """Count the requests of one server at its dispatcher."""
+
+    server: ServerId
+    # By rank, the most urgent first.
+    waiting: tuple[int, ...]
+    parked: int
+    running: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessDump:
+    """Say how a process is thought to fare."""
+
+    node: NodeId
+    zone: ZoneName
+    dispatches: bool
+    health: str
+
+
+@dataclass(frozen=True, slots=True)
+class Dump:
+    """Hold what a process tells of its state."""
+
+    node: NodeId
+    site: SiteName
+    region: RegionName
+    zone: ZoneName
+    dispatches: bool
+    stopping: bool
+    # Last log offset that is applied.
+    applied: Offset
+    log_away: bool
+    version: Version
+    documents: tuple[DocumentDump, ...]
+    lost_zones: tuple[ZoneName, ...]
+    servers: tuple[ServerDump, ...]
+    queues: tuple[QueueDump, ...]
+    pending_calls: int
+    processes: tuple[ProcessDump, ...]
+
+
+def write_dump(node: Node, moment: Moment) -> str:
+    """Write the state of a process as JSON text."""
+    return write_json(asdict(build_dump(node)))
+
+
+def build_dump(node: Node) -> Dump:
+    """Collect what a process tells of its state."""
+    options = node.options
+    return Dump(
+        node=options.node,
+        site=options.site,
+        region=options.region,
+        zone=options.zone,
+        dispatches=options.dispatches,
+        stopping=node.stopping,
+        applied=node.view.applied,
+        log_away=node.following.log_away,
+        version=node.view.version,
+        documents=_dump_documents(node.view),
+        lost_zones=tuple(sorted(node.view.lost_zones)),
+        servers=_dump_servers(node.view),
+        queues=_dump_queues(node),
+        pending_calls=len(node.routing.pending),
+        processes=_dump_processes(node),
+    )
+
+
+def _dump_documents(view: LogView) -> tuple[DocumentDump, ...]:
+    versions = view.document_versions.items()
+    return tuple(
+        DocumentDump(site or _BASE_FILE, version) for site, version in versions
+    )
+
+
+def _dump_servers(view: LogView) -> tuple[ServerDump, ...]:
+    dumps: list[ServerDump] = []
+    for policy in view.servers():
+        server = policy.server_id
+        role = view.roles.get(server)
+        dumps.append(
+            ServerDump(
+                server=server,
+                shards=view.count_shards(server),
+                dispatcher=None if role is None else role.dispatcher,
+                term=None if role is None else astuple(role.term),
+            ),
+        )
+    return tuple(dumps)
+
+
+def _dump_queues(node: Node) -> tuple[QueueDump, ...]:
+    return tuple(
+        QueueDump(
+            server=queue.server,
+            waiting=tuple(ranked.size for ranked in queue.ranks),
+            parked=len(queue.parked),
+            running=len(queue.running),
+        )
+        for queue in node.dispatching.queues.values()
+    )
+
+
+def _dump_processes(node: Node) -> tuple[ProcessDump, ...]:
+    return tuple(
+        ProcessDump(
+            node=rumour.node,
+            zone=rumour.zone,
+            dispatches=rumour.dispatches,
+            health=rumour.health.value,
+        )
+        for rumour in node.membership.processes.values()
+    )
--- a/trefoilsaddle/core/lifecycle.py
+++ b/trefoilsaddle/core/lifecycle.py
@@ -1,5 +1,7 @@
 """Start and stop a process, and write dumps of its state."""
 
+from functools import singledispatch
+
 from trefoilsaddle.core.dumps import write_dump
 from trefoilsaddle.core.effects import (
     Effects,
@@ -21,10 +23,78 @@
 )
 from trefoilsaddle.core.messages import DumpRead, DumpReply
 from trefoilsaddle.core.node import Node
-from trefoilsaddle.core.units import Moment, NodeId, Seconds
+from trefoilsaddle.core.units import Moment, Seconds
 
 # Time between two looks whether everything in flight has ended.
 _LOOK_INTERVAL = Seconds(0.05)
-_LOOK_TIMER = TimerKey(TimerKind.stop)
-# Runs from the request to stop until the process ends in any case.
+# A drained process answers for this long to whoever has not heard of it.
+_LINGER = Seconds(0.5)
+_LOOK_TIMER = TimerKey(TimerKind.stop, 'look')
 _LIMIT_TIMER = TimerKey(TimerKind.stop, 'limit')
+
+
+def handle_event(node: Node, moment: Moment, event: Event) -> Effects:
+    """Take one event for the life of the process."""
+    return _take_event(event, node, moment)
+
+
+@singledispatch
+def _take_event(event: Event, node: Node, moment: Moment) -> Effects:
+    return []
+
+
+@_take_event.register
+def _take_stop(event: StopRequested, node: Node, moment: Moment) -> Effects:
+    if node.stopping:
+        return []
+    node.stopping = True
+    node.reviewed = True
+    return [
+        WriteLogLine(Part.lifecycle, 'stopping: requests in flight end first'),
+        SetTimer(_LIMIT_TIMER, node.options.stop_timeout),
+        SetTimer(_LOOK_TIMER, _LOOK_INTERVAL),
+    ]
+
+
+@_take_event.register
+def _take_timer(event: TimerExpired, node: Node, moment: Moment) -> Effects:
+    if event.timer == _LIMIT_TIMER:
+        sentence = 'stopped before everything in flight had ended'
+        return [WriteLogLine(Part.lifecycle, sentence), ExitProcess()]
+    if event.timer == _LOOK_TIMER:
+        return _look_for_end(node, moment)
+    return []
+
+
+@_take_event.register
+def _take_dump_request(
+    event: DumpRequested,
+    node: Node,
+    moment: Moment,
+) -> Effects:
+    return [WriteDump(write_dump(node, moment))]
+
+
+@_take_event.register
+def _take_message(
+    event: MessageReceived, node: Node, moment: Moment
+) -> Effects:
+    message = event.message
+    if not isinstance(message, DumpRead):
+        return []
+    reply = DumpReply(message.sequence, write_dump(node, moment))
+    return [SendMessage(event.sender, reply)]
+
+
+def _look_for_end(node: Node, moment: Moment) -> Effects:
+    if not _is_drained(node):
+        node.drained_at = None
+    elif node.drained_at is None:
+        node.drained_at = moment.monotonic
+    elif moment.monotonic >= node.drained_at + _LINGER:
+        return [ExitProcess()]
+    return [SetTimer(_LOOK_TIMER, _LOOK_INTERVAL)]
+
+
+def _is_drained(node: Node) -> bool:
+    return not (node.routing.pending or node.dispatching.tickets)
--- a/trefoilsaddle/core/node.py
+++ b/trefoilsaddle/core/node.py
@@ -14,7 +14,7 @@
 from trefoilsaddle.core.memberstate import MembershipState
 from trefoilsaddle.core.options import Options
 from trefoilsaddle.core.routestate import RoutingState
-from trefoilsaddle.core.units import ServerId
+from trefoilsaddle.core.units import Seconds, ServerId
 from trefoilsaddle.core.view import LogView
 
 
@@ -31,6 +31,8 @@
     dispatching: DispatchState = field(default_factory=DispatchState)
     routing: RoutingState = field(default_factory=RoutingState)
     stopping: bool = False
+    # Since when a stopping process has had nothing in flight.
+    drained_at: Seconds | None = None
     # Servers whose queues may have become ready to send.
     woken: set[ServerId] = field(default_factory=set)
     # True when roles or liveness changed, so that duties are looked over.
--- a/trefoilsaddle/programs/commands.py
+++ b/trefoilsaddle/programs/commands.py
@@ -33,9 +33,8 @@
 
 def end_command(failure: Failure) -> NoReturn:
     """Write one line about a failure and exit with its code."""
-    echo(
-        f'{failure.code.value} {failure.code.name}: {failure.reason}', err=True
-    )
+    name = failure.code.name
+    echo(f'{name}: {failure.reason}', err=True)
     raise Exit(find_exit_code(failure.code))
 
 
--- a/trefoilsaddle/programs/peerevents.py
+++ b/trefoilsaddle/programs/peerevents.py
@@ -3,7 +3,7 @@
 from trefoilsaddle.core.effects import SendMessage
 from trefoilsaddle.core.events import MessageReceived, PeerLost
 from trefoilsaddle.core.messages import Message
-from trefoilsaddle.core.units import NodeId
+from trefoilsaddle.core.units import AttemptId, NodeId
 from trefoilsaddle.logs import ShellPart
 from trefoilsaddle.metrics import Metrics, join_name
 from trefoilsaddle.programs.performer import Performer
@@ -34,9 +34,13 @@
         """Feed a message of an authenticated peer."""
         self._performer.feed_event(MessageReceived(sender, message))
 
-    def lose_peer(self, node: NodeId) -> None:
+    def lose_peer(
+        self,
+        node: NodeId,
+        unsent: tuple[AttemptId, ...] = (),
+    ) -> None:
         """Feed the loss of a connection."""
-        self._performer.feed_event(PeerLost(node))
+        self._performer.feed_event(PeerLost(node, unsent))
 
     def count_failure(self, code: ResultCode) -> None:
         """Count a connection that was refused."""
--- /dev/null
+++ b/trefoilsaddle/programs/publish.py
@@ -0,0 +1,1 @@
+"""Check and publish the base file and the overlays."""
--- /dev/null
+++ b/trefoilsaddle/programs/status.py
@@ -0,0 +1,1 @@
+"""Show what is in force and where."""
--- a/trefoilsaddle/wire/links.py
+++ b/trefoilsaddle/wire/links.py
@@ -2,18 +2,28 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from trio import CancelScope, Event, open_nursery
 
 from trefoilsaddle.core.errors import Failure
-from trefoilsaddle.core.messages import Message
-from trefoilsaddle.core.units import NodeId
-from trefoilsaddle.wire.codec import decode_message
-from trefoilsaddle.wire.framing import FrameStream
+from trefoilsaddle.core.messages import Forward, Message
+from trefoilsaddle.core.units import AttemptId, NodeId
+from trefoilsaddle.wire.codec import decode_message, encode_message
+from trefoilsaddle.wire.framing import FrameStream, pack_frame
 
 Receive = Callable[[NodeId, Message], None]
 
 
+@dataclass(frozen=True, slots=True)
+class QueuedMessage:
+    """Hold a packed message that has not been sent."""
+
+    frame: bytes = field(repr=False)
+    # Present if the message forwards a request.
+    attempt: AttemptId | None
+
+
 class Link:
     """Queue frames for one peer and carry them once it is connected.
 
@@ -26,24 +36,30 @@
         self.node = node
         self.scope = CancelScope()
         self._largest_queue = largest_queue
-        self._queue: deque[bytes] = deque()
+        self._queue: deque[QueuedMessage] = deque()
         self._queued_bytes = 0
         self._filled = Event()
         self._emptied = Event()
         self._emptied.set()
 
-    def offer(self, frame: bytes) -> bool:
-        """Queue a frame, or close the connection if the queue is full."""
-        if self._queued_bytes + len(frame) > self._largest_queue:
+    def offer(self, message: Message) -> bool:
+        """Queue a message; close the connection if the queue is over-full."""
+        queued = _queue_message(message)
+        self._queue.append(queued)
+        self._queued_bytes += len(queued.frame)
+        if self._queued_bytes > self._largest_queue:
             self.scope.cancel()
             return False
-        self._queue.append(frame)
-        self._queued_bytes += len(frame)
         self._filled.set()
         if self._emptied.is_set():
             self._emptied = Event()
         return True
 
+    def list_unsent(self) -> tuple[AttemptId, ...]:
+        """Return the forwarded attempts of which no byte has left."""
+        attempts = [queued.attempt for queued in self._queue]
+        return tuple(attempt for attempt in attempts if attempt is not None)
+
     async def flush(self) -> None:
         """Wait until everything queued has gone to the network."""
         await self._emptied.wait()
@@ -66,7 +82,7 @@
                 self._emptied.set()
 
     def _drain_queue(self) -> bytes:
-        joined = b''.join(self._queue)
+        joined = b''.join([queued.frame for queued in self._queue])
         self._queue.clear()
         self._queued_bytes = 0
         self._filled = Event()
@@ -85,3 +101,9 @@
             if isinstance(message, Failure):
                 return
             receive(self.node, message)
+
+
+def _queue_message(message: Message) -> QueuedMessage:
+    frame = pack_frame(encode_message(message))
+    attempt = message.attempt if isinstance(message, Forward) else None
+    return QueuedMessage(frame, attempt)
--- a/trefoilsaddle/wire/messages.capnp
+++ b/trefoilsaddle/wire/messages.capnp
@@ -133,6 +133,7 @@
   term @1 :Epoch;
   sequence @2 :Int64;
   granted @3 :Bool;
+  moves @4 :List(MovedShard);
 }
 
 struct MovedShard {
@@ -173,6 +174,12 @@
   token @2 :Text;
   fingerprint @3 :UInt64;
   answer @4 :Answer;
+  keyHash @5 :UInt64;
+}
+
+struct MemberFloor {
+  member @0 :Text;
+  floor @1 :Float64;
 }
 
 struct Handover {
@@ -180,6 +187,7 @@
   epoch @1 :Epoch;
   floor @2 :Float64;
   outcomes @3 :List(KeptOutcome);
+  memberFloors @4 :List(MemberFloor);
 }
 
 struct RelayRead {
--- a/trefoilsaddle/wire/peers.py
+++ b/trefoilsaddle/wire/peers.py
@@ -18,10 +18,9 @@
 
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.messages import Message
-from trefoilsaddle.core.units import NodeId, Seconds
+from trefoilsaddle.core.units import AttemptId, NodeId, Seconds
 from trefoilsaddle.results import ResultCode
-from trefoilsaddle.wire.codec import encode_message
-from trefoilsaddle.wire.framing import FrameStream, pack_frame
+from trefoilsaddle.wire.framing import FrameStream
 from trefoilsaddle.wire.greeting import (
     LARGEST_GREETING,
     Hello,
@@ -70,8 +69,15 @@
         """Take a message of an authenticated peer."""
 
     @abstractmethod
-    def lose_peer(self, node: NodeId) -> None:
-        """Learn that messages to or from a peer may have been lost."""
+    def lose_peer(
+        self,
+        node: NodeId,
+        unsent: tuple[AttemptId, ...] = (),
+    ) -> None:
+        """Learn that messages to or from a peer may have been lost.
+
+        Of the unsent attempts, no byte has left this process.
+        """
 
     @abstractmethod
     def count_failure(self, code: ResultCode) -> None:
@@ -100,11 +106,7 @@
     def send_message(self, node: NodeId, message: Message) -> None:
         """Queue a message for a peer; dial the peer if need be."""
         link = self._outgoing.get(node) or self._dial_peer(node)
-        if link is None:
-            self._listener.lose_peer(node)
-            return
-        frame = pack_frame(encode_message(message))
-        if not link.offer(frame):
+        if not link.offer(message):
             self._remove_link(self._outgoing, link)
 
     async def accept_stream(self, stream: SocketStream) -> None:
@@ -150,17 +152,15 @@
         self._remove_link(self._outgoing, link)
         self._remove_link(self._incoming, link)
 
-    def _dial_peer(self, node: NodeId) -> Link | None:
-        address = self._listener.find_address(node)
-        if address is None:
-            return None
+    def _dial_peer(self, node: NodeId) -> Link:
         link = Link(node, self._limits.largest_queue)
         self._outgoing[node] = link
-        self._nursery.start_soon(self._run_dialled, link, address)
+        self._nursery.start_soon(self._run_dialled, link)
         return link
 
-    async def _run_dialled(self, link: Link, address: Address) -> None:
-        stream = await self._connect(address)
+    async def _run_dialled(self, link: Link) -> None:
+        address = self._listener.find_address(link.node)
+        stream = None if address is None else await self._connect(address)
         if stream is not None:
             async with stream:
                 await self._greet_and_carry(link, stream)
@@ -194,4 +194,4 @@
     def _remove_link(self, links: dict[NodeId, Link], link: Link) -> None:
         if links.get(link.node) is link:
             links.pop(link.node)
-            self._listener.lose_peer(link.node)
+            self._listener.lose_peer(link.node, link.list_unsent())
