--- a/trefoilsaddle/core/dumps.py
+++ b/trefoilsaddle/core/dumps.py
@@ -56,6 +56,8 @@
 
     node: NodeId
     zone: ZoneName
+    host: str
+    port: int
     dispatches: bool
     health: str
 
@@ -149,6 +151,8 @@
         ProcessDump(
             node=rumour.node,
             zone=rumour.zone,
+            host=rumour.host,
+            port=rumour.port,
             dispatches=rumour.dispatches,
             health=rumour.health.value,
         )
--- a/trefoilsaddle/core/lifecycle.py
+++ b/trefoilsaddle/core/lifecycle.py
@@ -26,7 +26,7 @@
 from trefoilsaddle.core.units import Moment, Seconds
 
 # Time between two looks whether everything in flight has ended.
-_LOOK_INTERVAL = Seconds(0.05)
+_LOOK_INTERVAL = Seconds(0.1)
 # A drained process answers for this long to whoever has not heard of it.
 _LINGER = Seconds(0.5)
 _LOOK_TIMER = TimerKey(TimerKind.stop, 'look')
--- a/trefoilsaddle/programs/callers.py
+++ b/trefoilsaddle/programs/callers.py
@@ -15,8 +15,8 @@
 from trefoilsaddle.core.events import CallArrived, CallerLeft, Event
 from trefoilsaddle.core.units import CallId, Seconds
 from trefoilsaddle.programs.headers import AnswerHeader, CallerHeader
-from trefoilsaddle.programs.statuses import find_status
 from trefoilsaddle.programs.requesthead import RequestHead, check_head
+from trefoilsaddle.programs.statuses import find_status
 from trefoilsaddle.results import Outcome, ResultCode
 
 # The shapes that the ASGI specification gives to an application.
--- a/trefoilsaddle/programs/commands.py
+++ b/trefoilsaddle/programs/commands.py
@@ -7,8 +7,9 @@
 from typer import Exit, Option, echo
 
 from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.platform.exchange import ServiceAddress
 from trefoilsaddle.results import ResultCode
-from trefoilsaddle.settings import read_settings
+from trefoilsaddle.settings import AddressSettings, read_settings
 
 SettingsPath = Annotated[
     Path,
@@ -38,6 +39,11 @@
     raise Exit(find_exit_code(failure.code))
 
 
+def reach_service(address: AddressSettings) -> ServiceAddress:
+    """Return where a service of the platform is."""
+    return ServiceAddress(str(address.host), address.port)
+
+
 def find_exit_code(code: ResultCode) -> int:
     """Return the exit code of a command for a result code."""
     if code == ResultCode.ok:
--- /dev/null
+++ b/trefoilsaddle/programs/logview.py
@@ -0,0 +1,104 @@
+"""Read the log for a command that ends, and publish through it."""
+
+from trio import move_on_after, sleep
+
+from trefoilsaddle.core.application import apply_entry
+from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.publishing import judge_publication
+from trefoilsaddle.core.records import Publication
+from trefoilsaddle.core.snapshots import SnapshotCollector
+from trefoilsaddle.core.units import Offset, Seconds
+from trefoilsaddle.core.view import LogView, Verdict
+from trefoilsaddle.platform.logclient import LogClient, LogPage
+from trefoilsaddle.results import ResultCode
+
+# Time between two reads while a publication is not in the log yet.
+_READ_INTERVAL = Seconds(0.1)
+# Reads after which a record is appended again: its append may be lost.
+_READS_PER_APPEND = 10
+
+_UNKNOWN = Failure(
+    ResultCode.publication_unknown,
+    'the log did not tell in time; look with trefoil-status before a retry',
+)
+
+
+class LogFollower:
+    """Apply the log to a view of its own."""
+
+    def __init__(self, log: LogClient) -> None:
+        """Begin with an empty view."""
+        self.view = LogView()
+        self._log = log
+
+    async def catch_up(self) -> Failure | None:
+        """Apply everything up to the tail (log_unavailable)."""
+        page = await self._read_page()
+        while not isinstance(page, Failure):
+            if page.tail <= self.view.applied + 1:
+                return None
+            page = await self._read_page()
+        return page
+
+    async def publish(
+        self,
+        publication: Publication,
+        timeout: Seconds,
+    ) -> Verdict | Failure:
+        """Publish and return what the log says became of it.
+
+        Fails with `configuration_invalid` or `version_conflict` before
+        anything is appended, and with `publication_unknown` if the log does
+        not tell in time.
+        """
+        failure = await self.catch_up()
+        if failure is not None:
+            return failure
+        judged = judge_publication(self.view, publication)
+        if isinstance(judged, Failure):
+            return judged
+        with move_on_after(timeout):
+            return await self._append_until_seen(publication)
+        return _UNKNOWN
+
+    async def _append_until_seen(self, publication: Publication) -> Verdict:
+        # The same record may be appended many times; it acts once.
+        reads = 0
+        while publication.record_id not in self.view.verdicts:
+            if reads % _READS_PER_APPEND == 0:
+                await self._log.append((publication,))
+            else:
+                await sleep(_READ_INTERVAL)
+            reads += 1
+            await self.catch_up()
+        return self.view.verdicts[publication.record_id]
+
+    async def _read_page(self) -> LogPage | Failure:
+        page = await self._log.read(Offset(self.view.applied + 1))
+        if isinstance(page, Failure):
+            return page
+        if page.first > self.view.applied + 1:
+            return await self._skip_gap(page) or page
+        for entry in page.entries:
+            apply_entry(self.view, entry)
+        return page
+
+    async def _skip_gap(self, page: LogPage) -> Failure | None:
+        """Take the newest snapshot in the log, since records expired."""
+        collector = SnapshotCollector()
+        position = page.first
+        while position < page.tail:
+            part = await self._log.read(position)
+            if isinstance(part, Failure):
+                return part
+            for entry in part.entries:
+                collector.collect(entry)
+            position = Offset(max(position, part.first) + len(part.entries))
+        snapshot = collector.newest
+        if snapshot is None or snapshot.applied <= self.view.applied:
+            return Failure(
+                ResultCode.log_unavailable,
+                'the log holds no snapshot that reaches over what expired',
+            )
+        self.view = snapshot
+        return None
--- a/trefoilsaddle/programs/process.py
+++ b/trefoilsaddle/programs/process.py
@@ -6,6 +6,7 @@
 
 from trio import Event as Signal
 from trio import (
+    SocketListener,
     open_nursery,
     open_signal_receiver,
     open_tcp_listeners,
@@ -21,9 +22,9 @@
 from trefoilsaddle.core.units import NodeId
 from trefoilsaddle.logs import ShellPart, write_line
 from trefoilsaddle.metrics import Metrics, NoMetrics, build_metrics
-from trefoilsaddle.platform.exchange import ServiceAddress
 from trefoilsaddle.platform.hostlist import HttpHostList
 from trefoilsaddle.platform.logclient import HttpLogClient
+from trefoilsaddle.programs.commands import reach_service
 from trefoilsaddle.programs.exchanges import Exchanges
 from trefoilsaddle.programs.peerevents import MessageSender, PeerEvents
 from trefoilsaddle.programs.performer import Performer, Tools
@@ -63,15 +64,9 @@
     """Run until a graceful shutdown has ended (settings_invalid)."""
     node = build_node(build_options(settings))
     tools = _build_tools(settings, node)
-    address = settings.listen
-    try:
-        listeners = await open_tcp_listeners(
-            address.port,
-            host=str(address.host),
-        )
-    except OSError:
-        reason = f'listen: expected a free address, not {address.host}'
-        return Failure(ResultCode.settings_invalid, reason)
+    listeners = await _listen(settings.listen)
+    if isinstance(listeners, Failure):
+        return listeners
     async with open_nursery() as nursery:
         performer = Performer(node, tools, nursery)
         listener = PeerEvents(performer, tools.metrics)
@@ -89,6 +84,15 @@
     return None
 
 
+async def _listen(address: AddressSettings) -> list[SocketListener] | Failure:
+    host = str(address.host)
+    try:
+        return await open_tcp_listeners(address.port, host=host)
+    except OSError:
+        reason = f'listen: expected a free address, not {host}:{address.port}'
+        return Failure(ResultCode.settings_invalid, reason)
+
+
 async def _run_stage(stage: Stage, serve: Serve) -> None:
     stage.performer.feed_event(Started())
     write_line(ShellPart.programs, 'started')
@@ -111,8 +115,8 @@
     clock = SystemClock()
     exchanges = Exchanges(
         clock=clock,
-        log=HttpLogClient(_reach(settings.platform.log)),
-        hosts=HttpHostList(_reach(settings.platform.hosts)),
+        log=HttpLogClient(reach_service(settings.platform.log)),
+        hosts=HttpHostList(reach_service(settings.platform.hosts)),
         backends=HttpBackendClient(
             node.options.node,
             node.view.server,
@@ -133,7 +137,3 @@
         return NoMetrics()
     prefix = f'trefoil.{settings.node}'
     return build_metrics(str(address.host), address.port, prefix)
-
-
-def _reach(address: AddressSettings) -> ServiceAddress:
-    return ServiceAddress(str(address.host), address.port)
--- a/trefoilsaddle/programs/requesthead.py
+++ b/trefoilsaddle/programs/requesthead.py
@@ -16,9 +16,9 @@
 # Bytes that a header carries are taken one to one.
 _ENCODING = 'latin-1'
 _PREFIX = b'x-trefoil-'
-_YES = b'true'
-_NO = b'false'
-_ANSWERS = frozenset((_YES, _NO))
+_REPEATABLE = b'true'
+_UNREPEATABLE = b'false'
+_ANSWERS = frozenset((_REPEATABLE, _UNREPEATABLE))
 _DASH = '-'
 
 Headers = Mapping[bytes, bytes]
@@ -82,7 +82,7 @@
     token = _read_idempotency_key(headers)
     if isinstance(token, Failure):
         return token
-    idempotent = headers.get(CallerHeader.idempotent) == _YES
+    idempotent = headers.get(CallerHeader.idempotent) == _REPEATABLE
     return RequestHead(service, member, rank, key, idempotent, token, remaining)
 
 
@@ -140,11 +140,11 @@
 
 
 def _read_idempotency_key(headers: Headers) -> IdempotencyKey | None | Failure:
-    idempotent = headers.get(CallerHeader.idempotent, _NO)
+    idempotent = headers.get(CallerHeader.idempotent, _UNREPEATABLE)
     if idempotent not in _ANSWERS:
         return Failure(ResultCode.malformed, 'neither true nor false')
     text = _read_text(headers, CallerHeader.idempotency_key)
-    if not text and idempotent == _YES:
+    if not text and idempotent == _REPEATABLE:
         return None
     if not text:
         return Failure(ResultCode.idempotency_key_missing, 'no key')
--- a/trefoilsaddle/programs/status.py
+++ b/trefoilsaddle/programs/status.py
@@ -1,1 +1,75 @@
-"""Show what is in force and where."""
+"""Show what is in force and where, and dump the state of a process."""
+
+import json
+from typing import Annotated
+
+import trio
+from typer import Argument, Typer, echo
+
+from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.programs.commands import (
+    SettingsPath,
+    end_command,
+    load_settings,
+)
+from trefoilsaddle.programs.dumpclient import identify_command, read_dump
+from trefoilsaddle.programs.statustable import (
+    collect_rows,
+    write_table,
+)
+from trefoilsaddle.results import ResultCode
+from trefoilsaddle.settings import OperatorSettings
+from trefoilsaddle.wire.greeting import Identity
+from trefoilsaddle.wire.peers import Address
+
+_INDENT = 2
+
+app = Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    help='Show what is in force and where, without any key or body.',
+    epilog='Exit codes: 40 wrong settings, 45 a process did not answer.',
+)
+
+_HostPort = Annotated[str, Argument(help='Address of a process, HOST:PORT.')]
+
+
+@app.command('dump')
+def dump_process(address: _HostPort, settings: SettingsPath) -> None:
+    """Write the state of one process as JSON."""
+    loaded = load_settings(settings, OperatorSettings)
+    parsed = _parse_address(address)
+    if isinstance(parsed, Failure):
+        end_command(parsed)
+    dump = trio.run(read_dump, _identify(loaded), parsed)
+    if isinstance(dump, Failure):
+        end_command(dump)
+    echo(json.dumps(json.loads(dump), indent=_INDENT))
+
+
+@app.command('table')
+def show_table(settings: SettingsPath) -> None:
+    """Show for each process which version is in force, per site.
+
+    Asks the processes of the settings and every process that these know.
+    """
+    loaded = load_settings(settings, OperatorSettings)
+    addresses = [Address(str(peer.host), peer.port) for peer in loaded.peers]
+    rows = trio.run(collect_rows, _identify(loaded), addresses)
+    echo(write_table(rows))
+    silent = [row for row in rows if row.dump is None]
+    if silent or not rows:
+        reason = f'{len(silent)} of {len(rows)} processes did not answer'
+        end_command(Failure(ResultCode.peer_unreachable, reason))
+
+
+def _identify(settings: OperatorSettings) -> Identity:
+    return identify_command(settings.secret.get_secret_value().encode())
+
+
+def _parse_address(text: str) -> Address | Failure:
+    host, _, port = text.rpartition(':')
+    if host and port.isdecimal():
+        return Address(host, int(port))
+    reason = f'{text}: expected HOST:PORT'
+    return Failure(ResultCode.settings_invalid, reason)
