--- a/trefoilsaddle/programs/status.py
+++ b/trefoilsaddle/programs/status.py
@@ -31,14 +31,17 @@
     epilog='Exit codes: 40 wrong settings, 45 a process did not answer.',
 )
 
-_HostPort = Annotated[str, Argument(help='Address of a process, HOST:PORT.')]
+_Process = Annotated[
+    str,
+    Argument(help='Name of a process in the settings, or its HOST:PORT.'),
+]
 
 
 @app.command('dump')
-def dump_process(address: _HostPort, settings: SettingsPath) -> None:
+def dump_process(process: _Process, settings: SettingsPath) -> None:
     """Write the state of one process as JSON."""
     loaded = load_settings(settings, OperatorSettings)
-    parsed = _parse_address(address)
+    parsed = _find_address(loaded, process)
     if isinstance(parsed, Failure):
         end_command(parsed)
     dump = trio.run(read_dump, _identify(loaded), parsed)
@@ -67,9 +70,12 @@
     return identify_command(settings.secret.get_secret_value().encode())
 
 
-def _parse_address(text: str) -> Address | Failure:
+def _find_address(settings: OperatorSettings, text: str) -> Address | Failure:
+    for peer in settings.peers:
+        if peer.node == text:
+            return Address(str(peer.host), peer.port)
     host, _, port = text.rpartition(':')
     if host and port.isdecimal():
         return Address(host, int(port))
-    reason = f'{text}: expected HOST:PORT'
+    reason = f'{text}: expected a process of the settings or HOST:PORT'
     return Failure(ResultCode.settings_invalid, reason)
