--- a/trefoilsaddle/programs/commands.py
+++ b/trefoilsaddle/programs/commands.py
@@ -4,7 +4,7 @@
 from typing import Annotated, NoReturn, TypeVar
 
 from pydantic import BaseModel
-from typer import Exit, Option, echo
+from typer import Exit, Option, Typer, echo
 
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.platform.exchange import ServiceAddress
@@ -24,6 +24,21 @@
 _Settings = TypeVar('_Settings', bound=BaseModel)
 
 
+def build_app(help_text: str = '', exit_codes: str = '') -> Typer:
+    """Build a command whose tracebacks show no values of variables.
+
+    The library's own way shows the locals of each frame, and these hold
+    secrets, keys and bodies.
+    """
+    return Typer(
+        add_completion=False,
+        no_args_is_help=True,
+        pretty_exceptions_enable=False,
+        help=help_text,
+        epilog=exit_codes,
+    )
+
+
 def load_settings(path: Path, model: type[_Settings]) -> _Settings:
     """Read settings, or end the command with one line about the fault."""
     settings = read_settings(path, model)
--- a/trefoilsaddle/programs/dispatcher.py
+++ b/trefoilsaddle/programs/dispatcher.py
@@ -1,19 +1,19 @@
 """Run a dispatcher: the one process that sends work to its servers."""
 
 import trio
-from typer import Typer
 
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.logs import start_logging
 from trefoilsaddle.programs.commands import (
     SettingsPath,
+    build_app,
     end_command,
     load_settings,
 )
 from trefoilsaddle.programs.process import run_process, wait_for_stop
 from trefoilsaddle.settings import DispatcherSettings
 
-app = Typer(add_completion=False)
+app = build_app()
 
 
 @app.command()
--- a/trefoilsaddle/programs/entry.py
+++ b/trefoilsaddle/programs/entry.py
@@ -7,7 +7,6 @@
 from hypercorn import Config
 from hypercorn.trio import serve as serve_http
 from hypercorn.typing import ASGIFramework
-from typer import Typer
 
 from trefoilsaddle.core.configuration import Configuration
 from trefoilsaddle.core.effects import AnswerCaller
@@ -19,6 +18,7 @@
 from trefoilsaddle.programs.callers import Callers, CallShell
 from trefoilsaddle.programs.commands import (
     SettingsPath,
+    build_app,
     end_command,
     load_settings,
 )
@@ -26,7 +26,7 @@
 from trefoilsaddle.results import ResultCode
 from trefoilsaddle.settings import EntrySettings
 
-app = Typer(add_completion=False)
+app = build_app()
 
 # Bytes of the largest head of a request.
 _LARGEST_HEAD = 16_384
--- a/trefoilsaddle/programs/publish.py
+++ b/trefoilsaddle/programs/publish.py
@@ -5,7 +5,7 @@
 from uuid import uuid4
 
 import trio
-from typer import Argument, Option, Typer, echo
+from typer import Argument, Option, echo
 
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.records import Publication
@@ -15,6 +15,7 @@
 from trefoilsaddle.platform.logclient import HttpLogClient
 from trefoilsaddle.programs.commands import (
     SettingsPath,
+    build_app,
     end_command,
     load_settings,
     reach_service,
@@ -25,14 +26,10 @@
 
 _TIMEOUT = 30
 
-app = Typer(
-    add_completion=False,
-    no_args_is_help=True,
-    help='Check and publish the base file and the overlays of the sites.',
-    epilog=(
-        'Exit codes: 40 wrong settings, 41 wrong file, 42 another version is '
-        'in force, 43 log unavailable, 44 outcome unknown.'
-    ),
+app = build_app(
+    'Check and publish the base file and the overlays of the sites.',
+    'Exit codes: 40 wrong settings, 41 wrong file, 42 another version is '
+    'in force, 43 log unavailable, 44 outcome unknown.',
 )
 
 _FilePath = Annotated[Path, Argument(help='Base file or overlay, YAML.')]
--- a/trefoilsaddle/programs/status.py
+++ b/trefoilsaddle/programs/status.py
@@ -4,11 +4,12 @@
 from typing import Annotated
 
 import trio
-from typer import Argument, Typer, echo
+from typer import Argument, echo
 
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.programs.commands import (
     SettingsPath,
+    build_app,
     end_command,
     load_settings,
 )
@@ -24,11 +25,9 @@
 
 _INDENT = 2
 
-app = Typer(
-    add_completion=False,
-    no_args_is_help=True,
-    help='Show what is in force and where, without any key or body.',
-    epilog='Exit codes: 40 wrong settings, 45 a process did not answer.',
+app = build_app(
+    'Show what is in force and where, without any key or body.',
+    'Exit codes: 40 wrong settings, 45 a process did not answer.',
 )
 
 _Process = Annotated[
--- a/trefoilsaddle/wire/greeting.py
+++ b/trefoilsaddle/wire/greeting.py
@@ -8,7 +8,6 @@
 
 from dataclasses import dataclass, field
 from enum import Enum, unique
-from hashlib import sha256
 from hmac import compare_digest, digest
 from secrets import token_bytes
 
@@ -23,6 +22,7 @@
 # Bytes of the largest greeting that is read from an unknown peer.
 LARGEST_GREETING = 1024
 _NONCE_BYTES = 16
+_HASH = 'sha256'
 # Keeps ('ab', 'c') and ('a', 'bc') apart.
 _SEPARATOR = b'\0'
 
@@ -127,7 +127,7 @@
         dialler.node.encode(),
         acceptor.node.encode(),
     )
-    return digest(identity.secret, _SEPARATOR.join(parts), sha256.__name__)
+    return digest(identity.secret, _SEPARATOR.join(parts), _HASH)
 
 
 def _pack_greeting(greeting: Greeting) -> bytes:
