--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -1,6 +1,5 @@
 """Claim servers that lack a dispatcher, and follow the log's verdicts."""
 
-from trefoilsaddle.core.assignment import make_record_id
 from trefoilsaddle.core.dutystate import Claiming, Duty
 from trefoilsaddle.core.effects import (
     Effects,
@@ -17,6 +16,7 @@
 from trefoilsaddle.core.messages import Health, Promise
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.provisional import holder_of
+from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.records import Claim
 from trefoilsaddle.core.units import (
     FIRST_EPOCH,
--- a/trefoilsaddle/core/reading.py
+++ b/trefoilsaddle/core/reading.py
@@ -8,10 +8,10 @@
 )
 from trefoilsaddle.core.effects import (
     Effects,
+    Part,
     ReadLog,
     SetTimer,
     WriteLogLine,
-    Part,
 )
 from trefoilsaddle.core.events import (
     LogRead,
--- a/trefoilsaddle/core/stopping.py
+++ b/trefoilsaddle/core/stopping.py
@@ -5,7 +5,6 @@
 nothing more will be sent, so that no lease has to be waited out.
 """
 
-from trefoilsaddle.core.assignment import make_record_id
 from trefoilsaddle.core.claims import choose_claim_set
 from trefoilsaddle.core.dutystate import Duty
 from trefoilsaddle.core.effects import Effects
@@ -14,6 +13,7 @@
 from trefoilsaddle.core.membership import health_of
 from trefoilsaddle.core.messages import Health
 from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.records import Claim
 from trefoilsaddle.core.units import Moment, NodeId
 
--- a/trefoilsaddle/core/viewtext.py
+++ b/trefoilsaddle/core/viewtext.py
@@ -9,7 +9,8 @@
 from collections.abc import Iterable
 from itertools import starmap
 from typing import Literal
-from zlib import compress, decompressobj, error as ZlibError
+from zlib import compress, decompressobj
+from zlib import error as ZlibError
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
--- a/trefoilsaddle/settings.py
+++ b/trefoilsaddle/settings.py
@@ -8,6 +8,7 @@
 from secrets import randbits
 from typing import Annotated, Any, Literal, TypeVar
 
+import yaml
 from pydantic import (
     BaseModel,
     ConfigDict,
@@ -16,7 +17,6 @@
     SecretStr,
     ValidationError,
 )
-import yaml
 
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.options import Options, Peer
