--- a/tests/bench.py
+++ b/tests/bench.py
@@ -348,7 +348,7 @@
         for seed, name in enumerate((ENTRY, FIRST, SECOND))
     }
     for node in nodes.values():
-        node.view.configuration = configuration or build_configuration()
+        node.view.put_configuration(configuration or build_configuration())
         node.view.applied = Offset(6)
     bench = Bench(nodes)
     assign_role(bench, FIRST, TERM)
@@ -371,7 +371,7 @@
 def assign_shard(bench: Bench, server: ServerId, epoch: Epoch) -> None:
     """Put an assignment or a move into every view."""
     for node in bench.nodes.values():
-        node.view.owners[SHARD] = Ownership(server, epoch)
+        node.view.put_owner(SHARD, Ownership(server, epoch))
         node.view.applied = max(node.view.applied, epoch.offset)
 
 
