--- a/trefoilsaddle/core/duties.py
+++ b/trefoilsaddle/core/duties.py
@@ -61,6 +61,8 @@
 def handle_event(node: Node, moment: Moment, event: Event) -> Effects:
     """Take one event for the duties of this process."""
     if not node.options.dispatches:
+        if isinstance(event, MessageReceived):
+            _hear_news(node, event.sender, event.message)
         return []
     effects = _take_event(node, moment, event)
     effects.extend(follow_view(node, moment))
@@ -152,11 +154,17 @@
             return take_share(node, moment, sender, message)
         case ShareMoveAck():
             return take_ack(node, moment, sender, message)
+    _hear_news(node, sender, message)
+    return []
+
+
+def _hear_news(node: Node, sender: NodeId, message: Message) -> None:
+    """Learn what has changed hands since the log went away."""
+    match message:
         case ProvisionalMove():
             accept_move(node, sender, message)
         case ProvisionalClaim():
             note_take_over(node, sender, message)
-    return []
 
 
 def _take_promise(
--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -4,7 +4,7 @@
 from enum import Enum, unique
 
 from trefoilsaddle.core.events import ServerStamp
-from trefoilsaddle.core.messages import PromiseRequest
+from trefoilsaddle.core.messages import PromiseRequest, ProvisionalClaim
 from trefoilsaddle.core.records import Move, MovedShard
 from trefoilsaddle.core.units import (
     FIRST_EPOCH,
@@ -239,8 +239,10 @@
     arrivals: dict[ShardId, Arrival] = field(default_factory=dict)
     # True when arrivals or departures changed without a log entry.
     unsettled: bool = False
-    # Dispatchers that said they act for a server since the log went away.
-    provisional_holders: dict[ServerId, NodeId] = field(default_factory=dict)
+    # Newest word on who acts for a server since the log went away.
+    provisional_holders: dict[ServerId, ProvisionalClaim] = field(
+        default_factory=dict,
+    )
     # Servers whose role a record of ours gives to a claim-set member.
     handing_over: set[ServerId] = field(default_factory=set)
     # Terms whose former dispatcher has said that it sends nothing more.
--- a/trefoilsaddle/core/outage.py
+++ b/trefoilsaddle/core/outage.py
@@ -30,7 +30,7 @@
     lease_duration,
     raise_term,
 )
-from trefoilsaddle.core.membership import health_of, live_dispatchers
+from trefoilsaddle.core.membership import health_of
 from trefoilsaddle.core.messages import (
     Health,
     Promise,
@@ -38,7 +38,7 @@
     ProvisionalClaim,
 )
 from trefoilsaddle.core.node import Node
-from trefoilsaddle.core.provisional import holder_of
+from trefoilsaddle.core.provisional import holder_of, tell_zone
 from trefoilsaddle.core.records import Claim
 from trefoilsaddle.core.sharing import share_moves
 from trefoilsaddle.core.terms import next_epoch
@@ -211,7 +211,6 @@
     if role is None or duty.announced:
         return []
     duty.announced = True
-    node.duties.provisional_holders[duty.server] = node.options.node
     claim = Claim(
         record_id=make_record_id(node),
         server=duty.server,
@@ -221,15 +220,12 @@
         provisional=duty.term,
     )
     message = ProvisionalClaim(duty.server, duty.term, node.options.node)
+    node.duties.provisional_holders[duty.server] = message
     sentence = f'took {duty.server} over without the log'
     return [
         WriteLogLine(Part.ownership, sentence),
         *append_records(node, moment, (claim,)),
-        *(
-            SendMessage(peer, message)
-            for peer in live_dispatchers(node, node.options.zone)
-            if peer != node.options.node
-        ),
+        *tell_zone(node, message),
     ]
 
 
@@ -242,5 +238,5 @@
     if message.term < known_term(node, message.server):
         return
     raise_term(node, message.server, message.term)
-    node.duties.provisional_holders[message.server] = message.dispatcher
+    node.duties.provisional_holders[message.server] = message
     node.duties.vacant_since.pop(message.server, None)
