Trust a fence only of the run of the server that it was met in

Without the full lease a dispatcher now grants only to the run of the server that it met under a full lease. A refusing member makes the holder claim a higher term; a call that may have come after the lapse is followed by a whole one.

--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -216,6 +216,7 @@
     }
     duty.shards = present.shards
     duty.grants.stamp = former.stamp
+    duty.grants.trusted_instance = former.trusted_instance
     duty.grants.stamp_sent = former.stamp_sent
     duty.grants.stamp_received = former.stamp_received
     duty.grants.lapsed_after = former.lapsed_after
@@ -256,7 +257,9 @@
     since = max(duty.started, duty.fenced_at)
     if moment.monotonic - since < _RECLAIM_AFTER:
         return []
-    if duty.superseded or _needs_members(node, duty):
+    if duty.superseded or duty.refused_for > duty.term:
+        return append_claim(node, moment, duty.server, duty.term)
+    if _needs_members(node, duty):
         return append_claim(node, moment, duty.server, duty.term)
     return []
 
--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -96,6 +96,8 @@
 
     sequence: int = 0
     stamp: ServerStamp | None = None
+    # Run of the server that was met while no one else could act for it.
+    trusted_instance: str = ''
     # Sequence of the call whose answer carried the stamp.
     stamp_sequence: int = 0
     # No later than the stamp was made, and no earlier.
@@ -153,6 +155,8 @@
     # Send time of the newest request that each member has granted.
     promised: dict[NodeId, Seconds] = field(default_factory=dict)
     asked: dict[int, Seconds] = field(default_factory=dict)
+    # Greatest term that a member has refused ours for.
+    refused_for: Epoch = FIRST_EPOCH
     # Greater term that the server was seen to hold.
     fenced_by: Epoch = FIRST_EPOCH
     fenced_at: Seconds = NEVER
--- a/trefoilsaddle/core/grants.py
+++ b/trefoilsaddle/core/grants.py
@@ -113,8 +113,21 @@
 ) -> Seconds:
     # Grants end with the lease, so that whoever has waited out the lease
     # need not wait for the grants as well.
-    left = lease_end(node, duty, every=False) - moment.monotonic
-    return Seconds(max(0, min(longest, shorten(node, Seconds(left)))))
+    left = lease_end(node, duty, every=not _is_trusted(duty))
+    left = Seconds(left - moment.monotonic)
+    return Seconds(max(0, min(longest, shorten(node, left))))
+
+
+def _is_trusted(duty: Duty) -> bool:
+    """Say whether the server still knows every term it has accepted.
+
+    A server that restarts forgets them, so that its fence no longer keeps a
+    dispatcher out whose successor it once knew.
+    """
+    stamp = duty.grants.stamp
+    return stamp is not None and (
+        stamp.instance == duty.grants.trusted_instance
+    )
 
 
 def _missing(duty: Duty, *, whole: bool) -> dict[ShardId, Epoch]:
@@ -202,8 +215,8 @@
         return []
     effective = _is_effective(answer, pending)
     if effective:
-        _note_grants(node, duty, answer, pending)
-    _note_stamp(moment, grants, answer)
+        _note_grants(node, moment, duty, answer, pending)
+    _note_stamp(node, moment, duty, answer)
     if effective:
         return []
     # The server has restarted or was met for the first time: it holds
@@ -221,6 +234,7 @@
 
 def _note_grants(
     node: Node,
+    moment: Moment,
     duty: Duty,
     answer: GrantAnswered,
     pending: PendingGrant,
@@ -232,6 +246,11 @@
     if pending.whole:
         grants.accepted.clear()
         grants.seeded = True
+    elif moment.monotonic >= grants.valid_until:
+        # The call may have come after the lapse, when the server had
+        # forgotten what it was to prolong.
+        grants.seeded = False
+        return
     for shard, epoch in pending.granted.items():
         if shard not in duty.moves:
             grants.accepted[shard] = epoch
@@ -240,13 +259,18 @@
 
 
 def _note_stamp(
+    node: Node,
     moment: Moment,
-    grants: GrantState,
+    duty: Duty,
     answer: GrantAnswered,
 ) -> None:
-    if answer.sequence <= grants.stamp_sequence:
+    grants = duty.grants
+    stamp = answer.stamp
+    if stamp is None or answer.sequence <= grants.stamp_sequence:
         return
-    grants.stamp = answer.stamp
+    grants.stamp = stamp
     grants.stamp_sequence = answer.sequence
     grants.stamp_sent = answer.sent
     grants.stamp_received = moment.monotonic
+    if moment.monotonic < lease_end(node, duty, every=True):
+        grants.trusted_instance = stamp.instance
--- a/trefoilsaddle/core/leases.py
+++ b/trefoilsaddle/core/leases.py
@@ -222,6 +222,8 @@
     duty = node.duties.held.get(promise.server)
     if duty is None:
         return
+    if not promise.granted:
+        duty.refused_for = max(duty.refused_for, promise.term)
     sent = duty.asked.get(promise.sequence)
     if sent is None or not promise.granted or promise.term != duty.term:
         return
--- a/trefoilsaddle/core/moves.py
+++ b/trefoilsaddle/core/moves.py
@@ -61,7 +61,10 @@
 
 
 def _may_move(moment: Moment, duty: Duty) -> bool:
-    return not duty.superseded and moment.monotonic >= duty.usable_from
+    if duty.superseded or duty.provisional:
+        # The dispatcher that the log names would not know of the move.
+        return False
+    return moment.monotonic >= duty.usable_from
 
 
 def advance_moves(node: Node, moment: Moment, duty: Duty) -> Effects:
--- a/trefoilsaddle/core/outage.py
+++ b/trefoilsaddle/core/outage.py
@@ -163,6 +163,7 @@
         former_dispatcher=role.dispatcher,
         started=moment.monotonic,
         provisional=True,
+        promised=dict.fromkeys(take_over.followers, take_over.started),
     )
     node.duties.held[server] = duty
     exclude_moved(node, moment, duty)
--- a/trefoilsaddle/core/recovery.py
+++ b/trefoilsaddle/core/recovery.py
@@ -40,6 +40,9 @@
     effects = gather_followers(node, moment, duty)
     if not is_suspect(node, moment, duty):
         return effects
+    if duty.provisional or duty.superseded:
+        # The dispatcher that the log names would not know of the move.
+        return effects
     if moment.monotonic <= quiet_after(node, duty):
         return effects
     if moment.monotonic >= lease_end(node, duty, every=False):
--- a/trefoilsaddle/core/sharing.py
+++ b/trefoilsaddle/core/sharing.py
@@ -21,7 +21,7 @@
 )
 from trefoilsaddle.core.following import append_records
 from trefoilsaddle.core.leases import known_term, raise_term
-from trefoilsaddle.core.messages import ShareMove, ShareMoveAck
+from trefoilsaddle.core.messages import Promise, ShareMove, ShareMoveAck
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.provisional import announce_move
 from trefoilsaddle.core.records import Move, MovedShard
@@ -101,8 +101,10 @@
     share: ShareMove,
 ) -> Effects:
     """Remember a move, unless a greater term has been acknowledged."""
-    if share.term < known_term(node, share.server):
-        return []
+    greatest = known_term(node, share.server)
+    if share.term < greatest:
+        refusal = Promise(share.server, greatest, share.sequence, granted=False)
+        return [SendMessage(sender, refusal)]
     known = raise_term(node, share.server, share.term)
     for moved in share.shards:
         known.moves[moved.shard] = RememberedMove(share.term, moved)
