Record events as JSON lines with aliases for secrets, and replay them

pydantic's TypeAdapter was ruled out: unions of events with equal fields need a tag inside plain data classes.

--- a/trefoilsaddle/programs/process.py
+++ b/trefoilsaddle/programs/process.py
@@ -34,7 +34,8 @@
     DispatcherSettings,
     build_options,
 )
-from trefoilsaddle.traces import NoRecorder
+from trefoilsaddle.traces import LineRecorder, NoRecorder, Recorder, open_trace
+from trefoilsaddle.tracesecrets import AliasDisguise, NoDisguise
 from trefoilsaddle.wire.greeting import Identity
 from trefoilsaddle.wire.peers import PeerLimits, Peers
 
@@ -123,7 +124,18 @@
             clock.read_monotonic,
         ),
     )
-    return Tools(exchanges, _build_metrics(settings), NoRecorder())
+    metrics = _build_metrics(settings)
+    return Tools(exchanges, metrics, _build_recorder(settings, node))
+
+
+def _build_recorder(settings: DispatcherSettings, node: Node) -> Recorder:
+    trace = settings.trace
+    if trace is None:
+        return NoRecorder()
+    disguise = NoDisguise() if trace.clear else AliasDisguise()
+    started = SystemClock().read_moment().wall
+    output = open_trace(trace.folder, node.options.node, started)
+    return LineRecorder(output, node.options, disguise)
 
 
 def _identify(settings: DispatcherSettings) -> Identity:
--- a/trefoilsaddle/settings.py
+++ b/trefoilsaddle/settings.py
@@ -11,6 +11,7 @@
 from pydantic import (
     BaseModel,
     ConfigDict,
+    DirectoryPath,
     Field,
     IPvAnyAddress,
     SecretStr,
@@ -68,7 +69,9 @@
 class TraceSettings(_Model):
     """Say where events are recorded, and whether with keys and bodies."""
 
-    path: Path
+    # Gets one file for each run of the process.
+    folder: DirectoryPath
+    # True records keys and bodies as they are.
     clear: bool = False
 
 
--- /dev/null
+++ b/trefoilsaddle/traceform.py
@@ -0,0 +1,110 @@
+"""Write data classes as JSON and read them again, each with its kind.
+
+Many events have the same fields, or none, so that only the name of its class
+tells what one is: `{"kind": "PeerLost", "node": "entry-1", "unsent": []}`.
+"""
+
+from base64 import b64decode, b64encode
+from collections.abc import Mapping
+from dataclasses import fields, is_dataclass
+from enum import Enum
+from functools import cache
+from types import NoneType, UnionType
+from typing import (
+    Any,
+    NewType,
+    Union,
+    get_args,
+    get_origin,
+    get_type_hints,
+)
+
+_KIND = 'kind'
+_UNIONS = (Union, UnionType)
+
+
+def write_form(part: Any) -> Any:
+    """Return what JSON can hold of a data class or a part of one."""
+    if is_dataclass(part):
+        return _write_data_class(part)
+    if isinstance(part, tuple):
+        return [write_form(element) for element in part]
+    if isinstance(part, bytes):
+        return b64encode(part).decode()
+    if isinstance(part, Enum):
+        return part.value
+    return part
+
+
+def _write_data_class(part: Any) -> dict[str, Any]:
+    data_class: Any = type(part)
+    written = {_KIND: data_class.__name__}
+    for name in _list_fields(data_class):
+        written[name] = write_form(getattr(part, name))
+    return written
+
+
+def read_form(hint: Any, written: Any) -> Any:
+    """Return the data that was written for a type.
+
+    Raises ValueError, LookupError or TypeError on what no type here wrote.
+    """
+    plain = _resolve_new_type(hint)
+    if get_origin(plain) in _UNIONS:
+        return _read_union(get_args(plain), written)
+    if get_origin(plain) is tuple:
+        element = get_args(plain)[0]
+        return tuple(read_form(element, part) for part in written)
+    if is_dataclass(plain) and isinstance(plain, type):
+        return _read_data_class(plain, written)
+    return _read_scalar(plain, written)
+
+
+def _read_scalar(plain: Any, written: Any) -> Any:
+    if plain is bytes:
+        return b64decode(written, validate=True)
+    if issubclass(plain, Enum):
+        return plain(written)
+    if plain is float and isinstance(written, int):
+        return float(written)
+    if not isinstance(written, plain):
+        raise TypeError(plain.__name__)
+    return written
+
+
+def _read_union(members: tuple[Any, ...], written: Any) -> Any:
+    if written is None and NoneType in members:
+        return None
+    present = [member for member in members if member is not NoneType]
+    if isinstance(written, Mapping):
+        kinds = {member.__name__: member for member in present}
+        return read_form(kinds[written[_KIND]], written)
+    return read_form(present[0], written)
+
+
+def _read_data_class(data_class: type, written: Mapping[str, Any]) -> Any:
+    hints = _list_hints(data_class)
+    if written[_KIND] != data_class.__name__:
+        raise ValueError(data_class.__name__)
+    known = {
+        name: read_form(hints[name], written[name])
+        for name in _list_fields(data_class)
+    }
+    return data_class(**known)
+
+
+@cache
+def _list_fields(data_class: type) -> tuple[str, ...]:
+    return tuple(field.name for field in fields(data_class))
+
+
+@cache
+def _list_hints(data_class: type) -> dict[str, Any]:
+    return get_type_hints(data_class)
+
+
+def _resolve_new_type(hint: Any) -> Any:
+    plain = hint
+    while isinstance(plain, NewType):
+        plain = plain.__supertype__
+    return plain
--- a/trefoilsaddle/traces.py
+++ b/trefoilsaddle/traces.py
@@ -1,9 +1,36 @@
-"""Record the events of a process and replay them through the reducer."""
+"""Record the events of a process and replay them through the reducer.
 
+A trace is a file of JSON lines: the options of the process, then one line
+per event.  Replayed, it gives the same effects; docs/design/traces.md says
+what holds when secrets are hidden in it.
+"""
+
+import json
 from abc import ABC, abstractmethod
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TextIO, TypeVar
 
+from trefoilsaddle.core.effects import Effect
+from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.events import Occurrence
-from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.node import Node, build_node
+from trefoilsaddle.core.options import Options
+from trefoilsaddle.core.reducer import reduce
+from trefoilsaddle.core.units import NodeId, Seconds
+from trefoilsaddle.results import ResultCode
+from trefoilsaddle.traceform import read_form, write_form
+from trefoilsaddle.tracesecrets import Disguise
+
+# Hosts have no disks: what is written takes memory.
+_LARGEST_TRACE = 67_108_864
+# Kept from everyone but the user that the process runs as.
+_FILE_MODE = 0o600
+
+_Part = TypeVar('_Part')
+
+_MALFORMED = Failure(ResultCode.malformed, 'the line is no part of a trace')
 
 
 class Recorder(ABC):
@@ -19,3 +46,72 @@
 
     def record(self, node: Node, occurrence: Occurrence) -> None:
         """Do nothing."""
+
+
+class LineRecorder(Recorder):
+    """Write events as JSON lines until the trace is too large."""
+
+    def __init__(
+        self,
+        output: TextIO,
+        options: Options,
+        disguise: Disguise,
+        largest: int = _LARGEST_TRACE,
+    ) -> None:
+        """Begin a trace of the process with these options."""
+        self._output = output
+        self._disguise = disguise
+        self._room = largest
+        self._write_line(options)
+
+    def record(self, node: Node, occurrence: Occurrence) -> None:
+        """Record one event."""
+        if self._room <= 0:
+            return
+        hidden = self._disguise.hide(occurrence.event, node.view)
+        self._write_line(Occurrence(occurrence.moment, hidden))
+
+    def _write_line(self, part: Options | Occurrence) -> None:
+        line = json.dumps(write_form(part))
+        self._room -= len(line)
+        self._output.write(f'{line}\n')
+        self._output.flush()
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """Pair an event of a trace with the effects that it calls for."""
+
+    occurrence: Occurrence
+    effects: tuple[Effect, ...]
+
+
+def open_trace(folder: Path, node: NodeId, started: Seconds) -> TextIO:
+    """Create the file for the trace of one run of a process."""
+    path = folder / f'{node}-{started:.0f}.jsonl'
+    path.touch(_FILE_MODE)
+    return path.open('a', encoding='utf-8')
+
+
+def replay_trace(lines: Iterable[str]) -> Iterator[Step | Failure]:
+    """Reduce the events of a trace again, up to a broken line (malformed)."""
+    remaining = iter(lines)
+    options = _read_line(Options, next(remaining, ''))
+    if isinstance(options, Failure):
+        yield options
+        return
+    node = build_node(options)
+    for line in remaining:
+        occurrence = _read_line(Occurrence, line)
+        if isinstance(occurrence, Failure):
+            yield occurrence
+            return
+        yield Step(occurrence, tuple(reduce(node, occurrence)))
+
+
+def _read_line(part: type[_Part], line: str) -> _Part | Failure:
+    try:
+        read: _Part = read_form(part, json.loads(line))
+    except (ValueError, LookupError, TypeError):
+        return _MALFORMED
+    return read
