--- a/trefoilsaddle/wire/greeting.py
+++ b/trefoilsaddle/wire/greeting.py
@@ -76,7 +76,7 @@
 ) -> Hello | Failure:
     """Open a connection that this process has dialled."""
     own = _make_hello(identity)
-    failure = await frames.send(_pack_greeting(own))
+    failure = await frames.send(pack_greeting(own))
     if failure is not None:
         return failure
     peer = await _receive_hello(frames)
@@ -86,7 +86,7 @@
     if not await _receive_proof(frames, proof):
         return _UNAUTHENTIC
     proof = _prove(identity, _Role.dialler, own, peer)
-    failure = await frames.send(_pack_greeting(Proof(proof)))
+    failure = await frames.send(pack_greeting(Proof(proof)))
     return failure or peer
 
 
@@ -100,7 +100,7 @@
         return peer
     own = _make_hello(identity)
     proof = Proof(_prove(identity, _Role.acceptor, peer, own))
-    failure = await frames.send(_pack_greeting(own) + _pack_greeting(proof))
+    failure = await frames.send(pack_greeting(own) + pack_greeting(proof))
     if failure is not None:
         return failure
     expected = _prove(identity, _Role.dialler, peer, own)
@@ -130,7 +130,8 @@
     return digest(identity.secret, _SEPARATOR.join(parts), _HASH)
 
 
-def _pack_greeting(greeting: Greeting) -> bytes:
+def pack_greeting(greeting: Greeting) -> bytes:
+    """Write a greeting as a frame."""
     return pack_frame(_GREETINGS.encode(greeting))
 
 
