--- a/trefoilsaddle/core/assignment.py
+++ b/trefoilsaddle/core/assignment.py
@@ -23,12 +23,19 @@
     configuration = node.view.configuration
     if configuration is None or node.following.outbox:
         return []
+    services = [
+        service
+        for service in configuration.services.values()
+        if node.view.count_unowned(service)
+    ]
+    if not services:
+        return []
     candidates = rank_candidates('assign', live_dispatchers(node, None))
     if not candidates or candidates[0] != node.options.node:
         return []
     records = [
         record
-        for service in configuration.services.values()
+        for service in services
         if (record := _assign_service(node, service)) is not None
     ]
     return append_records(node, moment, tuple(records)) if records else []
--- a/trefoilsaddle/core/membership.py
+++ b/trefoilsaddle/core/membership.py
@@ -1,9 +1,13 @@
 """Detect lost processes: probes, suspicion, rumours."""
 
-from dataclasses import replace
 from functools import singledispatch
 
-from trefoilsaddle.core.effects import Effects, ListHosts, SetTimer
+from trefoilsaddle.core.effects import (
+    Effects,
+    ListHosts,
+    SendMessage,
+    SetTimer,
+)
 from trefoilsaddle.core.events import (
     Event,
     HostsListed,
@@ -11,16 +15,53 @@
     MessageReceived,
     PeerLost,
     Started,
+    StopRequested,
     TimerExpired,
     TimerKey,
     TimerKind,
 )
-from trefoilsaddle.core.messages import Health, Rumour
+from trefoilsaddle.core.loads import take_loads
+from trefoilsaddle.core.messages import (
+    Ack,
+    Health,
+    Message,
+    Ping,
+    PingRequest,
+    Rumour,
+)
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.options import Peer
-from trefoilsaddle.core.units import Moment, NodeId, ServerId, ZoneName
+from trefoilsaddle.core.probes import (
+    PROBE_TIMEOUT_TIMER,
+    PROBE_TIMER,
+    begin_round,
+    send_ping,
+    take_ack,
+    take_ping,
+    take_ping_request,
+    take_silence,
+)
+from trefoilsaddle.core.rumours import (
+    introduce,
+    list_rumours,
+    refute_rumour,
+)
+from trefoilsaddle.core.suspicion import (
+    judge_suspect,
+    learn_rumour,
+    suspect_process,
+)
+from trefoilsaddle.core.units import (
+    Moment,
+    NodeId,
+    Seconds,
+    ServerId,
+    ZoneName,
+)
 
 _HOST_TIMER = TimerKey(TimerKind.host_list)
+# Least time between two whole lists for one process.
+_WELCOME_INTERVAL = Seconds(10)
 
 
 def handle_event(node: Node, moment: Moment, event: Event) -> Effects:
@@ -64,6 +105,8 @@
 @_take_event.register
 def _take_start(event: Started, node: Node, moment: Moment) -> Effects:
     options = node.options
+    for peer in options.peers:
+        node.membership.processes[peer.node] = introduce(peer)
     own = Peer(
         node=options.node,
         zone=options.zone,
@@ -71,65 +114,159 @@
         port=options.port,
         dispatches=options.dispatches,
     )
-    for peer in (*options.peers, own):
-        node.membership.processes[peer.node] = _introduce(peer)
-    return [ListHosts(), SetTimer(_HOST_TIMER, options.host_list_interval)]
+    # Told to the first peers that answer; they pass it on.
+    node.membership.processes[own.node] = introduce(own)
+    return [
+        *begin_round(node, moment),
+        ListHosts(),
+        SetTimer(_HOST_TIMER, options.host_list_interval),
+    ]
 
 
 @_take_event.register
-def _take_timer(event: TimerExpired, node: Node, moment: Moment) -> Effects:
-    if event.timer != _HOST_TIMER:
-        return []
+def _take_stop(event: StopRequested, node: Node, moment: Moment) -> Effects:
+    """Tell the others that this process leaves."""
+    refute_rumour(node, node.membership.processes[node.options.node])
+    near = live_processes(node, node.options.zone)
     return [
-        ListHosts(),
-        SetTimer(_HOST_TIMER, node.options.host_list_interval),
+        effect
+        for target in near or live_processes(node, None)
+        for effect in send_ping(node, moment, target)
     ]
 
 
+@_take_event.register
+def _take_timer(event: TimerExpired, node: Node, moment: Moment) -> Effects:
+    timer = event.timer
+    if timer == PROBE_TIMER:
+        return begin_round(node, moment)
+    if timer == PROBE_TIMEOUT_TIMER:
+        return take_silence(node, moment)
+    if timer.kind is TimerKind.suspicion:
+        return judge_suspect(node, moment, NodeId(timer.subject))
+    if timer == _HOST_TIMER:
+        interval = node.options.host_list_interval
+        return [ListHosts(), SetTimer(_HOST_TIMER, interval)]
+    return []
+
+
 @_take_event.register
 def _take_hosts(event: HostsListed, node: Node, moment: Moment) -> Effects:
+    membership = node.membership
+    membership.listed = frozenset(host.name for host in event.hosts)
     leaving = {
         ServerId(host.name)
         for host in event.hosts
         if host.state is HostState.leaving
     }
-    if leaving != node.membership.leaving_servers:
-        node.membership.leaving_servers = leaving
+    if leaving != membership.leaving_servers:
+        membership.leaving_servers = leaving
         node.reviewed = True
     return []
 
 
 @_take_event.register
 def _take_loss(event: PeerLost, node: Node, moment: Moment) -> Effects:
-    _set_health(node, event.node, Health.dead)
-    return []
+    """Suspect a process whose connection broke, and let it refute that."""
+    if health_of(node, event.node) not in {Health.alive, Health.leaving}:
+        return []
+    return [
+        *suspect_process(node, moment, event.node),
+        *send_ping(node, moment, event.node),
+    ]
 
 
 @_take_event.register
-def _take_message(
+def _take_received(
     event: MessageReceived,
     node: Node,
     moment: Moment,
 ) -> Effects:
-    _set_health(node, event.sender, Health.alive)
+    node.membership.heard_at = moment.monotonic
+    return _take_message(event.message, node, moment, event.sender)
+
+
+@singledispatch
+def _take_message(
+    message: Message,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
     return []
 
 
-def _set_health(node: Node, subject: NodeId, health: Health) -> None:
-    rumour = node.membership.processes.get(subject)
-    if rumour is None or rumour.health is health:
-        return
-    node.membership.processes[subject] = replace(rumour, health=health)
-    node.reviewed = True
-
-
-def _introduce(peer: Peer) -> Rumour:
-    return Rumour(
-        node=peer.node,
-        zone=peer.zone,
-        host=peer.host,
-        port=peer.port,
-        dispatches=peer.dispatches,
-        health=Health.alive,
-        incarnation=0,
-    )
+@_take_message.register
+def _take_ping_message(
+    message: Ping,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    take_loads(node, message.loads)
+    return [
+        *_learn_rumours(node, moment, message.rumours),
+        *take_ping(node, moment, sender, message),
+        *_welcome(node, moment, sender, message),
+    ]
+
+
+@_take_message.register
+def _take_ack_message(
+    message: Ack,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    take_loads(node, message.loads)
+    return [
+        *_learn_rumours(node, moment, message.rumours),
+        *take_ack(node, moment, sender, message),
+    ]
+
+
+@_take_message.register
+def _take_request_message(
+    message: PingRequest,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    return take_ping_request(node, moment, sender, message)
+
+
+def _learn_rumours(
+    node: Node,
+    moment: Moment,
+    rumours: tuple[Rumour, ...],
+) -> Effects:
+    return [
+        effect
+        for rumour in rumours
+        for effect in learn_rumour(node, moment, rumour)
+    ]
+
+
+def _welcome(
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+    ping: Ping,
+) -> Effects:
+    """Send the whole list to a process that has just started."""
+    introductions = [
+        rumour
+        for rumour in ping.rumours
+        if rumour.node == sender and not rumour.incarnation
+    ]
+    if not introductions:
+        return []
+    welcomed = node.membership.welcomed
+    former = welcomed.get(sender)
+    if former is not None and moment.monotonic - former < _WELCOME_INTERVAL:
+        return []
+    welcomed[sender] = moment.monotonic
+    return [
+        SendMessage(sender, Ack(0, node.options.node, rumours, ()))
+        for rumours in list_rumours(node)
+    ]
--- a/trefoilsaddle/core/memberstate.py
+++ b/trefoilsaddle/core/memberstate.py
@@ -3,7 +3,47 @@
 from dataclasses import dataclass, field
 
 from trefoilsaddle.core.messages import Rumour, ServerLoad
-from trefoilsaddle.core.units import NodeId, ServerId
+from trefoilsaddle.core.units import NodeId, Seconds, ServerId
+
+NEVER = Seconds(float('-inf'))
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Remember the probe in flight."""
+
+    target: NodeId
+    sequence: int
+    # True once other processes have been asked to probe as well.
+    indirect: bool
+    # Monotonic times of its begin and by which an answer is expected.
+    began: Seconds
+    due: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Errand:
+    """Remember a probe made for another process."""
+
+    requester: NodeId
+    # The requester's own sequence.
+    sequence: int
+
+
+@dataclass(slots=True)
+class ProbeState:
+    """Hold the probes of this process."""
+
+    sequence: int = 0
+    probe: Probe | None = None
+    # Monotonic time at which the next round is due.
+    round_due: Seconds = NEVER
+    rounds: int = 0
+    # Processes of this zone and of the others still to probe in this cycle.
+    near: list[NodeId] = field(default_factory=list)
+    far: list[NodeId] = field(default_factory=list)
+    # By this process's own sequence, oldest first.
+    errands: dict[int, Errand] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -15,3 +55,24 @@
     leaving_servers: set[ServerId] = field(default_factory=set)
     # Newest rumour by process; the process itself is among them.
     processes: dict[NodeId, Rumour] = field(default_factory=dict)
+    probes: ProbeState = field(default_factory=ProbeState)
+    # Times that each newest rumour is still to be passed on.
+    spreading: dict[NodeId, int] = field(default_factory=dict)
+    # Monotonic time at which each suspect counts as dead.
+    suspicions: dict[NodeId, Seconds] = field(default_factory=dict)
+    # Monotonic time at which each process was found dead.
+    deaths: dict[NodeId, Seconds] = field(default_factory=dict)
+    # Doubt about this process's own timing; zero is healthy.
+    self_doubt: int = 0
+    # Monotonic time of the newest message from any peer.
+    heard_at: Seconds = NEVER
+    # True once a peer has answered in this run.
+    introduced: bool = False
+    # When each process that started got the whole list, monotonic.
+    welcomed: dict[NodeId, Seconds] = field(default_factory=dict)
+    # Names on the platform's host list; it lags.
+    listed: frozenset[str] = frozenset()
+    # Server whose load is passed on next.
+    load_position: int = 0
+    # Monotonic time at which loads were last passed on.
+    loads_sent_at: Seconds = NEVER
--- a/trefoilsaddle/core/options.py
+++ b/trefoilsaddle/core/options.py
@@ -52,6 +52,8 @@
     probe_interval: Seconds = Seconds(0.25)
     probe_timeout: Seconds = Seconds(0.15)
     suspicion_timeout: Seconds = Seconds(0.6)
+    # Lateness of a timer that shows that the process was paused.
+    pause_tolerance: Seconds = Seconds(0.2)
     placement_interval: Seconds = Seconds(5)
     # Longest wait for requests in flight at a graceful shutdown.
     stop_timeout: Seconds = Seconds(20)
--- /dev/null
+++ b/trefoilsaddle/core/probes.py
@@ -0,0 +1,227 @@
+"""Probe one process per round, at a cost that no fleet's size changes.
+
+Most rounds probe the own zone, where loss has to be found soon.  Every few
+rounds one probes another zone, so that rumours cross, or a dead process, so
+that a healed partition is noticed.
+"""
+
+from dataclasses import replace
+
+from trefoilsaddle.core.effects import Effects, SendMessage, SetTimer
+from trefoilsaddle.core.events import TimerKey, TimerKind
+from trefoilsaddle.core.loads import choose_loads
+from trefoilsaddle.core.memberstate import Errand, Probe
+from trefoilsaddle.core.messages import Ack, Health, Ping, PingRequest
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.rumours import choose_rumours
+from trefoilsaddle.core.suspicion import (
+    doubt_own_pause,
+    doubt_self,
+    forget_dead,
+    is_late,
+    suspect_process,
+    trust_self,
+)
+from trefoilsaddle.core.units import Moment, NodeId, Seconds
+
+PROBE_TIMER = TimerKey(TimerKind.probe)
+PROBE_TIMEOUT_TIMER = TimerKey(TimerKind.probe_timeout)
+# One round of so many probes another zone, or a dead process.
+_FAR_ROUNDS = 4
+_DEAD_ROUNDS = 8
+# Processes that are asked to probe as well.
+_HELPERS = 3
+# Probes for others that are remembered.
+_MOST_ERRANDS = 64
+
+
+def begin_round(node: Node, moment: Moment) -> Effects:
+    """Probe the next process, unless a probe is in flight."""
+    state = node.membership.probes
+    if is_late(node, moment, state.round_due) and state.rounds:
+        doubt_own_pause(node)
+        state.probe = None
+    state.rounds += 1
+    doubt = 1 + node.membership.self_doubt
+    delay = Seconds(node.options.probe_interval * doubt)
+    state.round_due = Seconds(moment.monotonic + delay)
+    forget_dead(node, moment)
+    timer = SetTimer(PROBE_TIMER, delay)
+    if state.probe is not None:
+        return [timer]
+    target = _choose_target(node)
+    if target is None:
+        return [timer]
+    return [timer, *_probe(node, moment, target)]
+
+
+def take_silence(node: Node, moment: Moment) -> Effects:
+    """Let others probe as well, and suspect the target after that."""
+    state = node.membership.probes
+    probe = state.probe
+    if probe is None:
+        return []
+    if is_late(node, moment, probe.due):
+        # The answer may be waiting to be read: this process was paused.
+        doubt_own_pause(node)
+        state.probe = None
+        return []
+    helpers = [] if probe.indirect else _choose_helpers(node, probe.target)
+    if helpers:
+        return [*_watch_probe(node, moment, probe), *_ask(probe, helpers)]
+    state.probe = None
+    if node.membership.heard_at < probe.began:
+        # Nobody was heard at all: the fault may lie here.
+        doubt_self(node)
+    return [
+        *suspect_process(node, moment, probe.target),
+        *send_ping(node, moment, probe.target),
+    ]
+
+
+def take_ping(
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+    ping: Ping,
+) -> Effects:
+    """Answer a probe."""
+    answer = Ack(
+        sequence=ping.sequence,
+        subject=node.options.node,
+        rumours=choose_rumours(node, sender),
+        loads=choose_loads(node, moment),
+    )
+    return [SendMessage(sender, answer)]
+
+
+def take_ack(node: Node, moment: Moment, sender: NodeId, ack: Ack) -> Effects:
+    """End the probe in flight, or pass an answer on to who asked for it."""
+    state = node.membership.probes
+    node.membership.introduced = True
+    errand = state.errands.pop(ack.sequence, None)
+    if errand is not None and ack.subject == sender:
+        passed_on = replace(ack, sequence=errand.sequence)
+        return [SendMessage(errand.requester, passed_on)]
+    probe = state.probe
+    if probe is None:
+        return []
+    if (ack.sequence, ack.subject) == (probe.sequence, probe.target):
+        state.probe = None
+        trust_self(node)
+    return []
+
+
+def take_ping_request(
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+    request: PingRequest,
+) -> Effects:
+    """Probe a process for another one."""
+    state = node.membership.probes
+    sequence = _next_sequence(node)
+    state.errands[sequence] = Errand(sender, request.sequence)
+    if len(state.errands) > _MOST_ERRANDS:
+        state.errands.pop(next(iter(state.errands)))
+    ping = Ping(
+        sequence=sequence,
+        relay_for=sender,
+        rumours=choose_rumours(node, request.target),
+        loads=(),
+    )
+    return [SendMessage(request.target, ping)]
+
+
+def send_ping(node: Node, moment: Moment, target: NodeId) -> Effects:
+    """Ping a process whose answer no probe waits for."""
+    ping = Ping(
+        sequence=_next_sequence(node),
+        relay_for=None,
+        rumours=choose_rumours(node, target),
+        loads=choose_loads(node, moment),
+    )
+    return [SendMessage(target, ping)]
+
+
+def _probe(node: Node, moment: Moment, target: NodeId) -> Effects:
+    state = node.membership.probes
+    effects = send_ping(node, moment, target)
+    if node.membership.processes[target].health is Health.dead:
+        return effects
+    now = moment.monotonic
+    probe = Probe(target, state.sequence, indirect=False, began=now, due=now)
+    return [*effects, *_watch_probe(node, moment, probe)]
+
+
+def _watch_probe(node: Node, moment: Moment, probe: Probe) -> Effects:
+    """Wait for an answer; the second wait is for the indirect ones."""
+    doubt = 1 + node.membership.self_doubt
+    delay = Seconds(node.options.probe_timeout * doubt)
+    due = Seconds(moment.monotonic + delay)
+    waits_again = node.membership.probes.probe is not None
+    node.membership.probes.probe = replace(
+        probe,
+        indirect=waits_again,
+        due=due,
+    )
+    return [SetTimer(PROBE_TIMEOUT_TIMER, delay)]
+
+
+def _ask(probe: Probe, helpers: list[NodeId]) -> Effects:
+    request = PingRequest(probe.sequence, probe.target)
+    return [SendMessage(helper, request) for helper in helpers]
+
+
+def _choose_target(node: Node) -> NodeId | None:
+    state = node.membership.probes
+    dead = list(node.membership.deaths)
+    if dead and not state.rounds % _DEAD_ROUNDS:
+        return node.random.choice(dead)
+    is_far = not state.rounds % _FAR_ROUNDS
+    return _take_next(node, is_far) or _take_next(node, not is_far)
+
+
+def _take_next(node: Node, is_far: bool) -> NodeId | None:
+    """Take the next of a shuffled cycle, so that none waits for long."""
+    state = node.membership.probes
+    cycle = state.far if is_far else state.near
+    if not cycle:
+        cycle.extend(_list_probed(node, is_far))
+        node.random.shuffle(cycle)
+    while cycle:
+        target = cycle.pop()
+        known = node.membership.processes.get(target)
+        if known is not None and known.health is not Health.dead:
+            return target
+    return None
+
+
+def _list_probed(node: Node, is_far: bool) -> list[NodeId]:
+    zone = node.options.zone
+    return [
+        rumour.node
+        for rumour in node.membership.processes.values()
+        if (rumour.zone != zone) == is_far
+        and rumour.health is not Health.dead
+        and rumour.node != node.options.node
+    ]
+
+
+def _choose_helpers(node: Node, target: NodeId) -> list[NodeId]:
+    zone = node.options.zone
+    candidates = [
+        rumour.node
+        for rumour in node.membership.processes.values()
+        if rumour.health in {Health.alive, Health.leaving}
+        and rumour.node not in {target, node.options.node}
+    ]
+    node.random.shuffle(candidates)
+    processes = node.membership.processes
+    candidates.sort(key=lambda name: processes[name].zone != zone)
+    return candidates[:_HELPERS]
+
+
+def _next_sequence(node: Node) -> int:
+    node.membership.probes.sequence += 1
+    return node.membership.probes.sequence
--- a/trefoilsaddle/core/view.py
+++ b/trefoilsaddle/core/view.py
@@ -8,7 +8,11 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from trefoilsaddle.core.configuration import Configuration, ServerPolicy
+from trefoilsaddle.core.configuration import (
+    Configuration,
+    ServerPolicy,
+    ServicePolicy,
+)
 from trefoilsaddle.core.hashing import hash_key
 from trefoilsaddle.core.units import (
     NO_OFFSET,
@@ -116,6 +120,12 @@
         repr=False,
     )
 
+    # Shards with an owner, by service, those of hot keys included.
+    owned_counts: dict[ServiceName, int] = field(
+        default_factory=dict,
+        compare=False,
+        repr=False,
+    )
     # Servers that records applied of late concern.
     touched: set[ServerId] = field(
         default_factory=set,
@@ -174,6 +184,12 @@
         """Count the shards that a server owns."""
         return len(self.shard_index.get(server_id, ()))
 
+    def count_unowned(self, service: ServicePolicy) -> int:
+        """Count the shards of a service that have no owner yet."""
+        hot = sum(key.service == service.name for key in self.hot_keys)
+        owned = self.owned_counts.get(service.name, 0) - hot
+        return service.shard_count - owned
+
     def touch(self, servers: Iterable[ServerId]) -> None:
         """Note servers that a record concerns; for `application` only."""
         self.touched.update(servers)
@@ -181,6 +197,9 @@
     def put_owner(self, shard: ShardId, owner: Ownership | None) -> None:
         """Set or end the ownership of a shard; for `application` only."""
         former = self.owners.pop(shard, None)
+        count = self.owned_counts.get(shard.service, 0)
+        count += (owner is not None) - (former is not None)
+        self.owned_counts[shard.service] = count
         if former is not None:
             self.touched.add(former.server)
             self.shard_index[former.server].pop(shard)
