--- /dev/null
+++ b/measure/idleness.py
@@ -0,0 +1,98 @@
+"""Find refusals that the servers' capacity did not force."""
+
+from dataclasses import dataclass, field
+
+# Idle time is added up over steps of this length, in seconds.
+_STEP = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Hold what a refused request would have needed, and when."""
+
+    begin: float
+    end: float
+    needs: float
+
+
+@dataclass(slots=True)
+class IdleTime:
+    """Add up the time in which slots of one server were idle."""
+
+    steps: list[float] = field(default_factory=list)
+    since: float = 0
+
+    def note(self, now: float, idle_slots: int) -> None:
+        """Add the time since the last change."""
+        time = self.since
+        self.since = now
+        while time < now:
+            step = int(time / _STEP)
+            end = min(now, (step + 1) * _STEP)
+            # Rounding must not hold the time at the end of a step.
+            end = max(end, time + _STEP / 1000)
+            self._add(step, (end - time) * idle_slots)
+            time = end
+
+    def _add(self, step: int, amount: float) -> None:
+        while len(self.steps) <= step:
+            self.steps.append(0)
+        self.steps[step] += amount
+
+
+@dataclass(slots=True)
+class IdleMatching:
+    """Give idle time to refused requests, each second of it once."""
+
+    left: list[float]
+    # Next step with idle time left, by step; shortened when followed.
+    following: list[int]
+
+    def place(self, refused: Refused) -> bool:
+        """Return true if a request would have fitted into idle time."""
+        taken: list[int] = []
+        found: float = 0
+        step = self._find(int(refused.begin / _STEP) + 1)
+        last = min(int(refused.end / _STEP), len(self.left))
+        while step < last and found < refused.needs:
+            taken.append(step)
+            found += self.left[step]
+            step = self._find(step + 1)
+        if found < refused.needs:
+            return False
+        self._take(taken, found - refused.needs)
+        return True
+
+    def _take(self, taken: list[int], rest: float) -> None:
+        for step in taken:
+            self.left[step] = 0
+            self.following[step] = step + 1
+        if rest > 0:
+            self.left[taken[-1]] = rest
+            self.following[taken[-1]] = taken[-1]
+
+    def _find(self, step: int) -> int:
+        """Return the first step from one on with idle time left."""
+        found = min(step, len(self.left))
+        while self.following[found] != found:
+            self.following[found] = self.following[self.following[found]]
+            found = self.following[found]
+        return found
+
+
+def match_idle_time(idle: IdleTime, refusals: list[Refused]) -> list[bool]:
+    """Say of each refusal whether capacity was left to run it.
+
+    Idle time is given out by the earliest end, each second of it once.
+    """
+    size = len(idle.steps)
+    following = [
+        step if step == size or idle.steps[step] > 0 else step + 1
+        for step in range(size + 1)
+    ]
+    matching = IdleMatching(list(idle.steps), following)
+    fits = [False for _ in refusals]
+    ends = [refused.end for refused in refusals]
+    for position in sorted(range(len(ends)), key=ends.__getitem__):
+        fits[position] = matching.place(refusals[position])
+    return fits
--- /dev/null
+++ b/measure/streams.py
@@ -0,0 +1,85 @@
+"""Draw the arrivals of calls, alike under every policy and in every scene."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from math import log
+from random import Random
+
+from measure.scenes import (
+    ORDINARY_LOAD,
+    SERVICE_SPREAD,
+    Deployment,
+    Scene,
+    Service,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Stream:
+    """Describe a Poisson stream of calls."""
+
+    service: Service
+    rank: int
+    member: str
+    rate: float
+    begin: float
+    end: float
+    flooding: bool
+    random: Random
+
+    def draw_time(self) -> float:
+        """Draw a service time; the mean is the service's."""
+        spread = SERVICE_SPREAD
+        middle = log(self.service.mean) - spread * spread / 2
+        return self.random.lognormvariate(middle, spread)
+
+
+def list_streams(
+    deployment: Deployment,
+    scene: Scene,
+    seed: int,
+) -> Iterator[Stream]:
+    """Yield the ordinary streams of each service and those of the scene."""
+    for service in deployment.services:
+        yield from _list_ordinary(deployment, service, scene, seed)
+        if _is_flooded(deployment, service, scene):
+            yield Stream(
+                service=service,
+                rank=scene.flood_rank,
+                member=deployment.members[0],
+                rate=service.capacity() * scene.flood,
+                begin=scene.begin,
+                end=scene.end,
+                flooding=True,
+                random=Random(f'{seed} {service.name} flood'),
+            )
+
+
+def _list_ordinary(
+    deployment: Deployment,
+    service: Service,
+    scene: Scene,
+    seed: int,
+) -> Iterator[Stream]:
+    usual = service.capacity() * ORDINARY_LOAD / len(deployment.members)
+    for rank, part in enumerate(service.mix):
+        for member in deployment.members:
+            yield Stream(
+                service=service,
+                rank=rank,
+                member=member,
+                rate=usual * part,
+                begin=0,
+                end=scene.last,
+                flooding=False,
+                random=Random(f'{seed} {service.name} {rank} {member}'),
+            )
+
+
+def _is_flooded(
+    deployment: Deployment,
+    service: Service,
+    scene: Scene,
+) -> bool:
+    first = service is deployment.services[0]
+    return scene.flood > 0 and (first or not scene.hot_key)
--- a/trefoilsaddle/core/admission.py
+++ b/trefoilsaddle/core/admission.py
@@ -1,6 +1,5 @@
 """Estimate waits, so that hopeless requests are refused at once."""
 
-from trefoilsaddle.core.calls import Pressure
 from trefoilsaddle.core.queues import RankQueue, ServerQueue
 from trefoilsaddle.core.tickets import Ticket
 from trefoilsaddle.core.units import MemberName, Rank, Seconds
@@ -38,14 +37,6 @@
     return Seconds(pause + wait)
 
 
-def tell_pressure(queue: ServerQueue, now: Seconds) -> Pressure:
-    """Tell how long the next request of each rank would wait."""
-    waits = tuple(
-        estimate_wait(queue, ranked.rank, None, now) for ranked in queue.ranks
-    )
-    return Pressure(queue.server, waits)
-
-
 def find_over_share(queue: ServerQueue) -> RankQueue | None:
     """Return the least urgent rank that holds more than its share."""
     limit = queue.rules.queue_limit
--- a/trefoilsaddle/core/disciplines.py
+++ b/trefoilsaddle/core/disciplines.py
@@ -12,7 +12,7 @@
 from trefoilsaddle.core.fairness import charge_shares, choose_rank
 from trefoilsaddle.core.queues import ServerQueue
 from trefoilsaddle.core.tickets import Ticket
-from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.core.units import Rank, Seconds
 from trefoilsaddle.results import ResultCode
 
 
@@ -36,6 +36,19 @@
     def displace(self, queue: ServerQueue) -> Ticket | None:
         """Take out the request that gives way when the queue is too long."""
 
+    @abstractmethod
+    def estimate(
+        self,
+        queue: ServerQueue,
+        rank: Rank,
+        now: Seconds,
+    ) -> Seconds:
+        """Estimate the wait of a rank's next request, to tell the senders."""
+
+    def allow(self, queue: ServerQueue, now: Seconds) -> int:
+        """Return how many requests may be under way to the server."""
+        return queue.pacing.allowed(queue.rules.slots, now)
+
 
 class RankDiscipline(Discipline):
     """Serve by rank, with guaranteed shares and a bound by deadline."""
@@ -69,3 +82,12 @@
             return None
         ranked = find_over_share(queue)
         return None if ranked is None else ranked.pop_newest()
+
+    def estimate(
+        self,
+        queue: ServerQueue,
+        rank: Rank,
+        now: Seconds,
+    ) -> Seconds:
+        """Estimate by what waits, the loads and the guaranteed shares."""
+        return estimate_wait(queue, rank, None, now)
--- a/trefoilsaddle/core/queues.py
+++ b/trefoilsaddle/core/queues.py
@@ -141,11 +141,6 @@
         ]
         return waiting + self.parked
 
-    def free_slots(self, now: Seconds) -> int:
-        """Count the requests that may be sent at once."""
-        allowed = self.pacing.allowed(self.rules.slots, now)
-        return allowed - len(self.running)
-
 
 def build_queue(server: ServerId, rules: QueueRules) -> ServerQueue:
     """Build the queue of a server that nothing was sent to yet."""
--- a/trefoilsaddle/core/replies.py
+++ b/trefoilsaddle/core/replies.py
@@ -1,6 +1,5 @@
 """Answer forwarded requests, with what the sender may learn from."""
 
-from trefoilsaddle.core.admission import tell_pressure
 from trefoilsaddle.core.calls import Answer, Pressure
 from trefoilsaddle.core.effects import (
     CancelTimer,
@@ -79,13 +78,27 @@
     ticket: Ticket,
     answer: Answer,
 ) -> SendMessage:
-    queue = node.dispatching.queues.get(ticket.server)
-    pressure = None
-    if queue is not None:
-        pressure = tell_pressure(queue, moment.monotonic)
+    pressure = _tell_pressure(node, moment, ticket.server)
     return answer_origin(node, ticket.origin, ticket.shard, answer, pressure)
 
 
+def _tell_pressure(
+    node: Node,
+    moment: Moment,
+    server: ServerId,
+) -> Pressure | None:
+    """Tell how long the next request of each rank would wait."""
+    queue = node.dispatching.queues.get(server)
+    if queue is None:
+        return None
+    discipline = node.dispatching.discipline
+    waits = tuple(
+        discipline.estimate(queue, ranked.rank, moment.monotonic)
+        for ranked in queue.ranks
+    )
+    return Pressure(server, waits)
+
+
 def _find_owner(node: Node, shard: ShardId | None) -> ServerId | None:
     if shard is None:
         return None
--- a/trefoilsaddle/core/sending.py
+++ b/trefoilsaddle/core/sending.py
@@ -23,8 +23,9 @@
     """Send waiting requests while the server has free slots."""
     effects: Effects = []
     now = moment.monotonic
-    while queue.free_slots(now) > 0:
-        ticket = node.dispatching.discipline.choose(queue, now)
+    discipline = node.dispatching.discipline
+    while len(queue.running) < discipline.allow(queue, now):
+        ticket = discipline.choose(queue, now)
         if ticket is None:
             break
         effects.extend(_send_ticket(node, moment, queue, ticket))
