--- a/measure/service.py
+++ b/measure/service.py
@@ -132,7 +132,7 @@
         if only in {'', name}:
             figures = measure_policy(deployment, scene, discipline, seeds)
             _print_figures(
-                f'| {deployment.name} | {scene.name} | {name}', result
+                f'| {deployment.name} | {scene.name} | {name}', figures
             )
 
 
