--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 test: setup check
 
 check:
+	$(BIN)/ruff check --select I,F .
 	$(BIN)/ruff format --check .
 	$(BIN)/flake8 trefoilsaddle standins measure tests
 	$(BIN)/lint-imports
--- a/measure/simulation.py
+++ b/measure/simulation.py
@@ -15,6 +15,7 @@
     build_measured_request,
     server_name,
 )
+from measure.idleness import Refused, match_idle_time
 from measure.scenes import (
     DEADLINES,
     FAR_CALLERS,
@@ -24,7 +25,6 @@
     Scene,
     Trouble,
 )
-from measure.idleness import Refused, match_idle_time
 from measure.servers import FakeServer
 from measure.streams import Stream, list_streams
 from measure.tally import Ended
