--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -1,195 +1,195 @@
-"""Build the processes that the measurements drive."""
-
-from measure.scenes import (
-    DEADLINES,
-    QUEUE_LIMIT,
-    RANK_NAMES,
-    SHARES,
-    SLOTS,
-    TARGETS,
-    Deployment,
-    Service,
+"""Run many processes in virtual time on one seeded queue of events.
+
+Every process runs the product's own reducer; the log, the network and the
+clocks are imitated, and faults are switched from outside.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+
+from measure.platform import FakeLog
+from measure.process import Process
+from measure.schedule import Schedule
+from trefoilsaddle.core.effects import (
+    AppendRecords,
+    CancelTimer,
+    Effect,
+    ListHosts,
+    ReadLog,
+    SendMessage,
+    SetTimer,
+    WriteLogLine,
 )
-from trefoilsaddle.core.authority import Authority
-from trefoilsaddle.core.calls import IdempotencyKey, Request
-from trefoilsaddle.core.configuration import (
-    Configuration,
-    LimitPolicy,
-    RankPolicy,
-    ServerPolicy,
-    ServicePolicy,
-    SitePolicy,
-)
-from trefoilsaddle.core.disciplines import Discipline
 from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.events import (
+    Event,
+    HostsListed,
+    ListedHost,
+    LogAppended,
+    LogAppendFailed,
+    LogRead,
+    LogReadFailed,
+    MessageReceived,
+    PeerLost,
+    Started,
+    TimerKey,
+)
+from trefoilsaddle.core.messages import Message
 from trefoilsaddle.core.node import Node, build_node
 from trefoilsaddle.core.options import Options
-from trefoilsaddle.core.outcomes import adopt_shard
-from trefoilsaddle.core.units import (
-    Epoch,
-    MemberName,
-    Moment,
-    NodeId,
-    Offset,
-    Rank,
-    RegionName,
-    Seconds,
-    ServerId,
-    ServiceName,
-    ShardId,
-    ShardNumber,
-    SiteName,
-    Version,
-    ZoneName,
-)
-from trefoilsaddle.core.view import Ownership, Role
-
-DISPATCHER = NodeId('dispatcher-1')
-NEAR_ENTRY = NodeId('entry-near')
-FAR_ENTRY = NodeId('entry-far')
-
-_ZONE = ZoneName('zone-1')
-_REGION = RegionName('region-1')
-_SITE = SiteName('site-1')
-_TERM = Epoch(Offset(1), 0)
-_EPOCH = Epoch(Offset(2), 0)
-_LOOKUP_RANK = 1
-
-
-def server_name(service: Service) -> str:
-    """Name the one measured server of a service."""
-    return f'{service.name}-1'
-
-
-def build_fleet(
-    deployment: Deployment,
-    discipline: Discipline,
-) -> dict[NodeId, Node]:
-    """Build an entry process in each region and one dispatcher."""
-    nodes: dict[NodeId, Node] = {}
-    for seed, name in enumerate((NEAR_ENTRY, FAR_ENTRY, DISPATCHER)):
-        node = build_node(_build_options(name, seed))
-        node.view.configuration = _build_configuration(deployment)
-        node.dispatching.discipline = discipline
-        for service in deployment.services:
-            _place_service(node, service)
-        nodes[name] = node
-    return nodes
-
-
-def answer_authority(
-    node: Node,
-    moment: Moment,
-    server: ServerId,
-    shard: ShardId,
-) -> Authority | Failure:
-    """Say yes: the measured dispatcher keeps its roles."""
-    return Authority(_TERM, _EPOCH, Seconds(moment.monotonic + 1))
-
-
-def build_measured_request(
-    service: str,
-    rank: int,
-    member: str,
-    token: str,
-    created: float,
-) -> Request:
-    """Build a request; only lookups may be repeated."""
-    idempotent = rank == _LOOKUP_RANK
-    key = None if idempotent else IdempotencyKey(Seconds(created), token)
-    return Request(
-        service=ServiceName(service),
-        member=MemberName(member),
-        rank=Rank(rank),
-        key=token.encode(),
-        method='POST',
-        path='/',
-        content_type='text/plain',
-        body=b'',
-        idempotent=idempotent,
-        idempotency_key=key,
-        remaining=Seconds(DEADLINES[rank]),
-    )
-
-
-def _place_service(node: Node, service: Service) -> None:
-    server = ServerId(server_name(service))
-    shard = ShardId(ServiceName(service.name), ShardNumber(0))
-    node.view.owners[shard] = Ownership(server, _EPOCH)
-    node.view.roles[server] = Role(DISPATCHER, _TERM, ())
-    adopt_shard(node, Moment(Seconds(0), Seconds(0)), shard, fresh=True)
-
-
-def _build_configuration(deployment: Deployment) -> Configuration:
-    ranks = tuple(
-        RankPolicy(name, Seconds(target), worth, share)
-        for name, target, worth, share in zip(
-            RANK_NAMES,
-            TARGETS,
-            deployment.worths,
-            SHARES,
-            strict=True,
+from trefoilsaddle.core.units import NodeId, Seconds
+from trefoilsaddle.results import ResultCode
+
+_NEAR_DELAY = Seconds(0.001)
+_FAR_DELAY = Seconds(0.02)
+_LOG_TIMEOUT = Seconds(0.5)
+_AWAY = Failure(ResultCode.log_unavailable, 'the log is away')
+
+
+@dataclass(slots=True)
+class Network:
+    """Hold the faults of the links between processes."""
+
+    # Pairs of processes that cannot reach each other.
+    cuts: set[frozenset[NodeId]] = field(default_factory=set)
+    # Fraction of messages that get lost.
+    loss: float = 0
+
+    def cut(self, near: Iterable[NodeId], far: Iterable[NodeId]) -> None:
+        """Cut every link between two groups of processes."""
+        far_side = tuple(far)
+        self.cuts.update(
+            frozenset((one, other)) for one in near for other in far_side
         )
-    )
-    servers = tuple(map(_build_server, deployment.services))
-    limits = LimitPolicy(
-        retry_budget=0.1,
-        grant_duration=Seconds(2),
-        lease_duration=Seconds(2),
-        clock_drift=0.01,
-        clock_skew=Seconds(0.1),
-        idempotency_window=Seconds(600),
-        idempotency_limit=10_000,
-        imbalance=0.2,
-        hot_fraction=0.1,
-    )
-    return Configuration(
-        version=Version(1),
-        ranks=ranks,
-        services={
-            ServiceName(service.name): _build_service(service)
-            for service in deployment.services
-        },
-        members=tuple(map(MemberName, deployment.members)),
-        limits=limits,
-        sites={_SITE: SitePolicy(_SITE, _REGION, (_ZONE,), servers, ())},
-    )
-
-
-def _build_service(service: Service) -> ServicePolicy:
-    return ServicePolicy(
-        name=ServiceName(service.name),
-        shard_count=1,
-        longest_deadline=Seconds(30),
-        queue_limit=QUEUE_LIMIT,
-        largest_body=65_536,
-        isolation_hold=None,
-    )
-
-
-def _build_server(service: Service) -> ServerPolicy:
-    return ServerPolicy(
-        server_id=ServerId(server_name(service)),
-        service=ServiceName(service.name),
-        zone=_ZONE,
-        host='127.0.0.1',
-        port=1,
-        slots=SLOTS,
-        connections=45,
-        checks_grants=True,
-        leaving=False,
-    )
-
-
-def _build_options(name: NodeId, seed: int) -> Options:
-    return Options(
-        node=name,
-        zone=_ZONE,
-        region=_REGION,
-        site=_SITE,
-        host='127.0.0.1',
-        port=1,
-        dispatches=name == DISPATCHER,
-        peers=(),
-        seed=seed,
-    )
+
+    def is_cut(self, one: NodeId, other: NodeId) -> bool:
+        """Tell whether two processes cannot reach each other."""
+        return frozenset((one, other)) in self.cuts
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Hold the processes, the log and the queue of what happens next."""
+
+    seed: int
+    log: FakeLog = field(default_factory=FakeLog)
+    network: Network = field(default_factory=Network)
+    schedule: Schedule = field(default_factory=Schedule)
+    processes: dict[NodeId, Process] = field(default_factory=dict)
+    # Names that the host list gives.
+    hosts: tuple[ListedHost, ...] = ()
+    # Called for each message sent, with its sender and its receiver.
+    observe: Callable[[NodeId, NodeId, Message], None] | None = None
+    # Called for effects that the fleet itself does not perform.
+    perform_other: Callable[[Process, Effect], None] | None = None
+    random: Random = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Seed the randomness of the network."""
+        self.random = Random(self.seed)
+
+    def start(self, options: Options, rate: float = 1) -> Node:
+        """Start a process, or start it again with nothing remembered."""
+        process = Process(build_node(options), self.schedule, rate=rate)
+        self.processes[options.node] = process
+        self.deliver(process, Started())
+        return process.node
+
+    def run(self, duration: float) -> None:
+        """Let virtual time pass."""
+        self.schedule.run(duration)
+
+    def deliver(self, process: Process, event: Event) -> None:
+        """Give a process an event, unless it is dead or paused."""
+        if not process.alive or self.processes[process.node_id] is not process:
+            return
+        if process.defer(partial(self.deliver, process, event)):
+            return
+        for effect in process.take(event):
+            self.perform(process, effect)
+
+    def perform(self, process: Process, effect: Effect) -> None:
+        """Perform one effect of a process."""
+        match effect:
+            case SetTimer(timer, delay):
+                self._set_timer(process, timer, delay)
+            case CancelTimer(timer):
+                process.timers.pop(timer, None)
+            case SendMessage():
+                self._send(process, effect)
+            case ReadLog():
+                self._read(process, effect)
+            case AppendRecords():
+                self._append(process, effect)
+            case ListHosts():
+                self._answer(process, HostsListed(self.hosts), _NEAR_DELAY)
+            case _:
+                self._perform_other(process, effect)
+
+    def _perform_other(self, process: Process, effect: Effect) -> None:
+        if isinstance(effect, WriteLogLine):
+            process.log_lines.append(effect.sentence)
+        elif self.perform_other is not None:
+            self.perform_other(process, effect)
+
+    def _set_timer(
+        self,
+        process: Process,
+        timer: TimerKey,
+        delay: Seconds,
+    ) -> None:
+        number = self.schedule.scheduled + 1
+        expire = partial(self._expire, process, timer, number)
+        process.start_timer(timer, delay, expire)
+
+    def _expire(self, process: Process, timer: TimerKey, number: int) -> None:
+        if process.defer(partial(self._expire, process, timer, number)):
+            return
+        expiry = process.end_timer(timer, number)
+        if expiry is not None:
+            self.deliver(process, expiry)
+
+    def _send(self, process: Process, effect: SendMessage) -> None:
+        sender = process.node_id
+        if self.observe is not None:
+            self.observe(sender, effect.node, effect.message)
+        target = self.processes.get(effect.node)
+        if self.network.is_cut(sender, effect.node):
+            return
+        if target is None or not target.alive:
+            self._answer(process, PeerLost(effect.node), _NEAR_DELAY)
+            return
+        if self.random.random() < self.network.loss:
+            return
+        region = process.node.options.region
+        near = target.node.options.region == region
+        received = MessageReceived(sender, effect.message)
+        self._answer(target, received, _NEAR_DELAY if near else _FAR_DELAY)
+
+    def _read(self, process: Process, effect: ReadLog) -> None:
+        sent = process.clock
+        if self.log.faults.away or process.cut_from_log:
+            self._answer(process, LogReadFailed(_AWAY), _LOG_TIMEOUT)
+            return
+        found = self.log.read(effect.start)
+        answer = LogRead(found.entries, found.first, found.tail, sent)
+        self._answer(process, answer, self.log.faults.delay)
+
+    def _append(self, process: Process, effect: AppendRecords) -> None:
+        faults = self.log.faults
+        record_ids = tuple(record.record_id for record in effect.records)
+        failed = LogAppendFailed(record_ids, _AWAY)
+        if faults.away or process.cut_from_log or faults.lose_appends:
+            self._answer(process, failed, _LOG_TIMEOUT)
+            return
+        offset = self.log.append(effect.records)
+        if faults.lose_replies:
+            self._answer(process, failed, _LOG_TIMEOUT)
+            return
+        appended = LogAppended(record_ids, offset)
+        self._answer(process, appended, faults.delay)
+
+    def _answer(self, process: Process, event: Event, delay: float) -> None:
+        self.schedule.add(delay, partial(self.deliver, process, event))
