--- a/trefoilsaddle/core/following.py
+++ b/trefoilsaddle/core/following.py
@@ -1,15 +1,64 @@
 """Follow the log: read, relay, append again, snapshot, catch up."""
 
+from functools import singledispatch
+
+from trefoilsaddle.core.catchup import (
+    CATCH_UP_TIMER,
+    answer_peer,
+    ask_peer_again,
+    take_peer_view,
+)
 from trefoilsaddle.core.effects import Effects
-from trefoilsaddle.core.events import Event
+from trefoilsaddle.core.events import (
+    Event,
+    LogAppended,
+    LogAppendFailed,
+    LogRead,
+    LogReadFailed,
+    MessageReceived,
+    PeerLost,
+    Started,
+    TimerExpired,
+    TimerKey,
+    TimerKind,
+)
+from trefoilsaddle.core.messages import (
+    Message,
+    RelayEntries,
+    RelayFailed,
+    RelayRead,
+    StateRead,
+    StateReply,
+)
 from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.outbox import (
+    flush_outbox,
+    queue_records,
+    take_acknowledgement,
+    take_append_failure,
+)
+from trefoilsaddle.core.reading import (
+    READ_TIMER,
+    RELAY_TIMER,
+    read_directly,
+    read_next,
+    replace_relay,
+    take_read,
+    take_read_failure,
+    take_relay_failure,
+    take_relayed,
+)
 from trefoilsaddle.core.records import Record
-from trefoilsaddle.core.units import Moment
+from trefoilsaddle.core.relaying import take_ask
+from trefoilsaddle.core.snapshotting import SNAPSHOT_TIMER, check_snapshot
+from trefoilsaddle.core.units import Moment, NodeId
+
+_APPEND_TIMER = TimerKey(TimerKind.append)
 
 
 def handle_event(node: Node, moment: Moment, event: Event) -> Effects:
     """Take one event for the log client."""
-    return []
+    return _take_event(event, node, moment)
 
 
 def append_records(
@@ -18,4 +67,148 @@
     records: tuple[Record, ...],
 ) -> Effects:
     """Queue records; they are appended until the log is seen to hold them."""
+    return queue_records(node, moment, records)
+
+
+@singledispatch
+def _take_event(event: Event, node: Node, moment: Moment) -> Effects:
+    return []
+
+
+@_take_event.register
+def _take_start(event: Started, node: Node, moment: Moment) -> Effects:
+    return [
+        *read_directly(node, moment),
+        *ask_peer_again(node),
+        *check_snapshot(node, moment),
+    ]
+
+
+@_take_event.register
+def _take_timer(event: TimerExpired, node: Node, moment: Moment) -> Effects:
+    match event.timer:
+        case timer if timer == READ_TIMER:
+            return read_next(node, moment)
+        case timer if timer == RELAY_TIMER:
+            return replace_relay(node, moment)
+        case timer if timer == _APPEND_TIMER:
+            return flush_outbox(node, moment)
+        case timer if timer == CATCH_UP_TIMER:
+            return ask_peer_again(node)
+        case timer if timer == SNAPSHOT_TIMER:
+            return check_snapshot(node, moment)
+    return []
+
+
+@_take_event.register
+def _take_read(event: LogRead, node: Node, moment: Moment) -> Effects:
+    return [
+        *take_read(node, moment, event),
+        *flush_outbox(node, moment),
+    ]
+
+
+@_take_event.register
+def _take_read_failure(
+    event: LogReadFailed,
+    node: Node,
+    moment: Moment,
+) -> Effects:
+    return take_read_failure(node, event)
+
+
+@_take_event.register
+def _take_append(event: LogAppended, node: Node, moment: Moment) -> Effects:
+    take_acknowledgement(node, event)
+    return [*read_directly(node, moment), *flush_outbox(node, moment)]
+
+
+@_take_event.register
+def _take_append_failure(
+    event: LogAppendFailed,
+    node: Node,
+    moment: Moment,
+) -> Effects:
+    take_append_failure(node, moment, event)
+    return []
+
+
+@_take_event.register
+def _take_peer_loss(event: PeerLost, node: Node, moment: Moment) -> Effects:
+    ask = node.following.relay.ask
+    if ask is None or ask.relay != event.node:
+        return []
+    return replace_relay(node, moment)
+
+
+@_take_event.register
+def _take_received(
+    event: MessageReceived,
+    node: Node,
+    moment: Moment,
+) -> Effects:
+    return _take_message(event.message, node, moment, event.sender)
+
+
+@singledispatch
+def _take_message(
+    message: Message,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    return []
+
+
+@_take_message.register
+def _take_relay_read(
+    message: RelayRead,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    take_ask(node, sender, message)
     return []
+
+
+@_take_message.register
+def _take_relay_entries(
+    message: RelayEntries,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    return [
+        *take_relayed(node, moment, sender, message),
+        *flush_outbox(node, moment),
+    ]
+
+
+@_take_message.register
+def _take_relay_refusal(
+    message: RelayFailed,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    return take_relay_failure(node, moment, sender, message)
+
+
+@_take_message.register
+def _take_state_read(
+    message: StateRead,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    return answer_peer(node, sender, message)
+
+
+@_take_message.register
+def _take_state_reply(
+    message: StateReply,
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+) -> Effects:
+    return take_peer_view(node, sender, message)
--- a/trefoilsaddle/core/options.py
+++ b/trefoilsaddle/core/options.py
@@ -44,12 +44,16 @@
     seed: int
     # Longest time between two reads of the log.
     log_interval: Seconds = Seconds(0.2)
+    # Shortest time that the log keeps a record.
+    log_retention: Seconds = Seconds(3600)
     host_list_interval: Seconds = Seconds(1)
     # Time between two renewals of a server's grants.
     grant_interval: Seconds = Seconds(0.4)
     probe_interval: Seconds = Seconds(0.25)
     probe_timeout: Seconds = Seconds(0.15)
     suspicion_timeout: Seconds = Seconds(0.6)
+    # Lateness of a timer that shows that the process was paused.
+    pause_tolerance: Seconds = Seconds(0.2)
     placement_interval: Seconds = Seconds(5)
     # Longest wait for requests in flight at a graceful shutdown.
     stop_timeout: Seconds = Seconds(20)
--- a/trefoilsaddle/core/view.py
+++ b/trefoilsaddle/core/view.py
@@ -5,10 +5,14 @@
 changes a view; everything else reads it.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from trefoilsaddle.core.configuration import Configuration, ServerPolicy
+from trefoilsaddle.core.configuration import (
+    Configuration,
+    ServerPolicy,
+    ServicePolicy,
+)
 from trefoilsaddle.core.hashing import hash_key
 from trefoilsaddle.core.units import (
     NO_OFFSET,
@@ -25,6 +29,7 @@
     Version,
     ZoneName,
 )
+from trefoilsaddle.results import ResultCode
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +49,7 @@
     claim_set: tuple[NodeId, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class HotKey:
     """Identify a key that has a shard of its own."""
 
@@ -59,6 +64,25 @@
     offset: Offset
     accepted: bool
     version: Version
+    # Why the record took no effect; `ok` if it did.
+    code: ResultCode = ResultCode.ok
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class SnapshotPosition:
+    """Say where the newest complete snapshot lies in the log."""
+
+    covers: Offset = NO_OFFSET
+    # Offset of its first part.
+    first_part: Offset = NO_OFFSET
+
+
+@dataclass(frozen=True, slots=True)
+class OpenSnapshot:
+    """Count the parts of a snapshot that is not complete yet."""
+
+    first_part: Offset
+    parts_seen: int
 
 
 @dataclass(slots=True)
@@ -69,26 +93,69 @@
     configuration: Configuration | None = None
     # Accepted YAML text by site; None is the base file's.
     documents: dict[SiteName | None, str] = field(default_factory=dict)
+    # Version in which each document was last replaced.
+    document_versions: dict[SiteName | None, Version] = field(
+        default_factory=dict,
+    )
     owners: dict[ShardId, Ownership] = field(default_factory=dict)
     roles: dict[ServerId, Role] = field(default_factory=dict)
     hot_keys: dict[HotKey, ShardId] = field(default_factory=dict)
+    # Shards ever made for hot keys, so that no number is used twice.
+    hot_shards_made: dict[ServiceName, int] = field(default_factory=dict)
     lost_zones: set[ZoneName] = field(default_factory=set)
     # Ids applied of late, so that a record appended twice acts once.
     verdicts: dict[RecordId, Verdict] = field(default_factory=dict)
+    snapshot: SnapshotPosition = SnapshotPosition()
+    # Snapshots whose parts are still arriving, by name.
+    open_snapshots: dict[str, OpenSnapshot] = field(default_factory=dict)
+    # Derived from the fields above, for look-ups; see `put_owner`.
+    server_index: dict[ServerId, ServerPolicy] = field(
+        default_factory=dict,
+        compare=False,
+        repr=False,
+    )
+    shard_index: dict[ServerId, dict[ShardId, None]] = field(
+        default_factory=dict,
+        compare=False,
+        repr=False,
+    )
+
+    # Shards with an owner, by service, those of hot keys included.
+    owned_counts: dict[ServiceName, int] = field(
+        default_factory=dict,
+        compare=False,
+        repr=False,
+    )
+    # Servers that records applied of late concern.
+    touched: set[ServerId] = field(
+        default_factory=set,
+        compare=False,
+        repr=False,
+    )
+
+    @property
+    def version(self) -> Version:
+        """Return the version in force; zero before the first."""
+        if self.configuration is None:
+            return Version(0)
+        return self.configuration.version
 
     def server(self, server_id: ServerId) -> ServerPolicy | None:
         """Return the policy of a server, if an overlay names it."""
-        for policy in self.servers():
-            if policy.server_id == server_id:
-                return policy
-        return None
+        return self.server_index.get(server_id)
 
     def servers(self) -> Iterator[ServerPolicy]:
         """Yield every server that the overlays name."""
+        yield from self.server_index.values()
+
+    def is_zone_lost(self, zone: ZoneName) -> bool:
+        """Tell whether an operator or a record has declared a zone lost."""
+        if zone in self.lost_zones:
+            return True
         if self.configuration is None:
-            return
-        for site in self.configuration.sites.values():
-            yield from site.servers
+            return False
+        sites = self.configuration.sites.values()
+        return any(zone in site.lost_zones for site in sites)
 
     def shard_of(
         self,
@@ -103,13 +170,52 @@
         if policy is None:
             return None
         key_hash = hash_key(service, member, key)
-        hot_shard = self.hot_keys.get(HotKey(service, key_hash))
-        if hot_shard is not None:
-            return hot_shard
+        if self.hot_keys:
+            hot_shard = self.hot_keys.get(HotKey(service, key_hash))
+            if hot_shard is not None:
+                return hot_shard
         return ShardId(service, ShardNumber(key_hash % policy.shard_count))
 
     def shards_on(self, server_id: ServerId) -> Iterator[ShardId]:
         """Yield the shards that a server owns."""
-        for shard, owner in self.owners.items():
-            if owner.server == server_id:
-                yield shard
+        yield from self.shard_index.get(server_id, ())
+
+    def count_shards(self, server_id: ServerId) -> int:
+        """Count the shards that a server owns."""
+        return len(self.shard_index.get(server_id, ()))
+
+    def count_unowned(self, service: ServicePolicy) -> int:
+        """Count the shards of a service that have no owner yet."""
+        hot = sum(key.service == service.name for key in self.hot_keys)
+        owned = self.owned_counts.get(service.name, 0) - hot
+        return service.shard_count - owned
+
+    def touch(self, servers: Iterable[ServerId]) -> None:
+        """Note servers that a record concerns; for `application` only."""
+        self.touched.update(servers)
+
+    def put_owner(self, shard: ShardId, owner: Ownership | None) -> None:
+        """Set or end the ownership of a shard; for `application` only."""
+        former = self.owners.pop(shard, None)
+        count = self.owned_counts.get(shard.service, 0)
+        count += (owner is not None) - (former is not None)
+        self.owned_counts[shard.service] = count
+        if former is not None:
+            self.touched.add(former.server)
+            self.shard_index[former.server].pop(shard)
+            if not self.shard_index[former.server]:
+                self.shard_index.pop(former.server)
+        if owner is not None:
+            self.touched.add(owner.server)
+            self.owners[shard] = owner
+            self.shard_index.setdefault(owner.server, {})[shard] = None
+
+    def put_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force; for `application` only."""
+        self.configuration = configuration
+        self.server_index = {
+            policy.server_id: policy
+            for site in configuration.sites.values()
+            for policy in site.servers
+        }
+        self.touched.update(self.server_index)
