--- a/measure/servers.py
+++ b/measure/servers.py
@@ -7,7 +7,9 @@
 from measure.scenes import SLOTS, Scene, Trouble
 from trefoilsaddle.core.events import AttemptVerdict
 
-_SHED_FRACTION = 0.4
+# A server that sheds takes fewer requests at once, and refuses some anyway.
+_SHED_LIMIT = 2
+_SHED_FRACTION = 0.2
 _SHED_TIME = 0.001
 # Requests until a cold server is warm, and how slow it is at first.
 _COLD_REQUESTS = 150
@@ -48,14 +50,24 @@
         self._change_running(now, -1)
 
     def _change_running(self, now: float, change: int) -> None:
-        self.idle.note(now, SLOTS - self.running)
+        if self._is_frozen(now):
+            self.idle.note(now, 0)
+        else:
+            self.idle.note(now, SLOTS - self.running)
         self.running += change
 
+    def _is_frozen(self, now: float) -> bool:
+        if self.scene.trouble is not Trouble.freeze:
+            return False
+        return self.scene.begin <= now <= self.scene.end
+
     def _sheds(self, now: float) -> bool:
         if self.scene.trouble is not Trouble.shed:
             return False
         if not self.scene.begin <= now < self.scene.end:
             return False
+        if self.running >= _SHED_LIMIT:
+            return True
         return self.random.random() < _SHED_FRACTION
 
     def _coldness(self) -> float:
--- a/measure/simulation.py
+++ b/measure/simulation.py
@@ -7,7 +7,7 @@
 from random import Random
 from unittest.mock import patch
 
-from measure.fleet import (
+from measure.processes import (
     FAR_ENTRY,
     NEAR_ENTRY,
     answer_authority,
