--- a/measure/simulation.py
+++ b/measure/simulation.py
@@ -7,6 +7,7 @@
 from random import Random
 from unittest.mock import patch
 
+from measure.idleness import Refused, match_idle_time
 from measure.processes import (
     FAR_ENTRY,
     NEAR_ENTRY,
@@ -15,7 +16,6 @@
     build_measured_request,
     server_name,
 )
-from measure.idleness import Refused, match_idle_time
 from measure.scenes import (
     DEADLINES,
     FAR_CALLERS,
