--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -164,7 +164,8 @@
 
 
 _FRAMES = pack_frame(b'one') + pack_frame(b'') + pack_frame(b'three')
-_FRAME_CASES = (
+_Popped = list[bytes | ResultCode]
+_FRAME_CASES: tuple[tuple[str, bytes, _Popped, bool], ...] = (
     ('whole', _FRAMES, [b'one', b'', b'three'], False),
     ('cut in a length', _FRAMES[:2], [], True),
     ('cut in a payload', _FRAMES[:5], [], True),
