--- a/standins/caller.py
+++ b/standins/caller.py
@@ -1,11 +1,13 @@
 """Send requests to entry processes as a caller does."""
 
 import time
+from base64 import b64encode
 from dataclasses import dataclass, field
 from uuid import uuid4
 
 import httpcore
 import trio
+from pydantic import BaseModel, ValidationError
 
 _ENCODING = 'latin-1'
 _CONNECTIONS = 64
@@ -52,6 +54,28 @@
     retry_after: str = ''
     body: bytes = field(default=b'', repr=False)
 
+    def echoes(self, request: CallerRequest) -> bool:
+        """Tell whether the whole answer of a server is to this request."""
+        try:
+            echo = _Echo.model_validate_json(self.body)
+        except ValidationError:
+            return False
+        return echo == _Echo(
+            server=echo.server,
+            method=request.method,
+            path=request.path,
+            key=b64encode(request.key.encode()).decode(),
+            body=b64encode(request.body).decode(),
+        )
+
+
+class _Echo(BaseModel):
+    server: str
+    method: str
+    path: str
+    key: str
+    body: str
+
 
 class Caller:
     """Keep connections to one entry process."""
--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -164,7 +164,11 @@
     @property
     def moves_without_log(self) -> bool:
         """Tell that a move may be in force which the log does not hold."""
-        return any(move.provisional is not None for move in self.moves.values())
+        open_stages = {MoveStage.appending, MoveStage.provisional}
+        return any(
+            move.provisional is not None and move.stage in open_stages
+            for move in self.moves.values()
+        )
 
     @property
     def superseded(self) -> bool:
--- a/trefoilsaddle/core/grants.py
+++ b/trefoilsaddle/core/grants.py
@@ -185,12 +185,13 @@
     duty: Duty,
     answer: GrantAnswered,
 ) -> Effects:
-    # An equal term here means that a later call of ours has overtaken this
-    # one, or that another claimant of the same provisional term was first.
+    # An equal term means that a later call of ours has overtaken this one,
+    # or that another claimant of the same provisional term was first.
     duty.grants.answered_at = moment.monotonic
     if answer.term < duty.term:
         return []
-    if answer.term == duty.term and duty.grants.contacted:
+    overtaken = duty.grants.contacted or not duty.provisional
+    if answer.term == duty.term and overtaken:
         return []
     duty.supersede(moment.monotonic, answer.term)
     sentence = f'{duty.server} follows another dispatcher'
