--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -1,6 +1,5 @@
 """Claim servers that lack a dispatcher, and follow the log's verdicts."""
 
-from trefoilsaddle.core.recordids import make_record_id
 from dataclasses import replace
 
 from trefoilsaddle.core.dutystate import Claiming, Duty
@@ -18,6 +17,7 @@
 from trefoilsaddle.core.messages import Health, Promise
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.provisional import holder_of
+from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.records import Claim
 from trefoilsaddle.core.units import (
     FIRST_EPOCH,
--- a/trefoilsaddle/core/isolation.py
+++ b/trefoilsaddle/core/isolation.py
@@ -6,7 +6,6 @@
 what the log renews, and whoever does not read it has no longer than the hold.
 """
 
-from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.claims import append_claim
 from trefoilsaddle.core.configuration import ServerPolicy
 from trefoilsaddle.core.effects import (
@@ -27,6 +26,7 @@
 from trefoilsaddle.core.membership import health_of, live_dispatchers
 from trefoilsaddle.core.messages import Health
 from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.records import LostZone
 from trefoilsaddle.core.units import Moment, Seconds, ServerId, ZoneName
 from trefoilsaddle.core.view import Role
--- a/trefoilsaddle/core/outage.py
+++ b/trefoilsaddle/core/outage.py
@@ -5,7 +5,6 @@
 the lost dispatcher can neither go on nor move shards without our knowledge.
 """
 
-from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.claims import STAGGER
 from trefoilsaddle.core.dutystate import (
     Duty,
@@ -39,6 +38,7 @@
 )
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.provisional import holder_of, tell_zone
+from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.records import Claim
 from trefoilsaddle.core.sharing import share_moves
 from trefoilsaddle.core.terms import next_epoch
--- a/trefoilsaddle/core/sharing.py
+++ b/trefoilsaddle/core/sharing.py
@@ -6,7 +6,6 @@
 each of them may be the next to claim alone.
 """
 
-from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.dutystate import (
     Duty,
     MoveStage,
@@ -24,6 +23,7 @@
 from trefoilsaddle.core.messages import Promise, ShareMove, ShareMoveAck
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.provisional import announce_move
+from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.records import Move, MovedShard
 from trefoilsaddle.core.terms import next_epoch
 from trefoilsaddle.core.units import Moment, NodeId, ShardId
