--- a/measure/ownershipbench.py
+++ b/measure/ownershipbench.py
@@ -18,10 +18,10 @@
 from standins.serverstate import ServerTraits
 from trefoilsaddle.core import moves, recovery
 from trefoilsaddle.core.effects import Effect, SendGrant
-from trefoilsaddle.core.units import Seconds, ServerId, ShardId
+from trefoilsaddle.core.units import Epoch, Seconds, ServerId, ShardId
 
 # In seconds.
-_TICK = 0.01
+_TICK = 0.02
 _MANY_SLOTS = 1000
 
 
@@ -70,12 +70,13 @@
         return tuple(self.fleet.processes.values())[index]
 
     def holder(self, server: ServerId) -> Process | None:
-        """Return the live dispatcher that serves a server."""
+        """Return the live dispatcher with the greatest term for a server."""
+        found: dict[Epoch, Process] = {}
         for process in self.fleet.processes.values():
             duty = process.node.duties.held.get(server)
-            if process.alive and duty is not None and not duty.superseded:
-                return process
-        return None
+            if process.alive and duty is not None:
+                found[duty.term] = process
+        return found[max(found)] if found else None
 
     def unserved(self, since: float) -> list[ShardId]:
         """Return the shards that nobody has served since a time."""
--- a/measure/ownershiptraffic.py
+++ b/measure/ownershiptraffic.py
@@ -10,11 +10,20 @@
 from measure.serverlinks import FakeServer, ServerLinks
 from standins.serverstate import Execution, NotRun, RunCall
 from trefoilsaddle.core.authority import Authority, check_authority
+from trefoilsaddle.core.events import AttemptEnded, AttemptVerdict
 from trefoilsaddle.core.node import Node
-from trefoilsaddle.core.units import Moment, Seconds, ServerId, ShardId
+from trefoilsaddle.core.units import (
+    AttemptId,
+    Moment,
+    Seconds,
+    ServerId,
+    ShardId,
+)
 
 # Longest time between the decision to send and the sending, in seconds.
 _HESITATION = 0.01
+# The queues know nothing of these requests.
+_UNKNOWN = AttemptId(-1)
 
 
 @dataclass(slots=True)
@@ -140,6 +149,7 @@
         started = server.state.begin(server.clock, call)
         if isinstance(started, NotRun):
             self._end(attempt)
+            self._tell_fence(attempt, started)
             return
         run = Run(server, attempt, started)
         self.running.append(run)
@@ -149,6 +159,12 @@
         finish = partial(self._finish, run)
         self.fleet.schedule.add(length, finish)
 
+    def _tell_fence(self, attempt: Attempt, reason: NotRun) -> None:
+        if reason is NotRun.fenced:
+            verdict = AttemptVerdict.fenced
+            ended = AttemptEnded(attempt.server, _UNKNOWN, verdict, None)
+            self.fleet.deliver(attempt.process, ended)
+
     def _finish(self, run: Run) -> None:
         server, attempt = run.server, run.attempt
         if server.frozen:
--- a/measure/serverlinks.py
+++ b/measure/serverlinks.py
@@ -71,6 +71,8 @@
     schedule: Schedule
     draw: Callable[[], float]
     cuts: set[tuple[NodeId, ServerId]] = field(default_factory=set)
+    # Links that carry calls, but no replies.
+    mute: set[tuple[NodeId, ServerId]] = field(default_factory=set)
     # Fraction of calls, and of replies, that get lost.
     lost_calls: float = 0
     lost_replies: float = 0
@@ -89,6 +91,7 @@
 
     def carry_reply(self, node: NodeId, server: ServerId, act: Action) -> None:
         """Bring a reply back, or lose it."""
-        if (node, server) in self.cuts or self.draw() < self.lost_replies:
+        link = (node, server)
+        if link in self.cuts | self.mute or self.draw() < self.lost_replies:
             return
         self.schedule.add(_NEAR * (1 + self.draw()), act)
--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -12,7 +12,12 @@
 from trefoilsaddle.core.events import TimerKey, TimerKind
 from trefoilsaddle.core.following import append_records
 from trefoilsaddle.core.hashing import rank_candidates
-from trefoilsaddle.core.leases import former_end, raise_term
+from trefoilsaddle.core.leases import (
+    former_end,
+    lengthen,
+    limits_of,
+    raise_term,
+)
 from trefoilsaddle.core.membership import health_of, live_dispatchers
 from trefoilsaddle.core.messages import Health, Promise
 from trefoilsaddle.core.node import Node
@@ -193,11 +198,12 @@
         started=started,
     )
     present = node.duties.held.get(server)
-    if present is not None:
+    renewed = former is not None and former.dispatcher == node.options.node
+    if present is not None and renewed and claiming is not None:
         _carry_over(present, duty)
     node.duties.held[server] = duty
     node.duties.vacant_since.pop(server, None)
-    if former is not None and former.dispatcher != node.options.node:
+    if former is not None and not renewed:
         duty.outsider = node.options.node not in former.claim_set
         duty.usable_from = former_end(node, started)
         if node.duties.released.pop(server, None) == role.term:
@@ -214,6 +220,13 @@
     `trefoilsaddle.core.outage`.
     """
     former = present.grants
+    duty.former_dispatcher = present.former_dispatcher
+    duty.former_members = present.former_members
+    duty.followers = present.followers
+    duty.usable_from = present.usable_from
+    duty.released = present.released
+    duty.outsider = present.outsider
+    duty.reached = present.reached or former.contacted
     duty.moves = {
         shard: replace(move, record_id=None)
         for shard, move in present.moves.items()
@@ -241,6 +254,13 @@
     promise: Promise,
 ) -> None:
     """Take a former dispatcher's word that it has stopped."""
+    known = node.duties.known.get(promise.server)
+    if known is not None and known.followed == sender:
+        limits = limits_of(node)
+        grant = limits.grant_duration if limits else Seconds(0)
+        until = moment.monotonic + lengthen(node, grant)
+        known.followed = None
+        known.served_until = max(known.served_until, Seconds(until))
     duty = node.duties.held.get(promise.server)
     if duty is None or duty.term < promise.term:
         node.duties.released[promise.server] = promise.term
--- a/trefoilsaddle/core/duties.py
+++ b/trefoilsaddle/core/duties.py
@@ -46,6 +46,7 @@
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.outage import (
     confirm_take_over,
+    note_defeat,
     note_follower,
     note_take_over,
     review_take_overs,
@@ -133,7 +134,7 @@
     effects = note_answer(node, moment, duty, event)
     effects.extend(note_revocation(node, moment, duty, event))
     if duty.provisional and duty.superseded:
-        node.duties.held.pop(event.server)
+        note_defeat(node, moment, duty)
     elif duty.provisional and duty.grants.contacted:
         effects.extend(confirm_take_over(node, moment, duty))
     return effects
--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -135,6 +135,9 @@
     former_members: tuple[NodeId, ...]
     former_dispatcher: NodeId | None
     started: Seconds
+    # True if the server has followed an earlier term of this process, so
+    # that no dispatcher before it can act.
+    reached: bool = False
     # True once the former dispatcher has said that it sends nothing more.
     released: bool = False
     # True once the zone was told of a role taken without the log.
@@ -219,6 +222,10 @@
     term: Epoch
     # No claim by this process before this time.
     promised_until: Seconds = NEVER
+    # Dispatcher that took the server over without the log and with our word.
+    followed: NodeId | None = None
+    # Grants that we or that dispatcher gave have lapsed after this.
+    served_until: Seconds = NEVER
     moves: dict[ShardId, RememberedMove] = field(default_factory=dict)
 
 
@@ -243,6 +250,8 @@
     # Since when a server has lacked a live dispatcher.
     vacant_since: dict[ServerId, Seconds] = field(default_factory=dict)
     take_overs: dict[ServerId, TakeOver] = field(default_factory=dict)
+    # No take-over before this time: another one was first.
+    take_over_after: dict[ServerId, Seconds] = field(default_factory=dict)
     known: dict[ServerId, KnownTerm] = field(default_factory=dict)
     arrivals: dict[ShardId, Arrival] = field(default_factory=dict)
     # True when arrivals or departures changed without a log entry.
--- a/trefoilsaddle/core/leases.py
+++ b/trefoilsaddle/core/leases.py
@@ -9,6 +9,7 @@
 from trefoilsaddle.core.effects import Effects, SendMessage
 from trefoilsaddle.core.messages import Promise, PromiseRequest
 from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.terms import is_provisional
 from trefoilsaddle.core.units import (
     FIRST_EPOCH,
     Epoch,
@@ -184,7 +185,13 @@
     )
     duty = node.duties.held.get(request.server)
     if granted and duty is not None and duty.term < request.term:
+        known.served_until = max(
+            known.served_until,
+            duty.grants.lapsed_after,
+        )
         duty.supersede(moment.monotonic, request.term)
+    if granted and is_provisional(request.term):
+        known.followed = sender
     if granted:
         until = moment.monotonic + lengthen(node, request.duration)
         known.promised_until = max(known.promised_until, Seconds(until))
@@ -209,6 +216,9 @@
     duty = node.duties.held.get(server)
     if duty is not None and duty.term >= request.term:
         return False
+    if is_provisional(request.term) and not node.following.log_away:
+        # The log can still be asked, by us at least.
+        return False
     return request.term >= known_term(node, server)
 
 
--- a/trefoilsaddle/core/outage.py
+++ b/trefoilsaddle/core/outage.py
@@ -7,6 +7,7 @@
 
 from trefoilsaddle.core.claims import STAGGER
 from trefoilsaddle.core.dutystate import (
+    NEVER,
     Duty,
     MoveStage,
     RememberedMove,
@@ -47,6 +48,8 @@
 
 # Time after which an unanswered take-over is given up and begun again.
 _TAKE_OVER_TIMEOUT = Seconds(1)
+# Time for the winner to be heard of before another take-over.
+_DEFEAT_PAUSE = Seconds(2)
 
 
 def review_take_overs(node: Node, moment: Moment) -> Effects:
@@ -74,8 +77,7 @@
         duties.vacant_since.pop(server, None)
         duties.take_overs.pop(server, None)
         return []
-    begun = duties.take_overs.get(server)
-    if begun and moment.monotonic - begun.started < _TAKE_OVER_TIMEOUT:
+    if _must_wait(node, moment, server):
         return []
     left = _time_left(node, moment, server, role)
     if left > 0:
@@ -83,6 +85,30 @@
     return _begin(node, moment, server, role)
 
 
+def _must_wait(node: Node, moment: Moment, server: ServerId) -> bool:
+    if known_term(node, server).offset > node.view.applied:
+        # The log holds a claim that this process has not read.
+        return True
+    duties = node.duties
+    if moment.monotonic < duties.take_over_after.get(server, NEVER):
+        return True
+    begun = duties.take_overs.get(server)
+    if begun is None:
+        return False
+    return moment.monotonic - begun.started < _TAKE_OVER_TIMEOUT
+
+
+def note_defeat(node: Node, moment: Moment, duty: Duty) -> None:
+    """Leave a server to the one that it has followed first."""
+    server = duty.server
+    node.duties.held.pop(server)
+    known = raise_term(node, server, duty.fenced_by)
+    lapse = duty.grants.lapsed_after
+    known.served_until = max(known.served_until, lapse)
+    again = Seconds(moment.monotonic + _DEFEAT_PAUSE)
+    node.duties.take_over_after[server] = again
+
+
 def _time_left(
     node: Node,
     moment: Moment,
--- a/trefoilsaddle/core/provisional.py
+++ b/trefoilsaddle/core/provisional.py
@@ -4,7 +4,7 @@
 from trefoilsaddle.core.effects import Effects, SendMessage
 from trefoilsaddle.core.messages import (
     Health,
-    ProvisionalClaim,
+    Message,
     ProvisionalMove,
 )
 from trefoilsaddle.core.node import Node
@@ -83,9 +83,7 @@
     return arrival.target if owner == replaced else owner.server
 
 
-def tell_zone(
-    node: Node, message: ProvisionalMove | ProvisionalClaim
-) -> Effects:
+def tell_zone(node: Node, message: Message) -> Effects:
     """Tell every live process of the zone."""
     return [
         SendMessage(rumour.node, message)
--- a/trefoilsaddle/core/recovery.py
+++ b/trefoilsaddle/core/recovery.py
@@ -83,8 +83,8 @@
 
 
 def _fenced_quiet(node: Node, duty: Duty) -> Seconds:
-    if duty.grants.contacted:
-        # The server follows our term: only our own grants can hold.
+    if duty.grants.contacted or duty.reached:
+        # The server follows us: only our own grants can hold.
         return duty.grants.lapsed_after
     return blind_after(node, duty)
 
@@ -130,7 +130,7 @@
     missing = [
         member for member in duty.former_members if member not in duty.followers
     ]
-    if duty.grants.contacted or not missing:
+    if duty.grants.contacted or duty.reached or not missing:
         return []
     sequence = node.duties.count()
     duty.asked[sequence] = moment.monotonic
--- a/trefoilsaddle/core/roles.py
+++ b/trefoilsaddle/core/roles.py
@@ -10,7 +10,11 @@
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.outage import exclude_moved, repeat_moves
 from trefoilsaddle.core.outcomes import adopt_shard, release_shard
-from trefoilsaddle.core.provisional import arrivals_at, drop_settled
+from trefoilsaddle.core.provisional import (
+    arrivals_at,
+    drop_settled,
+    tell_zone,
+)
 from trefoilsaddle.core.recovery import gather_followers
 from trefoilsaddle.core.units import Epoch, Moment, ServerId, ShardId
 from trefoilsaddle.core.view import Ownership, Role
@@ -47,7 +51,11 @@
 ) -> Effects:
     duties = node.duties
     duty = duties.held.get(server)
-    raise_term(node, server, role.term)
+    known = raise_term(node, server, role.term)
+    group = (role.dispatcher, *role.claim_set)
+    if role.dispatcher == known.followed or known.followed not in group:
+        # The log confirms it, or the server has followed a later term.
+        known.followed = None
     duties.take_overs.pop(server, None)
     duties.handing_over.discard(server)
     if role.dispatcher != node.options.node:
@@ -151,6 +159,9 @@
 def drop_duty(node: Node, duty: Duty, role: Role) -> Effects:
     """Give a role up for good: another dispatcher has it."""
     node.duties.held.pop(duty.server, None)
+    known = raise_term(node, duty.server, role.term)
+    lapse = duty.grants.lapsed_after
+    known.served_until = max(known.served_until, lapse)
     node.woken.add(duty.server)
     promise = Promise(duty.server, role.term, 0, granted=True)
     effects: Effects = [
@@ -158,6 +169,8 @@
         WriteLogLine(Part.ownership, f'gave up {duty.server}'),
         SendMessage(role.dispatcher, promise),
     ]
+    if duty.provisional:
+        effects.extend(tell_zone(node, promise))
     for shard, epoch in duty.shards.items():
         handover = release_shard(node, shard, epoch)
         effects.append(SendMessage(role.dispatcher, handover))
--- a/trefoilsaddle/core/sharing.py
+++ b/trefoilsaddle/core/sharing.py
@@ -105,6 +105,9 @@
     if share.term < greatest:
         refusal = Promise(share.server, greatest, share.sequence, granted=False)
         return [SendMessage(sender, refusal)]
+    if _may_be_served(node, moment, sender, share):
+        # Asked again soon; the move waits until this has ended.
+        return []
     known = raise_term(node, share.server, share.term)
     for moved in share.shards:
         known.moves[moved.shard] = RememberedMove(share.term, moved)
@@ -112,6 +115,28 @@
     return [SendMessage(sender, ack)]
 
 
+def _may_be_served(
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+    share: ShareMove,
+) -> bool:
+    """Say whether the server may still act for us, or for one we followed.
+
+    A holder that is cut off from the server can't know of a take-over
+    without the log, even if its own term is the greater one.
+    """
+    duty = node.duties.held.get(share.server)
+    if duty is not None and not duty.superseded:
+        return True
+    known = node.duties.known.get(share.server)
+    if known is None:
+        return False
+    if moment.monotonic <= known.served_until:
+        return True
+    return known.followed not in {None, sender}
+
+
 def take_ack(
     node: Node,
     moment: Moment,
