Test callers' HTTP by tables; bound headers and the wait for a body

Found by the tables: a large refused body reset the connection and lost the answer (the body is now discarded within bounds), and a head above the limit passed if it came in one piece.

--- a/trefoilsaddle/programs/callers.py
+++ b/trefoilsaddle/programs/callers.py
@@ -1,10 +1,8 @@
 """Take callers' requests over HTTP and answer them."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from math import ceil
-from typing import Any
 
 from trio import CancelScope, current_time
 
@@ -17,17 +15,19 @@
 from trefoilsaddle.programs.headers import AnswerHeader, CallerHeader
 from trefoilsaddle.programs.requesthead import RequestHead, check_head
 from trefoilsaddle.programs.statuses import find_status
+from trefoilsaddle.programs.uploads import (
+    Body,
+    Receive,
+    Scope,
+    Send,
+    Upload,
+    discard_body,
+)
 from trefoilsaddle.results import Outcome, ResultCode
 
-# The shapes that the ASGI specification gives to an application.
-Scope = dict[str, Any]
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
-
 _HTTP = 'http'
-_REQUEST = 'http.request'
+_RESPONSE_BODY = 'http.response.body'
 _ENCODING = 'latin-1'
-_NOT_RUN_BEFORE = 300
 # Time that the reducer has beyond a deadline to answer by itself.
 _ANSWER_GRACE = Seconds(1)
 _LATE = Answer(Outcome.unknown, ResultCode.deadline_passed)
@@ -59,19 +59,6 @@
     answer: Answer | None = None
 
 
-@dataclass(slots=True)
-class _Body:
-    limit: int
-    chunks: list[bytes] = field(default_factory=list, repr=False)
-    size: int = 0
-
-    def add(self, chunk: bytes) -> bool:
-        """Keep a piece, unless the body grows too large."""
-        self.size += len(chunk)
-        self.chunks.append(chunk)
-        return self.size <= self.limit
-
-
 class Callers:
     """Serve HTTP as an ASGI application."""
 
@@ -97,17 +84,17 @@
             self._shell.read_configuration(),
         )
         if isinstance(head, Failure):
-            await self._refuse(head, send)
+            await self._refuse(head, receive, send)
             return
-        body = await _read_body(scope, receive, head.service.largest_body)
+        upload = Upload(receive, head.service.largest_body)
+        body = await upload.read(scope, head.remaining)
         if isinstance(body, Failure):
-            await self._refuse(body, send)
+            await self._refuse(body, receive, send)
             return
         if body is None:
             return
-        answer = await self._run_call(
-            _build_request(scope, head, body), receive
-        )
+        request = _build_request(scope, head, body)
+        answer = await self._run_call(request, receive)
         await self._send_answer(answer, send)
 
     def deliver_answer(self, effect: AnswerCaller) -> None:
@@ -133,11 +120,25 @@
         self._waiting.pop(call_id)
         return waiting.answer or _LATE
 
-    async def _refuse(self, failure: Failure, send: Send) -> None:
+    async def _refuse(
+        self,
+        failure: Failure,
+        receive: Receive,
+        send: Send,
+    ) -> None:
         self._shell.count_refusal(failure.code)
-        await self._send_answer(Answer(Outcome.not_run, failure.code), send)
+        answer = Answer(Outcome.not_run, failure.code)
+        await self._begin_answer(answer, send)
+        # A connection closed with bytes unread would be reset, and the
+        # caller might lose the answer over that.
+        await discard_body(receive)
+        await send({'type': _RESPONSE_BODY})
 
     async def _send_answer(self, answer: Answer, send: Send) -> None:
+        await self._begin_answer(answer, send)
+        await send({'type': _RESPONSE_BODY})
+
+    async def _begin_answer(self, answer: Answer, send: Send) -> None:
         reply = answer.reply or _build_reply(answer)
         headers = _build_headers(answer, reply)
         if self.closing:
@@ -149,39 +150,12 @@
                 'headers': headers,
             }
         )
-        await send({'type': 'http.response.body', 'body': reply.body})
-
-
-async def _read_body(
-    scope: Scope,
-    receive: Receive,
-    limit: int,
-) -> bytes | Failure | None:
-    """Read a whole body; return None if the caller leaves meanwhile."""
-    too_large = Failure(ResultCode.body_too_large, 'above the limit')
-    if _announced_length(scope) > limit:
-        return too_large
-    body = _Body(limit)
-    more = True
-    while more:
-        message = await receive()
-        if message['type'] != _REQUEST:
-            return None
-        if not body.add(message.get('body', b'')):
-            return too_large
-        more = message.get('more_body', False)
-    return b''.join(body.chunks)
-
-
-def _announced_length(scope: Scope) -> int:
-    for name, text in scope['headers']:
-        if name == CallerHeader.content_length:
-            # The HTTP library has refused anything but a number.
-            return int(text)
-    return 0
-
-
-def _build_request(scope: Scope, head: RequestHead, body: bytes) -> Request:
+        await send(
+            {'type': _RESPONSE_BODY, 'body': reply.body, 'more_body': True},
+        )
+
+
+def _build_request(scope: Scope, head: RequestHead, body: Body) -> Request:
     content_types = [
         text.decode(_ENCODING)
         for name, text in scope['headers']
@@ -198,10 +172,10 @@
         method=scope['method'],
         path=path.decode(_ENCODING),
         content_type=''.join(content_types[:1]),
-        body=body,
+        body=body.whole,
         idempotent=head.idempotent,
         idempotency_key=head.idempotency_key,
-        remaining=head.remaining,
+        remaining=body.remaining,
     )
 
 
--- a/trefoilsaddle/programs/entry.py
+++ b/trefoilsaddle/programs/entry.py
@@ -4,7 +4,6 @@
 from typing import cast
 
 import trio
-from hypercorn import Config
 from hypercorn.trio import serve as serve_http
 from hypercorn.typing import ASGIFramework
 
@@ -22,16 +21,13 @@
     end_command,
     load_settings,
 )
+from trefoilsaddle.programs.httpserver import build_config
 from trefoilsaddle.programs.process import Stage, run_process
 from trefoilsaddle.results import ResultCode
 from trefoilsaddle.settings import EntrySettings
 
 app = build_app()
 
-# Bytes of the largest head of a request.
-_LARGEST_HEAD = 16_384
-_KEEPALIVE_SECONDS = 30
-_KEEPALIVE_REQUESTS = 100_000
 # Time in which callers learn from answers that connections will be closed.
 _NOTICE = Seconds(0.5)
 
@@ -77,7 +73,9 @@
     """Serve HTTP until a shutdown is asked for and all are answered."""
     callers = Callers(_StageShell(stage))
     stage.performer.attach_action(AnswerCaller, callers.deliver_answer)
-    config = build_config(settings)
+    address = settings.callers
+    bind = f'{address.host}:{address.port}'
+    config = build_config(bind, settings.pace.stop_timeout)
     await serve_http(
         cast(ASGIFramework, callers),
         config,
@@ -86,20 +84,6 @@
     )
 
 
-def build_config(settings: EntrySettings) -> Config:
-    """Build the HTTP library's configuration."""
-    config = Config()
-    address = settings.callers
-    config.bind = [f'{address.host}:{address.port}']
-    config.errorlog = None
-    config.include_server_header = False
-    config.h11_max_incomplete_size = _LARGEST_HEAD
-    config.keep_alive_timeout = _KEEPALIVE_SECONDS
-    config.keep_alive_max_requests = _KEEPALIVE_REQUESTS
-    config.graceful_timeout = settings.pace.stop_timeout
-    return config
-
-
 async def _give_notice(stage: Stage, callers: Callers) -> None:
     await stage.stopping.wait()
     callers.closing = True
--- a/trefoilsaddle/programs/requesthead.py
+++ b/trefoilsaddle/programs/requesthead.py
@@ -11,6 +11,7 @@
 from trefoilsaddle.programs.headers import CallerHeader
 from trefoilsaddle.results import ResultCode
 
+_LARGEST_HEADERS = 16_384
 _LARGEST_KEY = 1024
 _LARGEST_TOKEN = 128
 # Bytes that a header carries are taken one to one.
@@ -55,10 +56,14 @@
 
 def _collect_headers(pairs: Iterable[tuple[bytes, bytes]]) -> Headers | Failure:
     headers: dict[bytes, bytes] = {}
+    size = 0
     for name, text in pairs:
+        size += len(name) + len(text)
         if name in headers and name.startswith(_PREFIX):
             return Failure(ResultCode.malformed, 'a header is there twice')
         headers[name] = text
+    if size > _LARGEST_HEADERS:
+        return Failure(ResultCode.header_too_large, 'too many headers')
     return headers
 
 
