--- a/standins/logstore.py
+++ b/standins/logstore.py
@@ -7,7 +7,6 @@
 from trefoilsaddle.core.units import Offset, Seconds
 from trefoilsaddle.results import ResultCode
 
-
 # In seconds.
 _RETENTION = 3600
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,8 +9,13 @@
 from tests.samples import build_samples
 from trefoilsaddle.core.calls import Answer, Pressure, Reply
 from trefoilsaddle.core.errors import Failure
-from trefoilsaddle.core.messages import ForwardAnswer, Message, Ping, Rumour
-from trefoilsaddle.core.messages import Health
+from trefoilsaddle.core.messages import (
+    ForwardAnswer,
+    Health,
+    Message,
+    Ping,
+    Rumour,
+)
 from trefoilsaddle.core.units import (
     AttemptId,
     NodeId,
--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -23,6 +23,9 @@
 NEVER = Seconds(float('-inf'))
 FOREVER = Seconds(float('inf'))
 
+# Unanswered calls in a row after which a server is thought lost.
+SUSPICIOUS_FAILURES = 2
+
 
 @unique
 class MoveStage(Enum):
@@ -113,6 +116,11 @@
     failures: int = 0
     draining: bool = False
 
+    @property
+    def silent(self) -> bool:
+        """Tell that several calls in a row got no answer."""
+        return self.failures >= SUSPICIOUS_FAILURES
+
 
 @dataclass(slots=True)
 class Duty:
@@ -149,6 +157,11 @@
     fenced_by: Epoch = FIRST_EPOCH
     fenced_at: Seconds = NEVER
 
+    @property
+    def moves_without_log(self) -> bool:
+        """Tell that a move may be in force which the log does not hold."""
+        return any(move.provisional is not None for move in self.moves.values())
+
     @property
     def superseded(self) -> bool:
         """Tell that another dispatcher serves under no lower a term."""
@@ -166,6 +179,7 @@
     """Hold a claim that the log has not settled yet."""
 
     record_id: RecordId
+    claim_set: tuple[NodeId, ...]
     # When the log acknowledged the append, if it did.
     acknowledged: Seconds | None = None
 
