--- a/trefoilsaddle/core/membership.py
+++ b/trefoilsaddle/core/membership.py
@@ -60,6 +60,8 @@
 )
 
 _HOST_TIMER = TimerKey(TimerKind.host_list)
+# Neighbours that are told at once of a change; one farther away is, too.
+_NEAR_TOLD = 2
 # Least time between two whole lists for one process.
 _WELCOME_INTERVAL = Seconds(10)
 
@@ -240,10 +242,39 @@
     moment: Moment,
     rumours: tuple[Rumour, ...],
 ) -> Effects:
+    effects: Effects = []
+    is_news = False
+    for rumour in rumours:
+        former = node.membership.processes.get(rumour.node)
+        effects.extend(learn_rumour(node, moment, rumour))
+        is_news = is_news or _is_news(node, rumour.node, former)
+    if is_news:
+        effects.extend(_push_rumours(node, moment))
+    return effects
+
+
+def _is_news(node: Node, subject: NodeId, former: Rumour | None) -> bool:
+    """Tell whether a process fares otherwise, or had to refute a rumour."""
+    newest = node.membership.processes.get(subject)
+    if newest is None or former is None:
+        return newest is not former
+    if subject == node.options.node:
+        return newest.incarnation != former.incarnation
+    return newest.health is not former.health
+
+
+def _push_rumours(node: Node, moment: Moment) -> Effects:
+    """Tell a few others of a change at once, not at the next probe."""
+    near = live_processes(node, node.options.zone)
+    far = set(live_processes(node, None)).difference(near)
+    targets = [
+        *node.random.sample(near, min(_NEAR_TOLD, len(near))),
+        *node.random.sample(sorted(far), min(1, len(far))),
+    ]
     return [
         effect
-        for rumour in rumours
-        for effect in learn_rumour(node, moment, rumour)
+        for target in targets
+        for effect in send_ping(node, moment, target)
     ]
 
 
--- a/trefoilsaddle/core/probes.py
+++ b/trefoilsaddle/core/probes.py
@@ -41,7 +41,6 @@
     if is_late(node, moment, state.round_due) and state.rounds:
         doubt_own_pause(node)
         state.probe = None
-    state.rounds += 1
     doubt = 1 + node.membership.self_doubt
     delay = Seconds(node.options.probe_interval * doubt)
     state.round_due = Seconds(moment.monotonic + delay)
@@ -49,6 +48,7 @@
     timer = SetTimer(PROBE_TIMER, delay)
     if state.probe is not None:
         return [timer]
+    state.rounds += 1
     target = _choose_target(node)
     if target is None:
         return [timer]
@@ -176,7 +176,8 @@
 def _choose_target(node: Node) -> NodeId | None:
     state = node.membership.probes
     dead = list(node.membership.deaths)
-    if dead and not state.rounds % _DEAD_ROUNDS:
+    # Off the rounds for other zones, which are as many.
+    if dead and state.rounds % _DEAD_ROUNDS == 1:
         return node.random.choice(dead)
     is_far = not state.rounds % _FAR_ROUNDS
     return _take_next(node, is_far) or _take_next(node, not is_far)
