--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from standins.caller import Caller, CallerRequest
+from standins.caller import Caller, CallerRequest, make_idempotency_key
 from standins.fleetplan import (
     EXAMPLES,
     SITES,
@@ -20,6 +20,9 @@
 SERVICES = ('catalogue', 'filings')
 
 _READY_TIMEOUT = 60.0
+_READY_INTERVAL = 0.1
+# Keys that are spread over all servers of a service.
+_READY_KEYS = 8
 _PROGRAMS = 'trefoilsaddle.programs'
 # No version of the file is in force yet.
 _FIRST = ('--expect', '0')
@@ -118,11 +121,11 @@
                 raise FleetError(output.text)
 
     async def _wait_until_ready(self) -> None:
-        """Wait until every entry process gets answers from every service."""
+        """Wait until every entry process gets answers from every server."""
         with trio.move_on_after(_READY_TIMEOUT):
             async with trio.open_nursery() as nursery:
                 for caller in self._callers.values():
-                    nursery.start_soon(_wait_for_answers, caller)
+                    nursery.start_soon(_wait_for_keys, caller)
             return
         raise FleetError('the deployment does not come up')
 
@@ -137,10 +140,24 @@
         yield fleet
 
 
-async def _wait_for_answers(caller: Caller) -> None:
-    waiting = list(SERVICES)
-    while waiting:
-        request = CallerRequest(waiting[-1], 'ready', deadline=2)
-        answer = await caller.insist(request)
-        if answer.outcome == 'answered':
-            waiting.pop()
+async def _wait_for_keys(caller: Caller) -> None:
+    async with trio.open_nursery() as nursery:
+        for service in SERVICES:
+            for number in range(_READY_KEYS):
+                nursery.start_soon(_wait_for_key, caller, service, number)
+
+
+async def _wait_for_key(caller: Caller, service: str, number: int) -> None:
+    """Wait until unrepeatable requests are run: the last thing to come."""
+    answered = False
+    while not answered:
+        request = CallerRequest(
+            service=service,
+            key=f'ready-{number}',
+            deadline=2,
+            idempotent=False,
+            idempotency_key=make_idempotency_key(),
+        )
+        answer = await caller.send(request)
+        answered = answer.outcome == 'answered'
+        await trio.sleep(_READY_INTERVAL)
