--- /dev/null
+++ b/trefoilsaddle/core/balance.py
@@ -0,0 +1,252 @@
+"""Weigh which shards of a server to move, and where to.
+
+A pure decision on loads: a move makes its keys wait, so nothing moves below
+a threshold, and only half of the excess moves at a time.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+from trefoilsaddle.core.units import (
+    RegionName,
+    ServerId,
+    ShardId,
+    ZoneName,
+)
+
+# Fraction of the excess load that one decision moves.
+_DAMPING = 0.5
+# Least excess of utilisation that is worth a move.
+_LEAST_EXCESS = 0.05
+# Above this mean utilisation a region's work may leave the region.
+_FULL = 0.8
+# Fraction of a shard's callers in one place that pulls the shard there.
+_CALLERS_SHARE = 0.7
+# Requests that show where a shard's callers are.
+_LEAST_REQUESTS = 20
+# Shards that one decision moves towards their callers.
+_MOST_PULLED = 2
+# Fraction of the mean count that a server with few shards gets per decision
+# of all others together.
+_FILL_FRACTION = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class ServerSketch:
+    """Describe a server as far as placement is concerned."""
+
+    server: ServerId
+    zone: ZoneName
+    region: RegionName
+    utilisation: float
+    shards: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerShare:
+    """Say which zone and region most of a shard's requests come from."""
+
+    zone: ZoneName
+    zone_share: float
+    region: RegionName
+    region_share: float
+
+
+@dataclass(frozen=True, slots=True)
+class ShardSketch:
+    """Describe the work of one shard."""
+
+    shard: ShardId
+    requests: float
+    # None if nothing is known of the callers.
+    callers: CallerShare | None
+
+
+@dataclass(frozen=True, slots=True)
+class BalancePolicy:
+    """Weigh balance against churn."""
+
+    # Fraction by which a load may exceed the mean.
+    imbalance: float
+    # Most shards that one decision moves.
+    most_moves: int = 4
+
+
+Targets = dict[ShardId, ServerId]
+
+
+@dataclass(slots=True)
+class _Packing:
+    """Put shards onto servers that have room for them."""
+
+    # Work or shards that each server can still take.
+    room: dict[ServerId, float]
+    random: Random
+    targets: Targets = field(default_factory=dict)
+
+    def place(self, shard: ShardId, size: float) -> bool:
+        """Place a shard on a random server, if it fits there.
+
+        Random, so that dispatchers do not all choose the emptiest one.
+        """
+        servers = [name for name in sorted(self.room) if self.room[name] > 0]
+        if not servers:
+            return False
+        weights = [self.room[name] for name in servers]
+        target = self.random.choices(servers, weights)[0]
+        if size > self.room[target]:
+            return False
+        self.room[target] -= size
+        self.targets[shard] = target
+        return True
+
+
+def plan_moves(
+    source: ServerSketch,
+    shards: Sequence[ShardSketch],
+    others: Sequence[ServerSketch],
+    policy: BalancePolicy,
+    random: Random,
+) -> Targets:
+    """Choose shards of a server to move, and their targets.
+
+    Callers' whereabouts come first, then load, then the count of shards.
+    """
+    if not others:
+        return {}
+    return (
+        _pull_to_callers(source, shards, others, policy)
+        or _shed_load(source, shards, others, policy, random)
+        or _even_counts(source, shards, others, policy, random)
+    )
+
+
+def _pull_to_callers(
+    source: ServerSketch,
+    shards: Sequence[ShardSketch],
+    others: Sequence[ServerSketch],
+    policy: BalancePolicy,
+) -> Targets:
+    ceiling = _mean_utilisation((source, *others)) + _LEAST_EXCESS
+    ceiling *= 1 + policy.imbalance
+    targets: Targets = {}
+    for sketch in shards:
+        if sketch.callers is None or sketch.requests < _LEAST_REQUESTS:
+            continue
+        near = _list_nearer(source, sketch.callers, others)
+        fit = [other for other in near if other.utilisation < ceiling]
+        if fit and len(targets) < _MOST_PULLED:
+            target = min(fit, key=_order_by_load)
+            targets[sketch.shard] = target.server
+    return targets
+
+
+def _list_nearer(
+    source: ServerSketch,
+    callers: CallerShare,
+    others: Sequence[ServerSketch],
+) -> list[ServerSketch]:
+    """List servers that are nearer to the callers than the source is."""
+    if callers.zone_share >= _CALLERS_SHARE:
+        if callers.zone == source.zone:
+            return []
+        zone = [other for other in others if other.zone == callers.zone]
+        if zone:
+            return zone
+    if callers.region_share < _CALLERS_SHARE:
+        return []
+    if callers.region == source.region:
+        return []
+    return [other for other in others if other.region == callers.region]
+
+
+def _shed_load(
+    source: ServerSketch,
+    shards: Sequence[ShardSketch],
+    others: Sequence[ServerSketch],
+    policy: BalancePolicy,
+    random: Random,
+) -> Targets:
+    group = _choose_group(source, others)
+    mean = _mean_utilisation((source, *group))
+    excess = source.utilisation - mean
+    if excess < max(_LEAST_EXCESS, mean * policy.imbalance):
+        return {}
+    room = {other.server: mean - other.utilisation for other in group}
+    packing = _Packing(room, random)
+    budget = excess * _DAMPING
+    loads = _estimate_loads(source, shards)
+    for shard in sorted(loads, key=loads.__getitem__, reverse=True):
+        load = loads[shard]
+        fits = 0 < load <= budget and len(packing.targets) < policy.most_moves
+        if fits and packing.place(shard, load):
+            budget -= load
+    return packing.targets
+
+
+def _estimate_loads(
+    source: ServerSketch,
+    shards: Sequence[ShardSketch],
+) -> dict[ShardId, float]:
+    """Share a server's utilisation out to its shards by their requests."""
+    total = sum(sketch.requests for sketch in shards) or 1
+    worth = source.utilisation / total
+    return {sketch.shard: sketch.requests * worth for sketch in shards}
+
+
+def _choose_group(
+    source: ServerSketch,
+    others: Sequence[ServerSketch],
+) -> Sequence[ServerSketch]:
+    """Prefer the own region, unless it is full."""
+    region = [other for other in others if other.region == source.region]
+    if not region or _mean_utilisation((source, *region)) > _FULL:
+        return others
+    return region
+
+
+def _even_counts(
+    source: ServerSketch,
+    shards: Sequence[ShardSketch],
+    others: Sequence[ServerSketch],
+    policy: BalancePolicy,
+    random: Random,
+) -> Targets:
+    """Fill servers with few shards, slowly, with shards of little work."""
+    group = _choose_group(source, others)
+    counts = [other.shards for other in group]
+    mean = (sum(counts) + source.shards) / (len(counts) + 1)
+    if source.shards - mean < max(1, mean * policy.imbalance):
+        return {}
+    limit = _mean_utilisation((source, *group)) + _LEAST_EXCESS
+    room = {
+        other.server: mean - other.shards
+        for other in group
+        if other.shards + 1 <= mean and other.utilisation <= limit
+    }
+    packing = _Packing(room, random)
+    donors = 1 + sum(count > mean for count in counts)
+    fill = max(1, mean * _FILL_FRACTION) * len(room) / donors
+    most = min(_round_randomly(fill, random), policy.most_moves)
+    for sketch in sorted(shards, key=_order_by_requests)[:most]:
+        packing.place(sketch.shard, 1)
+    return packing.targets
+
+
+def _round_randomly(number: float, random: Random) -> int:
+    whole = int(number)
+    return whole + (random.random() < number - whole)
+
+
+def _mean_utilisation(sketches: Iterable[ServerSketch]) -> float:
+    loads = [sketch.utilisation for sketch in sketches]
+    return sum(loads) / len(loads)
+
+
+def _order_by_load(sketch: ServerSketch) -> tuple[float, ServerId]:
+    return sketch.utilisation, sketch.server
+
+
+def _order_by_requests(sketch: ShardSketch) -> tuple[float, ShardId]:
+    return sketch.requests, sketch.shard
--- a/trefoilsaddle/core/configuration.py
+++ b/trefoilsaddle/core/configuration.py
@@ -82,7 +82,7 @@
     idempotency_limit: int
     # Greatest fraction by which a server's load may exceed the mean.
     imbalance: float
-    # Fraction of a service's requests that makes a key hot.
+    # Fraction of one server's requests that makes a key hot.
     hot_fraction: float
 
 
--- a/trefoilsaddle/core/node.py
+++ b/trefoilsaddle/core/node.py
@@ -13,6 +13,7 @@
 from trefoilsaddle.core.followstate import FollowState
 from trefoilsaddle.core.memberstate import MembershipState
 from trefoilsaddle.core.options import Options
+from trefoilsaddle.core.placementstate import PlacementState
 from trefoilsaddle.core.routestate import RoutingState
 from trefoilsaddle.core.units import Seconds, ServerId
 from trefoilsaddle.core.view import LogView
@@ -28,6 +29,7 @@
     following: FollowState = field(default_factory=FollowState)
     membership: MembershipState = field(default_factory=MembershipState)
     duties: DutyState = field(default_factory=DutyState)
+    placement: PlacementState = field(default_factory=PlacementState)
     dispatching: DispatchState = field(default_factory=DispatchState)
     routing: RoutingState = field(default_factory=RoutingState)
     stopping: bool = False
--- a/trefoilsaddle/core/placement.py
+++ b/trefoilsaddle/core/placement.py
@@ -4,26 +4,68 @@
 from trefoilsaddle.core.effects import Effects, SetTimer
 from trefoilsaddle.core.events import (
     Event,
+    MessageReceived,
     Started,
     TimerExpired,
     TimerKey,
     TimerKind,
 )
+from trefoilsaddle.core.messages import Forward
 from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.rebalancing import rebalance_server
+from trefoilsaddle.core.shardwork import Pace, note_forward, sample_loads
+from trefoilsaddle.core.splits import end_cool_splits, split_hot_keys
 from trefoilsaddle.core.units import Moment, Seconds
 
-# Time between two looks for shards that have never had an owner.
-_ASSIGN_INTERVAL = Seconds(0.5)
-_ASSIGN_TIMER = TimerKey(TimerKind.placement, 'assign')
+# Time between two samples of loads, and looks for shards without an owner.
+_SAMPLE_PACE = Pace(Seconds(0.5))
+_SAMPLE_TIMER = TimerKey(TimerKind.placement, 'sample')
+_DECISION_TIMER = TimerKey(TimerKind.placement, 'decision')
 
 
 def handle_event(node: Node, moment: Moment, event: Event) -> Effects:
     """Take one event for the placement of shards."""
     if not node.options.dispatches:
         return []
-    timer = SetTimer(_ASSIGN_TIMER, _ASSIGN_INTERVAL)
+    if isinstance(event, MessageReceived):
+        if isinstance(event.message, Forward):
+            note_forward(node, event.sender, event.message)
+        return []
     if isinstance(event, Started):
-        return [timer]
-    if isinstance(event, TimerExpired) and event.timer == _ASSIGN_TIMER:
-        return [timer, *assign_unowned(node, moment)]
+        return [
+            SetTimer(_SAMPLE_TIMER, _SAMPLE_PACE.interval),
+            SetTimer(_DECISION_TIMER, _choose_delay(node)),
+        ]
+    if isinstance(event, TimerExpired):
+        return _take_timer(node, moment, event.timer)
     return []
+
+
+def _take_timer(node: Node, moment: Moment, timer: TimerKey) -> Effects:
+    if timer == _SAMPLE_TIMER:
+        sample_loads(node, _SAMPLE_PACE)
+        again = SetTimer(_SAMPLE_TIMER, _SAMPLE_PACE.interval)
+        return [again, *assign_unowned(node, moment)]
+    if timer == _DECISION_TIMER:
+        again = SetTimer(_DECISION_TIMER, _choose_delay(node))
+        return [again, *_decide(node, moment)]
+    return []
+
+
+def _choose_delay(node: Node) -> Seconds:
+    """Spread the decisions of all dispatchers over the interval."""
+    spread = 0.5 + node.random.random()
+    return Seconds(node.options.placement_interval * spread)
+
+
+def _decide(node: Node, moment: Moment) -> Effects:
+    """Look over every server of this process while the log is up."""
+    if node.stopping or node.following.log_away:
+        return []
+    effects: Effects = []
+    for server in sorted(node.placement.servers):
+        if server in node.duties.held and server in node.view.roles:
+            effects.extend(split_hot_keys(node, moment, server))
+            effects.extend(end_cool_splits(node, moment, server))
+            effects.extend(rebalance_server(node, moment, server))
+    return effects
--- /dev/null
+++ b/trefoilsaddle/core/rebalancing.py
@@ -0,0 +1,123 @@
+"""Let each dispatcher move shards off its own servers, by reported loads."""
+
+from trefoilsaddle.core.balance import (
+    BalancePolicy,
+    CallerShare,
+    ServerSketch,
+    ShardSketch,
+    plan_moves,
+)
+from trefoilsaddle.core.configuration import ServerPolicy
+from trefoilsaddle.core.effects import Effects, Part, WriteLogLine
+from trefoilsaddle.core.moves import start_move
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.placementstate import ServerWork, ShardWork
+from trefoilsaddle.core.targets import is_leaving
+from trefoilsaddle.core.units import (
+    Moment,
+    RegionName,
+    Seconds,
+    ServerId,
+    ZoneName,
+)
+
+# Decision intervals without a move after one, so that loads settle.
+_QUIET_INTERVALS = 2
+
+
+def rebalance_server(node: Node, moment: Moment, server: ServerId) -> Effects:
+    """Begin the moves off one server that balance calls for."""
+    work = node.placement.servers[server]
+    policy = node.view.server(server)
+    if policy is None or moment.monotonic < work.quiet_until:
+        return []
+    if node.duties.held[server].moves or is_leaving(node, server):
+        return []
+    source = _sketch_server(node, policy, work.utilisation)
+    targets = plan_moves(
+        source,
+        _sketch_shards(node, server, work),
+        _list_others(node, policy),
+        _weigh(node),
+        node.random,
+    )
+    if not targets:
+        return []
+    quiet = node.options.placement_interval * _QUIET_INTERVALS
+    work.quiet_until = Seconds(moment.monotonic + quiet)
+    count = len(targets)
+    line = f'Moving {count} shards off server {server}.'
+    return [
+        WriteLogLine(Part.placement, line),
+        *start_move(node, moment, server, targets),
+    ]
+
+
+def _weigh(node: Node) -> BalancePolicy:
+    configuration = node.view.configuration
+    assert configuration is not None
+    return BalancePolicy(configuration.limits.imbalance)
+
+
+def _sketch_server(
+    node: Node,
+    policy: ServerPolicy,
+    utilisation: float,
+) -> ServerSketch:
+    return ServerSketch(
+        server=policy.server_id,
+        zone=policy.zone,
+        region=_region_of(node, policy.zone),
+        utilisation=utilisation,
+        shards=node.view.count_shards(policy.server_id),
+    )
+
+
+def _region_of(node: Node, zone: ZoneName) -> RegionName:
+    return node.view.region_of(zone) or RegionName(zone)
+
+
+def _list_others(node: Node, source: ServerPolicy) -> list[ServerSketch]:
+    """List the servers of the service that have a working dispatcher."""
+    return [
+        _sketch_server(node, policy, load.utilisation)
+        for policy in node.view.servers()
+        if policy.service == source.service
+        and policy.server_id != source.server_id
+        and not is_leaving(node, policy.server_id)
+        and (load := node.membership.loads.get(policy.server_id))
+    ]
+
+
+def _sketch_shards(
+    node: Node,
+    server: ServerId,
+    work: ServerWork,
+) -> list[ShardSketch]:
+    return [
+        ShardSketch(
+            shard=shard,
+            requests=shard_work.count,
+            callers=_locate_callers(node, shard_work),
+        )
+        for shard in node.view.shards_on(server)
+        if (shard_work := work.shards.get(shard, ShardWork()))
+    ]
+
+
+def _locate_callers(node: Node, work: ShardWork) -> CallerShare | None:
+    total = sum(work.by_zone.values())
+    if not total:
+        return None
+    regions: dict[RegionName, float] = {}
+    for zone, count in work.by_zone.items():
+        region = _region_of(node, zone)
+        regions[region] = regions.get(region, 0) + count
+    main_zone = max(sorted(work.by_zone), key=work.by_zone.__getitem__)
+    main_region = max(sorted(regions), key=regions.__getitem__)
+    return CallerShare(
+        zone=main_zone,
+        zone_share=work.by_zone[main_zone] / total,
+        region=main_region,
+        region_share=regions[main_region] / total,
+    )
--- /dev/null
+++ b/trefoilsaddle/core/shardwork.py
@@ -0,0 +1,101 @@
+"""Count the requests that pass through a dispatcher to its servers."""
+
+from dataclasses import dataclass
+
+from trefoilsaddle.core.dispatching import count_running
+from trefoilsaddle.core.hashing import hash_key
+from trefoilsaddle.core.messages import Forward, ServerLoad
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.placementstate import ServerWork, ShardWork
+from trefoilsaddle.core.units import NodeId, Seconds, ServerId
+
+# Time over which counts and averages forget, by a factor of e.
+_MEMORY = Seconds(10)
+# Shards with lower counts are forgotten.
+_LEAST_COUNT = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """Say how often loads are sampled."""
+
+    interval: Seconds
+
+    @property
+    def decay(self) -> float:
+        """Return what is left of a count after one interval."""
+        return 1 - self.interval / _MEMORY
+
+
+def note_forward(node: Node, sender: NodeId, forward: Forward) -> None:
+    """Count one request by shard, key and caller's zone."""
+    work = node.placement.servers.get(forward.server)
+    if work is None:
+        return
+    request = forward.request
+    key_hash = hash_key(request.service, request.member, request.key)
+    work.sketch.note(key_hash)
+    work.count += 1
+    shard = node.view.shard_of_hash(request.service, key_hash)
+    if shard is None:
+        return
+    shard_work = work.shards.setdefault(shard, ShardWork())
+    shard_work.count += 1
+    known = node.membership.processes.get(sender)
+    if known is not None:
+        former = shard_work.by_zone.get(known.zone, 0)
+        shard_work.by_zone[known.zone] = former + 1
+
+
+def sample_loads(node: Node, pace: Pace) -> None:
+    """Sample every server of this process, and let old counts decay."""
+    held = node.duties.held
+    state = node.placement
+    for former in set(state.servers).difference(held):
+        state.servers.pop(former)
+        _drop_own_report(node, former)
+    state.reports += 1
+    for server in held:
+        work = state.servers.setdefault(server, ServerWork())
+        _decay_counts(work, pace.decay)
+        sample = _sample_utilisation(node, server)
+        work.utilisation += (sample - work.utilisation) * (1 - pace.decay)
+        node.membership.loads[server] = ServerLoad(
+            server=server,
+            dispatcher=node.options.node,
+            utilisation=work.utilisation,
+            rate=work.count / _MEMORY,
+            sequence=state.reports,
+        )
+
+
+def _drop_own_report(node: Node, server: ServerId) -> None:
+    report = node.membership.loads.get(server)
+    if report is not None and report.dispatcher == node.options.node:
+        node.membership.loads.pop(server)
+
+
+def _sample_utilisation(node: Node, server: ServerId) -> float:
+    policy = node.view.server(server)
+    if policy is None:
+        return 0
+    queue = node.dispatching.queues.get(server)
+    waiting = 0 if queue is None else queue.count_waiting()
+    busy = count_running(node, server, None) + waiting
+    return busy / policy.slots
+
+
+def _decay_counts(work: ServerWork, decay: float) -> None:
+    work.count *= decay
+    work.sketch.decay(decay)
+    for shard_work in work.shards.values():
+        shard_work.count *= decay
+        for zone in shard_work.by_zone:
+            shard_work.by_zone[zone] *= decay
+    forgotten = [
+        shard
+        for shard, counted in work.shards.items()
+        if counted.count < _LEAST_COUNT
+    ]
+    for shard in forgotten:
+        work.shards.pop(shard)
--- /dev/null
+++ b/trefoilsaddle/core/splits.py
@@ -0,0 +1,127 @@
+"""Give hot keys shards of their own, and end that when they cool."""
+
+from trefoilsaddle.core.effects import Effects
+from trefoilsaddle.core.following import append_records
+from trefoilsaddle.core.moves import start_move
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.placementstate import ServerWork
+from trefoilsaddle.core.recordids import make_record_id
+from trefoilsaddle.core.records import SplitKey
+from trefoilsaddle.core.units import (
+    Moment,
+    ServerId,
+    ServiceName,
+    ShardId,
+)
+from trefoilsaddle.core.view import HotKey
+
+# Requests, as counted, below which no key is hot.
+_LEAST_REQUESTS = 50
+# A key cools at this fraction of what makes it hot.
+_COOL_FRACTION = 0.25
+# Looks in a row that show a key cool before its split ends.
+_COOL_LOOKS = 6
+# Splits that one look begins per server.
+_MOST_SPLITS = 4
+
+
+def split_hot_keys(node: Node, moment: Moment, server: ServerId) -> Effects:
+    """Append a split for each key that has become hot at a server."""
+    work = node.placement.servers[server]
+    duty = node.duties.held[server]
+    least = _hot_count(node, work)
+    policy = node.view.server(server)
+    if policy is None or least < _LEAST_REQUESTS:
+        return []
+    records = [
+        SplitKey(
+            record_id=make_record_id(node),
+            server=server,
+            term=duty.term,
+            parent=parent,
+            key_hash=key_hash,
+            active=True,
+        )
+        for key_hash in work.sketch.list_frequent(least)
+        if (parent := _find_parent(node, server, policy.service, key_hash))
+    ]
+    return append_records(node, moment, tuple(records[:_MOST_SPLITS]))
+
+
+def end_cool_splits(node: Node, moment: Moment, server: ServerId) -> Effects:
+    """Bring a cool key's shard home, and end its split there."""
+    effects: Effects = []
+    for hot_key, shard in list(node.view.hot_keys.items()):
+        owner = node.view.owners.get(shard)
+        if owner is not None and owner.server == server:
+            effects.extend(_end_if_cool(node, moment, server, hot_key))
+    return effects
+
+
+def _end_if_cool(
+    node: Node,
+    moment: Moment,
+    server: ServerId,
+    hot_key: HotKey,
+) -> Effects:
+    work = node.placement.servers[server]
+    key_hash = hot_key.key_hash
+    limit = max(_hot_count(node, work), _LEAST_REQUESTS) * _COOL_FRACTION
+    if work.sketch.count_of(key_hash) > limit:
+        work.cool_looks.pop(key_hash, None)
+        return []
+    looks = work.cool_looks.get(key_hash, 0) + 1
+    work.cool_looks[key_hash] = looks
+    if looks < _COOL_LOOKS:
+        return []
+    work.cool_looks.pop(key_hash)
+    return _end_split(node, moment, server, hot_key)
+
+
+def _end_split(
+    node: Node,
+    moment: Moment,
+    server: ServerId,
+    hot_key: HotKey,
+) -> Effects:
+    parent = node.view.base_shard(hot_key.service, hot_key.key_hash)
+    if parent is None or parent not in node.view.owners:
+        return []
+    home = node.view.owners[parent].server
+    if home != server:
+        shard = node.view.hot_keys[hot_key]
+        return start_move(node, moment, server, {shard: home})
+    record = SplitKey(
+        record_id=make_record_id(node),
+        server=server,
+        term=node.duties.held[server].term,
+        parent=parent,
+        key_hash=hot_key.key_hash,
+        active=False,
+    )
+    return append_records(node, moment, (record,))
+
+
+def _find_parent(
+    node: Node,
+    server: ServerId,
+    service: ServiceName,
+    key_hash: int,
+) -> ShardId | None:
+    """Return the shard to split a key from, unless it is split already."""
+    if HotKey(service, key_hash) in node.view.hot_keys:
+        return None
+    parent = node.view.base_shard(service, key_hash)
+    if parent is None:
+        return None
+    owner = node.view.owners.get(parent)
+    if owner is None or owner.server != server:
+        return None
+    return parent
+
+
+def _hot_count(node: Node, work: ServerWork) -> float:
+    configuration = node.view.configuration
+    if configuration is None:
+        return 0
+    return work.count * configuration.limits.hot_fraction
--- a/trefoilsaddle/core/view.py
+++ b/trefoilsaddle/core/view.py
@@ -21,6 +21,7 @@
     NodeId,
     Offset,
     RecordId,
+    RegionName,
     ServerId,
     ServiceName,
     ShardId,
@@ -164,18 +165,42 @@
         key: bytes,
     ) -> ShardId | None:
         """Return the shard that a member's key falls into."""
+        return self.shard_of_hash(service, hash_key(service, member, key))
+
+    def shard_of_hash(
+        self,
+        service: ServiceName,
+        key_hash: int,
+    ) -> ShardId | None:
+        """Return the shard that a key falls into, given its hash."""
+        if self.hot_keys:
+            hot_shard = self.hot_keys.get(HotKey(service, key_hash))
+            if hot_shard is not None:
+                return hot_shard
+        return self.base_shard(service, key_hash)
+
+    def base_shard(
+        self,
+        service: ServiceName,
+        key_hash: int,
+    ) -> ShardId | None:
+        """Return the shard that a key falls into unless it is hot."""
         if self.configuration is None:
             return None
         policy = self.configuration.services.get(service)
         if policy is None:
             return None
-        key_hash = hash_key(service, member, key)
-        if self.hot_keys:
-            hot_shard = self.hot_keys.get(HotKey(service, key_hash))
-            if hot_shard is not None:
-                return hot_shard
         return ShardId(service, ShardNumber(key_hash % policy.shard_count))
 
+    def region_of(self, zone: ZoneName) -> RegionName | None:
+        """Return the region of a zone, if an overlay names it."""
+        if self.configuration is None:
+            return None
+        for site in self.configuration.sites.values():
+            if zone in site.zones:
+                return site.region
+        return None
+
     def shards_on(self, server_id: ServerId) -> Iterator[ShardId]:
         """Yield the shards that a server owns."""
         yield from self.shard_index.get(server_id, ())
