--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,8 +9,13 @@
 from tests.samples import build_samples
 from trefoilsaddle.core.calls import Answer, Pressure, Reply
 from trefoilsaddle.core.errors import Failure
-from trefoilsaddle.core.messages import ForwardAnswer, Message, Ping, Rumour
-from trefoilsaddle.core.messages import Health
+from trefoilsaddle.core.messages import (
+    ForwardAnswer,
+    Health,
+    Message,
+    Ping,
+    Rumour,
+)
 from trefoilsaddle.core.units import (
     AttemptId,
     NodeId,
@@ -164,7 +169,8 @@
 
 
 _FRAMES = pack_frame(b'one') + pack_frame(b'') + pack_frame(b'three')
-_FRAME_CASES = (
+_Popped = list[bytes | ResultCode]
+_FRAME_CASES: tuple[tuple[str, bytes, _Popped, bool], ...] = (
     ('whole', _FRAMES, [b'one', b'', b'three'], False),
     ('cut in a length', _FRAMES[:2], [], True),
     ('cut in a payload', _FRAMES[:5], [], True),
