--- a/trefoilsaddle/core/roles.py
+++ b/trefoilsaddle/core/roles.py
@@ -48,7 +48,6 @@
     duties = node.duties
     duty = duties.held.get(server)
     raise_term(node, server, role.term)
-    duties.provisional_holders.pop(server, None)
     duties.take_overs.pop(server, None)
     duties.handing_over.discard(server)
     if role.dispatcher != node.options.node:
