Contract: say which ownership and role follow upon which; settle floors late

A handover told of the epoch before a move, and the receiver could not tell whether another dispatcher had served in between, so that it had to forget every key. Planned moves and planned hand-overs of a role keep the outcomes; a chain A -> C -> B read at once does not.

Cause two: the floor of a take-over was set when the claim was read, but the former dispatcher may go on sending until its lease has run out or the server has taken the new term. It is set at the first authority to send now. Requests under the floor wait up to 0.5 s for a handover on its way. Ruled out: comparing terms alone, which a chain of claims passes.

--- a/measure/processes.py
+++ b/measure/processes.py
@@ -69,7 +69,7 @@
     nodes: dict[NodeId, Node] = {}
     for seed, name in enumerate((NEAR_ENTRY, FAR_ENTRY, DISPATCHER)):
         node = build_node(_build_options(name, seed))
-        node.view.configuration = _build_configuration(deployment)
+        node.view.put_configuration(_build_configuration(deployment))
         node.dispatching.discipline = discipline
         for service in deployment.services:
             _place_service(node, service)
@@ -115,7 +115,7 @@
 def _place_service(node: Node, service: Service) -> None:
     server = ServerId(server_name(service))
     shard = ShardId(ServiceName(service.name), ShardNumber(0))
-    node.view.owners[shard] = Ownership(server, _EPOCH)
+    node.view.put_owner(shard, Ownership(server, _EPOCH))
     node.view.roles[server] = Role(DISPATCHER, _TERM, ())
     adopt_shard(node, Moment(Seconds(0), Seconds(0)), shard, fresh=True)
 
--- a/trefoilsaddle/core/application.py
+++ b/trefoilsaddle/core/application.py
@@ -179,6 +179,7 @@
         record.dispatcher,
         term,
         record.claim_set,
+        former,
     )
     return ResultCode.ok
 
@@ -203,7 +204,7 @@
         return ResultCode.fenced
     code = ResultCode.owner_changing
     for moved in record.shards:
-        owner = _judge_move(view, record.server, moved, position)
+        owner = _judge_move(view, record, moved, position)
         if owner is not None:
             view.put_owner(moved.shard, owner)
             code = ResultCode.ok
@@ -212,21 +213,22 @@
 
 def _judge_move(
     view: LogView,
-    server: ServerId,
+    record: Move,
     moved: MovedShard,
     position: Epoch,
 ) -> Ownership | None:
     """Judge each shard alone, since only one dispatcher moves them all."""
-    if view.owners.get(moved.shard) != Ownership(server, moved.expected):
+    former = moved.expected
+    if view.owners.get(moved.shard) != Ownership(record.server, former):
         return None
     if moved.provisional is None:
         if not _serves(view, moved.target, moved.shard.service):
             return None
-        return Ownership(moved.target, position)
+        return Ownership(moved.target, position, former, record.term)
     # The target has served under this epoch already.
-    if not moved.expected < moved.provisional <= position:
+    if not former < moved.provisional <= position:
         return None
-    return Ownership(moved.target, moved.provisional)
+    return Ownership(moved.target, moved.provisional, former, record.term)
 
 
 @_apply_record.register
--- a/trefoilsaddle/core/floors.py
+++ b/trefoilsaddle/core/floors.py
@@ -12,8 +12,6 @@
     OutcomeKey,
 )
 from trefoilsaddle.core.units import (
-    FIRST_EPOCH,
-    Epoch,
     MemberName,
     Moment,
     Seconds,
@@ -22,6 +20,9 @@
 )
 from trefoilsaddle.core.view import HotKey
 
+# Every key is older than this floor.
+UNKNOWN_FLOOR = Seconds(float('inf'))
+
 # Most bytes of answers that one dispatcher keeps.
 _LARGEST_KEPT_BYTES = 33_554_432
 # One in so many of a member's outcomes is forgotten when room is short.
@@ -35,21 +36,16 @@
     *,
     fresh: bool,
 ) -> None:
-    """Set the floor of a shard that this process begins to serve."""
+    """Set the floor of a shard that this process begins to keep."""
+    kept = Floor(UNKNOWN_FLOOR, moment.monotonic)
     hot_key = _find_hot_key(node, shard)
-    floor = _takeover_floor(node, moment)
     if hot_key is not None:
         # Its key had an owner in the parent shard: never fresh.
-        floor = _parent_floor(node, hot_key, floor)
+        _follow_parent(node, hot_key, kept)
     elif fresh:
-        floor = NO_FLOOR
-    owner = node.view.owners.get(shard)
-    epoch = FIRST_EPOCH
-    term = FIRST_EPOCH
-    if owner is not None:
-        epoch = owner.epoch
-        term = _own_term(node, shard)
-    set_floor(node, shard, Floor(floor, term, epoch))
+        kept.floor = NO_FLOOR
+        kept.complete = True
+    set_floor(node, shard, kept)
 
 
 def set_floor(node: Node, shard: ShardId, kept: Floor) -> None:
@@ -66,21 +62,29 @@
     moment: Moment,
     shard: ShardId,
     authority: Authority,
-) -> None:
-    """Raise the floor if another process may have served in between.
+) -> Floor:
+    """Raise the floor unless this process has served ever since.
 
-    Example: the role was lost and claimed again, and the term is greater
-    than the one under which the shard was adopted.
+    Called with the authority to send: only now is it sure that a former
+    dispatcher sends nothing any more.  Example: the role was claimed at 5 s,
+    but until the old lease has run out at 7 s its holder went on sending.
     """
     kept = node.dispatching.outcomes.floors.get(shard)
     if kept is None:
-        adopt_floor(node, moment, shard, fresh=False)
-        kept = node.dispatching.outcomes.floors[shard]
-    elif authority.term > kept.term or authority.epoch > kept.epoch:
-        kept.floor = max(kept.floor, _takeover_floor(node, moment))
+        kept = Floor(UNKNOWN_FLOOR, moment.monotonic)
+    served = kept.term == authority.term and kept.epoch == authority.epoch
+    if kept.settled and not served:
+        kept.floor = UNKNOWN_FLOOR
+        kept.complete = False
+        kept.settled = False
+        kept.adopted = moment.monotonic
+    if not kept.settled:
+        kept.settled = True
+        kept.floor = min(kept.floor, _takeover_floor(node, moment))
     kept.term = authority.term
     kept.epoch = authority.epoch
     set_floor(node, shard, kept)
+    return kept
 
 
 def is_forgotten(
@@ -202,21 +206,15 @@
     return None
 
 
-def _parent_floor(node: Node, hot_key: HotKey, otherwise: Seconds) -> Seconds:
-    """Return the floor of the shard that a hot key was split from."""
+def _follow_parent(node: Node, hot_key: HotKey, kept: Floor) -> None:
+    """Take over the floor of the shard that a hot key was split from."""
     configuration = node.view.configuration
     if configuration is None:
-        return otherwise
+        return
     count = configuration.services[hot_key.service].shard_count
     number = ShardNumber(hot_key.key_hash % count)
     shard = ShardId(hot_key.service, number)
     parent = node.dispatching.outcomes.floors.get(shard)
-    return otherwise if parent is None else parent.floor
-
-
-def _own_term(node: Node, shard: ShardId) -> Epoch:
-    owner = node.view.owners[shard]
-    role = node.view.roles.get(owner.server)
-    if role is None or role.dispatcher != node.options.node:
-        return FIRST_EPOCH
-    return role.term
+    if parent is not None and parent.settled:
+        kept.floor = parent.floor
+        kept.complete = parent.complete
--- a/trefoilsaddle/core/handovers.py
+++ b/trefoilsaddle/core/handovers.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, replace
 
 from trefoilsaddle.core.calls import Answer
-from trefoilsaddle.core.floors import set_floor
+from trefoilsaddle.core.floors import UNKNOWN_FLOOR, set_floor
 from trefoilsaddle.core.messages import Handover, KeptOutcome, MemberFloor
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.outcomestate import (
@@ -15,7 +15,6 @@
 from trefoilsaddle.core.tickets import TicketState
 from trefoilsaddle.core.units import (
     Epoch,
-    Seconds,
     ShardId,
     ShardNumber,
 )
@@ -37,43 +36,47 @@
 def build_handover(node: Node, shard: ShardId, epoch: Epoch) -> Handover:
     """Take a shard's outcomes out of the state; ask again for the same."""
     state = node.dispatching.outcomes
-    kept = state.floors.pop(shard, None)
-    if kept is None:
+    kept = state.floors.get(shard)
+    if kept is None or not kept.settled or kept.epoch != epoch:
+        # Left already, or never served: nothing can be vouched for.
         former = state.handovers.get(shard)
         if former is not None and former.epoch == epoch:
             return former
-        return Handover(shard, epoch, Seconds(float('inf')), ())
+        return Handover(shard, epoch, UNKNOWN_FLOOR, ())
+    state.floors.pop(shard)
     leaving = [
         _Entry(key, outcome)
         for key, outcome in state.outcomes.items()
         if _shard_of(node, key, outcome) == shard
     ]
-    empty = Handover(shard, epoch, kept.floor, ())
-    return _join_outcomes(node, empty, leaving)
+    empty = Handover(shard, epoch, kept.floor, (), (), kept.term)
+    handover = _join_outcomes(node, empty, leaving)
+    state.handovers[shard] = handover
+    return handover
 
 
-def use_handover(node: Node, handover: Handover) -> None:
+def use_handover(node: Node, shard: ShardId) -> None:
     """Lower the floor of an adopted shard to what its sender vouches for.
 
-    Only if no other process can have served it in between: the ownership
-    is the very one that the move began, and this process has held the role
-    for its server since before.
+    Only if no other process can have served it in between: the sender held
+    the very ownership and role that this process's own follow upon.
     """
     state = node.dispatching.outcomes
-    kept = state.floors.get(handover.shard)
-    if kept is None or not _follows_directly(node, handover):
+    handover = state.handovers.get(shard)
+    kept = state.floors.get(shard)
+    if handover is None or kept is None or kept.complete:
         return
-    state.handovers.pop(handover.shard)
-    set_floor(
-        node,
-        handover.shard,
-        Floor(handover.floor, kept.term, kept.epoch),
-    )
+    if not _follows_directly(node, handover, kept):
+        return
+    state.handovers.pop(shard)
+    kept.floor = handover.floor
+    kept.complete = True
+    set_floor(node, shard, kept)
     for member in handover.member_floors:
         known = state.member_floors.get(member.member, NO_FLOOR)
         state.member_floors[member.member] = max(known, member.floor)
     for outcome in handover.outcomes:
-        _adopt_outcome(node, handover.shard, outcome)
+        _adopt_outcome(node, shard, outcome)
 
 
 def _join_outcomes(
@@ -144,15 +147,21 @@
     return len(answer.reply.body)
 
 
-def _follows_directly(node: Node, handover: Handover) -> bool:
+def _follows_directly(node: Node, handover: Handover, kept: Floor) -> bool:
     owner = node.view.owners.get(handover.shard)
-    if owner is None or owner.epoch != handover.epoch:
+    if owner is None:
         return False
     role = node.view.roles.get(owner.server)
     if role is None or role.dispatcher != node.options.node:
         return False
-    kept = node.dispatching.outcomes.floors[handover.shard]
-    return role.term < owner.epoch and kept.term == role.term
+    if kept.settled and (kept.term, kept.epoch) != (role.term, owner.epoch):
+        return False
+    if owner.epoch == handover.epoch:
+        # The same ownership under the role's next holder.
+        return role.former_term == handover.term
+    moved = (owner.former_epoch, owner.former_term)
+    held_before = role.term < owner.epoch
+    return held_before and moved == (handover.epoch, handover.term)
 
 
 def _shard_of(node: Node, key: OutcomeKey, outcome: KeyOutcome) -> ShardId:
--- a/trefoilsaddle/core/messages.py
+++ b/trefoilsaddle/core/messages.py
@@ -9,6 +9,7 @@
 from trefoilsaddle.core.calls import Answer, Pressure, Request
 from trefoilsaddle.core.records import LogEntry, MovedShard
 from trefoilsaddle.core.units import (
+    FIRST_EPOCH,
     AttemptId,
     Epoch,
     MemberName,
@@ -210,12 +211,13 @@
     """Hand the outcomes of a moved shard to its next dispatcher."""
 
     shard: ShardId
-    # Epoch of the ownership that the move began, read in the view after it.
+    # Epoch and term under which the sender served the shard until it left.
     epoch: Epoch
     # Absent keys made before this time of day have an unknown outcome.
     floor: Seconds
     outcomes: tuple[KeptOutcome, ...]
     member_floors: tuple[MemberFloor, ...] = ()
+    term: Epoch = FIRST_EPOCH
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/core/outcomes.py
+++ b/trefoilsaddle/core/outcomes.py
@@ -6,6 +6,7 @@
 from trefoilsaddle.core.answers import doubt, refuse
 from trefoilsaddle.core.authority import Authority
 from trefoilsaddle.core.calls import Answer
+from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.floors import (
     adopt_floor,
     drop_answers,
@@ -31,6 +32,8 @@
 
 # Longer answers are not kept; a retry is told that they are forgotten.
 _LARGEST_KEPT_BODY = 65_536
+# How long after its adoption a shard's handover is waited for, in seconds.
+_HANDOVER_WAIT = 0.5
 
 
 def adopt_shard(
@@ -40,34 +43,35 @@
     *,
     fresh: bool,
 ) -> None:
-    """Begin to keep outcomes of a shard that this process now serves.
+    """Begin to keep outcomes of a shard that this process is to serve.
 
-    To be called once no other process can send work of the shard any more.
     A fresh shard never had an owner, so that no key can have been sent.
-    For any other, keys older than now have an unknown outcome, unless its
-    last dispatcher hands over what it knows.
+    For any other, keys older than the first authority to send have an
+    unknown outcome, unless the last dispatcher hands over what it knows.
     """
+    former = node.dispatching.outcomes.floors.get(shard)
+    if former is not None and former.settled:
+        # It moved between two servers of this process.
+        build_handover(node, shard, former.epoch)
     adopt_floor(node, moment, shard, fresh=fresh)
-    handover = node.dispatching.outcomes.handovers.get(shard)
-    if handover is not None:
-        use_handover(node, handover)
+    use_handover(node, shard)
 
 
 def release_shard(node: Node, shard: ShardId, epoch: Epoch) -> Handover:
     """Stop keeping outcomes of a shard and return what is known.
 
-    `epoch` is the one that the move gave the shard, read in the view; the
-    receiver compares it with its own view.
+    `epoch` is the one under which the shard was served until now.
     """
-    handover = build_handover(node, shard, epoch)
-    node.dispatching.outcomes.handovers[shard] = handover
-    return handover
+    return build_handover(node, shard, epoch)
 
 
 def take_handover(node: Node, handover: Handover) -> None:
     """Keep a handover until its shard is adopted, or use it at once."""
     node.dispatching.outcomes.handovers[handover.shard] = handover
-    use_handover(node, handover)
+    use_handover(node, handover.shard)
+    owner = node.view.owners.get(handover.shard)
+    if owner is not None:
+        node.woken.add(owner.server)
 
 
 def claim_key(node: Node, moment: Moment, ticket: Ticket) -> Answer | None:
@@ -114,11 +118,12 @@
     moment: Moment,
     ticket: Ticket,
     authority: Authority,
-) -> Answer | None:
+) -> Answer | Failure | None:
     """Return None if a request may be sent, for the first and last time.
 
     Asked again directly before the send: since the request was accepted the
     shard may have come with a greater floor or with outcomes handed over.
+    A failure asks to wait for a handover.
     """
     if ticket.request.idempotent:
         return None
@@ -127,10 +132,13 @@
         return doubt(ResultCode.outcome_forgotten)
     if known.ticket != ticket.number:
         return _meet_outcome(known, ticket)
-    follow_tokens(node, moment, ticket.shard, authority)
-    if is_forgotten(node, moment, ticket.shard, ticket.request):
-        return doubt(ResultCode.outcome_forgotten)
-    return None
+    kept = follow_tokens(node, moment, ticket.shard, authority)
+    if not is_forgotten(node, moment, ticket.shard, ticket.request):
+        return None
+    waited = moment.monotonic - kept.adopted
+    if not kept.complete and waited < _HANDOVER_WAIT:
+        return Failure(ResultCode.owner_changing, 'a handover may come')
+    return doubt(ResultCode.outcome_forgotten)
 
 
 def record_answer(node: Node, ticket: Ticket, answer: Answer) -> None:
--- a/trefoilsaddle/core/outcomestate.py
+++ b/trefoilsaddle/core/outcomestate.py
@@ -46,9 +46,16 @@
     """Bound the age of keys whose absence proves that they never ran."""
 
     floor: Seconds
-    # Tokens under which the shard is kept.
+    # Monotonic time at which this process began to keep the shard.
+    adopted: Seconds
+    # Tokens under which the shard is served; the first until it is.
     term: Epoch = FIRST_EPOCH
     epoch: Epoch = FIRST_EPOCH
+    # True once this process alone can send the shard's work.
+    settled: bool = False
+    # True once its last dispatcher has handed over what it knows, or there
+    # was none.
+    complete: bool = False
 
 
 @dataclass(slots=True)
--- a/trefoilsaddle/core/sending.py
+++ b/trefoilsaddle/core/sending.py
@@ -95,6 +95,8 @@
     if isinstance(authority, Failure):
         return _hold_ticket(node, moment, queue, ticket, authority)
     answer = authorise_send(node, moment, ticket, authority)
+    if isinstance(answer, Failure):
+        return _hold_ticket(node, moment, queue, ticket, answer)
     if answer is not None:
         return answer_ticket(node, moment, ticket, answer)
     remaining = ticket.remaining(moment.monotonic)
--- a/trefoilsaddle/core/view.py
+++ b/trefoilsaddle/core/view.py
@@ -15,6 +15,7 @@
 )
 from trefoilsaddle.core.hashing import hash_key
 from trefoilsaddle.core.units import (
+    FIRST_EPOCH,
     NO_OFFSET,
     Epoch,
     MemberName,
@@ -38,6 +39,10 @@
 
     server: ServerId
     epoch: Epoch
+    # Epoch that the last move replaced, and the term of who moved the shard;
+    # for the check of a handover only, and not kept in snapshots.
+    former_epoch: Epoch = field(default=FIRST_EPOCH, compare=False)
+    former_term: Epoch = field(default=FIRST_EPOCH, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +52,8 @@
     dispatcher: NodeId
     term: Epoch
     claim_set: tuple[NodeId, ...]
+    # Term that the claim replaced; for the check of a handover only.
+    former_term: Epoch = field(default=FIRST_EPOCH, compare=False)
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/trefoilsaddle/wire/messages.capnp
+++ b/trefoilsaddle/wire/messages.capnp
@@ -188,6 +188,7 @@
   floor @2 :Float64;
   outcomes @3 :List(KeptOutcome);
   memberFloors @4 :List(MemberFloor);
+  term @5 :Epoch;
 }
 
 struct RelayRead {
