Refuse an overlay that takes a server with shards away or elsewhere

Cause: an overlay could give a server that owns shards another address or service, or leave it out. Work in flight at the former address could then run beside work sent to the new one, and the shards of a server that was left out had no dispatcher that could move them. Ruled out: waiting at the dispatcher until the former address is quiet; a publication would then be in force and yet not acted upon. Before: the three new cases of test_application were accepted. After: they are refused with configuration_invalid and say what to do instead. Tests that changed ports of owners by the way now add servers, a change as large. Conclusion: an owner leaves by being marked as leaving; a server that owns nothing may go or change at once.

--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -1,7 +1,7 @@
 """Check each record: its condition holds or fails, and it comes twice."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 
@@ -152,9 +152,42 @@
     before: tuple[Record, ...] = ()
 
 
-_NORTH = describe_overlay(SITES[0], port=9500)
+_NORTH = describe_overlay(replace(SITES[0], servers=3))
+_MOVED = describe_overlay(SITES[0], port=9500)
+_SHRUNK = describe_overlay(replace(SITES[0], zones=('north-b',)))
+_TURNED = describe_overlay(SITES[0]).replace('catalogue', 'fittings')
+_TWO_SERVICES = f'{BASE}'.replace(
+    'catalogue: {shards: 64}',
+    'catalogue: {shards: 64}\n  fittings: {shards: 8}',
+)
 _ACCEPTED = ResultCode.ok
 _CASES = (
+    _Case(
+        'overlay-moves-owner-elsewhere',
+        make_publication('new', 2, 'north', _MOVED),
+        ResultCode.configuration_invalid,
+    ),
+    _Case(
+        'overlay-leaves-owner-out',
+        make_publication('new', 2, 'north', _SHRUNK),
+        ResultCode.configuration_invalid,
+    ),
+    _Case(
+        'overlay-turns-owner-to-another-service',
+        make_publication('new', 2, 'north', _TURNED),
+        ResultCode.configuration_invalid,
+        (make_publication('wider', 1, None, _TWO_SERVICES),),
+    ),
+    _Case(
+        'overlay-moves-server-without-shards',
+        make_publication(
+            'new',
+            3,
+            'south',
+            describe_overlay(SITES[1], port=9500),
+        ),
+        ResultCode.ok,
+    ),
     _Case(
         'overlay-replaces-its-version',
         make_publication('new', 2, 'north', _NORTH),
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -79,7 +79,7 @@
 
 
 def _publish(fleet: Fleet, number: int, expected: int) -> RecordId:
-    document = describe_overlay(SITES[0], port=9100 + number)
+    document = describe_overlay(replace(SITES[0], servers=2 + number))
     name = f'again-{number}'
     record = make_publication(name, expected, SITES[0].name, document)
     fleet.log.append((record,))
--- a/trefoilsaddle/core/publishing.py
+++ b/trefoilsaddle/core/publishing.py
@@ -4,6 +4,7 @@
 
 from trefoilsaddle.core.configuration import (
     Configuration,
+    ServerPolicy,
     ServicePolicy,
     SitePolicy,
 )
@@ -112,6 +113,7 @@
         return _refuse('no base file is in force')
     site = build_site(name, overlay)
     failure = _check_site(view.configuration, site)
+    failure = failure or _check_owners(view, site)
     if failure is not None:
         return failure
     sites = {**view.configuration.sites, name: site}
@@ -156,5 +158,33 @@
     return None
 
 
+def _check_owners(view: LogView, site: SitePolicy) -> Failure | None:
+    """Keep a server that owns shards where it is, and what it is.
+
+    Work in flight at its former address, or under its former service, could
+    otherwise run beside work that its successor is sent.
+    """
+    assert view.configuration is not None
+    former = view.configuration.sites.get(site.name)
+    successors = {policy.server_id: policy for policy in site.servers}
+    for policy in former.servers if former else ():
+        if not view.count_shards(policy.server_id):
+            continue
+        successor = successors.get(policy.server_id)
+        if successor is None:
+            reason = 'owns shards: mark it as leaving first'
+            return _refuse(f'server {policy.server_id} {reason}')
+        if not _stays(policy, successor):
+            reason = 'owns shards: give its successor a name of its own'
+            return _refuse(f'server {policy.server_id} {reason}')
+    return None
+
+
+def _stays(policy: ServerPolicy, successor: ServerPolicy) -> bool:
+    if policy.service != successor.service:
+        return False
+    return (policy.host, policy.port) == (successor.host, successor.port)
+
+
 def _refuse(reason: str) -> Failure:
     return Failure(ResultCode.configuration_invalid, reason)
