Ask a member of each claim set that a successor may know

A claim set renewed while the server could not be reached left the former members able to take it over unseen; a move now needs the word of one of them as well. A claim that was read a moment ago counts for more than an old rumour of its holder's death, which ended claims that followed each other five times within 0.3 s after a partition.

--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from trefoilsaddle.core.dutystate import Claiming, Duty
+from trefoilsaddle.core.dutystate import NEVER, Claiming, Duty
 from trefoilsaddle.core.effects import (
     Effects,
     Part,
@@ -44,6 +44,8 @@
 
 # Time for a leaving holder to hand its role over itself.
 _HAND_OVER_TIME = Seconds(2)
+# Time for which a claim shows that its dispatcher is alive.
+_TRUST_CLAIM = Seconds(1)
 _GONE = frozenset((Health.dead, Health.leaving))
 # Least time between two claims of one holder for the same server.
 _RECLAIM_AFTER = Seconds(3)
@@ -74,6 +76,9 @@
         turn += _SETTLE_TIME
     if role and health_of(node, role.dispatcher) is Health.leaving:
         turn += _HAND_OVER_TIME
+    # A claim that was read just now tells more than an old rumour of death.
+    read_at = node.duties.read_at.get(server, NEVER)
+    turn = max(turn, Seconds(read_at + _TRUST_CLAIM))
     known = node.duties.known.get(server)
     if known is not None:
         # A promise to the former dispatcher is kept to its end.
@@ -198,8 +203,10 @@
         started=started,
     )
     present = node.duties.held.get(server)
+    certain = former is None or former.term == role.former_term
+    duty.former_known = certain
     renewed = former is not None and former.dispatcher == node.options.node
-    if present is not None and renewed and claiming is not None:
+    if present is not None and renewed and certain:
         _carry_over(present, duty)
     node.duties.held[server] = duty
     node.duties.vacant_since.pop(server, None)
@@ -227,6 +234,10 @@
     duty.released = present.released
     duty.outsider = present.outsider
     duty.reached = present.reached or former.contacted
+    duty.former_known = present.former_known
+    duty.witnesses = present.witnesses
+    if former.contacted:
+        duty.witnesses = present.claim_set
     duty.moves = {
         shard: replace(move, record_id=None)
         for shard, move in present.moves.items()
--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -135,6 +135,11 @@
     former_members: tuple[NodeId, ...]
     former_dispatcher: NodeId | None
     started: Seconds
+    # Claim set under which the server last followed this process; until it
+    # follows the present term, one of these may take it over unseen.
+    witnesses: tuple[NodeId, ...] = ()
+    # False if the former role is not known for certain.
+    former_known: bool = True
     # True if the server has followed an earlier term of this process, so
     # that no dispatcher before it can act.
     reached: bool = False
@@ -268,6 +273,8 @@
     silent_since: dict[ServerId, Seconds] = field(default_factory=dict)
     # Since when a zone was seen declared lost.
     lost_since: dict[ZoneName, Seconds] = field(default_factory=dict)
+    # When the present role of each server was read: its holder was alive.
+    read_at: dict[ServerId, Seconds] = field(default_factory=dict)
     # Roles as the duties last saw them.
     seen_roles: dict[ServerId, Role] = field(default_factory=dict)
     # Shards that have been seen to have an owner.
--- a/trefoilsaddle/core/recovery.py
+++ b/trefoilsaddle/core/recovery.py
@@ -99,7 +99,7 @@
         return duty.usable_from
     if duty.released:
         return duty.grants.lapsed_after
-    if not duty.former_members:
+    if not duty.former_members or not duty.former_known:
         return FOREVER
     latest = duty.usable_from
     for member in duty.former_members:
--- a/trefoilsaddle/core/roles.py
+++ b/trefoilsaddle/core/roles.py
@@ -56,6 +56,7 @@
     if role.dispatcher == known.followed or known.followed not in group:
         # The log confirms it, or the server has followed a later term.
         known.followed = None
+    duties.read_at[server] = moment.monotonic
     duties.take_overs.pop(server, None)
     duties.handing_over.discard(server)
     if role.dispatcher != node.options.node:
--- a/trefoilsaddle/core/sharing.py
+++ b/trefoilsaddle/core/sharing.py
@@ -45,9 +45,10 @@
     sequence = node.duties.count()
     shared = SharedMove(record)
     duty.shared[sequence] = shared
-    if not duty.claim_set:
-        return _complete(node, moment, duty, shared)
-    return _send(node, duty, sequence, shared)
+    return [
+        *_complete(node, moment, duty, shared),
+        *_send(node, duty, sequence, shared),
+    ]
 
 
 def _describe_move(node: Node, duty: Duty, shard: ShardId) -> MovedShard:
@@ -60,6 +61,8 @@
 def _audience(node: Node, duty: Duty) -> set[NodeId]:
     """Return all who may claim the server next, in or without the log."""
     members = set(duty.claim_set)
+    if not duty.grants.contacted:
+        members.update(duty.witnesses)
     claiming = node.duties.claiming.get(duty.server)
     if claiming is not None:
         # This claim of ours may take effect at any time.
@@ -161,8 +164,7 @@
     shared: SharedMove,
 ) -> Effects:
     effects: Effects = []
-    told = not duty.claim_set or shared.acknowledged & set(duty.claim_set)
-    if told and not shared.queued:
+    if _is_told(duty, shared) and not shared.queued:
         shared.queued = True
         _set_stage(duty, shared, MoveStage.appending)
         effects.extend(append_records(node, moment, (shared.record,)))
@@ -177,6 +179,17 @@
     return effects
 
 
+def _is_told(duty: Duty, shared: SharedMove) -> bool:
+    """Say whether a member knows, whichever claim set a successor knows."""
+    groups = [duty.claim_set]
+    if not duty.grants.contacted:
+        groups.append(duty.witnesses)
+    return all(
+        not group or not shared.acknowledged.isdisjoint(group)
+        for group in groups
+    )
+
+
 def _set_stage(duty: Duty, shared: SharedMove, stage: MoveStage) -> None:
     for moved in shared.record.shards:
         move = duty.moves.get(moved.shard)
