--- a/measure/ownershipscene.py
+++ b/measure/ownershipscene.py
@@ -41,6 +41,8 @@
     # Time that a request takes at a server, and its longest deadline.
     service_time: float = 0.01
     deadline: float = 0.5
+    # Time between two requests for each shard.
+    pace: float = 0.02
 
     @property
     def zone_names(self) -> tuple[ZoneName, ...]:
--- a/measure/ownershiptraffic.py
+++ b/measure/ownershiptraffic.py
@@ -64,6 +64,7 @@
     running: list[Run] = field(default_factory=list)
     # Time of the last request that ran, by shard.
     served: dict[ShardId, float] = field(default_factory=dict)
+    served_by: dict[ShardId, ServerId] = field(default_factory=dict)
 
     def send_some(self, process: Process) -> None:
         """Send a request for each shard that a process may serve."""
@@ -154,6 +155,7 @@
         run = Run(server, attempt, started)
         self.running.append(run)
         self.served[attempt.shard] = self.fleet.schedule.now
+        self.served_by[attempt.shard] = attempt.server
         self.check(attempt.shard)
         length = (started.due - started.started) / server.rate
         finish = partial(self._finish, run)
--- a/trefoilsaddle/core/sharing.py
+++ b/trefoilsaddle/core/sharing.py
@@ -42,6 +42,7 @@
         move = duty.moves[shard]
         move.stage = MoveStage.sharing
         move.record_id = record.record_id
+    _remember(node, record)
     sequence = node.duties.count()
     shared = SharedMove(record)
     duty.shared[sequence] = shared
@@ -51,6 +52,13 @@
     ]
 
 
+def _remember(node: Node, move: Move | ShareMove) -> None:
+    # Our own moves too: the role may go to another process and come back.
+    known = raise_term(node, move.server, move.term)
+    for moved in move.shards:
+        known.moves[moved.shard] = RememberedMove(move.term, moved)
+
+
 def _describe_move(node: Node, duty: Duty, shard: ShardId) -> MovedShard:
     move = duty.moves[shard]
     if node.following.log_away and move.provisional is None:
@@ -111,9 +119,7 @@
     if _may_be_served(node, moment, sender, share):
         # Asked again soon; the move waits until this has ended.
         return []
-    known = raise_term(node, share.server, share.term)
-    for moved in share.shards:
-        known.moves[moved.shard] = RememberedMove(share.term, moved)
+    _remember(node, share)
     ack = ShareMoveAck(share.server, share.term, share.sequence)
     return [SendMessage(sender, ack)]
 
