--- a/tests/test_ownershipfaults.py
+++ b/tests/test_ownershipfaults.py
@@ -38,7 +38,7 @@
 
 
 def _start(bench: Bench) -> None:
-    bench.run(0.1)
+    bench.run(_LOOK)
 
 
 def _move(bench: Bench) -> None:
@@ -196,7 +196,7 @@
     run_trial(_UNCHECKED, STEPS[4], (fault,))
 
 
-@pytest.mark.parametrize('pair', combinations(FAULTS[::3], 2))
+@pytest.mark.parametrize('pair', list(combinations(FAULTS[::3], 2)))
 def test_pair_of_faults(pair: tuple[Fault, Fault]) -> None:
     """Keep one owner when two faults meet in the middle of a move."""
     run_trial(_CHECKED, STEPS[3], pair)
