Pace by what servers answer: count sheds, wait out stalls, clip estimates

Cause: one shed or timed-out request cut a server to one request at a time and paused it for up to a second; one request that a freeze had held up spoiled the estimate of service times, so that lookups were refused for seconds after. Now the limit falls only if more is shed than answered, a stall is probed with one request (one that may be repeated, if any waits), a measurement counts at most four mean times, and what can not end in time is not sent.

--- a/trefoilsaddle/core/acceptance.py
+++ b/trefoilsaddle/core/acceptance.py
@@ -103,7 +103,6 @@
     answer = state.discipline.admit(queue, ticket, moment.monotonic)
     if answer is not None:
         return answer_ticket(node, moment, ticket, answer)
-    queue.budget.earn(queue.rules.retry_budget)
     queue.rank_queue(ticket).push(ticket)
     effects: Effects = [start]
     effects.extend(fill_slots(node, moment, queue))
@@ -158,7 +157,6 @@
         version=configuration.version,
         slots=policy.slots,
         queue_limit=configuration.services[policy.service].queue_limit,
-        retry_budget=configuration.limits.retry_budget,
         ranks=configuration.ranks,
     )
     if queue is None:
--- a/trefoilsaddle/core/admission.py
+++ b/trefoilsaddle/core/admission.py
@@ -6,11 +6,19 @@
 
 # Least part of the slots that an estimate counts on.
 _LEAST_CAPACITY = 0.05
+# Largest part of a request's time that it is thought to run for.
+_LARGEST_NEED = 0.25
 
 
 def needed_time(queue: ServerQueue, ticket: Ticket) -> Seconds:
-    """Return the time that a request must have left when it is sent."""
-    return Seconds(queue.rank_queue(ticket).service.mean)
+    """Return the time that a request must have left when it is sent.
+
+    Never more than a part of its whole time, so that an estimate that has
+    become too high is corrected by new measurements.
+    """
+    whole = ticket.deadline - ticket.arrived
+    mean = queue.rank_queue(ticket).service.mean
+    return Seconds(min(mean, whole * _LARGEST_NEED))
 
 
 def estimate_wait(
@@ -20,8 +28,8 @@
     now: Seconds,
 ) -> Seconds:
     """Estimate how long a member's next request of a rank waits."""
-    pause = queue.pacing.pause_left(now)
-    slots = max(min(queue.pacing.limit, queue.rules.slots), 1)
+    pause = queue.pacing.expected_silence(now)
+    slots = queue.pacing.usual(queue.rules.slots)
     ranked = queue.ranks[rank]
     ahead = ranked.count_ahead(member)
     more_urgent = queue.ranks[:rank]
--- a/trefoilsaddle/core/disciplines.py
+++ b/trefoilsaddle/core/disciplines.py
@@ -45,6 +45,10 @@
     ) -> Seconds:
         """Estimate the wait of a rank's next request, to tell the senders."""
 
+    def need(self, queue: ServerQueue, ticket: Ticket) -> Seconds:
+        """Return the time that a request must have left to be sent."""
+        return needed_time(queue, ticket)
+
     def allow(self, queue: ServerQueue, now: Seconds) -> int:
         """Return how many requests may be under way to the server."""
         return queue.pacing.allowed(queue.rules.slots, now)
@@ -69,6 +73,12 @@
 
     def choose(self, queue: ServerQueue, now: Seconds) -> Ticket | None:
         """Take the most urgent, unless a lower rank's share is due."""
+        if queue.pacing.stalled_since is not None:
+            # What is sent to a frozen server may end as unknown.
+            for probed in queue.ranks:
+                probe = probed.pop_idempotent()
+                if probe is not None:
+                    return probe
         ranked = choose_rank(queue)
         if ranked is None:
             return None
--- a/trefoilsaddle/core/endings.py
+++ b/trefoilsaddle/core/endings.py
@@ -32,12 +32,11 @@
     }
 )
 # Most times that one request is sent again after the server has shed it.
-_MOST_SHEDS = 3
-# Signs that a server can not take more for now.
-_STRAINS = frozenset(
+_MOST_SHEDS = 6
+# Signs that a server can not be reached for now.
+_FAILURES = frozenset(
     (
         AttemptVerdict.unsent,
-        AttemptVerdict.shed,
         AttemptVerdict.lost,
         AttemptVerdict.cut_short,
     )
@@ -54,7 +53,7 @@
         return []
     _learn_ending(queue, ticket, moment, event.verdict)
     effects: Effects = []
-    if _tries_again(queue, ticket, event.verdict):
+    if _tries_again(ticket, event.verdict):
         ticket.state = TicketState.waiting
         queue.rank_queue(ticket).push_front(ticket)
     else:
@@ -77,7 +76,8 @@
         answer = refuse(ResultCode.deadline_unreachable)
         return answer_ticket(node, moment, ticket, answer)
     effects = _cancel_attempt(queue, ticket)
-    queue.pacing.note_failure(moment.monotonic)
+    mean = queue.rank_queue(ticket).service.mean
+    queue.pacing.note_timeout(ticket.started, mean, moment.monotonic)
     answer = doubt(ResultCode.deadline_passed)
     effects.extend(answer_ticket(node, moment, ticket, answer))
     return effects + fill_slots(node, moment, queue)
@@ -131,15 +131,17 @@
 
 
 def _tries_again(
-    queue: ServerQueue,
     ticket: Ticket,
     verdict: AttemptVerdict,
 ) -> bool:
-    """Keep a request that was shed waiting; entry processes do not retry it."""
+    """Keep a request that was shed waiting; entry processes do not retry it.
+
+    Pacing bounds how much more the server is sent for it.
+    """
     if verdict is not AttemptVerdict.shed or ticket.abandoned:
         return False
     ticket.sheds += 1
-    return ticket.sheds <= _MOST_SHEDS and queue.budget.spend()
+    return ticket.sheds <= _MOST_SHEDS
 
 
 def _judge_ending(event: AttemptEnded) -> Answer:
@@ -162,7 +164,9 @@
         duration = Seconds(now - ticket.started)
         queue.rank_queue(ticket).service.observe(duration)
         queue.pacing.note_answer(queue.rules.slots)
-    elif verdict in _STRAINS:
+    elif verdict is AttemptVerdict.shed:
+        queue.pacing.note_shed(queue.rules.slots, now)
+    elif verdict in _FAILURES:
         queue.pacing.note_failure(now)
     if verdict in _DOUBTS:
         queue.uncertain_until = max(queue.uncertain_until, ticket.deadline)
--- a/trefoilsaddle/core/estimates.py
+++ b/trefoilsaddle/core/estimates.py
@@ -9,6 +9,8 @@
 _FIRST_MEAN = 0.01
 # Weight of the newest measurement.
 _GAIN = 0.1
+# Largest measurement taken in, in mean times.
+_LARGEST_FACTOR = 4
 # Time over which the load of a rank is averaged.
 _LOAD_PERIOD = 1.0
 
@@ -25,7 +27,8 @@
         """Take in how long one request ran."""
         self.samples += 1
         gain = max(_GAIN, 1 / self.samples)
-        error = duration - self.mean
+        # One request that a freeze held up must not spoil the estimate.
+        error = min(duration, self.mean * _LARGEST_FACTOR) - self.mean
         self.mean += gain * error
         self.deviation += gain * (abs(error) - self.deviation)
 
--- a/trefoilsaddle/core/queues.py
+++ b/trefoilsaddle/core/queues.py
@@ -7,7 +7,6 @@
 from trefoilsaddle.core.configuration import RankPolicy
 from trefoilsaddle.core.estimates import LoadEstimate, ServiceEstimate
 from trefoilsaddle.core.pacing import Pacing
-from trefoilsaddle.core.retries import RetryBudget
 from trefoilsaddle.core.tickets import Ticket
 from trefoilsaddle.core.units import (
     AttemptId,
@@ -60,6 +59,15 @@
         self._shrink(member)
         return ticket
 
+    def pop_idempotent(self) -> Ticket | None:
+        """Take a member's next request that may be repeated, if any."""
+        for queue in self.members.values():
+            if queue[0].request.idempotent:
+                ticket = queue[0]
+                self.remove(ticket)
+                return ticket
+        return None
+
     def pop_newest(self) -> Ticket | None:
         """Take the newest request of the member that has most waiting."""
         if not self.members:
@@ -105,7 +113,6 @@
     version: Version
     slots: int
     queue_limit: int
-    retry_budget: float
     ranks: tuple[RankPolicy, ...]
 
 
@@ -120,8 +127,6 @@
     ranks: list[RankQueue]
     parked: list[Ticket] = field(default_factory=list)
     running: dict[AttemptId, Ticket] = field(default_factory=dict)
-    # Bounds how often requests are sent again that the server has shed.
-    budget: RetryBudget = field(default_factory=RetryBudget)
     # Deadline of the last request that may still run unobserved.
     uncertain_until: Seconds = Seconds(0)
 
--- a/trefoilsaddle/core/sending.py
+++ b/trefoilsaddle/core/sending.py
@@ -100,7 +100,7 @@
     if answer is not None:
         return answer_ticket(node, moment, ticket, answer)
     remaining = ticket.remaining(moment.monotonic)
-    if remaining <= 0:
+    if remaining <= node.dispatching.discipline.need(queue, ticket):
         answer = refuse(ResultCode.deadline_unreachable)
         return answer_ticket(node, moment, ticket, answer)
     ticket.state = TicketState.running
