--- a/trefoilsaddle/core/acceptance.py
+++ b/trefoilsaddle/core/acceptance.py
@@ -7,6 +7,7 @@
 from trefoilsaddle.core.messages import Forward
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.outcomes import claim_key, find_leader
+from trefoilsaddle.core.provisional import owner_of
 from trefoilsaddle.core.queues import (
     QueueRules,
     ServerQueue,
@@ -130,9 +131,9 @@
 ) -> ServerId | None:
     """Return the server that this process may send a shard's work to."""
     candidates = [named]
-    owner = node.view.owners.get(shard)
-    if owner is not None and owner.server != named:
-        candidates.append(owner.server)
+    owner = owner_of(node, shard)
+    if owner is not None and owner != named:
+        candidates.append(owner)
     for server in candidates:
         authority = check_authority(node, moment, server, shard)
         if not isinstance(authority, Failure):
--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -37,6 +37,9 @@
 # Time for a starting process to hear of the others before its first claim.
 _SETTLE_TIME = Seconds(7 / 10)
 
+# Time for a leaving holder to hand its role over itself.
+_HAND_OVER_TIME = Seconds(2)
+_GONE = frozenset((Health.dead, Health.leaving))
 # Least time between two claims of one holder for the same server.
 _RECLAIM_AFTER = Seconds(3)
 
@@ -64,6 +67,8 @@
     turn = since + STAGGER * candidates.index(me)
     if role is None and len(candidates) <= CLAIM_SET_SIZE:
         turn += _SETTLE_TIME
+    if role and health_of(node, role.dispatcher) is Health.leaving:
+        turn += _HAND_OVER_TIME
     known = node.duties.known.get(server)
     if known is not None:
         # A promise to the former dispatcher is kept to its end.
@@ -86,7 +91,7 @@
         everyone = {*alive, node.options.node}
         return rank_candidates(server, everyone)
     holder = holder_of(node, server) or role.dispatcher
-    if health_of(node, holder) is not Health.dead:
+    if health_of(node, holder) not in _GONE:
         node.duties.vacant_since.pop(server, None)
         return []
     members = [
@@ -216,6 +221,7 @@
     }
     duty.shards = present.shards
     duty.grants.stamp = former.stamp
+    duty.grants.trusted_instance = former.trusted_instance
     duty.grants.stamp_sent = former.stamp_sent
     duty.grants.stamp_received = former.stamp_received
     duty.grants.lapsed_after = former.lapsed_after
@@ -256,7 +262,9 @@
     since = max(duty.started, duty.fenced_at)
     if moment.monotonic - since < _RECLAIM_AFTER:
         return []
-    if duty.superseded or _needs_members(node, duty):
+    if duty.superseded or duty.refused_for > duty.term:
+        return append_claim(node, moment, duty.server, duty.term)
+    if _needs_members(node, duty):
         return append_claim(node, moment, duty.server, duty.term)
     return []
 
--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -4,7 +4,7 @@
 from enum import Enum, unique
 
 from trefoilsaddle.core.events import ServerStamp
-from trefoilsaddle.core.messages import PromiseRequest
+from trefoilsaddle.core.messages import PromiseRequest, ProvisionalClaim
 from trefoilsaddle.core.records import Move, MovedShard
 from trefoilsaddle.core.units import (
     FIRST_EPOCH,
@@ -96,6 +96,8 @@
 
     sequence: int = 0
     stamp: ServerStamp | None = None
+    # Run of the server that was met while no one else could act for it.
+    trusted_instance: str = ''
     # Sequence of the call whose answer carried the stamp.
     stamp_sequence: int = 0
     # No later than the stamp was made, and no earlier.
@@ -153,6 +155,8 @@
     # Send time of the newest request that each member has granted.
     promised: dict[NodeId, Seconds] = field(default_factory=dict)
     asked: dict[int, Seconds] = field(default_factory=dict)
+    # Greatest term that a member has refused ours for.
+    refused_for: Epoch = FIRST_EPOCH
     # Greater term that the server was seen to hold.
     fenced_by: Epoch = FIRST_EPOCH
     fenced_at: Seconds = NEVER
@@ -160,7 +164,11 @@
     @property
     def moves_without_log(self) -> bool:
         """Tell that a move may be in force which the log does not hold."""
-        return any(move.provisional is not None for move in self.moves.values())
+        open_stages = {MoveStage.appending, MoveStage.provisional}
+        return any(
+            move.provisional is not None and move.stage in open_stages
+            for move in self.moves.values()
+        )
 
     @property
     def superseded(self) -> bool:
@@ -239,8 +247,10 @@
     arrivals: dict[ShardId, Arrival] = field(default_factory=dict)
     # True when arrivals or departures changed without a log entry.
     unsettled: bool = False
-    # Dispatchers that said they act for a server since the log went away.
-    provisional_holders: dict[ServerId, NodeId] = field(default_factory=dict)
+    # Newest word on who acts for a server since the log went away.
+    provisional_holders: dict[ServerId, ProvisionalClaim] = field(
+        default_factory=dict,
+    )
     # Servers whose role a record of ours gives to a claim-set member.
     handing_over: set[ServerId] = field(default_factory=set)
     # Terms whose former dispatcher has said that it sends nothing more.
