--- a/tests/bench.py
+++ b/tests/bench.py
@@ -242,6 +242,13 @@
         self.feed(ENTRY, CallArrived(Call(call_id, request)))
         return call_id
 
+    def schedule_call(self, pause: float, request: Request) -> CallId:
+        """Let a caller's request arrive later."""
+        self.counter += 1
+        call = Call(CallId(self.counter), request)
+        self.schedule(pause, ENTRY, CallArrived(call))
+        return call.call_id
+
     def feed(self, node_id: NodeId, event: Event) -> None:
         """Give an event to a process at once."""
         wall = WALL + self.now + self.wall_offsets.get(node_id, 0)
--- a/trefoilsaddle/core/floors.py
+++ b/trefoilsaddle/core/floors.py
@@ -154,14 +154,23 @@
         return False
     member = max(ended, key=lambda other: len(ended[other]))
     count = len(ended[member]) // _FORGOTTEN_PART + 1
-    floor = state.member_floors.get(member, NO_FLOOR)
     for key in ended[member][:count]:
-        floor = max(floor, state.outcomes[key].created)
+        note_forgotten(node, member, state.outcomes[key])
         _drop_outcome(node, key)
-    state.member_floors[member] = floor
     return True
 
 
+def note_forgotten(
+    node: Node,
+    member: MemberName,
+    outcome: KeyOutcome,
+) -> None:
+    """Raise a member's floor above an outcome that makes room."""
+    state = node.dispatching.outcomes
+    floor = state.member_floors.get(member, NO_FLOOR)
+    state.member_floors[member] = max(floor, outcome.created)
+
+
 def _drop_outcome(node: Node, key: OutcomeKey) -> None:
     outcome = node.dispatching.outcomes.outcomes.pop(key)
     _drop_answer(node, outcome)
--- a/trefoilsaddle/core/outcomes.py
+++ b/trefoilsaddle/core/outcomes.py
@@ -5,7 +5,7 @@
 
 from trefoilsaddle.core.answers import doubt, refuse
 from trefoilsaddle.core.authority import Authority
-from trefoilsaddle.core.calls import Answer
+from trefoilsaddle.core.calls import Answer, IdempotencyKey, Request
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.floors import (
     adopt_floor,
@@ -24,6 +24,7 @@
 from trefoilsaddle.core.units import (
     AttemptId,
     Epoch,
+    MemberName,
     Moment,
     Seconds,
     ShardId,
@@ -85,7 +86,7 @@
     configuration = node.view.configuration
     if key is None or configuration is None:
         return None
-    if key.created > moment.wall + configuration.limits.clock_skew:
+    if is_in_future(key, moment, configuration.limits.clock_skew):
         return refuse(ResultCode.idempotency_key_in_future)
     known = node.dispatching.outcomes.outcomes.get(_name_key(ticket))
     if known is not None:
@@ -105,6 +106,15 @@
     return None
 
 
+def is_in_future(
+    key: IdempotencyKey,
+    moment: Moment,
+    skew: Seconds,
+) -> bool:
+    """Say whether a key is too new for a successor's floor to cover it."""
+    return key.created > moment.wall + skew
+
+
 def find_leader(node: Node, ticket: Ticket) -> AttemptId | None:
     """Return the earlier ticket in progress with a request's key, if any."""
     known = _find_outcome(node, ticket)
@@ -131,7 +141,7 @@
     if known is None:
         return doubt(ResultCode.outcome_forgotten)
     if known.ticket != ticket.number:
-        return _meet_outcome(known, ticket)
+        return _meet_outcome(known, ticket) or doubt(ResultCode.in_progress)
     kept = follow_tokens(node, moment, ticket.shard, authority)
     if not is_forgotten(node, moment, ticket.shard, ticket.request):
         return None
@@ -182,7 +192,11 @@
     request = ticket.request
     key = request.idempotency_key
     token = '' if key is None else key.token
-    return OutcomeKey(request.service, request.member, token)
+    return OutcomeKey(request.service, _member_of(request), token)
+
+
+def _member_of(request: Request) -> MemberName:
+    return request.member
 
 
 def _fingerprint(ticket: Ticket) -> int:
