--- a/trefoilsaddle/programs/callers.py
+++ b/trefoilsaddle/programs/callers.py
@@ -128,17 +128,19 @@
     ) -> None:
         self._shell.count_refusal(failure.code)
         answer = Answer(Outcome.not_run, failure.code)
-        await self._begin_answer(answer, send)
+        await self._send_answer(answer, send, more_body=True)
         # A connection closed with bytes unread would be reset, and the
         # caller might lose the answer over that.
         await discard_body(receive)
         await send({'type': _RESPONSE_BODY})
 
-    async def _send_answer(self, answer: Answer, send: Send) -> None:
-        await self._begin_answer(answer, send)
-        await send({'type': _RESPONSE_BODY})
-
-    async def _begin_answer(self, answer: Answer, send: Send) -> None:
+    async def _send_answer(
+        self,
+        answer: Answer,
+        send: Send,
+        *,
+        more_body: bool = False,
+    ) -> None:
         reply = answer.reply or _build_reply(answer)
         headers = _build_headers(answer, reply)
         if self.closing:
@@ -148,10 +150,14 @@
                 'type': 'http.response.start',
                 'status': reply.status,
                 'headers': headers,
-            }
+            },
         )
         await send(
-            {'type': _RESPONSE_BODY, 'body': reply.body, 'more_body': True},
+            {
+                'type': _RESPONSE_BODY,
+                'body': reply.body,
+                'more_body': more_body,
+            },
         )
 
 
