--- a/measure/callerload.py
+++ b/measure/callerload.py
@@ -42,6 +42,11 @@
         default_factory=partial(HdrHistogram, 1, _LONGEST_LATENCY, _DIGITS),
     )
 
+    @property
+    def count(self) -> int:
+        """Count the answers."""
+        return sum(self.outcomes.values())
+
     def add(self, outcome: str, seconds: float) -> None:
         """Note one answer."""
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
--- a/measure/thinpath.py
+++ b/measure/thinpath.py
@@ -156,9 +156,12 @@
     shares: dict[str, float] = {}
     for name, usage in after.items():
         used = usage.processor - before[name].processor
-        shares[name] = used / _IDLE_SECONDS
-        echo(f'{name} at rest: {usage.resident:.1f} MiB resident')
-        echo(f'  {shares[name]:.2%} of a core')
+        share = used / _IDLE_SECONDS
+        shares[name] = share
+        resident = usage.resident
+        echo(f'{name} at rest')
+        echo(f'  {resident:.1f} MiB resident')
+        echo(f'  {share:.2%} of a core')
     return shares
 
 
@@ -172,22 +175,22 @@
     tally = await bench.drive(load)
     elapsed = trio.current_time() - start
     after = bench.read_usages()
-    count = sum(tally.outcomes.values())
-    echo(f'{load.title}: {count} requests, {load.rate:.0f} a second')
-    echo(f'  outcomes and codes: {tally.outcomes}')
+    echo(load.title)
     for name, usage in after.items():
         idle = shares[name] * elapsed
         used = usage.processor - before[name].processor - idle
-        cost = used / count * _MILLISECONDS
-        echo(f'  {name}: {cost:.3f} ms of processor a request, above rest')
-    _report_latency(tally)
+        cost = used / tally.count * _MILLISECONDS
+        echo(f'  {name}')
+        echo(f'    {cost:.3f} ms of processor a request, above rest')
+    _report_tally(tally)
 
 
-def _report_latency(tally: Tally) -> None:
+def _report_tally(tally: Tally) -> None:
+    echo(f'  outcomes and codes: {tally.outcomes}')
     for percentile in _PERCENTILES:
         latency = tally.latency.get_value_at_percentile(percentile)
         milliseconds = latency * _MILLISECONDS / _MICROSECONDS
-        echo(f'  latency, {percentile:g} in 100: {milliseconds:.2f} ms')
+        echo(f'  {milliseconds:.2f} ms or less: {percentile} in 100')
 
 
 _Rate = Annotated[float, Option(min=1, max=500, help='Requests a second.')]
