--- a/measure/thinpath.py
+++ b/measure/thinpath.py
@@ -32,6 +32,7 @@
 _SETTLE_SECONDS = 3.0
 _IDLE_SECONDS = 5.0
 _MILLISECONDS = 1000
+_PERCENT = 100
 _MICROSECONDS = 1_000_000
 _PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
@@ -161,7 +162,8 @@
         resident = usage.resident
         echo(f'{name} at rest')
         echo(f'  {resident:.1f} MiB resident')
-        echo(f'  {share:.2%} of a core')
+        percent = share * _PERCENT
+        echo(f'  {percent:.2f}% of a core')
     return shares
 
 
--- a/trefoilsaddle/core/acceptance.py
+++ b/trefoilsaddle/core/acceptance.py
@@ -49,6 +49,9 @@
         answer = refuse(ResultCode.configuration_missing)
         return [answer_origin(node, origin, shard, answer)]
     server = _find_server(node, moment, forward.server, shard)
+    if server is not None and node.refusing:
+        answer = refuse(ResultCode.stopping)
+        return [answer_origin(node, origin, shard, answer)]
     queue = None
     if server is not None:
         queue = _find_queue(node, server)
--- a/trefoilsaddle/core/dumps.py
+++ b/trefoilsaddle/core/dumps.py
@@ -9,6 +9,7 @@
     NodeId,
     Offset,
     RegionName,
+    Seconds,
     ServerId,
     SiteName,
     Version,
@@ -50,6 +51,22 @@
     running: int
 
 
+@dataclass(frozen=True, slots=True)
+class DutyDump:
+    """Say what a dispatcher holds of one server."""
+
+    server: ServerId
+    # Offset and sequence of the dispatcher's term.
+    term: tuple[int, int]
+    # True while only the server's fence has confirmed the term.
+    provisional: bool
+    shards: int
+    granted_shards: int
+    moving_shards: int
+    # Time for which the server's grants are sure to hold.
+    grants_left: Seconds
+
+
 @dataclass(frozen=True, slots=True)
 class ProcessDump:
     """Say how a process is thought to fare."""
@@ -79,6 +96,7 @@
     documents: tuple[DocumentDump, ...]
     lost_zones: tuple[ZoneName, ...]
     servers: tuple[ServerDump, ...]
+    duties: tuple[DutyDump, ...]
     queues: tuple[QueueDump, ...]
     pending_calls: int
     processes: tuple[ProcessDump, ...]
@@ -86,10 +104,10 @@
 
 def write_dump(node: Node, moment: Moment) -> str:
     """Write the state of a process as JSON text."""
-    return write_json(asdict(build_dump(node)))
+    return write_json(asdict(build_dump(node, moment)))
 
 
-def build_dump(node: Node) -> Dump:
+def build_dump(node: Node, moment: Moment) -> Dump:
     """Collect what a process tells of its state."""
     options = node.options
     return Dump(
@@ -105,6 +123,7 @@
         documents=_dump_documents(node.view),
         lost_zones=tuple(sorted(node.view.lost_zones)),
         servers=_dump_servers(node.view),
+        duties=_dump_duties(node, moment),
         queues=_dump_queues(node),
         pending_calls=len(node.routing.pending),
         processes=_dump_processes(node),
@@ -134,6 +153,24 @@
     return tuple(dumps)
 
 
+def _dump_duties(node: Node, moment: Moment) -> tuple[DutyDump, ...]:
+    dumps: list[DutyDump] = []
+    for duty in node.duties.held.values():
+        left = duty.grants.valid_until - moment.monotonic
+        dumps.append(
+            DutyDump(
+                server=duty.server,
+                term=astuple(duty.term),
+                provisional=duty.provisional,
+                shards=len(duty.shards),
+                granted_shards=len(duty.grants.accepted),
+                moving_shards=len(duty.moves),
+                grants_left=Seconds(max(left, 0)),
+            ),
+        )
+    return tuple(dumps)
+
+
 def _dump_queues(node: Node) -> tuple[QueueDump, ...]:
     return tuple(
         QueueDump(
--- a/trefoilsaddle/core/lifecycle.py
+++ b/trefoilsaddle/core/lifecycle.py
@@ -88,6 +88,8 @@
 
 
 def _look_for_end(node: Node, moment: Moment) -> Effects:
+    # Nobody can take the rest over, so that only refusing ends the work.
+    node.refusing = not has_roles(node)
     if not _is_drained(node):
         node.drained_at = None
     elif node.drained_at is None:
@@ -99,4 +101,4 @@
 
 def _is_drained(node: Node) -> bool:
     in_flight = node.routing.pending or node.dispatching.tickets
-    return not (in_flight or has_roles(node))
+    return node.refusing and not in_flight
--- a/trefoilsaddle/core/node.py
+++ b/trefoilsaddle/core/node.py
@@ -33,6 +33,8 @@
     dispatching: DispatchState = field(default_factory=DispatchState)
     routing: RoutingState = field(default_factory=RoutingState)
     stopping: bool = False
+    # True once a stopping process takes no more requests.
+    refusing: bool = False
     # Since when a stopping process has had nothing in flight.
     drained_at: Seconds | None = None
     # Servers whose queues may have become ready to send.
--- a/trefoilsaddle/traceform.py
+++ b/trefoilsaddle/traceform.py
@@ -1,7 +1,7 @@
 """Write data classes as JSON and read them again, each with its kind.
 
 Many events have the same fields, or none, so that only the name of its class
-tells what one is: `{"kind": "PeerLost", "node": "entry-1", "unsent": []}`.
+tells what one is: `{"class": "PeerLost", "node": "entry-1", "unsent": []}`.
 """
 
 from base64 import b64decode, b64encode
@@ -19,7 +19,8 @@
     get_type_hints,
 )
 
-_KIND = 'kind'
+# A keyword, so that no field can have this name.
+_KIND = 'class'
 _UNIONS = (Union, UnionType)
 
 
