--- a/standins/caller.py
+++ b/standins/caller.py
@@ -46,10 +46,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerAnswer:
-    """Hold what a caller got; no status if the connection broke."""
+    """Hold what a caller got; `refused` or `broken` without an answer."""
 
     status: int = 0
-    outcome: str = 'none'
+    outcome: str = 'broken'
     code: int = -1
     retry_after: str = ''
     body: bytes = field(default=b'', repr=False)
@@ -91,14 +91,6 @@
             return await self._send(request)
         return CallerAnswer()
 
-    async def insist(self, request: CallerRequest) -> CallerAnswer:
-        """Send a request again as long as it is told not run."""
-        answer = await self.send(request)
-        while answer.outcome in {'not-run', 'none'} and request.idempotent:
-            await trio.sleep(0.1)
-            answer = await self.send(request)
-        return answer
-
     async def aclose(self) -> None:
         """Close every connection."""
         await self._pool.aclose()
@@ -111,6 +103,8 @@
                 headers=list(_build_headers(request).items()),
                 content=request.body,
             )
+        except httpcore.ConnectError:
+            return CallerAnswer(outcome='refused')
         except _FAULTS:
             return CallerAnswer()
         headers = {
@@ -119,7 +113,7 @@
         }
         return CallerAnswer(
             status=response.status,
-            outcome=headers.get('x-trefoil-outcome', 'none'),
+            outcome=headers.get('x-trefoil-outcome', 'broken'),
             code=int(headers.get('x-trefoil-result', '-1')),
             retry_after=headers.get('retry-after', ''),
             body=response.content,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,12 +1,12 @@
 """Run a small deployment as separate processes, with its files in force."""
 
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Iterable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
 import trio
 
-from standins.caller import Caller, CallerRequest, make_idempotency_key
+from standins.caller import Caller
 from standins.fleetplan import (
     EXAMPLES,
     SITES,
@@ -14,15 +14,11 @@
     NodePlan,
     plan_fleet,
 )
-from standins.processes import LOOPBACK, Output, Processes, wait_for_port
+from standins.ports import LOOPBACK
+from standins.processes import Output, Processes
+from standins.readiness import wait_for_answers, wait_for_claim_sets
 from standins.services import OutsideServices
 
-SERVICES = ('catalogue', 'filings')
-
-_READY_TIMEOUT = 60.0
-_READY_INTERVAL = 0.1
-# Keys that are spread over all servers of a service.
-_READY_KEYS = 8
 _PROGRAMS = 'trefoilsaddle.programs'
 # No version of the file is in force yet.
 _FIRST = ('--expect', '0')
@@ -52,7 +48,7 @@
             for node in self.plan.nodes:
                 nursery.start_soon(self.start_node, node)
         await self._publish_files()
-        await self._wait_until_ready()
+        await self.wait_until_ready()
 
     async def start_node(self, node: NodePlan) -> None:
         """Start an entry process or a dispatcher, at first or again."""
@@ -63,7 +59,7 @@
             f'{_PROGRAMS}.{program}',
             (_SETTINGS, str(settings)),
         )
-        await wait_for_port(node.port)
+        await self.processes.wait_for_port(node.name, node.port)
 
     async def publish(self, path: Path, *options: str) -> Output:
         """Publish a file as an operator does."""
@@ -97,6 +93,16 @@
                     nursery.start_soon(caller.aclose)
                 nursery.start_soon(self.processes.stop_all)
 
+    async def wait_until_ready(self) -> None:
+        """Wait until every entry process gets answers from every server."""
+        running = self.processes.running.keys() & self._callers.keys()
+        await wait_for_answers([self._callers[name] for name in running])
+
+    async def wait_until_settled(self) -> None:
+        """Wait until each server's role may be taken over by someone."""
+        servers = {server.name for server in self.plan.servers}
+        await wait_for_claim_sets(self.services, servers)
+
     async def _stop(self, nodes: Iterable[NodePlan]) -> dict[str, int]:
         running = self.processes.running
         names = [node.name for node in nodes if node.name in running]
@@ -111,7 +117,7 @@
 
     async def _publish_files(self) -> None:
         outputs = [await self.publish(EXAMPLES / 'base.yaml', *_FIRST)]
-        sites = list(SITES)
+        sites = list(self.plan.overlays)
         while sites:
             site = sites.pop()
             overlay = self.plan.write_overlay(site, self.processes.folder)
@@ -120,44 +126,15 @@
             if output.code != 0:
                 raise FleetError(output.text)
 
-    async def _wait_until_ready(self) -> None:
-        """Wait until every entry process gets answers from every server."""
-        with trio.move_on_after(_READY_TIMEOUT):
-            async with trio.open_nursery() as nursery:
-                for caller in self._callers.values():
-                    nursery.start_soon(_wait_for_keys, caller)
-            return
-        raise FleetError('the deployment does not come up')
-
 
 @asynccontextmanager
-async def run_fleet(folder: Path) -> AsyncIterator[Fleet]:
+async def run_fleet(
+    folder: Path,
+    sites: Sequence[str] = SITES,
+) -> AsyncIterator[Fleet]:
     """Run a deployment; stop all of it at the end."""
-    fleet = Fleet(plan_fleet(), folder)
+    fleet = Fleet(plan_fleet(sites), folder)
     async with AsyncExitStack() as stack:
         stack.push_async_callback(fleet.aclose)
         await fleet.start()
         yield fleet
-
-
-async def _wait_for_keys(caller: Caller) -> None:
-    async with trio.open_nursery() as nursery:
-        for service in SERVICES:
-            for number in range(_READY_KEYS):
-                nursery.start_soon(_wait_for_key, caller, service, number)
-
-
-async def _wait_for_key(caller: Caller, service: str, number: int) -> None:
-    """Wait until unrepeatable requests are run: the last thing to come."""
-    answered = False
-    while not answered:
-        request = CallerRequest(
-            service=service,
-            key=f'ready-{number}',
-            deadline=2,
-            idempotent=False,
-            idempotency_key=make_idempotency_key(),
-        )
-        answer = await caller.send(request)
-        answered = answer.outcome == 'answered'
-        await trio.sleep(_READY_INTERVAL)
--- a/standins/fleetplan.py
+++ b/standins/fleetplan.py
@@ -11,10 +11,11 @@
 
 import yaml
 
-from standins.processes import LOOPBACK, pick_ports
+from standins.ports import LOOPBACK, pick_ports
 
 EXAMPLES = Path(__file__).parent.parent / 'examples'
 SITES = ('north', 'south')
+SERVICES = ('catalogue', 'filings')
 
 _SECRET = 'a secret for loopback only'
 _DISPATCHERS_PER_SITE = 2
@@ -132,16 +133,16 @@
         }
 
 
-def plan_fleet() -> FleetPlan:
-    """Give every process of the examples a free port."""
-    overlays = {site: _read_overlay(site) for site in SITES}
+def plan_fleet(sites: Sequence[str] = SITES) -> FleetPlan:
+    """Give every process of some of the examples' sites a free port."""
+    overlays = {site: _read_overlay(site) for site in sites}
     for overlay in overlays.values():
         servers = overlay[_SERVERS].values()
         ports = pick_ports(len(servers))
         for server, port in zip(servers, ports, strict=True):
             server[_PORT] = port
     log, hosts = pick_ports(2)
-    nodes = [node for site in SITES for node in _plan_nodes(site)]
+    nodes = [node for site in sites for node in _plan_nodes(site)]
     return FleetPlan(log, hosts, tuple(nodes), overlays)
 
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,18 +1,18 @@
 """Start programs as processes of their own, and end only these."""
 
 import signal
-import socket
 import sys
 from collections.abc import Iterable
-from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 from subprocess import STDOUT
 
 import trio
 
-LOOPBACK = '127.0.0.1'
+from standins.ports import is_open
+
 _POLL_INTERVAL = 0.05
+_START_TIMEOUT = 30.0
 # Longest wait for a process to end after SIGTERM, then after SIGKILL.
 _STOP_TIMEOUT = 30.0
 _KILL_TIMEOUT = 5.0
@@ -22,33 +22,6 @@
     """Tell that a process did not come up in time."""
 
 
-def pick_ports(count: int) -> list[int]:
-    """Return free ports of the loopback address, all different."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for unbound in sockets:
-            unbound.bind((LOOPBACK, 0))
-        return [bound.getsockname()[1] for bound in sockets]
-
-
-async def wait_for_port(port: int, timeout: float = 30) -> None:
-    """Wait until a process listens on a port."""
-    with trio.move_on_after(timeout):
-        while not await _is_open(port):
-            await trio.sleep(_POLL_INTERVAL)
-        return
-    raise StartError(f'nothing listens on port {port}')
-
-
-async def _is_open(port: int) -> bool:
-    try:
-        stream = await trio.open_tcp_stream(LOOPBACK, port)
-    except OSError:
-        return False
-    await stream.aclose()
-    return True
-
-
 @dataclass(frozen=True, slots=True)
 class Output:
     """Hold what a command that has ended left behind."""
@@ -79,6 +52,15 @@
                 stderr=STDOUT,
             )
 
+    async def wait_for_port(self, name: str, port: int) -> None:
+        """Wait until a process that was started listens on its port."""
+        process = self.running[name]
+        with trio.move_on_after(_START_TIMEOUT):
+            while process.poll() is None and not await is_open(port):
+                await trio.sleep(_POLL_INTERVAL)
+        if process.poll() is not None or not await is_open(port):
+            raise StartError(f'{name} does not listen on port {port}')
+
     async def run(self, module: str, arguments: Iterable[str]) -> Output:
         """Run a command to its end."""
         ended = await trio.run_process(
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -20,7 +20,8 @@
     CallerRequest,
     make_idempotency_key,
 )
-from standins.fleet import SERVICES, Fleet, run_fleet
+from standins.fleet import Fleet, run_fleet
+from standins.fleetplan import SERVICES
 from trefoilsaddle.results import ResultCode
 
 app = Typer(add_completion=False)
--- a/standins/services.py
+++ b/standins/services.py
@@ -8,8 +8,13 @@
 from pydantic_core import to_json as write_json
 
 from standins.fleetplan import Document, FleetPlan, Name, ServerPlan
-from standins.processes import LOOPBACK, Processes, wait_for_port
+from standins.ports import LOOPBACK
+from standins.processes import Processes
 from standins.serverstate import Execution
+from trefoilsaddle.core.records import Record
+from trefoilsaddle.core.units import Offset
+from trefoilsaddle.platform.exchange import ServiceAddress
+from trefoilsaddle.platform.logclient import HttpLogClient, LogPage
 
 _EXECUTIONS = TypeAdapter(list[Execution])
 _OK = 200
@@ -56,6 +61,18 @@
                 nursery.start_soon(_read_executions, server.port, executions)
         return executions
 
+    async def read_records(self) -> list[Record]:
+        """Return every record of the log, oldest first."""
+        log = HttpLogClient(ServiceAddress(LOOPBACK, self._plan.log))
+        records: list[Record] = []
+        page = await log.read(Offset(0))
+        while isinstance(page, LogPage) and page.entries:
+            for entry in page.entries:
+                records.extend(entry.records)
+            page = await log.read(Offset(page.entries[-1].offset + 1))
+        await log.aclose()
+        return records
+
     async def _control(self, port: int, switches: Document) -> None:
         await _exchange('POST', port, '/control', write_json(switches))
 
@@ -89,7 +106,7 @@
             f'standins.{module}',
             (str(port), *arguments),
         )
-        await wait_for_port(port)
+        await self._processes.wait_for_port(name, port)
 
 
 async def _read_executions(port: int, executions: list[Execution]) -> None:
