--- a/trefoilsaddle/core/lifecycle.py
+++ b/trefoilsaddle/core/lifecycle.py
@@ -23,6 +23,7 @@
 )
 from trefoilsaddle.core.messages import DumpRead, DumpReply
 from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.stopping import has_roles
 from trefoilsaddle.core.units import Moment, Seconds
 
 # Time between two looks whether everything in flight has ended.
@@ -97,4 +98,5 @@
 
 
 def _is_drained(node: Node) -> bool:
-    return not (node.routing.pending or node.dispatching.tickets)
+    in_flight = node.routing.pending or node.dispatching.tickets
+    return not (in_flight or has_roles(node))
--- a/trefoilsaddle/core/outage.py
+++ b/trefoilsaddle/core/outage.py
@@ -29,7 +29,7 @@
     lease_duration,
     raise_term,
 )
-from trefoilsaddle.core.membership import health_of, live_dispatchers
+from trefoilsaddle.core.membership import health_of
 from trefoilsaddle.core.messages import (
     Health,
     Promise,
@@ -37,7 +37,7 @@
     ProvisionalClaim,
 )
 from trefoilsaddle.core.node import Node
-from trefoilsaddle.core.provisional import holder_of
+from trefoilsaddle.core.provisional import holder_of, tell_zone
 from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.records import Claim
 from trefoilsaddle.core.sharing import share_moves
@@ -163,6 +163,7 @@
         former_dispatcher=role.dispatcher,
         started=moment.monotonic,
         provisional=True,
+        promised=dict.fromkeys(take_over.followers, take_over.started),
     )
     node.duties.held[server] = duty
     exclude_moved(node, moment, duty)
@@ -211,7 +212,6 @@
     if role is None or duty.announced:
         return []
     duty.announced = True
-    node.duties.provisional_holders[duty.server] = node.options.node
     claim = Claim(
         record_id=make_record_id(node),
         server=duty.server,
@@ -221,15 +221,12 @@
         provisional=duty.term,
     )
     message = ProvisionalClaim(duty.server, duty.term, node.options.node)
+    node.duties.provisional_holders[duty.server] = message
     sentence = f'took {duty.server} over without the log'
     return [
         WriteLogLine(Part.ownership, sentence),
         *append_records(node, moment, (claim,)),
-        *(
-            SendMessage(peer, message)
-            for peer in live_dispatchers(node, node.options.zone)
-            if peer != node.options.node
-        ),
+        *tell_zone(node, message),
     ]
 
 
@@ -242,5 +239,5 @@
     if message.term < known_term(node, message.server):
         return
     raise_term(node, message.server, message.term)
-    node.duties.provisional_holders[message.server] = message.dispatcher
+    node.duties.provisional_holders[message.server] = message
     node.duties.vacant_since.pop(message.server, None)
--- a/trefoilsaddle/core/routes.py
+++ b/trefoilsaddle/core/routes.py
@@ -2,6 +2,7 @@
 
 from trefoilsaddle.core.messages import ForwardAnswer
 from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.provisional import holder_of, owner_of
 from trefoilsaddle.core.routestate import (
     LearntHolder,
     LearntOwner,
@@ -67,16 +68,14 @@
     learnt = node.routing.owners.get(shard)
     if learnt is not None and learnt.applied >= node.view.applied:
         return learnt.server
-    owner = node.view.owners.get(shard)
-    return None if owner is None else owner.server
+    return owner_of(node, shard)
 
 
 def _find_holder(node: Node, server: ServerId) -> NodeId | None:
     learnt = node.routing.holders.get(server)
     if learnt is not None and learnt.applied >= node.view.applied:
         return learnt.node
-    role = node.view.roles.get(server)
-    return None if role is None else role.dispatcher
+    return holder_of(node, server)
 
 
 def _is_lost(node: Node, moment: Moment, dispatcher: NodeId) -> bool:
