--- a/standins/fleetplan.py
+++ b/standins/fleetplan.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, Final
 
 import yaml
@@ -23,6 +24,9 @@
 _PORT = 'port'
 _SERVERS = 'servers'
 
+# In seconds: on a busy machine a slow process must not look like a lost one.
+_PACE = MappingProxyType({'probe_timeout': 1, 'suspicion_timeout': 3})
+
 # YAML as it is read and written.
 Document = dict[str, Any]
 
@@ -106,6 +110,7 @@
             'zone': f'{node.site}-1',
             'listen': _write_address(node.port),
             'peers': _describe([peer for peer in self.nodes if peer != node]),
+            'pace': dict(_PACE),
         }
         if node.callers is not None:
             settings['callers'] = _write_address(node.callers)
