Settle floors when authority begins, not at the first request

Cause: test_processes showed outcome_forgotten (304) for unrepeatable work with the log away and at graceful stops, though no dispatcher had changed. A floor was set by the time of day of a shard's first request, so that each shard doubted it, and nothing could be handed over for shards without requests. Ruled out: moves and re-claims (none in the processes' logs), clock skew. The default clock_skew falls from 5 to 0.5 s, since twice the skew is the time for which a taken-over shard doubts unrepeatable work.

--- a/trefoilsaddle/core/dispatching.py
+++ b/trefoilsaddle/core/dispatching.py
@@ -13,6 +13,7 @@
 from trefoilsaddle.core.events import (
     AttemptEnded,
     Event,
+    GrantAnswered,
     MessageReceived,
     PeerLost,
     TimerExpired,
@@ -23,6 +24,7 @@
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.outcomes import take_handover
 from trefoilsaddle.core.sending import fill_slots, review_waiting
+from trefoilsaddle.core.settling import settle_floors
 from trefoilsaddle.core.tickets import Origin
 from trefoilsaddle.core.units import (
     AttemptId,
@@ -40,6 +42,8 @@
             return _take_message(node, moment, event)
         case AttemptEnded():
             return end_attempt(node, moment, event)
+        case GrantAnswered(server=server):
+            settle_floors(node, moment, server)
         case TimerExpired(timer):
             return _take_timer(node, moment, timer)
         case PeerLost():
@@ -103,6 +107,8 @@
 def _take_timer(node: Node, moment: Moment, timer: TimerKey) -> Effects:
     if timer.kind is TimerKind.attempt:
         return pass_deadline(node, moment, AttemptId(int(timer.subject)))
+    if timer.kind is TimerKind.grant:
+        settle_floors(node, moment, ServerId(timer.subject))
     if timer.kind is TimerKind.queue:
         return send_ready(node, moment, (ServerId(timer.subject),))
     return []
--- /dev/null
+++ b/trefoilsaddle/core/settling.py
@@ -0,0 +1,31 @@
+"""Settle floors as soon as this process alone may send a server's work.
+
+A floor is set by the time of day of the first authority.  If it were set only
+at the first request, each shard would doubt that request however long ago the
+former dispatcher was lost.
+"""
+
+from trefoilsaddle.core.authority import Authority, check_authority
+from trefoilsaddle.core.floors import follow_tokens
+from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.units import Epoch, Moment, ServerId, ShardId
+
+
+def settle_floors(node: Node, moment: Moment, server: ServerId) -> None:
+    """Settle the floors of the shards that a server now owns for us."""
+    duty = node.duties.held.get(server)
+    if duty is None:
+        return
+    for shard, epoch in duty.shards.items():
+        if _is_settled(node, shard, duty.term, epoch):
+            continue
+        authority = check_authority(node, moment, server, shard)
+        if isinstance(authority, Authority):
+            follow_tokens(node, moment, shard, authority)
+
+
+def _is_settled(node: Node, shard: ShardId, term: Epoch, epoch: Epoch) -> bool:
+    kept = node.dispatching.outcomes.floors.get(shard)
+    if kept is None or not kept.settled:
+        return False
+    return kept.term == term and kept.epoch == epoch
--- a/trefoilsaddle/documents.py
+++ b/trefoilsaddle/documents.py
@@ -76,7 +76,7 @@
     grant_duration: _Positive = 2
     lease_duration: _Positive = 2
     clock_drift: Annotated[float, Field(ge=0, lt=0.5)] = 0.01
-    clock_skew: Annotated[float, Field(ge=0)] = 5
+    clock_skew: Annotated[float, Field(ge=0)] = 0.5
     idempotency_window: _Positive = 600
     idempotency_limit: _Count = 20_000
     imbalance: _Positive = 0.25
