--- a/trefoilsaddle/programs/commands.py
+++ b/trefoilsaddle/programs/commands.py
@@ -34,6 +34,7 @@
         add_completion=False,
         no_args_is_help=True,
         pretty_exceptions_enable=False,
+        rich_markup_mode=None,
         help=help_text,
         epilog=exit_codes,
     )
--- a/trefoilsaddle/programs/publish.py
+++ b/trefoilsaddle/programs/publish.py
@@ -32,7 +32,9 @@
     'in force, 43 log unavailable, 44 outcome unknown.',
 )
 
-_FilePath = Annotated[Path, Argument(help='Base file or overlay, YAML.')]
+_FilePath = Annotated[
+    Path, Argument(metavar='FILE', help='Base file or overlay, YAML.')
+]
 _Site = Annotated[
     str | None,
     Option(help='Site of the overlay; without it, FILE is the base file.'),
--- a/trefoilsaddle/programs/status.py
+++ b/trefoilsaddle/programs/status.py
@@ -32,7 +32,10 @@
 
 _Process = Annotated[
     str,
-    Argument(help='Name of a process in the settings, or its HOST:PORT.'),
+    Argument(
+        metavar='PROCESS',
+        help='Name of a process in the settings, or its HOST:PORT.',
+    ),
 ]
 
 
