--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -228,11 +228,23 @@
 
 
 async def _close_on_large_message(pair: _Pair) -> None:
-    pair.one.peers.send_message(_TWO, StateReply(1, Offset(1), 'x' * 5000))
-    await pair.two.listener.wait_until(lambda: pair.two.listener.lost)
+    large = StateReply(1, Offset(1), 'x' * 5000)
+    stream = await trio.open_tcp_stream(_HOST, pair.two.address.port)
+    async with stream:
+        frames = FrameStream(stream, LARGEST_GREETING)
+        await greet_as_dialler(frames, Identity(_ONE, _SECRET))
+        await frames.send(pack_frame(encode_message(large)))
+        await pair.two.listener.wait_until(lambda: pair.two.listener.lost)
     assert not pair.two.listener.received
 
 
+async def _send_no_large_message(pair: _Pair) -> None:
+    large = StateReply(1, Offset(1), 'x' * 5000)
+    pair.one.peers.send_message(_TWO, large)
+    assert pair.one.listener.failures == [ResultCode.memory_bound]
+    await _talk_both_ways(pair)
+
+
 async def _answer_command(pair: _Pair) -> None:
     command = replace(
         Identity(NodeId('command-1'), _SECRET),
@@ -259,6 +271,7 @@
     _dial_again,
     _close_on_full_queue,
     _close_on_large_message,
+    _send_no_large_message,
     _answer_command,
 )
 
--- a/trefoilsaddle/programs/dumpclient.py
+++ b/trefoilsaddle/programs/dumpclient.py
@@ -18,7 +18,7 @@
 from trefoilsaddle.wire.peers import Address
 
 _TIMEOUT = Seconds(5)
-_LARGEST_DUMP = 16_777_216
+_LARGEST_DUMP = 33_554_432
 
 
 def identify_command(secret: bytes) -> Identity:
@@ -31,7 +31,7 @@
     with move_on_after(_TIMEOUT):
         try:
             stream = await open_tcp_stream(address.host, address.port)
-        except OSError:
+        except (OSError, ValueError):
             return _fail(address, 'no connection')
         async with stream:
             return await _ask_stream(identity, address, stream)
--- a/trefoilsaddle/programs/entry.py
+++ b/trefoilsaddle/programs/entry.py
@@ -21,7 +21,7 @@
     end_command,
     load_settings,
 )
-from trefoilsaddle.programs.httpserver import build_config
+from trefoilsaddle.programs.httpserver import build_config, open_listener
 from trefoilsaddle.programs.process import Stage, run_process
 from trefoilsaddle.results import ResultCode
 from trefoilsaddle.settings import EntrySettings
@@ -63,18 +63,24 @@
     """
     loaded = load_settings(settings, EntrySettings)
     start_logging(loaded.log_level)
-    serve = partial(serve_callers, settings=loaded)
+    listener = open_listener(loaded.callers)
+    if isinstance(listener, Failure):
+        end_command(listener)
+    serve = partial(serve_callers, settings=loaded, listener=listener)
     failure = trio.run(run_process, loaded, serve)
     if isinstance(failure, Failure):
         end_command(failure)
 
 
-async def serve_callers(stage: Stage, settings: EntrySettings) -> None:
+async def serve_callers(
+    stage: Stage,
+    settings: EntrySettings,
+    listener: int,
+) -> None:
     """Serve HTTP until a shutdown is asked for and all are answered."""
+    bind = f'fd://{listener}'
     callers = Callers(_StageShell(stage))
     stage.performer.attach_action(AnswerCaller, callers.deliver_answer)
-    address = settings.callers
-    bind = f'{address.host}:{address.port}'
     config = build_config(bind, settings.pace.stop_timeout)
     await serve_http(
         cast(ASGIFramework, callers),
--- a/trefoilsaddle/programs/uploads.py
+++ b/trefoilsaddle/programs/uploads.py
@@ -17,6 +17,8 @@
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 _REQUEST = 'http.request'
+# Bytes that a message between processes has room for.
+LARGEST_BODY = 16_777_216
 # What is read of a body that nobody wants.
 _MOST_DISCARDED = 1_048_576
 _DISCARD_TIME = Seconds(2)
@@ -39,7 +41,7 @@
     def __init__(self, receive: Receive, limit: int) -> None:
         """Read from an ASGI connection."""
         self._receive = receive
-        self._limit = limit
+        self._limit = min(limit, LARGEST_BODY)
         self._chunks: list[bytes] = []
         self._size = 0
 
--- a/trefoilsaddle/wire/links.py
+++ b/trefoilsaddle/wire/links.py
@@ -42,9 +42,8 @@
         self._emptied = Event()
         self._emptied.set()
 
-    def offer(self, message: Message) -> bool:
+    def offer(self, queued: QueuedMessage) -> bool:
         """Queue a message; close the connection if the queue is over-full."""
-        queued = _queue_message(message)
         self._queue.append(queued)
         self._queued_bytes += len(queued.frame)
         if self._queued_bytes > self._largest_queue:
@@ -103,7 +102,8 @@
             receive(self.node, message)
 
 
-def _queue_message(message: Message) -> QueuedMessage:
+def pack_message(message: Message) -> QueuedMessage:
+    """Pack a message for the connection to a peer."""
     frame = pack_frame(encode_message(message))
     attempt = message.attempt if isinstance(message, Forward) else None
     return QueuedMessage(frame, attempt)
--- a/trefoilsaddle/wire/peers.py
+++ b/trefoilsaddle/wire/peers.py
@@ -28,7 +28,7 @@
     greet_as_acceptor,
     greet_as_dialler,
 )
-from trefoilsaddle.wire.links import Link
+from trefoilsaddle.wire.links import Link, pack_message
 from trefoilsaddle.wire.sockets import prepare_stream
 
 _TIMED_OUT = Failure(ResultCode.peer_unauthentic, 'the greeting timed out')
@@ -46,10 +46,10 @@
 class PeerLimits:
     """Bound what peers can cost this process."""
 
-    # Bytes of the largest message.
-    largest_message: int = 8_388_608
+    # Bytes of the largest message; twice the largest body of a request.
+    largest_message: int = 33_554_432
     # Bytes that wait for one peer.
-    largest_queue: int = 16_777_216
+    largest_queue: int = 67_108_864
     greeting_timeout: Seconds = Seconds(2)
     dial_timeout: Seconds = Seconds(1)
     flush_timeout: Seconds = Seconds(2)
@@ -105,8 +105,13 @@
 
     def send_message(self, node: NodeId, message: Message) -> None:
         """Queue a message for a peer; dial the peer if need be."""
+        queued = pack_message(message)
+        if len(queued.frame) > self._limits.largest_message:
+            # The peer would close the connection over it.
+            self._listener.count_failure(ResultCode.memory_bound)
+            return
         link = self._outgoing.get(node) or self._dial_peer(node)
-        if not link.offer(message):
+        if not link.offer(queued):
             self._remove_link(self._outgoing, link)
 
     async def accept_stream(self, stream: SocketStream) -> None:
@@ -170,7 +175,8 @@
         with move_on_after(self._limits.dial_timeout):
             try:
                 return await open_tcp_stream(address.host, address.port)
-            except OSError:
+            except (OSError, ValueError):
+                # A rumour may name a host that no address can be made of.
                 return None
         return None
 
--- a/trefoilsaddle/wire/sockets.py
+++ b/trefoilsaddle/wire/sockets.py
@@ -1,6 +1,7 @@
 """Set the socket options of connections between processes."""
 
 import socket
+from contextlib import suppress
 
 from trio import SocketStream
 
@@ -22,5 +23,8 @@
 
 def prepare_stream(stream: SocketStream) -> None:
     """Close the connection soon after its other end has gone silent."""
-    for level, option, setting in _OPTIONS:
-        stream.setsockopt(level, option, setting)
+    # Fails if the other end has reset the connection meanwhile; whoever
+    # reads from it finds out.
+    with suppress(OSError):
+        for level, option, setting in _OPTIONS:
+            stream.setsockopt(level, option, setting)
