--- a/measure/thinpath.py
+++ b/measure/thinpath.py
@@ -5,6 +5,8 @@
 request, latency, and memory at rest.
 """
 
+from collections.abc import Iterable
+from contextlib import AsyncExitStack
 from dataclasses import replace
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -13,12 +15,11 @@
 import trio
 from typer import Option, Typer, echo
 
-from measure.callerload import SERVICE, Load, Tally, list_loads
+from measure.callerload import Load, Tally, list_loads
 from measure.usage import Usage, read_usage
-from standins.caller import Caller, CallerRequest
-from standins.fleetplan import EXAMPLES, FleetPlan, plan_fleet
-from standins.processes import Processes, wait_for_port
-from standins.services import OutsideServices
+from standins.caller import CallerRequest
+from standins.fleet import Fleet
+from standins.fleetplan import FleetPlan, plan_fleet
 
 app = Typer(add_completion=False)
 
@@ -26,8 +27,6 @@
 _ENTRY = 'north-entry-1'
 _DISPATCHER = 'north-dispatcher-1'
 _MEASURED = (_ENTRY, _DISPATCHER)
-_PROGRAMS = 'trefoilsaddle.programs'
-_READY_TIMEOUT = 60.0
 # Lets start-up work end before the idle use is read.
 _SETTLE_SECONDS = 3.0
 _IDLE_SECONDS = 5.0
@@ -38,30 +37,12 @@
 
 
 class Bench:
-    """Run one entry process, one dispatcher and the stand-ins of a site."""
-
-    def __init__(self, plan: FleetPlan, folder: Path) -> None:
-        """Start nothing yet."""
-        self._plan = plan
-        self._processes = Processes(folder)
-        entry = plan.find_node(_ENTRY)
-        self._caller = Caller(entry.callers or 0)
-
-    async def start(self) -> None:
-        """Start everything and wait until a request is answered."""
-        await OutsideServices(self._plan, self._processes).start()
-        await self._start_program(_DISPATCHER, 'dispatcher')
-        await self._start_program(_ENTRY, 'entry')
-        await self._publish_files()
-        with trio.fail_after(_READY_TIMEOUT):
-            await self._caller.insist(CallerRequest(SERVICE, 'ready'))
-
-    async def stop(self) -> None:
-        """Stop everything gracefully."""
-        await self._caller.aclose()
-        await self._processes.stop((_ENTRY,))
-        await self._processes.stop((_DISPATCHER,))
-        await self._processes.stop_all()
+    """Drive one entry process and one dispatcher, and read their usage."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Drive a fleet that runs."""
+        self._processes = fleet.processes
+        self._caller = fleet.caller(_ENTRY)
 
     def read_usages(self) -> dict[str, Usage]:
         """Read the usage of the measured processes."""
@@ -89,31 +70,6 @@
         elapsed = trio.current_time() - due
         tally.add(f'{answer.outcome}/{answer.code}', elapsed)
 
-    async def _start_program(self, name: str, program: str) -> None:
-        node = self._plan.find_node(name)
-        folder = self._processes.folder
-        settings = self._plan.write_node_settings(node, folder)
-        await self._processes.start(
-            name,
-            f'{_PROGRAMS}.{program}',
-            ('--settings', str(settings)),
-        )
-        await wait_for_port(node.port)
-
-    async def _publish_files(self) -> None:
-        await self._publish(EXAMPLES / 'base.yaml')
-        overlay = self._plan.write_overlay(_SITE, self._processes.folder)
-        await self._publish(overlay, '--site', _SITE)
-
-    async def _publish(self, path: Path, *options: str) -> None:
-        folder = self._processes.folder
-        settings = self._plan.write_operator_settings(folder)
-        arguments = ['publish', str(path), '--expect', '0', *options]
-        arguments.extend(('--settings', str(settings)))
-        output = await self._processes.run(f'{_PROGRAMS}.publish', arguments)
-        if output.code:
-            raise RuntimeError(output.text)
-
 
 def plan_bench() -> FleetPlan:
     """Reduce the examples' deployment to one site and one dispatcher."""
@@ -126,27 +82,22 @@
 async def measure(rate: float, seconds: float) -> None:
     """Run every phase and print what it took."""
     with TemporaryDirectory() as folder:
-        bench = Bench(plan_bench(), Path(folder))
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_run_bench, bench, rate, seconds, nursery)
+        fleet = Fleet(plan_bench(), Path(folder))
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(fleet.aclose)
+            await fleet.start()
+            await _run_phases(Bench(fleet), list_loads(rate, seconds))
+            await fleet.stop_nodes()
 
 
-async def _run_bench(
-    bench: Bench,
-    rate: float,
-    seconds: float,
-    nursery: trio.Nursery,
-) -> None:
-    await bench.start()
+async def _run_phases(bench: Bench, loads: Iterable[Load]) -> None:
     await trio.sleep(_SETTLE_SECONDS)
     shares = await _report_idle(bench)
-    loads = iter(list_loads(rate, seconds))
-    load = next(loads, None)
+    waiting = iter(loads)
+    load = next(waiting, None)
     while load is not None:
         await _report_load(bench, load, shares)
-        load = next(loads, None)
-    await bench.stop()
-    nursery.cancel_scope.cancel()
+        load = next(waiting, None)
 
 
 async def _report_idle(bench: Bench) -> dict[str, float]:
