--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -201,6 +201,7 @@
 async def _bring_about(case: _Case, folder: Path) -> _Finding:
     async with run_fleet(folder, ['north']) as fleet:
         await fleet.wait_until_settled()
+        await fleet.wait_until_ready()
         streams = [
             Stream(service, fleet.caller(_ENTRY)) for service in SERVICES
         ]
