--- a/measure/thinpath.py
+++ b/measure/thinpath.py
@@ -17,7 +17,7 @@
 from measure.usage import Usage, read_usage
 from standins.caller import Caller, CallerRequest
 from standins.fleetplan import EXAMPLES, FleetPlan, plan_fleet
-from standins.processes import Processes, wait_for_port
+from standins.processes import Processes
 from standins.services import OutsideServices
 
 app = Typer(add_completion=False)
@@ -98,7 +98,7 @@
             f'{_PROGRAMS}.{program}',
             ('--settings', str(settings)),
         )
-        await wait_for_port(node.port)
+        await self._processes.wait_for_port(name, node.port)
 
     async def _publish_files(self) -> None:
         await self._publish(EXAMPLES / 'base.yaml')
