--- a/trefoilsaddle/core/balance.py
+++ b/trefoilsaddle/core/balance.py
@@ -27,6 +27,8 @@
 _LEAST_REQUESTS = 20
 # Shards that one decision moves towards their callers.
 _MOST_PULLED = 2
+# A server this much idler may get more shards, for the sake of their count.
+_IDLER_FRACTION = 0.75
 # Fraction of the mean count that a server with few shards gets per decision
 # of all others together.
 _FILL_FRACTION = 0.1
@@ -59,6 +61,8 @@
 
     shard: ShardId
     requests: float
+    # False for a while after a move, so that no shard goes to and fro.
+    settled: bool
     # None if nothing is known of the callers.
     callers: CallerShare | None
 
@@ -76,6 +80,14 @@
 Targets = dict[ShardId, ServerId]
 
 
+@dataclass(frozen=True, slots=True)
+class _LoadedShard:
+    """Pair a shard with the part of its server's utilisation."""
+
+    sketch: ShardSketch
+    load: float
+
+
 @dataclass(slots=True)
 class _Packing:
     """Put shards onto servers that have room for them."""
@@ -115,27 +127,43 @@
     """
     if not others:
         return {}
+    settled = _list_settled(source, shards)
     return (
-        _pull_to_callers(source, shards, others, policy)
-        or _shed_load(source, shards, others, policy, random)
-        or _even_counts(source, shards, others, policy, random)
+        _pull_to_callers(source, settled, others)
+        or _shed_load(source, settled, others, policy, random)
+        or _even_counts(source, settled, others, policy, random)
     )
 
 
-def _pull_to_callers(
+def _list_settled(
     source: ServerSketch,
     shards: Sequence[ShardSketch],
+) -> list[_LoadedShard]:
+    """Share a server's utilisation out to its shards by their requests."""
+    total = sum(sketch.requests for sketch in shards) or 1
+    worth = source.utilisation / total
+    return [
+        _LoadedShard(sketch, sketch.requests * worth)
+        for sketch in shards
+        if sketch.settled
+    ]
+
+
+def _pull_to_callers(
+    source: ServerSketch,
+    shards: Sequence[_LoadedShard],
     others: Sequence[ServerSketch],
-    policy: BalancePolicy,
 ) -> Targets:
-    ceiling = _mean_utilisation((source, *others)) + _LEAST_EXCESS
-    ceiling *= 1 + policy.imbalance
+    """Move shards nearer to their callers, where that overloads nobody."""
+    mean = _mean_utilisation((source, *others))
     targets: Targets = {}
-    for sketch in shards:
+    for loaded in shards:
+        sketch = loaded.sketch
         if sketch.callers is None or sketch.requests < _LEAST_REQUESTS:
             continue
+        ceiling = max(mean, _LEAST_EXCESS) - loaded.load
         near = _list_nearer(source, sketch.callers, others)
-        fit = [other for other in near if other.utilisation < ceiling]
+        fit = [other for other in near if other.utilisation <= ceiling]
         if fit and len(targets) < _MOST_PULLED:
             target = min(fit, key=_order_by_load)
             targets[sketch.shard] = target.server
@@ -163,7 +191,7 @@
 
 def _shed_load(
     source: ServerSketch,
-    shards: Sequence[ShardSketch],
+    shards: Sequence[_LoadedShard],
     others: Sequence[ServerSketch],
     policy: BalancePolicy,
     random: Random,
@@ -176,25 +204,15 @@
     room = {other.server: mean - other.utilisation for other in group}
     packing = _Packing(room, random)
     budget = excess * _DAMPING
-    loads = _estimate_loads(source, shards)
-    for shard in sorted(loads, key=loads.__getitem__, reverse=True):
-        load = loads[shard]
-        fits = 0 < load <= budget and len(packing.targets) < policy.most_moves
-        if fits and packing.place(shard, load):
-            budget -= load
+    for loaded in sorted(shards, key=_order_by_work, reverse=True):
+        fits = 0 < loaded.load <= budget
+        if len(packing.targets) == policy.most_moves:
+            break
+        if fits and packing.place(loaded.sketch.shard, loaded.load):
+            budget -= loaded.load
     return packing.targets
 
 
-def _estimate_loads(
-    source: ServerSketch,
-    shards: Sequence[ShardSketch],
-) -> dict[ShardId, float]:
-    """Share a server's utilisation out to its shards by their requests."""
-    total = sum(sketch.requests for sketch in shards) or 1
-    worth = source.utilisation / total
-    return {sketch.shard: sketch.requests * worth for sketch in shards}
-
-
 def _choose_group(
     source: ServerSketch,
     others: Sequence[ServerSketch],
@@ -208,7 +226,7 @@
 
 def _even_counts(
     source: ServerSketch,
-    shards: Sequence[ShardSketch],
+    shards: Sequence[_LoadedShard],
     others: Sequence[ServerSketch],
     policy: BalancePolicy,
     random: Random,
@@ -219,21 +237,32 @@
     mean = (sum(counts) + source.shards) / (len(counts) + 1)
     if source.shards - mean < max(1, mean * policy.imbalance):
         return {}
-    limit = _mean_utilisation((source, *group)) + _LEAST_EXCESS
-    room = {
-        other.server: mean - other.shards
-        for other in group
-        if other.shards + 1 <= mean and other.utilisation <= limit
-    }
+    room = _find_room_for_shards(source, group, mean, policy)
     packing = _Packing(room, random)
     donors = 1 + sum(count > mean for count in counts)
     fill = max(1, mean * _FILL_FRACTION) * len(room) / donors
     most = min(_round_randomly(fill, random), policy.most_moves)
-    for sketch in sorted(shards, key=_order_by_requests)[:most]:
-        packing.place(sketch.shard, 1)
+    for loaded in sorted(shards, key=_order_by_work)[:most]:
+        packing.place(loaded.sketch.shard, 1)
     return packing.targets
 
 
+def _find_room_for_shards(
+    source: ServerSketch,
+    group: Sequence[ServerSketch],
+    mean: float,
+    policy: BalancePolicy,
+) -> dict[ServerId, float]:
+    few = mean * (1 - policy.imbalance)
+    # Never against the load: the target has to be the idler one by far.
+    limit = max(source.utilisation * _IDLER_FRACTION, _LEAST_EXCESS)
+    return {
+        other.server: mean - other.shards
+        for other in group
+        if other.shards < few and other.utilisation <= limit
+    }
+
+
 def _round_randomly(number: float, random: Random) -> int:
     whole = int(number)
     return whole + (random.random() < number - whole)
@@ -248,5 +277,5 @@
     return sketch.utilisation, sketch.server
 
 
-def _order_by_requests(sketch: ShardSketch) -> tuple[float, ShardId]:
-    return sketch.requests, sketch.shard
+def _order_by_work(loaded: _LoadedShard) -> tuple[float, ShardId]:
+    return loaded.sketch.requests, loaded.sketch.shard
--- a/trefoilsaddle/core/placement.py
+++ b/trefoilsaddle/core/placement.py
@@ -43,7 +43,7 @@
 
 def _take_timer(node: Node, moment: Moment, timer: TimerKey) -> Effects:
     if timer == _SAMPLE_TIMER:
-        sample_loads(node, _SAMPLE_PACE)
+        sample_loads(node, moment, _SAMPLE_PACE)
         again = SetTimer(_SAMPLE_TIMER, _SAMPLE_PACE.interval)
         return [again, *assign_unowned(node, moment)]
     if timer == _DECISION_TIMER:
--- a/trefoilsaddle/core/placementstate.py
+++ b/trefoilsaddle/core/placementstate.py
@@ -12,6 +12,8 @@
 class ShardWork:
     """Count the requests of one shard, older ones with less weight."""
 
+    # Monotonic time at which the shard was first seen on the server.
+    since: Seconds
     count: float = 0
     by_zone: dict[ZoneName, float] = field(default_factory=dict)
 
--- a/trefoilsaddle/core/rebalancing.py
+++ b/trefoilsaddle/core/rebalancing.py
@@ -23,6 +23,8 @@
 
 # Decision intervals without a move after one, so that loads settle.
 _QUIET_INTERVALS = 2
+# How long a shard stays at least where it has come to.
+_SETTLING_TIME = Seconds(60)
 
 
 def rebalance_server(node: Node, moment: Moment, server: ServerId) -> Effects:
@@ -36,7 +38,7 @@
     source = _sketch_server(node, policy, work.utilisation)
     targets = plan_moves(
         source,
-        _sketch_shards(node, server, work),
+        _sketch_shards(node, moment, work),
         _list_others(node, policy),
         _weigh(node),
         node.random,
@@ -91,17 +93,18 @@
 
 def _sketch_shards(
     node: Node,
-    server: ServerId,
+    moment: Moment,
     work: ServerWork,
 ) -> list[ShardSketch]:
+    settled = moment.monotonic - _SETTLING_TIME
     return [
         ShardSketch(
             shard=shard,
             requests=shard_work.count,
+            settled=shard_work.since <= settled,
             callers=_locate_callers(node, shard_work),
         )
-        for shard in node.view.shards_on(server)
-        if (shard_work := work.shards.get(shard, ShardWork()))
+        for shard, shard_work in work.shards.items()
     ]
 
 
--- a/trefoilsaddle/core/shardwork.py
+++ b/trefoilsaddle/core/shardwork.py
@@ -7,12 +7,10 @@
 from trefoilsaddle.core.messages import Forward, ServerLoad
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.placementstate import ServerWork, ShardWork
-from trefoilsaddle.core.units import NodeId, Seconds, ServerId
+from trefoilsaddle.core.units import Moment, NodeId, Seconds, ServerId
 
 # Time over which counts and averages forget, by a factor of e.
 _MEMORY = Seconds(10)
-# Shards with lower counts are forgotten.
-_LEAST_COUNT = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +37,10 @@
     shard = node.view.shard_of_hash(request.service, key_hash)
     if shard is None:
         return
-    shard_work = work.shards.setdefault(shard, ShardWork())
+    shard_work = work.shards.get(shard)
+    if shard_work is None:
+        # Not its own yet, or any more.
+        return
     shard_work.count += 1
     known = node.membership.processes.get(sender)
     if known is not None:
@@ -47,7 +48,7 @@
         shard_work.by_zone[known.zone] = former + 1
 
 
-def sample_loads(node: Node, pace: Pace) -> None:
+def sample_loads(node: Node, moment: Moment, pace: Pace) -> None:
     """Sample every server of this process, and let old counts decay."""
     held = node.duties.held
     state = node.placement
@@ -57,6 +58,7 @@
     state.reports += 1
     for server in held:
         work = state.servers.setdefault(server, ServerWork())
+        _adopt_shards(node, moment, server, work)
         _decay_counts(work, pace.decay)
         sample = _sample_utilisation(node, server)
         work.utilisation += (sample - work.utilisation) * (1 - pace.decay)
@@ -69,6 +71,19 @@
         )
 
 
+def _adopt_shards(
+    node: Node,
+    moment: Moment,
+    server: ServerId,
+    work: ServerWork,
+) -> None:
+    """Count the shards that the server owns now, and no others."""
+    work.shards = {
+        shard: work.shards.get(shard) or ShardWork(moment.monotonic)
+        for shard in node.view.shards_on(server)
+    }
+
+
 def _drop_own_report(node: Node, server: ServerId) -> None:
     report = node.membership.loads.get(server)
     if report is not None and report.dispatcher == node.options.node:
@@ -92,10 +107,3 @@
         shard_work.count *= decay
         for zone in shard_work.by_zone:
             shard_work.by_zone[zone] *= decay
-    forgotten = [
-        shard
-        for shard, counted in work.shards.items()
-        if counted.count < _LEAST_COUNT
-    ]
-    for shard in forgotten:
-        work.shards.pop(shard)
--- a/trefoilsaddle/documents.py
+++ b/trefoilsaddle/documents.py
@@ -79,7 +79,7 @@
     clock_skew: Annotated[float, Field(ge=0)] = 5
     idempotency_window: _Positive = 600
     idempotency_limit: _Count = 20_000
-    imbalance: _Positive = 0.25
+    imbalance: _Positive = 0.5
     hot_fraction: Annotated[float, Field(gt=0, le=1)] = 0.05
 
 
