--- a/trefoilsaddle/core/acceptance.py
+++ b/trefoilsaddle/core/acceptance.py
@@ -7,6 +7,7 @@
 from trefoilsaddle.core.messages import Forward
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.outcomes import claim_key, find_leader
+from trefoilsaddle.core.provisional import owner_of
 from trefoilsaddle.core.queues import (
     QueueRules,
     ServerQueue,
@@ -48,6 +49,9 @@
         answer = refuse(ResultCode.configuration_missing)
         return [answer_origin(node, origin, shard, answer)]
     server = _find_server(node, moment, forward.server, shard)
+    if server is not None and node.refusing:
+        answer = refuse(ResultCode.stopping)
+        return [answer_origin(node, origin, shard, answer)]
     queue = None
     if server is not None:
         queue = _find_queue(node, server)
@@ -103,7 +107,6 @@
     answer = state.discipline.admit(queue, ticket, moment.monotonic)
     if answer is not None:
         return answer_ticket(node, moment, ticket, answer)
-    queue.budget.earn(queue.rules.retry_budget)
     queue.rank_queue(ticket).push(ticket)
     effects: Effects = [start]
     effects.extend(fill_slots(node, moment, queue))
@@ -131,9 +134,9 @@
 ) -> ServerId | None:
     """Return the server that this process may send a shard's work to."""
     candidates = [named]
-    owner = node.view.owners.get(shard)
-    if owner is not None and owner.server != named:
-        candidates.append(owner.server)
+    owner = owner_of(node, shard)
+    if owner is not None and owner != named:
+        candidates.append(owner)
     for server in candidates:
         authority = check_authority(node, moment, server, shard)
         if not isinstance(authority, Failure):
@@ -158,7 +161,6 @@
         version=configuration.version,
         slots=policy.slots,
         queue_limit=configuration.services[policy.service].queue_limit,
-        retry_budget=configuration.limits.retry_budget,
         ranks=configuration.ranks,
     )
     if queue is None:
--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -12,7 +12,12 @@
 from trefoilsaddle.core.events import TimerKey, TimerKind
 from trefoilsaddle.core.following import append_records
 from trefoilsaddle.core.hashing import rank_candidates
-from trefoilsaddle.core.leases import former_end, raise_term
+from trefoilsaddle.core.leases import (
+    former_end,
+    lengthen,
+    limits_of,
+    raise_term,
+)
 from trefoilsaddle.core.membership import health_of, live_dispatchers
 from trefoilsaddle.core.messages import Health, Promise
 from trefoilsaddle.core.node import Node
@@ -37,6 +42,9 @@
 # Time for a starting process to hear of the others before its first claim.
 _SETTLE_TIME = Seconds(7 / 10)
 
+# Time for a leaving holder to hand its role over itself.
+_HAND_OVER_TIME = Seconds(2)
+_GONE = frozenset((Health.dead, Health.leaving))
 # Least time between two claims of one holder for the same server.
 _RECLAIM_AFTER = Seconds(3)
 
@@ -64,6 +72,8 @@
     turn = since + STAGGER * candidates.index(me)
     if role is None and len(candidates) <= CLAIM_SET_SIZE:
         turn += _SETTLE_TIME
+    if role and health_of(node, role.dispatcher) is Health.leaving:
+        turn += _HAND_OVER_TIME
     known = node.duties.known.get(server)
     if known is not None:
         # A promise to the former dispatcher is kept to its end.
@@ -86,7 +96,7 @@
         everyone = {*alive, node.options.node}
         return rank_candidates(server, everyone)
     holder = holder_of(node, server) or role.dispatcher
-    if health_of(node, holder) is not Health.dead:
+    if health_of(node, holder) not in _GONE:
         node.duties.vacant_since.pop(server, None)
         return []
     members = [
@@ -188,11 +198,12 @@
         started=started,
     )
     present = node.duties.held.get(server)
-    if present is not None:
+    renewed = former is not None and former.dispatcher == node.options.node
+    if present is not None and renewed and claiming is not None:
         _carry_over(present, duty)
     node.duties.held[server] = duty
     node.duties.vacant_since.pop(server, None)
-    if former is not None and former.dispatcher != node.options.node:
+    if former is not None and not renewed:
         duty.outsider = node.options.node not in former.claim_set
         duty.usable_from = former_end(node, started)
         if node.duties.released.pop(server, None) == role.term:
@@ -209,6 +220,13 @@
     `trefoilsaddle.core.outage`.
     """
     former = present.grants
+    duty.former_dispatcher = present.former_dispatcher
+    duty.former_members = present.former_members
+    duty.followers = present.followers
+    duty.usable_from = present.usable_from
+    duty.released = present.released
+    duty.outsider = present.outsider
+    duty.reached = present.reached or former.contacted
     duty.moves = {
         shard: replace(move, record_id=None)
         for shard, move in present.moves.items()
@@ -216,6 +234,7 @@
     }
     duty.shards = present.shards
     duty.grants.stamp = former.stamp
+    duty.grants.trusted_instance = former.trusted_instance
     duty.grants.stamp_sent = former.stamp_sent
     duty.grants.stamp_received = former.stamp_received
     duty.grants.lapsed_after = former.lapsed_after
@@ -235,6 +254,13 @@
     promise: Promise,
 ) -> None:
     """Take a former dispatcher's word that it has stopped."""
+    known = node.duties.known.get(promise.server)
+    if known is not None and known.followed == sender:
+        limits = limits_of(node)
+        grant = limits.grant_duration if limits else Seconds(0)
+        until = moment.monotonic + lengthen(node, grant)
+        known.followed = None
+        known.served_until = max(known.served_until, Seconds(until))
     duty = node.duties.held.get(promise.server)
     if duty is None or duty.term < promise.term:
         node.duties.released[promise.server] = promise.term
@@ -256,7 +282,9 @@
     since = max(duty.started, duty.fenced_at)
     if moment.monotonic - since < _RECLAIM_AFTER:
         return []
-    if duty.superseded or _needs_members(node, duty):
+    if duty.superseded or duty.refused_for > duty.term:
+        return append_claim(node, moment, duty.server, duty.term)
+    if _needs_members(node, duty):
         return append_claim(node, moment, duty.server, duty.term)
     return []
 
--- a/trefoilsaddle/core/duties.py
+++ b/trefoilsaddle/core/duties.py
@@ -46,6 +46,7 @@
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.outage import (
     confirm_take_over,
+    note_defeat,
     note_follower,
     note_take_over,
     review_take_overs,
@@ -61,6 +62,8 @@
 def handle_event(node: Node, moment: Moment, event: Event) -> Effects:
     """Take one event for the duties of this process."""
     if not node.options.dispatches:
+        if isinstance(event, MessageReceived):
+            _hear_news(node, event.sender, event.message)
         return []
     effects = _take_event(node, moment, event)
     effects.extend(follow_view(node, moment))
@@ -131,7 +134,7 @@
     effects = note_answer(node, moment, duty, event)
     effects.extend(note_revocation(node, moment, duty, event))
     if duty.provisional and duty.superseded:
-        node.duties.held.pop(event.server)
+        note_defeat(node, moment, duty)
     elif duty.provisional and duty.grants.contacted:
         effects.extend(confirm_take_over(node, moment, duty))
     return effects
@@ -152,11 +155,17 @@
             return take_share(node, moment, sender, message)
         case ShareMoveAck():
             return take_ack(node, moment, sender, message)
+    _hear_news(node, sender, message)
+    return []
+
+
+def _hear_news(node: Node, sender: NodeId, message: Message) -> None:
+    """Learn what has changed hands since the log went away."""
+    match message:
         case ProvisionalMove():
             accept_move(node, sender, message)
         case ProvisionalClaim():
             note_take_over(node, sender, message)
-    return []
 
 
 def _take_promise(
--- a/trefoilsaddle/core/lifecycle.py
+++ b/trefoilsaddle/core/lifecycle.py
@@ -23,6 +23,7 @@
 )
 from trefoilsaddle.core.messages import DumpRead, DumpReply
 from trefoilsaddle.core.node import Node
+from trefoilsaddle.core.stopping import has_roles
 from trefoilsaddle.core.units import Moment, Seconds
 
 # Time between two looks whether everything in flight has ended.
@@ -87,6 +88,8 @@
 
 
 def _look_for_end(node: Node, moment: Moment) -> Effects:
+    # Nobody can take the rest over, so that only refusing ends the work.
+    node.refusing = not has_roles(node)
     if not _is_drained(node):
         node.drained_at = None
     elif node.drained_at is None:
@@ -97,4 +100,5 @@
 
 
 def _is_drained(node: Node) -> bool:
-    return not (node.routing.pending or node.dispatching.tickets)
+    in_flight = node.routing.pending or node.dispatching.tickets
+    return node.refusing and not in_flight
--- a/trefoilsaddle/core/provisional.py
+++ b/trefoilsaddle/core/provisional.py
@@ -2,8 +2,11 @@
 
 from trefoilsaddle.core.dutystate import Arrival
 from trefoilsaddle.core.effects import Effects, SendMessage
-from trefoilsaddle.core.membership import live_dispatchers
-from trefoilsaddle.core.messages import ProvisionalMove
+from trefoilsaddle.core.messages import (
+    Health,
+    Message,
+    ProvisionalMove,
+)
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.records import Move
 from trefoilsaddle.core.units import Epoch, Moment, NodeId, ServerId, ShardId
@@ -14,11 +17,7 @@
     """Tell the zone's dispatchers of a move that its claim set knows."""
     message = ProvisionalMove(record.server, record.term, record.shards)
     accept_move(node, node.options.node, message)
-    return [
-        SendMessage(peer, message)
-        for peer in live_dispatchers(node, node.options.zone)
-        if peer != node.options.node
-    ]
+    return tell_zone(node, message)
 
 
 def accept_move(node: Node, sender: NodeId, message: ProvisionalMove) -> None:
@@ -65,17 +64,31 @@
 
 def holder_of(node: Node, server: ServerId) -> NodeId | None:
     """Return who dispatches to a server, as far as this process knows."""
-    provisional = node.duties.provisional_holders.get(server)
-    if provisional is not None:
-        return provisional
     role = node.view.roles.get(server)
+    claim = node.duties.provisional_holders.get(server)
+    if claim is not None and (role is None or role.term < claim.term):
+        return claim.dispatcher
     return role.dispatcher if role else None
 
 
 def owner_of(node: Node, shard: ShardId) -> ServerId | None:
     """Return which server owns a shard, as far as this process knows."""
-    arrival = node.duties.arrivals.get(shard)
-    if arrival is not None:
-        return arrival.target
     owner = node.view.owners.get(shard)
-    return owner.server if owner else None
+    if owner is None:
+        return None
+    arrival = node.duties.arrivals.get(shard)
+    if arrival is None:
+        return owner.server
+    replaced = Ownership(arrival.source, arrival.expected)
+    return arrival.target if owner == replaced else owner.server
+
+
+def tell_zone(node: Node, message: Message) -> Effects:
+    """Tell every live process of the zone."""
+    return [
+        SendMessage(rumour.node, message)
+        for rumour in node.membership.processes.values()
+        if rumour.zone == node.options.zone
+        and rumour.health is Health.alive
+        and rumour.node != node.options.node
+    ]
--- a/trefoilsaddle/core/replies.py
+++ b/trefoilsaddle/core/replies.py
@@ -10,11 +10,11 @@
 from trefoilsaddle.core.messages import ForwardAnswer
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.outcomes import record_answer
+from trefoilsaddle.core.provisional import holder_of, owner_of
 from trefoilsaddle.core.tickets import Origin, Ticket, TicketState
 from trefoilsaddle.core.units import (
     AttemptId,
     Moment,
-    NodeId,
     ServerId,
     ShardId,
 )
@@ -60,12 +60,12 @@
     pressure: Pressure | None = None,
 ) -> SendMessage:
     """Send an answer with the route that this process knows of."""
-    owner = _find_owner(node, shard)
+    owner = None if shard is None else owner_of(node, shard)
     message = ForwardAnswer(
         attempt=origin.attempt,
         answer=answer,
         owner=owner,
-        holder=_find_holder(node, owner),
+        holder=None if owner is None else holder_of(node, owner),
         applied=node.view.applied,
         pressure=pressure,
     )
@@ -97,17 +97,3 @@
         for ranked in queue.ranks
     )
     return Pressure(server, waits)
-
-
-def _find_owner(node: Node, shard: ShardId | None) -> ServerId | None:
-    if shard is None:
-        return None
-    owner = node.view.owners.get(shard)
-    return None if owner is None else owner.server
-
-
-def _find_holder(node: Node, server: ServerId | None) -> NodeId | None:
-    if server is None:
-        return None
-    role = node.view.roles.get(server)
-    return None if role is None else role.dispatcher
--- a/trefoilsaddle/core/sharing.py
+++ b/trefoilsaddle/core/sharing.py
@@ -20,7 +20,7 @@
 )
 from trefoilsaddle.core.following import append_records
 from trefoilsaddle.core.leases import known_term, raise_term
-from trefoilsaddle.core.messages import ShareMove, ShareMoveAck
+from trefoilsaddle.core.messages import Promise, ShareMove, ShareMoveAck
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.provisional import announce_move
 from trefoilsaddle.core.recordids import make_record_id
@@ -101,7 +101,12 @@
     share: ShareMove,
 ) -> Effects:
     """Remember a move, unless a greater term has been acknowledged."""
-    if share.term < known_term(node, share.server):
+    greatest = known_term(node, share.server)
+    if share.term < greatest:
+        refusal = Promise(share.server, greatest, share.sequence, granted=False)
+        return [SendMessage(sender, refusal)]
+    if _may_be_served(node, moment, sender, share):
+        # Asked again soon; the move waits until this has ended.
         return []
     known = raise_term(node, share.server, share.term)
     for moved in share.shards:
@@ -110,6 +115,28 @@
     return [SendMessage(sender, ack)]
 
 
+def _may_be_served(
+    node: Node,
+    moment: Moment,
+    sender: NodeId,
+    share: ShareMove,
+) -> bool:
+    """Say whether the server may still act for us, or for one we followed.
+
+    A holder that is cut off from the server can't know of a take-over
+    without the log, even if its own term is the greater one.
+    """
+    duty = node.duties.held.get(share.server)
+    if duty is not None and not duty.superseded:
+        return True
+    known = node.duties.known.get(share.server)
+    if known is None:
+        return False
+    if moment.monotonic <= known.served_until:
+        return True
+    return known.followed not in {None, sender}
+
+
 def take_ack(
     node: Node,
     moment: Moment,
