--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -1,9 +1,12 @@
 """Check each record: its condition holds or fails, and it comes twice."""
 
+import json
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tests.sites import (
     BASE,
@@ -12,6 +15,10 @@
     make_publication,
 )
 from trefoilsaddle.core.application import MOST_VERDICTS, apply_entry
+from trefoilsaddle.core.publishing import (
+    judge_publication,
+    shorten_publication,
+)
 from trefoilsaddle.core.records import (
     Assign,
     Claim,
@@ -20,6 +27,7 @@
     Move,
     MovedShard,
     Placement,
+    Publication,
     Record,
     SplitKey,
 )
@@ -34,10 +42,12 @@
     ServiceName,
     ShardId,
     ShardNumber,
+    SiteName,
     ZoneName,
 )
 from trefoilsaddle.core.view import HotKey, LogView
 from trefoilsaddle.core.viewtext import write_view
+from trefoilsaddle.patches import apply_patch, write_patch
 from trefoilsaddle.results import ResultCode
 
 _CATALOGUE = ServiceName('catalogue')
@@ -105,6 +115,11 @@
     return LostZone(RecordId(f'lost-{lost}'), ZoneName(zone), lost)
 
 
+def _patch(expected: int, change: dict[str, object]) -> Publication:
+    patch = make_publication('patch', expected, 'north', json.dumps(change))
+    return replace(patch, merge=True)
+
+
 def _build_scene(*more: Record) -> LogView:
     """Publish, assign shards 0 to 9 to one server, and claim it."""
     assign = Assign(
@@ -244,6 +259,26 @@
         ),
         ResultCode.configuration_invalid,
     ),
+    _Case(
+        'overlay-patched',
+        _patch(3, {'servers': {'north-a-0': {'leaving': True}}}),
+        _ACCEPTED,
+    ),
+    _Case(
+        'overlay-patched-from-an-old-version',
+        _patch(1, {'servers': {'north-a-0': {'leaving': True}}}),
+        ResultCode.version_conflict,
+    ),
+    _Case(
+        'overlay-patched-to-nonsense',
+        _patch(3, {'servers': {'north-a-0': {'port': 'high'}}}),
+        ResultCode.configuration_invalid,
+    ),
+    _Case(
+        'patch-of-nothing',
+        replace(_patch(3, {'region': 'east'}), site=SiteName('east')),
+        ResultCode.configuration_invalid,
+    ),
     _Case('assign-unowned', _assign(_TARGET, 10), _ACCEPTED),
     _Case('assign-owned', _assign(_TARGET, 9), ResultCode.owner_changing),
     _Case('assign-too-high', _assign(_TARGET, 64), ResultCode.owner_changing),
@@ -479,3 +514,42 @@
         )
         collector.collect(LogEntry(Offset(0), (spoilt,)))
     assert collector.newest is None
+
+
+_TEXTS = st.text(alphabet='abc', max_size=2)
+_DOCUMENTS = st.recursive(
+    st.integers(0, 3) | st.booleans() | _TEXTS,
+    lambda inner: (
+        st.lists(inner, max_size=2) | st.dictionaries(_TEXTS, inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    before=st.dictionaries(_TEXTS, _DOCUMENTS, max_size=4),
+    after=st.dictionaries(_TEXTS, _DOCUMENTS, max_size=4),
+)
+def test_patch_turns_one_document_into_the_other(
+    before: dict[str, object],
+    after: dict[str, object],
+) -> None:
+    """Give the other document, whatever differs."""
+    patch = write_patch(json.dumps(before), json.dumps(after))
+    assert isinstance(patch, str)
+    merged = apply_patch(json.dumps(before), patch)
+    assert isinstance(merged, str)
+    assert json.loads(merged) == after
+
+
+def test_change_of_one_server_is_published_as_a_short_patch() -> None:
+    """Shorten a publication to what differs, with the same outcome."""
+    view = _build_scene()
+    overlay = json.loads(describe_overlay(SITES[0]))
+    overlay['servers']['north-a-0']['leaving'] = True
+    whole = make_publication('new', 3, 'north', json.dumps(overlay))
+    short = shorten_publication(view, whole)
+    assert short.merge
+    assert len(short.document) < 60
+    assert judge_publication(view, short) == judge_publication(view, whole)
--- a/trefoilsaddle/core/application.py
+++ b/trefoilsaddle/core/application.py
@@ -9,7 +9,10 @@
 from typing import TypeVar
 
 from trefoilsaddle.core.errors import Failure
-from trefoilsaddle.core.publishing import judge_publication
+from trefoilsaddle.core.publishing import (
+    complete_publication,
+    judge_publication,
+)
 from trefoilsaddle.core.records import (
     Assign,
     Claim,
@@ -106,8 +109,11 @@
     configuration = judge_publication(view, record)
     if isinstance(configuration, Failure):
         return configuration.code
+    whole = complete_publication(view, record)
+    if isinstance(whole, Failure):
+        return whole.code
     view.put_configuration(configuration)
-    view.documents[record.site] = record.document
+    view.documents[record.site] = whole.document
     view.document_versions[record.site] = configuration.version
     _forget_roles(view)
     return ResultCode.ok
--- a/trefoilsaddle/core/publishing.py
+++ b/trefoilsaddle/core/publishing.py
@@ -26,6 +26,7 @@
     parse_base,
     parse_overlay,
 )
+from trefoilsaddle.patches import apply_patch, write_patch
 from trefoilsaddle.results import ResultCode
 
 
@@ -44,15 +45,47 @@
             ResultCode.version_conflict,
             f'the document is at version {replaced}',
         )
+    whole = complete_publication(view, publication)
+    if isinstance(whole, Failure):
+        return whole
     version = Version(view.version + 1)
-    if publication.site is None:
-        return _join_base(view, publication.document, version)
-    return _join_overlay(
-        view,
-        publication.site,
-        publication.document,
-        version,
-    )
+    if whole.site is None:
+        return _join_base(view, whole.document, version)
+    return _join_overlay(view, whole.site, whole.document, version)
+
+
+def complete_publication(
+    view: LogView,
+    publication: Publication,
+) -> Publication | Failure:
+    """Return the publication with the whole document instead of a patch."""
+    if not publication.merge:
+        return publication
+    former = view.documents.get(publication.site)
+    if former is None:
+        return _refuse('there is no document to patch')
+    document = apply_patch(former, publication.document)
+    if isinstance(document, Failure):
+        return document
+    return replace(publication, document=document, merge=False)
+
+
+def shorten_publication(
+    view: LogView,
+    publication: Publication,
+) -> Publication:
+    """Return the publication as a patch, if that is shorter and the same."""
+    former = view.documents.get(publication.site)
+    if former is None or publication.merge:
+        return publication
+    patch = write_patch(former, publication.document)
+    if isinstance(patch, Failure) or len(patch) >= len(publication.document):
+        return publication
+    short = replace(publication, document=patch, merge=True)
+    judged = judge_publication(view, short)
+    if judged != judge_publication(view, publication):
+        return publication
+    return short
 
 
 def join_documents(
--- a/trefoilsaddle/core/records.py
+++ b/trefoilsaddle/core/records.py
@@ -34,6 +34,8 @@
     site: SiteName | None
     # YAML text, validated before it is appended and when it is applied.
     document: str
+    # True: the document is a merge patch (RFC 7386) of the one in force.
+    merge: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/programs/logview.py
+++ b/trefoilsaddle/programs/logview.py
@@ -4,7 +4,10 @@
 
 from trefoilsaddle.core.application import apply_entry
 from trefoilsaddle.core.errors import Failure
-from trefoilsaddle.core.publishing import judge_publication
+from trefoilsaddle.core.publishing import (
+    judge_publication,
+    shorten_publication,
+)
 from trefoilsaddle.core.records import Publication
 from trefoilsaddle.core.snapshots import SnapshotCollector
 from trefoilsaddle.core.units import Offset, Seconds
@@ -57,8 +60,10 @@
         judged = judge_publication(self.view, publication)
         if isinstance(judged, Failure):
             return judged
+        # Changes, not whole files, go to every process.
+        shortened = shorten_publication(self.view, publication)
         with move_on_after(timeout):
-            return await self._append_until_seen(publication)
+            return await self._append_until_seen(shortened)
         return _UNKNOWN
 
     async def _append_until_seen(self, publication: Publication) -> Verdict:
--- a/trefoilsaddle/wire/messages.capnp
+++ b/trefoilsaddle/wire/messages.capnp
@@ -201,6 +201,7 @@
   expected @1 :Int64;
   site @2 :Text;
   document @3 :Text;
+  merge @4 :Bool;
 }
 
 struct Placement {
