--- a/trefoilsaddle/core/balance.py
+++ b/trefoilsaddle/core/balance.py
@@ -235,7 +235,7 @@
     group = _choose_group(source, others)
     counts = [other.shards for other in group]
     mean = (sum(counts) + source.shards) / (len(counts) + 1)
-    if source.shards - mean < max(1, mean * policy.imbalance):
+    if source.shards <= mean:
         return {}
     room = _find_room_for_shards(source, group, mean, policy)
     packing = _Packing(room, random)
@@ -253,7 +253,7 @@
     mean: float,
     policy: BalancePolicy,
 ) -> dict[ServerId, float]:
-    few = mean * (1 - policy.imbalance)
+    few = mean * (1 - policy.imbalance / 2)
     # Never against the load: the target has to be the idler one by far.
     limit = max(source.utilisation * _IDLER_FRACTION, _LEAST_EXCESS)
     return {
--- a/trefoilsaddle/core/splits.py
+++ b/trefoilsaddle/core/splits.py
@@ -31,7 +31,7 @@
     duty = node.duties.held[server]
     least = _hot_count(node, work)
     policy = node.view.server(server)
-    if policy is None or least < _LEAST_REQUESTS:
+    if policy is None:
         return []
     records = [
         SplitKey(
@@ -66,7 +66,7 @@
 ) -> Effects:
     work = node.placement.servers[server]
     key_hash = hot_key.key_hash
-    limit = max(_hot_count(node, work), _LEAST_REQUESTS) * _COOL_FRACTION
+    limit = _hot_count(node, work) * _COOL_FRACTION
     if work.sketch.count_of(key_hash) > limit:
         work.cool_looks.pop(key_hash, None)
         return []
@@ -121,7 +121,9 @@
 
 
 def _hot_count(node: Node, work: ServerWork) -> float:
+    """Return how often a key has to be asked for to be hot."""
     configuration = node.view.configuration
     if configuration is None:
-        return 0
-    return work.count * configuration.limits.hot_fraction
+        return float('inf')
+    share = work.count * configuration.limits.hot_fraction
+    return max(share, _LEAST_REQUESTS)
