--- a/measure/processes.py
+++ b/measure/processes.py
@@ -115,7 +115,8 @@
 def _place_service(node: Node, service: Service) -> None:
     server = ServerId(server_name(service))
     shard = ShardId(ServiceName(service.name), ShardNumber(0))
-    node.view.put_owner(shard, Ownership(server, _EPOCH))
+    owner = Ownership(server, _EPOCH, first=True)
+    node.view.put_owner(shard, owner)
     node.view.roles[server] = Role(DISPATCHER, _TERM, ())
     adopt_shard(node, Moment(Seconds(0), Seconds(0)), shard, fresh=True)
 
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -390,7 +390,7 @@
 def _follow_owner(node: Node, server: ServerId, epoch: Epoch) -> Ownership:
     former = node.view.owners.get(SHARD)
     if former is None:
-        return Ownership(server, epoch)
+        return Ownership(server, epoch, first=True)
     role = node.view.roles[former.server]
     return Ownership(server, epoch, former.epoch, role.term)
 
--- a/trefoilsaddle/core/application.py
+++ b/trefoilsaddle/core/application.py
@@ -134,7 +134,7 @@
     for placement in record.placements:
         if not _serves(view, placement.server, record.service):
             continue
-        owner = Ownership(placement.server, position)
+        owner = Ownership(placement.server, position, first=True)
         for number in placement.shards:
             if _is_unowned(view, record.service, number):
                 view.put_owner(ShardId(record.service, number), owner)
--- a/trefoilsaddle/core/floors.py
+++ b/trefoilsaddle/core/floors.py
@@ -38,16 +38,47 @@
 ) -> None:
     """Set the floor of a shard that this process begins to keep."""
     kept = Floor(UNKNOWN_FLOOR, moment.monotonic)
+    _note_tokens(node, shard, kept)
     hot_key = _find_hot_key(node, shard)
     if hot_key is not None:
         # Its key had an owner in the parent shard: never fresh.
         _follow_parent(node, hot_key, kept)
-    elif fresh:
+    elif fresh and _is_first(node, shard):
         kept.floor = NO_FLOOR
         kept.complete = True
     set_floor(node, shard, kept)
 
 
+def _note_tokens(node: Node, shard: ShardId, kept: Floor) -> None:
+    """Keep the tokens of an adoption, for a handover before the first send."""
+    owner = node.view.owners.get(shard)
+    role = node.view.roles.get(owner.server) if owner else None
+    if owner is None or role is None:
+        return
+    if role.dispatcher == node.options.node:
+        kept.term = role.term
+        kept.epoch = owner.epoch
+
+
+def keeps_tokens(node: Node, shard: ShardId, kept: Floor) -> bool:
+    """Say whether a shard is adopted again under the tokens it had."""
+    if not kept.settled and not kept.complete:
+        return False
+    now = Floor(UNKNOWN_FLOOR, kept.adopted)
+    _note_tokens(node, shard, now)
+    return (now.term, now.epoch) == (kept.term, kept.epoch)
+
+
+def _is_first(node: Node, shard: ShardId) -> bool:
+    """Say whether a shard has never had another owner.
+
+    Example: a process that was cut off reads at once that a shard was
+    assigned to another server and then moved to its own.
+    """
+    owner = node.view.owners.get(shard)
+    return owner is not None and owner.first
+
+
 def set_floor(node: Node, shard: ShardId, kept: Floor) -> None:
     """Keep the floor of a shard, also for when its split has ended."""
     state = node.dispatching.outcomes
--- a/trefoilsaddle/core/handovers.py
+++ b/trefoilsaddle/core/handovers.py
@@ -37,7 +37,8 @@
     """Take a shard's outcomes out of the state; ask again for the same."""
     state = node.dispatching.outcomes
     kept = state.floors.get(shard)
-    if kept is None or not kept.settled or kept.epoch != epoch:
+    vouches = kept is not None and (kept.settled or kept.complete)
+    if kept is None or not vouches or kept.epoch != epoch:
         # Left already, or never served: nothing can be vouched for.
         former = state.handovers.get(shard)
         if former is not None and former.epoch == epoch:
--- a/trefoilsaddle/core/outcomes.py
+++ b/trefoilsaddle/core/outcomes.py
@@ -13,6 +13,7 @@
     follow_tokens,
     forget_old,
     is_forgotten,
+    keeps_tokens,
     shrink_outcomes,
 )
 from trefoilsaddle.core.handovers import build_handover, use_handover
@@ -51,7 +52,9 @@
     unknown outcome, unless the last dispatcher hands over what it knows.
     """
     former = node.dispatching.outcomes.floors.get(shard)
-    if former is not None and former.settled:
+    if former is not None:
+        if keeps_tokens(node, shard, former):
+            return
         # It moved between two servers of this process.
         build_handover(node, shard, former.epoch)
     adopt_floor(node, moment, shard, fresh=fresh)
--- a/trefoilsaddle/core/outcomestate.py
+++ b/trefoilsaddle/core/outcomestate.py
@@ -48,7 +48,7 @@
     floor: Seconds
     # Monotonic time at which this process began to keep the shard.
     adopted: Seconds
-    # Tokens under which the shard is served; the first until it is.
+    # Tokens under which the shard is served, or is to be.
     term: Epoch = FIRST_EPOCH
     epoch: Epoch = FIRST_EPOCH
     # True once this process alone can send the shard's work.
--- a/trefoilsaddle/core/view.py
+++ b/trefoilsaddle/core/view.py
@@ -44,6 +44,8 @@
     # for the check of a handover only, and not kept in snapshots.
     former_epoch: Epoch = field(default=FIRST_EPOCH, compare=False)
     former_term: Epoch = field(default=FIRST_EPOCH, compare=False)
+    # True if the shard has been nowhere else, as far as is known.
+    first: bool = field(default=False, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
