Keep callers off the paths that dispatchers use at backend servers

A caller could send PUT /grants through the system to a backend server and so fence off its dispatcher. Guards taken out and seen red: the reserved paths, the refusal of CONNECT.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -38,6 +38,7 @@
     received: int = 0
     received_before_answer: int = 0
     silent: bool = False
+    path: bytes = b'/pay'
 
     async def receive(self) -> dict[str, Any]:
         """Give the body once, then stay."""
@@ -57,7 +58,7 @@
         scope = {
             'type': 'http',
             'method': 'POST',
-            'raw_path': b'/pay',
+            'raw_path': self.path,
             'query_string': b'a=1',
             'headers': self.headers,
         }
@@ -181,6 +182,50 @@
     assert caller.received_before_answer == 0
 
 
+@pytest.mark.parametrize(
+    'path',
+    [
+        b'/grants',
+        b'/health',
+        b'/grants/',
+        b'//grants',
+        b'/./grants',
+        b'/a/../grants',
+        b'/GRANTS',
+        b'/%67rants',
+        b'/%2567rants',
+        b'/grants;a=1',
+        b'/%2fgrants',
+        b'/..%2fgrants',
+        rb'\grants',
+        rb'/\grants',
+        b'/grants%20',
+        b'*',
+        b'http://here/grants',
+    ],
+)
+def test_reserved_path_is_refused(path: bytes) -> None:
+    """Keep callers from calling for grants at a server."""
+    shell = Shell()
+    caller = _Caller(_build_headers(), path=path)
+    trio.run(caller.ask, shell.app)
+    assert shell.refusals == [ResultCode.malformed]
+    assert not shell.calls
+
+
+@pytest.mark.parametrize(
+    'path',
+    [b'/', b'/pay', b'/grantsman', b'/a/grants', b'/my%20grants', b'/%'],
+)
+def test_other_path_is_passed_on(path: bytes) -> None:
+    """Pass a path on as the caller sent it."""
+    shell = Shell()
+    caller = _Caller(_build_headers(), path=path)
+    trio.run(caller.ask, shell.app)
+    expected = path.decode()
+    assert shell.calls[0].request.path == f'{expected}?a=1'
+
+
 def test_header_twice_is_refused() -> None:
     """Refuse a request that says two things."""
     shell = Shell()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -155,6 +155,27 @@
     assert answer.endswith(reply.body)
 
 
+async def _pass_status_on(server: _Server, status: int) -> None:
+    reply = Reply(status, 'a/b', b'')
+    server.shell.answer = Answer(Outcome.answered, ResultCode.ok, reply)
+    answer = await server.exchange(_GOOD)
+    assert answer.startswith(b'HTTP/1.1 %d' % status)
+    assert answer.endswith(b'\r\n\r\n')
+
+
+async def _answer_head(server: _Server) -> None:
+    answer = await server.exchange(_GOOD.replace(b'POST', b'HEAD'))
+    assert answer.startswith(b'HTTP/1.1 201')
+    assert answer.endswith(b'\r\n\r\n')
+
+
+async def _refuse_tunnel(server: _Server) -> None:
+    sent = _GOOD.replace(b'POST /pay', b'CONNECT here:1')
+    answer = await server.exchange(sent)
+    assert answer.startswith(b'HTTP/1.1 400')
+    assert not server.shell.calls
+
+
 async def _note_caller_gone(server: _Server) -> None:
     shell = server.shell
     shell.answer = None
@@ -201,6 +222,11 @@
     _refuse_large_body,
     _refuse_large_chunks,
     _answer_in_turn,
+    partial(_pass_status_on, status=204),
+    partial(_pass_status_on, status=304),
+    partial(_pass_status_on, status=599),
+    _answer_head,
+    _refuse_tunnel,
     _carry_large_answer,
     _note_caller_gone,
     _stop_gracefully,
--- a/trefoilsaddle/programs/callers.py
+++ b/trefoilsaddle/programs/callers.py
@@ -14,6 +14,7 @@
 from trefoilsaddle.core.units import CallId, Seconds
 from trefoilsaddle.programs.headers import AnswerHeader, CallerHeader
 from trefoilsaddle.programs.requesthead import RequestHead, check_head
+from trefoilsaddle.programs.requestpath import check_target
 from trefoilsaddle.programs.statuses import find_status
 from trefoilsaddle.programs.uploads import (
     Body,
@@ -79,7 +80,7 @@
         """Serve one request; raise on any scope but HTTP."""
         if scope['type'] != _HTTP:
             raise UnknownScopeError(scope['type'])
-        head = check_head(
+        head = check_target(scope['method'], scope['raw_path']) or check_head(
             scope['headers'],
             self._shell.read_configuration(),
         )
