--- a/standins/caller.py
+++ b/standins/caller.py
@@ -13,6 +13,7 @@
 _CONNECTIONS = 64
 # Time that a caller waits beyond its deadline for an answer.
 _GRACE = 5.0
+_PAUSE = 0.1
 
 _FAULTS = (
     httpcore.NetworkError,
@@ -46,10 +47,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerAnswer:
-    """Hold what a caller got; no status if the connection broke."""
+    """Hold what a caller got; `refused` or `broken` without an answer."""
 
     status: int = 0
-    outcome: str = 'none'
+    outcome: str = 'broken'
     code: int = -1
     retry_after: str = ''
     body: bytes = field(default=b'', repr=False)
@@ -92,10 +93,10 @@
         return CallerAnswer()
 
     async def insist(self, request: CallerRequest) -> CallerAnswer:
-        """Send a request again as long as it is told not run."""
+        """Send an idempotent request until it is answered."""
         answer = await self.send(request)
-        while answer.outcome in {'not-run', 'none'} and request.idempotent:
-            await trio.sleep(0.1)
+        while answer.outcome != 'answered':
+            await trio.sleep(_PAUSE)
             answer = await self.send(request)
         return answer
 
@@ -111,6 +112,8 @@
                 headers=list(_build_headers(request).items()),
                 content=request.body,
             )
+        except httpcore.ConnectError:
+            return CallerAnswer(outcome='refused')
         except _FAULTS:
             return CallerAnswer()
         headers = {
@@ -119,7 +122,7 @@
         }
         return CallerAnswer(
             status=response.status,
-            outcome=headers.get('x-trefoil-outcome', 'none'),
+            outcome=headers.get('x-trefoil-outcome', 'broken'),
             code=int(headers.get('x-trefoil-result', '-1')),
             retry_after=headers.get('retry-after', ''),
             body=response.content,
--- a/trefoilsaddle/core/acceptance.py
+++ b/trefoilsaddle/core/acceptance.py
@@ -49,6 +49,9 @@
         answer = refuse(ResultCode.configuration_missing)
         return [answer_origin(node, origin, shard, answer)]
     server = _find_server(node, moment, forward.server, shard)
+    if server is not None and node.refusing:
+        answer = refuse(ResultCode.stopping)
+        return [answer_origin(node, origin, shard, answer)]
     queue = None
     if server is not None:
         queue = _find_queue(node, server)
@@ -104,7 +107,6 @@
     answer = state.discipline.admit(queue, ticket, moment.monotonic)
     if answer is not None:
         return answer_ticket(node, moment, ticket, answer)
-    queue.budget.earn(queue.rules.retry_budget)
     queue.rank_queue(ticket).push(ticket)
     effects: Effects = [start]
     effects.extend(fill_slots(node, moment, queue))
@@ -159,7 +161,6 @@
         version=configuration.version,
         slots=policy.slots,
         queue_limit=configuration.services[policy.service].queue_limit,
-        retry_budget=configuration.limits.retry_budget,
         ranks=configuration.ranks,
     )
     if queue is None:
--- a/trefoilsaddle/core/application.py
+++ b/trefoilsaddle/core/application.py
@@ -9,7 +9,10 @@
 from typing import TypeVar
 
 from trefoilsaddle.core.errors import Failure
-from trefoilsaddle.core.publishing import judge_publication
+from trefoilsaddle.core.publishing import (
+    complete_publication,
+    judge_publication,
+)
 from trefoilsaddle.core.records import (
     Assign,
     Claim,
@@ -106,8 +109,11 @@
     configuration = judge_publication(view, record)
     if isinstance(configuration, Failure):
         return configuration.code
+    whole = complete_publication(view, record)
+    if isinstance(whole, Failure):
+        return whole.code
     view.put_configuration(configuration)
-    view.documents[record.site] = record.document
+    view.documents[record.site] = whole.document
     view.document_versions[record.site] = configuration.version
     _forget_roles(view)
     return ResultCode.ok
@@ -134,7 +140,7 @@
     for placement in record.placements:
         if not _serves(view, placement.server, record.service):
             continue
-        owner = Ownership(placement.server, position)
+        owner = Ownership(placement.server, position, first=True)
         for number in placement.shards:
             if _is_unowned(view, record.service, number):
                 view.put_owner(ShardId(record.service, number), owner)
--- a/trefoilsaddle/programs/callers.py
+++ b/trefoilsaddle/programs/callers.py
@@ -14,6 +14,7 @@
 from trefoilsaddle.core.units import CallId, Seconds
 from trefoilsaddle.programs.headers import AnswerHeader, CallerHeader
 from trefoilsaddle.programs.requesthead import RequestHead, check_head
+from trefoilsaddle.programs.requestpath import check_target
 from trefoilsaddle.programs.statuses import find_status
 from trefoilsaddle.programs.uploads import (
     Body,
@@ -79,7 +80,7 @@
         """Serve one request; raise on any scope but HTTP."""
         if scope['type'] != _HTTP:
             raise UnknownScopeError(scope['type'])
-        head = check_head(
+        head = check_target(scope['method'], scope['raw_path']) or check_head(
             scope['headers'],
             self._shell.read_configuration(),
         )
@@ -128,17 +129,19 @@
     ) -> None:
         self._shell.count_refusal(failure.code)
         answer = Answer(Outcome.not_run, failure.code)
-        await self._begin_answer(answer, send)
+        await self._send_answer(answer, send, more_body=True)
         # A connection closed with bytes unread would be reset, and the
         # caller might lose the answer over that.
         await discard_body(receive)
         await send({'type': _RESPONSE_BODY})
 
-    async def _send_answer(self, answer: Answer, send: Send) -> None:
-        await self._begin_answer(answer, send)
-        await send({'type': _RESPONSE_BODY})
-
-    async def _begin_answer(self, answer: Answer, send: Send) -> None:
+    async def _send_answer(
+        self,
+        answer: Answer,
+        send: Send,
+        *,
+        more_body: bool = False,
+    ) -> None:
         reply = answer.reply or _build_reply(answer)
         headers = _build_headers(answer, reply)
         if self.closing:
@@ -148,10 +151,14 @@
                 'type': 'http.response.start',
                 'status': reply.status,
                 'headers': headers,
-            }
+            },
         )
         await send(
-            {'type': _RESPONSE_BODY, 'body': reply.body, 'more_body': True},
+            {
+                'type': _RESPONSE_BODY,
+                'body': reply.body,
+                'more_body': more_body,
+            },
         )
 
 
