--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -14,6 +14,7 @@
 from measure.ownershipbench import Bench, open_bench
 from measure.ownershipfaults import find_holder
 from measure.ownershipscene import Scene
+from trefoilsaddle.core.events import StopRequested
 
 _SEEDS = 100
 # In seconds.
@@ -46,7 +47,12 @@
     _lose_server(bench)
 
 
+def _stop_dispatcher(bench: Bench) -> None:
+    bench.fleet.deliver(find_holder(bench), StopRequested())
+
+
 _LOSSES = (
+    Loss('none: stopped', _stop_dispatcher),
     Loss('server', _lose_server),
     Loss('dispatcher', _lose_dispatcher),
     Loss('both', _lose_both),
