--- a/tests/test_ownershipguards.py
+++ b/tests/test_ownershipguards.py
@@ -19,6 +19,7 @@
     application,
     authority,
     grants,
+    isolation,
     moves,
     outage,
     recovery,
@@ -78,8 +79,7 @@
         [process.node_id for process in inside],
         [process.node_id for process in outside],
     )
-    for process in inside:
-        process.cut_from_log = True
+    cut_from_log(inside)
     return inside
 
 
@@ -230,6 +230,32 @@
     bench.run(6)
 
 
+def cut_zone(bench: Bench) -> None:
+    """Cut a zone off from the other one and from the log."""
+    zone = bench.scene.zone_names[0]
+    inside = [
+        process
+        for process in bench.fleet.processes.values()
+        if process.node.options.zone == zone
+    ]
+    names = {process.node_id for process in inside}
+    bench.fleet.network.cut(names, set(bench.fleet.processes) - names)
+    cut_from_log(inside)
+    bench.links.cuts.update(
+        (node, server)
+        for node in bench.fleet.processes
+        for server in bench.servers
+        if server.startswith(zone) != (node in names)
+    )
+    bench.run(16)
+
+
+def cut_from_log(processes: list[Process]) -> None:
+    """Cut processes off from the log."""
+    for process in processes:
+        process.cut_from_log = True
+
+
 def share_at_once(
     node: Node,
     moment: Moment,
@@ -320,6 +346,14 @@
     return True
 
 
+def _free_at_once(*arguments: object) -> Seconds:
+    return Seconds(0)
+
+
+def _hold_nothing(*arguments: object) -> Seconds:
+    return Seconds(0)
+
+
 def _ignore(*arguments: object) -> None:
     """Do nothing."""
 
@@ -410,6 +444,21 @@
         split_log_from_server,
         ((recovery, 'share_moves', share_at_once),),
     ),
+    Guard(
+        'isolation hold',
+        Scene(seed=5, zones=2, servers=1, hold=10),
+        cut_zone,
+        ((isolation, '_freed_at', _free_at_once),),
+    ),
+    Guard(
+        'no claim of a zone that holds for ever',
+        Scene(seed=5, zones=2, servers=1, hold=None),
+        cut_zone,
+        (
+            (isolation, 'isolation_hold', _hold_nothing),
+            (application, '_may_claim', _allow),
+        ),
+    ),
     Guard(
         'knowledge of moves without the log',
         CHECKED,
