Let one request through to a silent server whatever wait is expected

Cause: after a long stall the expected wait exceeded every deadline, so that all requests were refused, no probe was under way, and a server that had woken was refused for ever; entry processes kept the long wait as well. Now a request is admitted whenever none runs or waits, and silence is expected for half a second at most. test_server_that_wakes_is_served was red before.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -10,6 +10,7 @@
     build_bench,
     build_request,
 )
+from tests.faults import Fault, lose, runs
 from trefoilsaddle.core import acceptance, sending
 from trefoilsaddle.core.outcomes import adopt_shard
 from trefoilsaddle.core.units import Moment, Seconds
@@ -37,3 +38,20 @@
     assert answer.reply is not None
     assert answer.reply.body == b'body'
     assert len(bench.ran) == 1
+
+
+def test_server_that_wakes_is_served(bench: Bench) -> None:
+    """Send work again soon after a long freeze, whatever was told of it."""
+    bench.hook = Fault(runs, lose, always=True)
+    for number in range(600):
+        bench.schedule_call(number / 20, build_request(remaining=0.4))
+    bench.run(30)
+    bench.hook = None
+    arrived = [
+        bench.schedule_call(number / 20, build_request(remaining=0.4))
+        for number in range(80)
+    ]
+    bench.run(10)
+    late = arrived[40:]
+    outcomes = {bench.last_answer(call_id).outcome for call_id in late}
+    assert outcomes == {Outcome.answered}
--- a/trefoilsaddle/core/admission.py
+++ b/trefoilsaddle/core/admission.py
@@ -28,6 +28,9 @@
     now: Seconds,
 ) -> Seconds:
     """Estimate how long a member's next request of a rank waits."""
+    if not queue.running and not queue.count_waiting():
+        # Someone has to find out whether a silent server answers again.
+        return queue.pacing.pause_left(now)
     pause = queue.pacing.expected_silence(now)
     slots = queue.pacing.usual(queue.rules.slots)
     ranked = queue.ranks[rank]
--- a/trefoilsaddle/core/pacing.py
+++ b/trefoilsaddle/core/pacing.py
@@ -21,6 +21,8 @@
 _SHORTEST_STALL = 0.2
 # Part of a stall's length so far that it is expected to last on.
 _STALL_PART = 0.25
+# Longest that silence is expected to last, so that refusals stay short.
+_LONGEST_SILENCE = 0.5
 
 
 @dataclass(slots=True)
@@ -59,7 +61,8 @@
         """Estimate how long nothing will be answered."""
         if self.stalled_since is None:
             return self.pause_left(now)
-        return Seconds((now - self.stalled_since) * _STALL_PART)
+        expected = (now - self.stalled_since) * _STALL_PART
+        return Seconds(min(expected, _LONGEST_SILENCE))
 
     def note_answer(self, slots: int) -> None:
         """Allow more after some whole answers."""
