--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -48,8 +48,8 @@
     bench.run(30)
     bench.hook = None
     arrived = [
-        bench.schedule_call(number / 20, build_request(remaining=0.4))
-        for number in range(80)
+        bench.schedule_call(later / 20, build_request(remaining=0.4))
+        for later in range(80)
     ]
     bench.run(10)
     late = arrived[40:]
