Ask a server whether it lives even while the lease has lapsed; complete shared moves

Cause: test_processes 'dispatcher killed, log away' never served again. (1) A grant call or probe used the grant's duration as its timeout. With the lease lapsed that is zero, so every call failed at once and the healthy server was taken for lost. (2) Its shards were then shared with a claim set of which nobody was alive; once the server followed the new term that word was no longer needed, but nothing looked at the move again. Ruled out: connection limits, an unresponsive stand-in (state dump: lease and log fine, 32 shards 'moving', no record appended for 20 s). Conclusion: calls have a shortest timeout of 1 s; moves are completed when they are repeated. The two new cases of test_grant_calls_end were seen red.

--- a/tests/test_backendclient.py
+++ b/tests/test_backendclient.py
@@ -330,6 +330,7 @@
     term: Epoch
     draining: bool = False
     checks_grants: bool = True
+    duration: float = 0.3
 
 
 _GRANT_CASES = (
@@ -378,6 +379,22 @@
         draining=True,
         checks_grants=False,
     ),
+    _GrantCase(
+        'accepted for no time',
+        Step(whole(_GRANTED)),
+        GrantVerdict.accepted,
+        _TERM,
+        draining=True,
+        duration=0,
+    ),
+    _GrantCase(
+        'probe without a lease',
+        Step(whole(b'{"draining":false,"load":0}')),
+        GrantVerdict.accepted,
+        _TERM,
+        checks_grants=False,
+        duration=0,
+    ),
     _GrantCase(
         'no probe answer',
         Step(whole(b'[]')),
@@ -415,7 +432,8 @@
             _Clock(5),
             checks_grants=case.checks_grants,
         )
-        answer = await client.send_grant(_GRANT_CALL)
+        call = replace(_GRANT_CALL, duration=Seconds(case.duration))
+        answer = await client.send_grant(call)
         await client.aclose()
     return answer
 
--- a/trefoilsaddle/backend/grants.py
+++ b/trefoilsaddle/backend/grants.py
@@ -27,6 +27,9 @@
 _ANSWERED = frozenset((200, 409))
 _OK = 200
 
+# Shortest time in which a server that is alive can be expected to answer.
+_SHORTEST_TIMEOUT = Seconds(1)
+
 
 class _WrittenStamp(BaseModel):
     instance: str
@@ -71,6 +74,12 @@
     )
 
 
+def _choose_timeout(effect: SendGrant) -> Seconds:
+    # A dispatcher whose lease has lapsed grants for no time at all, and still
+    # has to learn whether the server is alive.
+    return max(effect.duration, _SHORTEST_TIMEOUT)
+
+
 def _build_call(
     dispatcher: NodeId,
     effect: SendGrant,
@@ -99,8 +108,8 @@
         path='/grants',
         headers=(('content-type', 'application/json'),),
         body=write_json(document),
-        send_before=Seconds(sent + effect.duration),
-        timeout=effect.duration,
+        send_before=Seconds(sent + _choose_timeout(effect)),
+        timeout=_choose_timeout(effect),
     )
 
 
@@ -110,8 +119,8 @@
         path='/health',
         headers=(),
         body=b'',
-        send_before=Seconds(sent + effect.duration),
-        timeout=effect.duration,
+        send_before=Seconds(sent + _choose_timeout(effect)),
+        timeout=_choose_timeout(effect),
     )
 
 
--- a/trefoilsaddle/core/sharing.py
+++ b/trefoilsaddle/core/sharing.py
@@ -97,9 +97,14 @@
 
 
 def share_again(node: Node, moment: Moment, duty: Duty) -> Effects:
-    """Repeat what members have not acknowledged, until it is settled."""
+    """Repeat what members have not acknowledged, until it is settled.
+
+    The server may have come to follow this process meanwhile, so that no
+    word of its former claim set is needed any more.
+    """
     effects: Effects = []
     for sequence, shared in duty.shared.items():
+        effects.extend(_complete(node, moment, duty, shared))
         if not (shared.queued and not node.following.log_away):
             effects.extend(_send(node, duty, sequence, shared))
     return effects
