Contract: tell entry processes of full queues, and whose requests fill them

A report now says how long a rank's queue stays too full, and which member crowds it; only that member is refused early, by waits too.

--- a/measure/baselines.py
+++ b/measure/baselines.py
@@ -50,6 +50,10 @@
         """Tell the senders nothing."""
         return Seconds(0)
 
+    def hold(self, queue: ServerQueue, rank: Rank, now: Seconds) -> Seconds:
+        """Tell the senders nothing."""
+        return Seconds(0)
+
     def need(self, queue: ServerQueue, ticket: Ticket) -> Seconds:
         """Send as long as any time is left."""
         return Seconds(0)
--- a/measure/previous.py
+++ b/measure/previous.py
@@ -47,6 +47,14 @@
         ranked = find_over_share(queue)
         return None if ranked is None else ranked.pop_newest()
 
+    def hold(self, queue: ServerQueue, rank: Rank, now: Seconds) -> Seconds:
+        """Tell the senders nothing of full queues."""
+        return Seconds(0)
+
+    def need(self, queue: ServerQueue, ticket: Ticket) -> Seconds:
+        """Send as long as any time is left."""
+        return Seconds(0)
+
     def estimate(
         self,
         queue: ServerQueue,
--- a/trefoilsaddle/core/admission.py
+++ b/trefoilsaddle/core/admission.py
@@ -6,6 +6,8 @@
 
 # Least part of the slots that an estimate counts on.
 _LEAST_CAPACITY = 0.05
+# Part of a full queue that drains before senders are to fill it again.
+_REFILLED_PART = 0.25
 # Largest part of a request's time that it is thought to run for.
 _LARGEST_NEED = 0.25
 
@@ -48,6 +50,23 @@
     return Seconds(pause + wait)
 
 
+def estimate_hold(queue: ServerQueue, rank: Rank, now: Seconds) -> Seconds:
+    """Estimate when a full queue has room again for some of a rank.
+
+    Not for just one: senders hear of it a little later, all at once.
+    """
+    displaced = find_over_share(queue)
+    full = queue.count_waiting() >= queue.rules.queue_limit
+    if not full or displaced is None or rank < displaced.rank:
+        return Seconds(0)
+    ranked = queue.ranks[rank]
+    if ranked.size <= queue.rules.ranks[rank].share * queue.rules.queue_limit:
+        return Seconds(0)
+    slots = queue.pacing.usual(queue.rules.slots)
+    work = _waiting_work(ranked) * _REFILLED_PART
+    return Seconds(work / (slots * _capacity_left(queue, rank, now)))
+
+
 def find_over_share(queue: ServerQueue) -> RankQueue | None:
     """Return the least urgent rank that holds more than its share."""
     limit = queue.rules.queue_limit
--- a/trefoilsaddle/core/calls.py
+++ b/trefoilsaddle/core/calls.py
@@ -81,3 +81,7 @@
     server: ServerId
     # Estimated wait by rank, the most urgent first.
     waits: tuple[Seconds, ...]
+    # How long each rank's queue will stay too full for more.
+    holds: tuple[Seconds, ...] = ()
+    # Member with most waiting, by rank; only its requests are refused early.
+    crowding: tuple[MemberName, ...] = ()
--- a/trefoilsaddle/core/disciplines.py
+++ b/trefoilsaddle/core/disciplines.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 
 from trefoilsaddle.core.admission import (
+    estimate_hold,
     estimate_wait,
     find_over_share,
     needed_time,
@@ -45,6 +46,10 @@
     ) -> Seconds:
         """Estimate the wait of a rank's next request, to tell the senders."""
 
+    def hold(self, queue: ServerQueue, rank: Rank, now: Seconds) -> Seconds:
+        """Return how long a rank's queue will be too full for more."""
+        return estimate_hold(queue, rank, now)
+
     def need(self, queue: ServerQueue, ticket: Ticket) -> Seconds:
         """Return the time that a request must have left to be sent."""
         return needed_time(queue, ticket)
--- a/trefoilsaddle/core/pressure.py
+++ b/trefoilsaddle/core/pressure.py
@@ -3,8 +3,10 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from trefoilsaddle.core.calls import Pressure
+from trefoilsaddle.core.answers import refuse
+from trefoilsaddle.core.calls import Answer, Pressure, Request
 from trefoilsaddle.core.units import Rank, Seconds, ServerId
+from trefoilsaddle.results import ResultCode
 
 # Fraction of hopeless requests forwarded anyway, to bring fresh reports.
 _PROBE_FRACTION = 0.02
@@ -16,7 +18,7 @@
 class PressureReport:
     """Pair a dispatcher's report with the time of its arrival."""
 
-    waits: tuple[Seconds, ...]
+    pressure: Pressure
     received: Seconds
 
 
@@ -28,7 +30,7 @@
 
     def learn(self, pressure: Pressure, now: Seconds) -> None:
         """Keep a report that came with an answer."""
-        self.reports[pressure.server] = PressureReport(pressure.waits, now)
+        self.reports[pressure.server] = PressureReport(pressure, now)
 
     def estimate_wait(
         self,
@@ -42,10 +44,38 @@
         that a report refuses nothing for longer than the wait it told of.
         """
         report = self.reports.get(server)
-        if report is None or rank >= len(report.waits):
+        if report is None:
             return Seconds(0)
-        passed = now - report.received
-        return Seconds(max(report.waits[rank] - passed, 0))
+        return _time_left(report.pressure.waits, rank, now - report.received)
+
+    def is_crowding(self, server: ServerId, request: Request) -> bool:
+        """Say whether a request's member is the one with most waiting."""
+        report = self.reports.get(server)
+        if report is None or request.rank >= len(report.pressure.crowding):
+            return False
+        return report.pressure.crowding[request.rank] == request.member
+
+    def estimate_hold(
+        self,
+        server: ServerId,
+        rank: Rank,
+        now: Seconds,
+    ) -> Seconds:
+        """Return how long the rank's queue will still be too full."""
+        report = self.reports.get(server)
+        if report is None:
+            return Seconds(0)
+        return _time_left(report.pressure.holds, rank, now - report.received)
+
+
+def _time_left(
+    times: tuple[Seconds, ...],
+    rank: Rank,
+    passed: float,
+) -> Seconds:
+    if rank >= len(times):
+        return Seconds(0)
+    return Seconds(max(times[rank] - passed, 0))
 
 
 def excess_wait(
@@ -59,3 +89,27 @@
     if random.random() < _PROBE_FRACTION:
         return Seconds(0)
     return Seconds(wait - remaining)
+
+
+def judge_pressure(
+    edge: EdgePressure,
+    server: ServerId,
+    request: Request,
+    now: Seconds,
+    random: Random,
+) -> Answer | None:
+    """Return a refusal for what the server is known to be too late for.
+
+    Members take turns there, so that only the one that crowds its rank waits
+    as long as was told.
+    """
+    if not edge.is_crowding(server, request):
+        return None
+    wait = edge.estimate_wait(server, request.rank, now)
+    excess = excess_wait(wait, request.remaining, random)
+    if excess > 0:
+        return refuse(ResultCode.deadline_unreachable, excess)
+    hold = edge.estimate_hold(server, request.rank, now)
+    if excess_wait(hold, Seconds(0), random) > 0:
+        return refuse(ResultCode.queue_full, hold)
+    return None
--- a/trefoilsaddle/core/queues.py
+++ b/trefoilsaddle/core/queues.py
@@ -72,7 +72,7 @@
         """Take the newest request of the member that has most waiting."""
         if not self.members:
             return None
-        member = max(self.members, key=self.count_member)
+        member = self.largest_member()
         ticket = self.members[member].pop()
         self._shrink(member)
         return ticket
@@ -83,6 +83,12 @@
         self.members[member].remove(ticket)
         self._shrink(member)
 
+    def largest_member(self) -> MemberName:
+        """Return the member that has most waiting; empty if none has any."""
+        if not self.members:
+            return MemberName('')
+        return max(self.members, key=self.count_member)
+
     def count_member(self, member: MemberName) -> int:
         """Count a member's waiting requests."""
         queue = self.members.get(member)
--- a/trefoilsaddle/core/replies.py
+++ b/trefoilsaddle/core/replies.py
@@ -96,4 +96,9 @@
         discipline.estimate(queue, ranked.rank, moment.monotonic)
         for ranked in queue.ranks
     )
-    return Pressure(server, waits)
+    holds = tuple(
+        discipline.hold(queue, ranked.rank, moment.monotonic)
+        for ranked in queue.ranks
+    )
+    crowding = tuple(ranked.largest_member() for ranked in queue.ranks)
+    return Pressure(server, waits, holds, crowding)
--- a/trefoilsaddle/core/routing.py
+++ b/trefoilsaddle/core/routing.py
@@ -23,7 +23,7 @@
 )
 from trefoilsaddle.core.messages import Abandon, Forward, ForwardAnswer
 from trefoilsaddle.core.node import Node
-from trefoilsaddle.core.pressure import excess_wait
+from trefoilsaddle.core.pressure import judge_pressure
 from trefoilsaddle.core.routes import choose_route, forget_route, learn_route
 from trefoilsaddle.core.routestate import PendingCall, Route
 from trefoilsaddle.core.units import (
@@ -125,23 +125,22 @@
     if route is None:
         return [_delay_retry(pending)]
     remaining = _remaining_at_dispatcher(moment, pending)
-    request = pending.call.request
+    request = replace(pending.call.request, remaining=remaining)
     routing = node.routing
-    wait = routing.pressure.estimate_wait(
+    refusal = judge_pressure(
+        routing.pressure,
         route.server,
-        request.rank,
+        request,
         moment.monotonic,
+        node.random,
     )
-    excess = excess_wait(wait, remaining, node.random)
-    if excess > 0:
-        answer = refuse(ResultCode.deadline_unreachable, excess)
-        return _answer_call(node, pending, answer)
+    if refusal is not None:
+        return _answer_call(node, pending, refusal)
     attempt = _next_attempt(node, moment)
     pending.attempt = attempt
     pending.route = route
     routing.attempts[attempt] = pending.call.call_id
-    passed = replace(request, remaining=remaining)
-    forward = Forward(attempt, route.server, passed)
+    forward = Forward(attempt, route.server, request)
     return [SendMessage(route.dispatcher, forward)]
 
 
--- a/trefoilsaddle/wire/messages.capnp
+++ b/trefoilsaddle/wire/messages.capnp
@@ -56,6 +56,8 @@
 struct Pressure {
   server @0 :Text;
   waits @1 :List(Float64);
+  holds @2 :List(Float64);
+  crowding @3 :List(Text);
 }
 
 struct Forward {
