Forget nothing when a holder claims its own role again

The log says which term a claim replaced: if it was our own, the floor stays. Guard 'renewed claims' was seen red without it.

--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -141,6 +141,21 @@
     assert bench.count_runs(_TOKEN) == 1
 
 
+def renew_claim(bench: Bench) -> None:
+    """Let the holder claim again; it goes on serving and forgets nothing."""
+    bench.hook = Fault(answers, lose)
+    bench.call(1, build_request(_TOKEN))
+    # The request is at the server meanwhile.
+    bench.run(0.005)
+    assign_role(bench, FIRST, NEXT_TERM)
+    adopt_shard(bench.nodes[FIRST], moment_of(bench), SHARD, fresh=False)
+    one = _ask(bench, 2, token='made before the claim')
+    other = _ask(bench, 3)
+    assert one.outcome is Outcome.answered
+    assert other.outcome is Outcome.answered
+    assert bench.count_runs(_TOKEN) == 1
+
+
 def future_key(bench: Bench) -> None:
     """Refuse a key that a successor's floor would not cover."""
     created = WALL + 4 * SKEW
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -93,6 +93,9 @@
             _floor_without_callers,
             scenarios.clocks_differ,
         ),
+        'renewed claims': Guard(
+            'floors._follow_renewal', _nothing, scenarios.renew_claim
+        ),
         'keys of the future': Guard(
             'outcomes.is_in_future', _deny, scenarios.future_key
         ),
--- a/trefoilsaddle/core/floors.py
+++ b/trefoilsaddle/core/floors.py
@@ -64,11 +64,28 @@
     """Say whether a shard is adopted again under the tokens it had."""
     if not kept.settled and not kept.complete:
         return False
+    _follow_renewal(node, shard, kept)
     now = Floor(UNKNOWN_FLOOR, kept.adopted)
     _note_tokens(node, shard, now)
     return (now.term, now.epoch) == (kept.term, kept.epoch)
 
 
+def _follow_renewal(node: Node, shard: ShardId, kept: Floor) -> None:
+    """Follow a claim by which this process replaced its own term.
+
+    Example: a holder claims again to change its claim set.  Nobody else has
+    served in between, so that nothing need be forgotten.
+    """
+    now = Floor(UNKNOWN_FLOOR, kept.adopted)
+    _note_tokens(node, shard, now)
+    owner = node.view.owners.get(shard)
+    role = node.view.roles.get(owner.server) if owner else None
+    if role is None or now.epoch != kept.epoch:
+        return
+    if now.term == role.term and role.former_term == kept.term:
+        kept.term = role.term
+
+
 def _is_first(node: Node, shard: ShardId) -> bool:
     """Say whether a shard has never had another owner.
 
@@ -103,6 +120,7 @@
     kept = node.dispatching.outcomes.floors.get(shard)
     if kept is None:
         kept = Floor(UNKNOWN_FLOOR, moment.monotonic)
+    _follow_renewal(node, shard, kept)
     served = kept.term == authority.term and kept.epoch == authority.epoch
     if kept.settled and not served:
         kept.floor = UNKNOWN_FLOOR
