--- a/tests/bench.py
+++ b/tests/bench.py
@@ -162,9 +162,9 @@
     remaining: float = 1,
 ) -> Request:
     """Build a request; with a token it must not be repeated."""
-    key = None
+    idempotency_key = None
     if token:
-        key = IdempotencyKey(Seconds(created), token)
+        idempotency_key = IdempotencyKey(Seconds(created), token)
     return Request(
         service=SERVICE,
         member=member,
@@ -175,7 +175,7 @@
         content_type='text/plain',
         body=body,
         idempotent=not token,
-        idempotency_key=key,
+        idempotency_key=idempotency_key,
         remaining=Seconds(remaining),
     )
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,5 +1,7 @@
 """Check that requests are answered once and truthfully, step by step."""
 
+from dataclasses import replace
+
 import pytest
 
 from tests.bench import (
@@ -10,7 +12,7 @@
     build_bench,
     build_request,
 )
-from tests.faults import Fault, lose, runs
+from tests.faults import Fault, answers, lose, runs
 from trefoilsaddle.core import acceptance, sending
 from trefoilsaddle.core.outcomes import adopt_shard
 from trefoilsaddle.core.units import Moment, Seconds
@@ -55,3 +57,17 @@
     late = arrived[40:]
     outcomes = {bench.last_answer(call_id).outcome for call_id in late}
     assert outcomes == {Outcome.answered}
+
+
+def test_no_secret_is_shown(bench: Bench) -> None:
+    """Show no key, token, path or body in states, messages and log lines."""
+    bench.hook = Fault(answers, lose)
+    for number in range(6):
+        request = build_request(f'hidden-{number}', body=b'hidden')
+        hidden = replace(request, key=b'hidden', path='/hidden')
+        bench.call(number, hidden)
+        bench.run(0.004)
+    shown = [repr(node) for node in bench.nodes.values()]
+    shown.extend(repr(effect) for _, effect in bench.effects)
+    assert 'checkout' in ''.join(shown)
+    assert 'hidden' not in ''.join(shown)
