--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -462,7 +462,9 @@
     """Forget the same verdicts with and without a snapshot between."""
     view = _build_scene()
     for number in range(MOST_VERDICTS):
-        _append(view, LostZone(RecordId(str(number)), ZoneName('x'), True))
+        _append(
+            view, LostZone(RecordId(str(9999 - number)), ZoneName('x'), True)
+        )
     copy = _copy_through_snapshot(view)
     for target in (view, copy):
         _append(target, _lose('north-b'))
@@ -499,6 +501,7 @@
         lambda text: text[4:],
         lambda text: text.swapcase(),
         lambda text: '',
+        lambda text: write_view(_build_scene(_lose('north-b'))),
     ],
 )
 def test_spoilt_snapshot_is_not_taken(spoil: Callable[[str], str]) -> None:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from random import Random
+from statistics import median
 
 import pytest
 from hypothesis import given, settings
@@ -27,8 +28,9 @@
     StateRead,
     StateReply,
 )
-from trefoilsaddle.core.records import LogEntry, LostZone
+from trefoilsaddle.core.records import Assign, LogEntry, LostZone
 from trefoilsaddle.core.relaying import choose_relay
+from trefoilsaddle.core.snapshots import split_view
 from trefoilsaddle.core.units import (
     Moment,
     NodeId,
@@ -120,6 +122,24 @@
     assert len(ids) == len(set(ids))
 
 
+def test_record_is_read_for_before_it_is_appended_again() -> None:
+    """Append once while replies are lost and reads are slow."""
+    fleet = Fleet(seed=2)
+    process = _start(fleet, 0, 1)
+    publish_sites(fleet)
+    fleet.log.faults.lose_replies = True
+    fleet.log.faults.delay = Seconds(2)
+    fleet.run(20)
+    assert len(process.node.view.owners) == 64
+    appended = [
+        record
+        for entry in fleet.log.history
+        for record in entry.records
+        if isinstance(record, Assign)
+    ]
+    assert len(appended) == 1
+
+
 def test_one_process_of_a_zone_reads_for_its_neighbours() -> None:
     """Read the log as often as there are zones, not processes."""
     fleet = _start_fleet(size=16)
@@ -170,8 +190,8 @@
     assert len(relays) == 4
     for relay in relays:
         fail(relay)
-    fleet.run(1)
-    for _ in range(20):
+    worst = []
+    for _ in range(40):
         fleet.run(0.25)
         followers = [
             process
@@ -180,8 +200,11 @@
         ]
         now = fleet.schedule.now
         ages = [now - each.node.following.fresh_at for each in followers]
-        assert max(ages) < 2
+        worst.append(max(ages))
         assert not any(each.node.following.log_away for each in followers)
+    assert max(worst) < 2
+    # A failed relay is passed over most of the time from then on.
+    assert median(worst[8:]) < 0.5
 
 
 def test_relayed_read_that_began_before_the_ask_does_not_count() -> None:
@@ -327,6 +350,35 @@
     assert fleet.log.reads - reads < 250
 
 
+def test_entries_that_do_not_follow_are_not_applied() -> None:
+    """Skip entries after a hole in what a read has brought."""
+    fleet = _start_fleet(size=1)
+    process = fleet.processes[NodeId('node-0')]
+    applied = process.node.view.applied
+    record = LostZone(RecordId('later'), ZoneName('x'), lost=True)
+    later = LogEntry(Offset(applied + 2), (record,))
+    now = Seconds(fleet.schedule.now)
+    read = LogRead((later,), Offset(0), Offset(applied + 3), now)
+    fleet.deliver(process, read)
+    assert process.node.view.applied == applied
+
+
+def test_snapshot_that_leaves_a_gap_is_not_taken() -> None:
+    """Take a snapshot only if it reaches to the oldest entry kept."""
+    fleet = _start_fleet(size=1)
+    process = fleet.processes[NodeId('node-0')]
+    process.paused = True
+    parts = split_view(process.node.view)
+    for number in range(10):
+        _publish(fleet, number, expected=0)
+    for part in parts:
+        fleet.log.append((part,))
+    fleet.log.expire(Offset(fleet.log.tail - len(parts) - 1))
+    fresh = _start(fleet, 0, 1)
+    fleet.run(5)
+    assert fresh.node.view.applied < 0
+
+
 def test_gap_is_closed_by_a_peer() -> None:
     """Take the view of a peer that has followed all along."""
     fleet = _start_fleet(size=2)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -139,6 +139,31 @@
     assert _list_healths(fleet, _VICTIM) == {Health.alive}
 
 
+def test_process_paused_while_it_suspects_declares_nobody_dead() -> None:
+    """Wait once more when a suspicion ran out during an own pause."""
+    fleet = _start_fleet()
+    process = fleet.processes[_VICTIM]
+    fleet.network.cut([_VICTIM], [_WITNESS])
+    fleet.deliver(process, PeerLost(_WITNESS))
+    process.paused = True
+    fleet.run(3)
+    fleet.network.cuts.clear()
+    process.resume()
+    for _ in range(50):
+        fleet.run(0.1)
+        assert health_of(process.node, _WITNESS) is not Health.dead
+    assert health_of(process.node, _WITNESS) is Health.alive
+
+
+def test_one_cut_link_makes_nobody_suspect() -> None:
+    """Reach a process through others when one link to it is cut."""
+    fleet = _start_fleet()
+    _cut_one_link(fleet)
+    for _ in range(100):
+        fleet.run(0.1)
+        assert _list_healths(fleet, _VICTIM) == {Health.alive}
+
+
 def test_suspicion_comes_before_death() -> None:
     """Let time pass between suspicion and death."""
     fleet = _start_fleet()
