Drop callers that read nothing of an answer; mend the test of CONNECT

The HTTP library shields its sends, so that such a caller held up a graceful shutdown for ever: seen with the limit on silence taken out (red). The test of CONNECT waited for a close that the library makes only after the idle time, in about half of 40 runs; it now reads the answer to its end, and asks for an absolute path, since the earlier one was refused for its path as well. With the refusal of CONNECT taken out it is red.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -13,7 +13,8 @@
 from tests.bench import MEMBER, SERVICE
 from tests.callershell import WHOLE, Shell
 from trefoilsaddle.core.calls import Answer, Reply
-from trefoilsaddle.programs.httpserver import build_config
+from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.programs.httpserver import build_config, open_listener
 from trefoilsaddle.results import Outcome, ResultCode
 
 _HOST = '127.0.0.1'
@@ -43,9 +44,10 @@
         task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until a shutdown has ended."""
+        listener = open_listener(_HOST, self.port, silence=Seconds(0.5))
         await serve_http(
             cast(ASGIFramework, self.shell.app),
-            build_config(f'{_HOST}:{self.port}', _GUARD),
+            build_config(f'fd://{listener}', _GUARD),
             shutdown_trigger=self.stopping.wait,
             task_status=task_status,
             mode='asgi',
@@ -170,12 +172,24 @@
 
 
 async def _refuse_tunnel(server: _Server) -> None:
-    sent = _GOOD.replace(b'POST /pay', b'CONNECT here:1')
-    answer = await server.exchange(sent)
+    sent = _GOOD.replace(b'POST', b'CONNECT')
+    async with await server.dial() as stream:
+        await stream.send_all(sent)
+        answer = await _read_answer(stream, b'malformed\n')
     assert answer.startswith(b'HTTP/1.1 400')
     assert not server.shell.calls
 
 
+async def _drop_caller_that_reads_nothing(server: _Server) -> None:
+    reply = Reply(200, '', bytes(_LARGE * 20))
+    server.shell.answer = Answer(Outcome.answered, ResultCode.ok, reply)
+    async with await server.dial() as stream:
+        await stream.send_all(_GOOD)
+        await server.shell.wait_until(lambda: server.shell.answered)
+        server.stopping.set()
+        await server.stopped.wait()
+
+
 async def _note_caller_gone(server: _Server) -> None:
     shell = server.shell
     shell.answer = None
@@ -228,6 +242,7 @@
     _answer_head,
     _refuse_tunnel,
     _carry_large_answer,
+    _drop_caller_that_reads_nothing,
     _note_caller_gone,
     _stop_gracefully,
 )
--- a/trefoilsaddle/programs/entry.py
+++ b/trefoilsaddle/programs/entry.py
@@ -63,7 +63,8 @@
     """
     loaded = load_settings(settings, EntrySettings)
     start_logging(loaded.log_level)
-    listener = open_listener(loaded.callers)
+    address = loaded.callers
+    listener = open_listener(str(address.host), address.port)
     if isinstance(listener, Failure):
         end_command(listener)
     serve = partial(serve_callers, settings=loaded, listener=listener)
--- a/trefoilsaddle/programs/httpserver.py
+++ b/trefoilsaddle/programs/httpserver.py
@@ -1,17 +1,20 @@
 """Configure the HTTP library that serves callers."""
 
-from socket import create_server
+from socket import IPPROTO_TCP, TCP_USER_TIMEOUT, create_server
 
 from hypercorn import Config
 
 from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.results import ResultCode
-from trefoilsaddle.settings import AddressSettings
 
 # Bytes of the largest head of a request.
 _LARGEST_HEAD = 16_384
 _BACKLOG = 1024
 _KEEPALIVE_SECONDS = 30
+# After this, what a caller has not acknowledged closes its connection.
+_LONGEST_SILENCE = Seconds(10)
+_MILLISECONDS = 1000
 _KEEPALIVE_REQUESTS = 100_000
 
 
@@ -29,16 +32,24 @@
     return config
 
 
-def open_listener(address: AddressSettings) -> int | Failure:
+def open_listener(
+    host: str,
+    port: int,
+    silence: Seconds = _LONGEST_SILENCE,
+) -> int | Failure:
     """Bind the address for callers (settings_invalid).
 
     Returns the file descriptor, which the HTTP library is to close.  By
     itself the library would fail on an address in use with a traceback.
+    Connections inherit the limit on silence: the library shields what it
+    sends from every timeout, so that a caller which reads nothing of a large
+    answer would otherwise hold up a graceful shutdown for ever.
     """
-    place = (str(address.host), address.port)
     try:
-        return create_server(place, backlog=_BACKLOG).detach()
+        listener = create_server((host, port), backlog=_BACKLOG)
     except OSError:
-        host, port = place
         reason = f'callers: expected a free address, not {host}:{port}'
         return Failure(ResultCode.settings_invalid, reason)
+    milliseconds = int(silence * _MILLISECONDS)
+    listener.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds)
+    return listener.detach()
