--- a/standins/caller.py
+++ b/standins/caller.py
@@ -13,7 +13,6 @@
 _CONNECTIONS = 64
 # Time that a caller waits beyond its deadline for an answer.
 _GRACE = 5.0
-_PAUSE = 0.1
 
 _FAULTS = (
     httpcore.NetworkError,
@@ -92,14 +91,6 @@
             return await self._send(request)
         return CallerAnswer()
 
-    async def insist(self, request: CallerRequest) -> CallerAnswer:
-        """Send an idempotent request until it is answered."""
-        answer = await self.send(request)
-        while answer.outcome != 'answered':
-            await trio.sleep(_PAUSE)
-            answer = await self.send(request)
-        return answer
-
     async def aclose(self) -> None:
         """Close every connection."""
         await self._pool.aclose()
