Refuse pages with gaps, and remember early cancellations

Guards taken out and seen red: order of offsets (5), tail (1), status (3), early cancellation (1). An attempt cancelled before its task had its turn was sent all the same.

--- a/tests/test_backendclient.py
+++ b/tests/test_backendclient.py
@@ -302,6 +302,29 @@
     return [(end.attempt, end.verdict) for end in ended]
 
 
+def test_attempts_cancelled_before_their_turn_are_unsent() -> None:
+    """Remember a cancellation until the task of the attempt starts."""
+    server = ScriptedServer([Step(whole(b'one'))])
+    first, second = trio.run(_cancel_early, server)
+    assert (first.verdict, second.verdict) == (
+        AttemptVerdict.unsent,
+        AttemptVerdict.answered,
+    )
+    assert len(server.requests) == 1
+
+
+async def _cancel_early(
+    server: ScriptedServer,
+) -> tuple[AttemptEnded, AttemptEnded]:
+    async with serve_script(server):
+        client = _build_client(server.port, _Clock(0))
+        client.cancel_attempt(CancelAttempt(_SERVER, _ATTEMPT.attempt))
+        first = await client.run_attempt(_ATTEMPT)
+        second = await client.run_attempt(_ATTEMPT)
+        await client.aclose()
+    return first, second
+
+
 async def _collect(
     client: HttpBackendClient,
     attempt: RunAttempt,
--- /dev/null
+++ b/tests/test_platformclients.py
@@ -0,0 +1,180 @@
+"""Check that faults of the platform reach the reducer as failures."""
+
+from dataclasses import dataclass
+
+import pytest
+import trio
+
+from tests.scriptedserver import ScriptedServer, Step, serve_script, whole
+from trefoilsaddle.core.errors import Failure
+from trefoilsaddle.core.events import HostState, ListedHost
+from trefoilsaddle.core.records import LostZone, Record
+from trefoilsaddle.core.units import (
+    Offset,
+    RecordId,
+    Seconds,
+    ZoneName,
+)
+from trefoilsaddle.platform.exchange import ServiceAddress
+from trefoilsaddle.platform.hostlist import HttpHostList
+from trefoilsaddle.platform.logclient import HttpLogClient, LogPage
+from trefoilsaddle.platform.recordcodec import encode_records
+from trefoilsaddle.results import ResultCode
+
+_RECORDS: tuple[Record, ...] = (
+    LostZone(RecordId('id-1'), ZoneName('zone-1'), lost=True),
+)
+_TEXT = encode_records(_RECORDS).replace('"', r'\"')
+_ENTRY = '{"offset":%d,"text":"%s"}'
+_PAGE = '{"first":%d,"tail":%d,"entries":[%s]}'
+_UNAVAILABLE = b'503 Service Unavailable'
+_FAULTS = (
+    Step(close=True),
+    Step(silent=True),
+    Step(whole(b'{}')),
+    Step(whole(b'no JSON')),
+    Step(whole(b'{"offset":-1}')),
+    Step(whole(b'{"first":0,"tail":0}')),
+    Step(whole(b'{"offset":1}', status=_UNAVAILABLE)),
+    Step(whole(b'[]', status=_UNAVAILABLE)),
+    Step(
+        whole(
+            b'{"first":0,"tail":0,"entries":[]}',
+            status=_UNAVAILABLE,
+        ),
+    ),
+    Step(whole(b'{"offset":1}')[:-1], close=True),
+)
+
+
+def _address(server: ScriptedServer) -> ServiceAddress:
+    return ServiceAddress('127.0.0.1', server.port, Seconds(0.3))
+
+
+def _write_page(first: int, tail: int, *offsets: int) -> Step:
+    entries = ','.join(_ENTRY % (offset, _TEXT) for offset in offsets)
+    return Step(whole((_PAGE % (first, tail, entries)).encode()))
+
+
+async def _read(server: ScriptedServer, start: int) -> LogPage | Failure:
+    async with serve_script(server):
+        log = HttpLogClient(_address(server))
+        page = await log.read(Offset(start))
+        await log.aclose()
+    return page
+
+
+async def _append(server: ScriptedServer) -> Offset | Failure:
+    async with serve_script(server):
+        log = HttpLogClient(_address(server))
+        offset = await log.append(_RECORDS)
+        await log.aclose()
+    return offset
+
+
+async def _list_hosts(
+    server: ScriptedServer,
+) -> tuple[ListedHost, ...] | Failure:
+    async with serve_script(server):
+        hosts = HttpHostList(_address(server))
+        listed = await hosts.read()
+        await hosts.aclose()
+    return listed
+
+
+@pytest.mark.parametrize('step', _FAULTS)
+def test_faults_are_failures(step: Step) -> None:
+    """Tell a failure, ask once, and raise nothing."""
+    server = ScriptedServer([step])
+    page = trio.run(_read, server, 0)
+    assert isinstance(page, Failure)
+    assert page.code is ResultCode.log_unavailable
+    assert len(server.requests) == 1
+
+
+@pytest.mark.parametrize('step', _FAULTS)
+def test_hosts_faults_are_failures(step: Step) -> None:
+    """Tell a failure of the host list."""
+    server = ScriptedServer([step])
+    assert isinstance(trio.run(_list_hosts, server), Failure)
+
+
+@pytest.mark.parametrize('step', _FAULTS)
+def test_append_faults_are_failures(step: Step) -> None:
+    """Append once, whatever becomes of it."""
+    server = ScriptedServer([step])
+    assert isinstance(trio.run(_append, server), Failure)
+    assert len(server.requests) == 1
+
+
+def test_appends_are_acknowledged() -> None:
+    """Return the offset of an append."""
+    server = ScriptedServer([Step(whole(b'{"offset":7}'))])
+    assert trio.run(_append, server) == 7
+
+
+@dataclass(frozen=True, slots=True)
+class _PageCase:
+    name: str
+    step: Step
+    # Offsets read; None if the page is refused.
+    offsets: tuple[int, ...] | None
+    start: int = 0
+
+
+_PAGE_CASES = (
+    _PageCase('empty', _write_page(0, 0), ()),
+    _PageCase('whole', _write_page(0, 2, 0, 1), (0, 1)),
+    _PageCase('part', _write_page(0, 9, 3, 4), (3, 4), start=3),
+    _PageCase('expired before', _write_page(5, 9, 5, 6), (5, 6), start=3),
+    _PageCase('beyond the tail', _write_page(0, 3), (), start=7),
+    _PageCase('gap', _write_page(0, 3, 0, 2), None),
+    _PageCase('twice', _write_page(0, 3, 0, 0), None),
+    _PageCase('back', _write_page(0, 3, 1, 0), None),
+    _PageCase('starts late', _write_page(0, 3, 1, 2), None),
+    _PageCase('tail too small', _write_page(0, 1, 0, 1), None),
+    _PageCase('starts early', _write_page(0, 3, 0, 1), None, start=1),
+)
+
+
+@pytest.mark.parametrize('case', _PAGE_CASES, ids=lambda case: case.name)
+def test_pages_have_no_gap(case: _PageCase) -> None:
+    """Refuse a page that skips or repeats an entry."""
+    page = trio.run(_read, ScriptedServer([case.step]), case.start)
+    offsets = None
+    if isinstance(page, LogPage):
+        offsets = tuple(entry.offset for entry in page.entries)
+        assert all(entry.records == _RECORDS for entry in page.entries)
+    assert offsets == case.offsets
+
+
+def test_strange_entries_have_no_records() -> None:
+    """Keep the offset of an entry that can not be read, and count it."""
+    body = _PAGE % (0, 2, '{"offset":0,"text":"tea"},{"offset":1,"text":""}')
+    server = ScriptedServer([Step(whole(body.encode()))])
+    page = trio.run(_read, server, 0)
+    assert isinstance(page, LogPage)
+    assert page.refused == 2
+    assert [entry.records for entry in page.entries] == [(), ()]
+
+
+@pytest.mark.parametrize(
+    ('body', 'listed'),
+    [
+        (b'[]', ()),
+        (
+            b'[{"name":"one","state":"leaving"}]',
+            (ListedHost('one', HostState.leaving),),
+        ),
+        (b'[{"name":"one","state":"asleep"}]', None),
+        (b'[{"name":7,"state":"live"}]', None),
+    ],
+)
+def test_hosts_are_listed(
+    body: bytes,
+    listed: tuple[ListedHost, ...] | None,
+) -> None:
+    """Read the host list, or refuse it as a whole."""
+    answer = trio.run(_list_hosts, ScriptedServer([Step(whole(body))]))
+    assert answer == listed or listed is None
+    assert isinstance(answer, Failure) == (listed is None)
--- a/trefoilsaddle/backend/client.py
+++ b/trefoilsaddle/backend/client.py
@@ -2,7 +2,6 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import trio
 
@@ -35,19 +34,16 @@
 
     @abstractmethod
     def cancel_attempt(self, effect: CancelAttempt) -> None:
-        """Close the connection of an attempt, so that it ends as lost."""
+        """Close the connection of an attempt that runs or is to run.
+
+        It ends as lost, or as unsent if no byte has left.
+        """
 
     @abstractmethod
     async def aclose(self) -> None:
         """Close every connection."""
 
 
-@dataclass(slots=True)
-class _Running:
-    server: ServerId
-    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
-
-
 class HttpBackendClient(BackendClient):
     """Reach backend servers over HTTP, within their connection limits."""
 
@@ -62,7 +58,8 @@
         self._find_server = find_server
         self._read_clock = read_clock
         self._connections: dict[ServerId, ServerConnections] = {}
-        self._running: dict[AttemptId, _Running] = {}
+        self._scopes: dict[AttemptId, trio.CancelScope] = {}
+        self._cancelled: set[AttemptId] = set()
 
     async def send_grant(self, effect: SendGrant) -> GrantAnswered:
         """Renew grants, or probe a server that checks none."""
@@ -73,18 +70,24 @@
 
     async def run_attempt(self, effect: RunAttempt) -> AttemptEnded:
         """Send a request at most once."""
+        if effect.attempt in self._cancelled:
+            self._cancelled.discard(effect.attempt)
+            return end_attempt(effect, AttemptVerdict.unsent)
         # Known before the first pause, so that no cancellation is missed.
-        running = _Running(effect.server)
-        self._running[effect.attempt] = running
-        ended = await self._run(effect, running.scope)
-        self._running.pop(effect.attempt)
+        scope = trio.CancelScope()
+        self._scopes[effect.attempt] = scope
+        ended = await self._run(effect, scope)
+        self._scopes.pop(effect.attempt)
         return ended
 
     def cancel_attempt(self, effect: CancelAttempt) -> None:
-        """Close the connection of an attempt, so that it ends as lost."""
-        running = self._running.get(effect.attempt)
-        if running is not None and running.server == effect.server:
-            running.scope.cancel()
+        """Close the connection of an attempt that runs or is to run."""
+        scope = self._scopes.get(effect.attempt)
+        if scope is None:
+            # Its task has been started and has not had its turn yet.
+            self._cancelled.add(effect.attempt)
+        else:
+            scope.cancel()
 
     async def aclose(self) -> None:
         """Close every connection."""
--- a/trefoilsaddle/platform/logclient.py
+++ b/trefoilsaddle/platform/logclient.py
@@ -121,6 +121,8 @@
             refused += 1
             records = ()
         entries.append(LogEntry(Offset(written.offset), records))
+    if entries and expected > page.tail:
+        return _refuse_answer()
     return LogPage(
         tuple(entries),
         Offset(page.first),
