--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -149,10 +149,18 @@
 
 
 @pytest.fixture(scope='module')
-def findings(tmp_path_factory: pytest.TempPathFactory) -> dict[str, _Finding]:
-    """Run every case, some at a time: most of it is waiting."""
-    folder = tmp_path_factory.mktemp('processes')
-    return trio.run(_run_cases, folder)
+def findings(
+    request: pytest.FixtureRequest,
+    tmp_path_factory: pytest.TempPathFactory,
+) -> dict[str, _Finding]:
+    """Run the chosen cases, some at a time: most of it is waiting."""
+    chosen = [test.name for test in request.session.items]
+    cases = [
+        case
+        for case in _CASES
+        if any(f'[{case.name}]' in name for name in chosen)
+    ]
+    return trio.run(_run_cases, cases, tmp_path_factory.mktemp('processes'))
 
 
 @pytest.mark.parametrize('case', _CASES, ids=lambda case: case.name)
@@ -172,12 +180,12 @@
     assert not unwanted
 
 
-async def _run_cases(folder: Path) -> dict[str, _Finding]:
+async def _run_cases(cases: list[_Case], folder: Path) -> dict[str, _Finding]:
     finds: dict[str, _Finding] = {}
     limiter = trio.CapacityLimiter(_DEPLOYMENTS)
     with trio.move_on_after(_LIVENESS_BOUND):
         async with trio.open_nursery() as nursery:
-            for number, case in enumerate(_CASES):
+            for number, case in enumerate(cases):
                 place = folder / str(number)
                 place.mkdir()
                 finds[case.name] = _Finding(['the run did not end'])
