--- a/standins/load.py
+++ b/standins/load.py
@@ -18,7 +18,7 @@
 ANSWERED = 'answered'
 NOT_RUN = 'not-run'
 
-_PAUSE = 0.02
+_PAUSE = 0.05
 _KEYS = 8
 
 
@@ -34,6 +34,8 @@
 class Stream:
     """Send one request after the other, every other one unrepeatable."""
 
+    # Streams of one service differ in their number.
+    number: int
     service: str
     caller: Caller
     told: list[Told] = field(default_factory=list)
@@ -48,8 +50,9 @@
             await trio.sleep(_PAUSE)
 
     def _build_request(self, number: int) -> CallerRequest:
-        path = '/'.join(('', self.service, str(number)))
         key = number % _KEYS
+        place = (self.service, str(self.number), str(number))
+        path = '/'.join(('', *place))
         return CallerRequest(
             service=self.service,
             key=f'key-{key}',
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -17,6 +17,7 @@
 from standins.load import ANSWERED, NOT_RUN, Stream, Told, judge_told
 from standins.processes import StartError
 from standins.readiness import NotReadyError
+from trefoilsaddle.core.records import Claim
 from trefoilsaddle.programs.commands import find_exit_code
 from trefoilsaddle.results import ResultCode
 
@@ -27,25 +28,40 @@
 # Long enough for every lease and grant of the example files to lapse.
 _LAPSE = 8
 _IN_FLIGHT = 0.2
-_DISPATCHER = 'north-dispatcher-1'
+# Enough for some requests to lie in a process when it is frozen or killed.
+_STREAMS = 6
+# Does not check grants, so that only the dispatcher's lease protects it.
+_UNCHECKED = 'north-filings-1'
 _ENTRY = 'north-entry-1'
 
 Fault = Callable[[Fleet], Awaitable[None]]
 
 
+async def _find_dispatcher(fleet: Fleet) -> str:
+    """Return the dispatcher of a server that does not check grants."""
+    holders = [
+        record.dispatcher
+        for record in await fleet.services.read_records()
+        if isinstance(record, Claim) and record.server == _UNCHECKED
+    ]
+    return holders[-1]
+
+
 async def _kill_dispatcher(fleet: Fleet) -> None:
-    await fleet.processes.kill(_DISPATCHER)
+    await fleet.processes.kill(await _find_dispatcher(fleet))
 
 
 async def _replace_dispatcher(fleet: Fleet) -> None:
-    await fleet.processes.kill(_DISPATCHER)
-    await fleet.start_node(fleet.plan.find_node(_DISPATCHER))
+    dispatcher = await _find_dispatcher(fleet)
+    await fleet.processes.kill(dispatcher)
+    await fleet.start_node(fleet.plan.find_node(dispatcher))
 
 
 async def _freeze_dispatcher(fleet: Fleet) -> None:
-    fleet.processes.send_signal(_DISPATCHER, signal.SIGSTOP)
+    dispatcher = await _find_dispatcher(fleet)
+    fleet.processes.send_signal(dispatcher, signal.SIGSTOP)
     await trio.sleep(_LAPSE)
-    fleet.processes.send_signal(_DISPATCHER, signal.SIGCONT)
+    fleet.processes.send_signal(dispatcher, signal.SIGCONT)
 
 
 async def _freeze_server(fleet: Fleet) -> None:
@@ -76,16 +92,18 @@
 
 
 async def _kill_dispatcher_without_log(fleet: Fleet) -> None:
+    dispatcher = await _find_dispatcher(fleet)
     await fleet.services.control_log(outage=True)
-    await fleet.processes.kill(_DISPATCHER)
+    await fleet.processes.kill(dispatcher)
     await trio.sleep(_LAPSE)
     await fleet.services.control_log(outage=False)
 
 
 async def _stop_dispatcher(fleet: Fleet) -> None:
     await _slow_servers(fleet)
-    codes = await fleet.processes.stop([_DISPATCHER])
-    assert codes == {_DISPATCHER: 0}
+    dispatcher = await _find_dispatcher(fleet)
+    codes = await fleet.processes.stop([dispatcher])
+    assert codes == {dispatcher: 0}
 
 
 async def _stop_entry(fleet: Fleet) -> None:
@@ -211,7 +229,9 @@
         await fleet.wait_until_settled()
         await fleet.wait_until_ready()
         streams = [
-            Stream(service, fleet.caller(_ENTRY)) for service in SERVICES
+            Stream(number, service, fleet.caller(_ENTRY))
+            for service in SERVICES
+            for number in range(_STREAMS)
         ]
         async with trio.open_nursery() as nursery:
             for stream in streams:
