Wait by the longest durations that a former holder can have read

Cause: a successor waited for a former dispatcher by the durations now in force. A holder that is cut off goes on by those it has read: with the lease lowered from 30 s to 1.5 s, or a hold 'for ever' bounded to 2 s, while it was cut off, two servers owned a shard. Ruled out: refusing shorter durations, since operators need to bound the hold; a wait counted from the publication, which a new process cannot know. Before (only the newest base file counted): both courses of test_durations give a shard two owners.

--- a/measure/ownershipscene.py
+++ b/measure/ownershipscene.py
@@ -1,7 +1,7 @@
 """Describe small sites for trials of ownership."""
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from trefoilsaddle.core.options import Options, Peer
 from trefoilsaddle.core.records import Publication
@@ -142,6 +142,12 @@
         name = '-'.join(('site', str(version)))
         return Publication(RecordId(name), version, SITE, overlay)
 
+    def shorten(self, lease: float, hold: float | None = None) -> Publication:
+        """Build a publication of a base file with shorter durations."""
+        shorter = replace(self, lease=lease, grant=lease, hold=hold)
+        name = RecordId('base-shorter')
+        return Publication(name, Version(1), None, shorter._base())
+
     def _base(self) -> str:
         return json.dumps(
             {
--- /dev/null
+++ b/tests/test_durations.py
@@ -0,0 +1,140 @@
+"""Check that shorter durations wait for those who go by longer ones."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from unittest.mock import patch
+
+import pytest
+
+from measure.ownershipbench import Bench, open_bench
+from measure.ownershipscene import Scene
+from tests.test_ownershipguards import cut_zone, join, move_all, split
+from trefoilsaddle.core import leases, recovery
+from trefoilsaddle.core.durations import (
+    MOST_DURATIONS,
+    Durations,
+    ServiceDurations,
+    find_longest,
+    note_durations,
+)
+from trefoilsaddle.core.units import (
+    FOREVER,
+    Epoch,
+    Offset,
+    Seconds,
+    ServiceName,
+)
+
+_SERVICE = ServiceName('filings')
+
+
+def _build(since: int, lease: float, hold: float = FOREVER) -> Durations:
+    service = ServiceDurations(Seconds(lease * 2), Seconds(hold))
+    return Durations(Offset(since), Seconds(lease), 0.01, {_SERVICE: service})
+
+
+_HISTORY = (_build(0, 9), _build(10, 2), _build(20, 4, hold=60))
+
+
+@pytest.mark.parametrize(
+    ('term', 'lease', 'hold'),
+    [
+        (-1, 9, FOREVER),
+        (9, 9, FOREVER),
+        (10, 4, FOREVER),
+        (19, 4, FOREVER),
+        (20, 4, 60),
+        (25, 4, 60),
+    ],
+)
+def test_longest_since_a_term(term: int, lease: float, hold: float) -> None:
+    """Count whatever a holder of that term may have read last."""
+    longest = find_longest(_HISTORY, Epoch(Offset(term), 0))
+    assert longest is not None
+    assert longest.lease == lease
+    assert longest.services[_SERVICE].longest_deadline == lease * 2
+    assert longest.services[_SERVICE].isolation_hold == hold
+
+
+def test_history_is_bounded_and_forgets_no_duration() -> None:
+    """Join the oldest base files, the longest of each duration."""
+    history: tuple[Durations, ...] = ()
+    for since in range(3 * MOST_DURATIONS):
+        history = note_durations(history, _build(since, 99 - since))
+    assert len(history) == MOST_DURATIONS
+    longest = find_longest(history, Epoch(Offset(0), 0))
+    assert longest is not None
+    assert longest.lease == 99
+
+
+def test_same_durations_are_noted_once() -> None:
+    """Keep the time since which the durations have been in force."""
+    history = note_durations((_build(3, 2),), _build(9, 2))
+    assert [each.since for each in history] == [3]
+
+
+def _shorten_lease(bench: Bench) -> None:
+    """Shorten the lease while a holder is cut off, and move its shards."""
+    split(bench, alone=1)
+    bench.fleet.log.append((bench.scene.shorten(lease=1.5),))
+    bench.run(8)
+    move_all(bench, *bench.scene.server_ids[:2])
+    bench.run(3)
+
+
+def _bound_hold(bench: Bench) -> None:
+    """Bound the hold while a zone that holds for ever is cut off."""
+    bench.fleet.schedule.add(1, lambda: _publish_hold(bench))
+    cut_zone(bench)
+
+
+def _publish_hold(bench: Bench) -> None:
+    bench.fleet.log.append((bench.scene.shorten(lease=1.5, hold=2),))
+
+
+@dataclass(frozen=True, slots=True)
+class _Case:
+    name: str
+    scene: Scene
+    course: Callable[[Bench], None]
+
+
+_CASES = (
+    _Case(
+        'lease',
+        Scene(seed=5, checks_grants=False, lease=30),
+        _shorten_lease,
+    ),
+    _Case(
+        'hold',
+        Scene(seed=5, zones=2, servers=1, hold=None),
+        _bound_hold,
+    ),
+)
+
+
+def _find_newest(
+    history: tuple[Durations, ...],
+    term: Epoch,
+) -> Durations | None:
+    return history[-1] if history else None
+
+
+def _run_case(case: _Case) -> list[str]:
+    with open_bench(case.scene) as bench:
+        bench.run(4)
+        case.course(bench)
+        join(bench)
+        bench.run(1)
+        return bench.violations
+
+
+@pytest.mark.parametrize('case', _CASES, ids=lambda case: case.name)
+def test_shorter_durations_make_no_second_owner(case: _Case) -> None:
+    """Give a shard two owners only if former base files are forgotten."""
+    assert not _run_case(case)
+    with (
+        patch.object(leases, 'find_longest', _find_newest),
+        patch.object(recovery, 'find_longest', _find_newest),
+    ):
+        assert _run_case(case)
--- a/tests/test_ownershipguards.py
+++ b/tests/test_ownershipguards.py
@@ -25,12 +25,13 @@
     recovery,
     sharing,
 )
-from trefoilsaddle.core.dutystate import FOREVER, NEVER, Duty
+from trefoilsaddle.core.dutystate import NEVER, Duty
 from trefoilsaddle.core.effects import Effects
 from trefoilsaddle.core.events import ServerStamp
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.records import Move, Record
 from trefoilsaddle.core.units import (
+    FOREVER,
     Epoch,
     Moment,
     RecordId,
@@ -456,6 +457,7 @@
         cut_zone,
         (
             (isolation, 'isolation_hold', _hold_nothing),
+            (isolation, 'former_hold', _hold_nothing),
             (application, '_may_claim', _allow),
         ),
     ),
--- a/trefoilsaddle/core/application.py
+++ b/trefoilsaddle/core/application.py
@@ -8,6 +8,7 @@
 from functools import singledispatch
 from typing import TypeVar
 
+from trefoilsaddle.core.durations import describe_durations, note_durations
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.publishing import (
     complete_publication,
@@ -115,6 +116,9 @@
     view.put_configuration(configuration)
     view.documents[record.site] = whole.document
     view.document_versions[record.site] = configuration.version
+    if record.site is None:
+        durations = describe_durations(configuration, position.offset)
+        view.durations = note_durations(view.durations, durations)
     _forget_roles(view)
     return ResultCode.ok
 
--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -191,17 +191,8 @@
     if claiming is not None and claiming.acknowledged is not None:
         started = claiming.acknowledged
     raise_term(node, server, role.term)
-    others = former.claim_set if former else ()
-    duty = Duty(
-        server=server,
-        term=role.term,
-        claim_set=role.claim_set,
-        former_members=tuple(
-            member for member in others if member != node.options.node
-        ),
-        former_dispatcher=former.dispatcher if former else None,
-        started=started,
-    )
+    duty = _build_duty(node, server, role, former)
+    duty.started = started
     present = node.duties.held.get(server)
     certain = former is None or former.term == role.former_term
     duty.former_known = certain
@@ -212,7 +203,7 @@
     node.duties.vacant_since.pop(server, None)
     if former is not None and not renewed:
         duty.outsider = node.options.node not in former.claim_set
-        duty.usable_from = former_end(node, started)
+        duty.usable_from = former_end(node, started, former.term)
         if node.duties.released.pop(server, None) == role.term:
             release_former(moment, duty)
     node.woken.add(server)
@@ -220,6 +211,26 @@
     return [WriteLogLine(Part.ownership, sentence)]
 
 
+def _build_duty(
+    node: Node,
+    server: ServerId,
+    role: Role,
+    former: Role | None,
+) -> Duty:
+    others = former.claim_set if former else ()
+    return Duty(
+        server=server,
+        term=role.term,
+        claim_set=role.claim_set,
+        former_members=tuple(
+            member for member in others if member != node.options.node
+        ),
+        former_dispatcher=former.dispatcher if former else None,
+        started=NEVER,
+        former_term=former.term if former else FIRST_EPOCH,
+    )
+
+
 def _carry_over(present: Duty, duty: Duty) -> None:
     """Keep what this process did for the server under a lower term.
 
@@ -228,6 +239,7 @@
     """
     former = present.grants
     duty.former_dispatcher = present.former_dispatcher
+    duty.former_term = present.former_term
     duty.former_members = present.former_members
     duty.followers = present.followers
     duty.usable_from = present.usable_from
@@ -295,11 +307,17 @@
         return []
     if duty.superseded or duty.refused_for > duty.term:
         return append_claim(node, moment, duty.server, duty.term)
-    if _needs_members(node, duty):
+    if _needs_members(node, duty) or _goes_by_former_durations(node, duty):
         return append_claim(node, moment, duty.server, duty.term)
     return []
 
 
+def _goes_by_former_durations(node: Node, duty: Duty) -> bool:
+    """Say whether others must reckon with a former base file's durations."""
+    history = node.view.durations
+    return len(history) > 1 and duty.term.offset < history[-1].since
+
+
 def _needs_members(node: Node, duty: Duty) -> bool:
     if not duty.grants.contacted:
         return False
--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -21,7 +21,6 @@
 from trefoilsaddle.core.view import Role
 
 NEVER = Seconds(float('-inf'))
-FOREVER = Seconds(float('inf'))
 
 # Unanswered calls in a row after which a server is thought lost.
 SUSPICIOUS_FAILURES = 2
@@ -135,6 +134,8 @@
     former_members: tuple[NodeId, ...]
     former_dispatcher: NodeId | None
     started: Seconds
+    # Term of the former dispatcher.
+    former_term: Epoch = FIRST_EPOCH
     # Claim set under which the server last followed this process; until it
     # follows the present term, one of these may take it over unseen.
     witnesses: tuple[NodeId, ...] = ()
--- a/trefoilsaddle/core/isolation.py
+++ b/trefoilsaddle/core/isolation.py
@@ -19,16 +19,23 @@
 from trefoilsaddle.core.hashing import rank_candidates
 from trefoilsaddle.core.leases import (
     former_end,
+    former_hold,
     isolation_hold,
     lease_duration,
-    lengthen,
 )
 from trefoilsaddle.core.membership import health_of, live_dispatchers
 from trefoilsaddle.core.messages import Health
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.records import LostZone
-from trefoilsaddle.core.units import Moment, Seconds, ServerId, ZoneName
+from trefoilsaddle.core.units import (
+    FOREVER,
+    Epoch,
+    Moment,
+    Seconds,
+    ServerId,
+    ZoneName,
+)
 from trefoilsaddle.core.view import Role
 
 # Head start of each candidate over the next one.
@@ -83,8 +90,8 @@
     lost_since = node.duties.lost_since.get(policy.zone)
     if lost_since is None:
         return _declare(node, moment, policy, since)
-    freed = _freed_at(node, policy, lost_since)
-    if freed is None:
+    freed = _freed_at(node, policy, role.term, lost_since)
+    if freed == FOREVER:
         return []
     return _act_in_turn(node, moment, server, freed)
 
@@ -128,16 +135,13 @@
 def _freed_at(
     node: Node,
     policy: ServerPolicy,
+    term: Epoch,
     lost_since: Seconds,
-) -> Seconds | None:
+) -> Seconds:
     if _is_declared_by_operator(node, policy.zone):
         # The operator vouches that the zone has stopped.
-        return former_end(node, lost_since)
-    hold = isolation_hold(node, policy.server_id)
-    if hold is None:
-        return None
-    wait = lengthen(node, Seconds(max(hold, lease_duration(node))))
-    return Seconds(lost_since + wait)
+        return former_end(node, lost_since, term)
+    return Seconds(lost_since + former_hold(node, policy.server_id, term))
 
 
 def _is_declared_by_operator(node: Node, zone: ZoneName) -> bool:
--- a/trefoilsaddle/core/leases.py
+++ b/trefoilsaddle/core/leases.py
@@ -5,13 +5,15 @@
 """
 
 from trefoilsaddle.core.configuration import LimitPolicy
-from trefoilsaddle.core.dutystate import FOREVER, NEVER, Duty, KnownTerm
+from trefoilsaddle.core.durations import find_longest
+from trefoilsaddle.core.dutystate import NEVER, Duty, KnownTerm
 from trefoilsaddle.core.effects import Effects, SendMessage
 from trefoilsaddle.core.messages import Promise, PromiseRequest
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.terms import is_provisional
 from trefoilsaddle.core.units import (
     FIRST_EPOCH,
+    FOREVER,
     Epoch,
     Moment,
     NodeId,
@@ -104,17 +106,30 @@
     return Seconds(node.following.fresh_at + shorten(node, hold))
 
 
-def former_end(node: Node, started: Seconds) -> Seconds:
+def former_end(node: Node, started: Seconds, term: Epoch) -> Seconds:
     """Return when a lease that was renewed until a time is sure to be over.
 
-    Every read that a former dispatcher sent after the claim was acknowledged
-    shows it the claim, so that only its lease has to be waited out.
+    Every read that the holder of the term sent after the next claim was
+    acknowledged shows it that claim, so that only its lease has to be waited
+    out, by the longest durations that it can have read.
     """
-    limits = limits_of(node)
-    wait = lease_duration(node)
-    if limits is not None:
-        wait = max(wait, limits.grant_duration)
-    return Seconds(started + lengthen(node, wait))
+    longest = find_longest(node.view.durations, term)
+    if longest is None:
+        return FOREVER
+    return Seconds(started + longest.lease * (1 + longest.clock_drift))
+
+
+def former_hold(node: Node, server: ServerId, term: Epoch) -> Seconds:
+    """Return how long the holder of a term may serve a server cut off."""
+    longest = find_longest(node.view.durations, term)
+    policy = node.view.server(server)
+    if longest is None or policy is None:
+        return FOREVER
+    service = longest.services.get(policy.service)
+    if service is None:
+        return FOREVER
+    wait = max(service.isolation_hold, longest.lease)
+    return Seconds(wait * (1 + longest.clock_drift))
 
 
 def ask_promises(node: Node, moment: Moment, duty: Duty) -> Effects:
--- a/trefoilsaddle/core/outage.py
+++ b/trefoilsaddle/core/outage.py
@@ -187,6 +187,7 @@
         claim_set=take_over.members,
         former_members=take_over.members,
         former_dispatcher=role.dispatcher,
+        former_term=role.term,
         started=moment.monotonic,
         provisional=True,
         promised=dict.fromkeys(take_over.followers, take_over.started),
--- a/trefoilsaddle/core/recovery.py
+++ b/trefoilsaddle/core/recovery.py
@@ -6,8 +6,8 @@
 """
 
 from trefoilsaddle.core.dispatching import latest_deadline
+from trefoilsaddle.core.durations import find_longest
 from trefoilsaddle.core.dutystate import (
-    FOREVER,
     IRREVOCABLE,
     NEVER,
     Duty,
@@ -31,7 +31,7 @@
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.sharing import share_moves
 from trefoilsaddle.core.targets import choose_targets
-from trefoilsaddle.core.units import Moment, Seconds, ShardId
+from trefoilsaddle.core.units import FOREVER, Moment, Seconds, ShardId
 from trefoilsaddle.core.view import Ownership
 
 
@@ -106,7 +106,7 @@
         followed = duty.followers.get(member)
         if followed is None:
             return FOREVER
-        latest = max(latest, former_end(node, followed))
+        latest = max(latest, former_end(node, followed, duty.former_term))
     return latest
 
 
@@ -115,10 +115,10 @@
     if duty.former_dispatcher in {None, node.options.node}:
         return NEVER
     policy = node.view.server(duty.server)
-    configuration = node.view.configuration
-    if policy is None or configuration is None:
+    longest = find_longest(node.view.durations, duty.former_term)
+    if policy is None or longest is None:
         return FOREVER
-    service = configuration.services.get(policy.service)
+    service = longest.services.get(policy.service)
     if service is None:
         return FOREVER
     start = max(duty.usable_from, duty.started)
--- a/trefoilsaddle/core/units.py
+++ b/trefoilsaddle/core/units.py
@@ -30,6 +30,7 @@
 AttemptId = NewType('AttemptId', int)
 
 NO_OFFSET = Offset(-1)
+FOREVER = Seconds(float('inf'))
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/trefoilsaddle/core/view.py
+++ b/trefoilsaddle/core/view.py
@@ -13,6 +13,7 @@
     ServerPolicy,
     ServicePolicy,
 )
+from trefoilsaddle.core.durations import Durations
 from trefoilsaddle.core.hashing import hash_key
 from trefoilsaddle.core.units import (
     FIRST_EPOCH,
@@ -116,6 +117,8 @@
     # Ids applied of late, so that a record appended twice acts once.
     verdicts: dict[RecordId, Verdict] = field(default_factory=dict)
     snapshot: SnapshotPosition = SnapshotPosition()
+    # Durations of the base files that have been in force, oldest first.
+    durations: tuple[Durations, ...] = ()
     # Snapshots whose parts are still arriving, by name.
     open_snapshots: dict[str, OpenSnapshot] = field(default_factory=dict)
     # Derived from the fields above, for look-ups; see `put_owner`.
