--- a/tests/test_durations.py
+++ b/tests/test_durations.py
@@ -64,7 +64,7 @@
     assert len(history) == MOST_DURATIONS
     longest = find_longest(history, Epoch(Offset(0), 0))
     assert longest is not None
-    assert longest.lease == 99
+    assert longest.lease == Seconds(99)
 
 
 def test_same_durations_are_noted_once() -> None:
