Take a former run's roles under a new term only

A dispatcher started again under its name adopted the roles of its former run: the servers fenced its calls, whose sequence began anew, nobody took the roles over since it was alive, and with the log away no key of its servers was served (seen in test_processes, dispatcher killed, log away: every request not run). It also knew nothing of moves and promises. It now claims them anew, or takes them over by the fence once every member follows it.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -93,6 +93,23 @@
         assert not holder.node.duties.held
 
 
+@pytest.mark.parametrize('away', [False, True])
+@pytest.mark.parametrize('dispatchers', [2, 3])
+def test_restart_under_the_same_name(dispatchers: int, *, away: bool) -> None:
+    """Serve again under a new term, which knows nothing of the old run."""
+    with open_bench(replace(_SCENE, dispatchers=dispatchers)) as bench:
+        bench.run(4)
+        bench.fleet.log.faults.away = away
+        bench.run(2)
+        lost = find_holder(bench)
+        lost.alive = False
+        index = list(bench.fleet.processes).index(lost.node_id)
+        bench.fleet.start(bench.scene.make_options(index))
+        bench.run(6)
+        assert not bench.unserved(bench.now - 1)
+        assert not bench.violations
+
+
 def _ask_for_word(bench: Bench) -> bool:
     """Ask a member that serves under a lower term about a move."""
     node = find_holder(bench).node
--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -101,6 +101,8 @@
         everyone = {*alive, node.options.node}
         return rank_candidates(server, everyone)
     holder = holder_of(node, server) or role.dispatcher
+    if holder == node.options.node:
+        return [] if server in node.duties.held else [holder]
     if health_of(node, holder) not in _GONE:
         node.duties.vacant_since.pop(server, None)
         return []
--- a/trefoilsaddle/core/outage.py
+++ b/trefoilsaddle/core/outage.py
@@ -58,7 +58,7 @@
     if not node.following.log_away or node.stopping:
         return effects
     for server, role in node.view.roles.items():
-        if node.options.node in role.claim_set:
+        if node.options.node in {role.dispatcher, *role.claim_set}:
             effects.extend(_consider_role(node, moment, server, role))
     return effects
 
@@ -73,7 +73,8 @@
     if server in duties.held or not checks_grants(node, server):
         return []
     holder = holder_of(node, server) or role.dispatcher
-    if health_of(node, holder) not in {Health.dead, Health.leaving}:
+    gone = health_of(node, holder) in {Health.dead, Health.leaving}
+    if holder != node.options.node and not gone:
         duties.vacant_since.pop(server, None)
         duties.take_overs.pop(server, None)
         return []
@@ -116,6 +117,8 @@
     role: Role,
 ) -> Seconds:
     since = node.duties.vacant_since.setdefault(server, moment.monotonic)
+    if node.options.node not in role.claim_set:
+        return Seconds(since - moment.monotonic)
     live = [
         member
         for member in role.claim_set
--- a/trefoilsaddle/core/roles.py
+++ b/trefoilsaddle/core/roles.py
@@ -66,6 +66,10 @@
         duty.claim_set = role.claim_set
         return repeat_moves(node, moment, duty)
     former = duties.seen_roles.get(server)
+    if former is None and server not in duties.claiming:
+        # A process of our name had the role before us: we know neither its
+        # promises nor its moves, and take the role under a term of our own.
+        return []
     effects = take_role(node, moment, server, role, former)
     duty = duties.held[server]
     exclude_moved(node, moment, duty)
