--- a/tests/test_backendclient.py
+++ b/tests/test_backendclient.py
@@ -302,6 +302,29 @@
     return [(end.attempt, end.verdict) for end in ended]
 
 
+def test_attempts_cancelled_before_their_turn_are_unsent() -> None:
+    """Remember a cancellation until the task of the attempt starts."""
+    server = ScriptedServer([Step(whole(b'one'))])
+    first, second = trio.run(_cancel_early, server)
+    assert (first.verdict, second.verdict) == (
+        AttemptVerdict.unsent,
+        AttemptVerdict.answered,
+    )
+    assert len(server.requests) == 1
+
+
+async def _cancel_early(
+    server: ScriptedServer,
+) -> tuple[AttemptEnded, AttemptEnded]:
+    async with serve_script(server):
+        client = _build_client(server.port, _Clock(0))
+        client.cancel_attempt(CancelAttempt(_SERVER, _ATTEMPT.attempt))
+        first = await client.run_attempt(_ATTEMPT)
+        second = await client.run_attempt(_ATTEMPT)
+        await client.aclose()
+    return first, second
+
+
 async def _collect(
     client: HttpBackendClient,
     attempt: RunAttempt,
@@ -330,6 +353,7 @@
     term: Epoch
     draining: bool = False
     checks_grants: bool = True
+    duration: float = 0.3
 
 
 _GRANT_CASES = (
@@ -378,6 +402,22 @@
         draining=True,
         checks_grants=False,
     ),
+    _GrantCase(
+        'accepted for no time',
+        Step(whole(_GRANTED)),
+        GrantVerdict.accepted,
+        _TERM,
+        draining=True,
+        duration=0,
+    ),
+    _GrantCase(
+        'probe without a lease',
+        Step(whole(b'{"draining":false,"load":0}')),
+        GrantVerdict.accepted,
+        _TERM,
+        checks_grants=False,
+        duration=0,
+    ),
     _GrantCase(
         'no probe answer',
         Step(whole(b'[]')),
@@ -415,7 +455,8 @@
             _Clock(5),
             checks_grants=case.checks_grants,
         )
-        answer = await client.send_grant(_GRANT_CALL)
+        call = replace(_GRANT_CALL, duration=Seconds(case.duration))
+        answer = await client.send_grant(call)
         await client.aclose()
     return answer
 
