--- a/trefoilsaddle/documents.py
+++ b/trefoilsaddle/documents.py
@@ -73,8 +73,8 @@
     """Validate the limits that hold for every service."""
 
     retry_budget: _Fraction = 0.1
-    grant_duration: _Positive = 2
-    lease_duration: _Positive = 2
+    grant_duration: _Positive = 1.5
+    lease_duration: _Positive = 1.5
     clock_drift: Annotated[float, Field(ge=0, lt=0.5)] = 0.01
     clock_skew: Annotated[float, Field(ge=0)] = 0.5
     idempotency_window: _Positive = 600
