Doubt absent keys after a renewed claim if the server may have followed another

Cause: since a holder that claims its own role again keeps its floors. A claim-set member that is cut off from the log can have taken a server that checks grants over, and given way, between the two claims; a payment that it ran was then run again by the holder (scenario serve_between: 2 runs). Ruled out: keeping the floors where the old grants still run, since the server's fence replaces them at once. Before: 2 runs of one key. After: 1, the retry is told unknown. Guard 'unseen take-overs' was seen red without it. Conclusion: floors are kept for servers that check no grants, which nobody can take over without the log.

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -93,6 +93,9 @@
             _floor_without_callers,
             scenarios.clocks_differ,
         ),
+        'unseen take-overs': Guard(
+            'floors._may_follow_others', _deny, scenarios.serve_between
+        ),
         'renewed claims': Guard(
             'floors._follow_renewal', _nothing, scenarios.renew_claim
         ),
--- a/trefoilsaddle/core/floors.py
+++ b/trefoilsaddle/core/floors.py
@@ -15,6 +15,7 @@
     MemberName,
     Moment,
     Seconds,
+    ServerId,
     ShardId,
     ShardNumber,
 )
@@ -73,8 +74,9 @@
 def _follow_renewal(node: Node, shard: ShardId, kept: Floor) -> None:
     """Follow a claim by which this process replaced its own term.
 
-    Example: a holder claims again to change its claim set.  Nobody else has
-    served in between, so that nothing need be forgotten.
+    Example: a holder claims again to change its claim set.  What it knows
+    of a key stays known.  What it does not know can have been run by nobody
+    else, unless the server may have followed another one without the log.
     """
     now = Floor(UNKNOWN_FLOOR, kept.adopted)
     _note_tokens(node, shard, now)
@@ -82,8 +84,21 @@
     role = node.view.roles.get(owner.server) if owner else None
     if role is None or now.epoch != kept.epoch:
         return
-    if now.term == role.term and role.former_term == kept.term:
-        kept.term = role.term
+    if now.term != role.term or role.former_term != kept.term:
+        return
+    kept.term = role.term
+    if owner is not None and _may_follow_others(node, owner.server):
+        kept.floor = UNKNOWN_FLOOR
+        kept.complete = False
+        kept.settled = False
+        # No handover is on its way.
+        kept.adopted = NO_FLOOR
+
+
+def _may_follow_others(node: Node, server: ServerId) -> bool:
+    """Say whether a server can be taken over while the log is away."""
+    policy = node.view.server(server)
+    return policy is None or policy.checks_grants
 
 
 def _is_first(node: Node, shard: ShardId) -> bool:
