--- a/measure/control.py
+++ b/measure/control.py
@@ -94,7 +94,7 @@
 
     def read(self, *records: Record) -> float:
         """Let the dispatcher read one entry, or find nothing new."""
-        entries = ()
+        entries: tuple[LogEntry, ...] = ()
         if records:
             entries = (LogEntry(Offset(self.offset), records),)
             self.offset += 1
@@ -120,9 +120,9 @@
             'port': 9000,
             'checks_grants': True,
         }
-    for zone, servers in zones.items():
-        overlay = {'region': 'region', 'zones': [zone], 'servers': servers}
-        scene.read(_write(zone, SiteName(zone), overlay))
+    for name, servers in zones.items():
+        overlay = {'region': 'region', 'zones': [name], 'servers': servers}
+        scene.read(_write(name, SiteName(name), overlay))
 
 
 def _write(
