Index servers by zone

Cause: each renewal of a grant looked through the servers of all zones. Before: 1,213 us a grant timer at 2,000 processes (ping 14 us). After: 1,355 us in a run on a machine that was busier (ping 24 us, all else 1.7 times slower); by the profile what is left grows with the zone and with the number of processes, not with all servers. Conclusion: kept; to be measured again on a quiet machine.

--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -58,9 +58,8 @@
         return effects
     if node.following.log_away:
         return effects
-    for policy in node.view.servers():
-        if policy.zone == node.options.zone:
-            effects.extend(_consider_server(node, moment, policy.server_id))
+    for policy in node.view.servers_in(node.options.zone):
+        effects.extend(_consider_server(node, moment, policy.server_id))
     return effects
 
 
--- a/trefoilsaddle/core/isolation.py
+++ b/trefoilsaddle/core/isolation.py
@@ -50,12 +50,11 @@
     _note_losses(node, moment)
     watched = _find_watched(node)
     _forget_silence(node, watched)
-    if not watched:
-        return effects
-    for policy in node.view.servers():
-        role = node.view.roles.get(policy.server_id)
-        if role is not None and policy.zone in watched:
-            effects.extend(_consider_server(node, moment, policy, role))
+    for zone in sorted(watched):
+        for policy in node.view.servers_in(zone):
+            role = node.view.roles.get(policy.server_id)
+            if role is not None:
+                effects.extend(_consider_server(node, moment, policy, role))
     return effects
 
 
--- a/trefoilsaddle/core/view.py
+++ b/trefoilsaddle/core/view.py
@@ -127,6 +127,11 @@
         compare=False,
         repr=False,
     )
+    zone_index: dict[ZoneName, list[ServerPolicy]] = field(
+        default_factory=dict,
+        compare=False,
+        repr=False,
+    )
     shard_index: dict[ServerId, dict[ShardId, None]] = field(
         default_factory=dict,
         compare=False,
@@ -161,6 +166,10 @@
         """Yield every server that the overlays name."""
         yield from self.server_index.values()
 
+    def servers_in(self, zone: ZoneName) -> Iterator[ServerPolicy]:
+        """Yield the servers of one availability zone."""
+        yield from self.zone_index.get(zone, ())
+
     def is_zone_lost(self, zone: ZoneName) -> bool:
         """Tell whether an operator or a record has declared a zone lost."""
         if zone in self.lost_zones:
@@ -255,4 +264,7 @@
             for site in configuration.sites.values()
             for policy in site.servers
         }
+        self.zone_index = {}
+        for server in self.server_index.values():
+            self.zone_index.setdefault(server.zone, []).append(server)
         self.touched.update(self.server_index)
