--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.bench import (
+    ENTRY,
     FIRST,
     SHARD,
     WALL,
@@ -14,6 +15,7 @@
 )
 from tests.faults import Fault, answers, lose, runs
 from trefoilsaddle.core import acceptance, sending
+from trefoilsaddle.core.effects import CountMetric, Part
 from trefoilsaddle.core.outcomes import adopt_shard
 from trefoilsaddle.core.units import Moment, Seconds
 from trefoilsaddle.results import Outcome
@@ -40,6 +42,8 @@
     assert answer.reply is not None
     assert answer.reply.body == b'body'
     assert len(bench.ran) == 1
+    counted = CountMetric(Part.routing, 'rank-0.answered.ok')
+    assert bench.effects.count((ENTRY, counted)) == 1
 
 
 def test_server_that_wakes_is_served(bench: Bench) -> None:
--- a/trefoilsaddle/core/routing.py
+++ b/trefoilsaddle/core/routing.py
@@ -7,7 +7,9 @@
 from trefoilsaddle.core.effects import (
     AnswerCaller,
     CancelTimer,
+    CountMetric,
     Effects,
+    Part,
     SendMessage,
     SetTimer,
 )
@@ -96,13 +98,13 @@
     configuration = node.view.configuration
     shard = node.view.shard_of(request.service, request.member, request.key)
     if configuration is None:
-        return _refuse_call(call.call_id, ResultCode.configuration_missing)
+        return _refuse_call(call, ResultCode.configuration_missing)
     if shard is None:
-        return _refuse_call(call.call_id, ResultCode.service_unknown)
+        return _refuse_call(call, ResultCode.service_unknown)
     if not request.idempotent and request.idempotency_key is None:
-        return _refuse_call(call.call_id, ResultCode.idempotency_key_missing)
+        return _refuse_call(call, ResultCode.idempotency_key_missing)
     if request.remaining <= 0:
-        return _refuse_call(call.call_id, ResultCode.deadline_unreachable)
+        return _refuse_call(call, ResultCode.deadline_unreachable)
     node.routing.budget.earn(configuration.limits.retry_budget)
     deadline = Seconds(moment.monotonic + request.remaining)
     pending = PendingCall(call, shard, deadline)
@@ -112,8 +114,18 @@
     return [start, *_forward_call(node, moment, pending)]
 
 
-def _refuse_call(call_id: CallId, code: ResultCode) -> Effects:
-    return [AnswerCaller(call_id, refuse(code))]
+def _refuse_call(call: Call, code: ResultCode) -> Effects:
+    return _tell_caller(call, refuse(code))
+
+
+def _tell_caller(call: Call, answer: Answer) -> Effects:
+    """Answer, and count it by rank: refusals are accounted for."""
+    rank = f'rank-{call.request.rank}'
+    name = '.'.join((rank, answer.outcome.value, answer.code.name))
+    return [
+        AnswerCaller(call.call_id, answer),
+        CountMetric(Part.routing, name),
+    ]
 
 
 def _forward_call(
@@ -323,7 +335,7 @@
     if pending.may_have_run and answer.outcome is Outcome.not_run:
         answer = doubt(ResultCode.answer_lost)
     effects = _drop_call(node, pending)
-    return [*effects, AnswerCaller(pending.call.call_id, answer)]
+    return [*effects, *_tell_caller(pending.call, answer)]
 
 
 def _drop_call(node: Node, pending: PendingCall) -> Effects:
