--- a/trefoilsaddle/core/routing.py
+++ b/trefoilsaddle/core/routing.py
@@ -120,8 +120,8 @@
 
 def _tell_caller(call: Call, answer: Answer) -> Effects:
     """Answer, and count it by rank: refusals are accounted for."""
-    rank = f'rank-{call.request.rank}'
-    name = '.'.join((rank, answer.outcome.value, answer.code.name))
+    rank = call.request.rank
+    name = '.'.join((f'rank-{rank}', answer.outcome.value, answer.code.name))
     return [
         AnswerCaller(call.call_id, answer),
         CountMetric(Part.routing, name),
