--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,40 @@
+"""Check that the pages name only what exists."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+_ROOT = Path(__file__).parent.parent
+_PAGES = sorted(
+    [*_ROOT.glob('*.md'), *_ROOT.glob('docs/*.md'), *_ROOT.glob('docs/*/*.md')],
+)
+_LINK = re.compile(r'\]\(([^)#:]+)\)')
+_NAMED = re.compile(r'\b(tests/\w+\.py|python -m \w+\.\w+)')
+_COMMAND = 'python -m '
+
+
+def _find_target(named: str) -> Path:
+    if named.startswith(_COMMAND):
+        module = named.removeprefix(_COMMAND)
+        path = module.replace('.', '/')
+        return _ROOT / f'{path}.py'
+    return _ROOT / named
+
+
+@pytest.mark.parametrize('page', _PAGES, ids=lambda page: page.name)
+def test_page_names_what_exists(page: Path) -> None:
+    """Find every linked page, named test and named measurement."""
+    text = page.read_text()
+    links = [page.parent / link for link in _LINK.findall(text)]
+    named = [_find_target(name) for name in _NAMED.findall(text)]
+    assert [str(path) for path in links + named if not path.exists()] == []
+
+
+def test_known_red_names_what_exists() -> None:
+    """Find the file and the suite of every known fault."""
+    lines = (_ROOT / 'KNOWN-RED.txt').read_text().splitlines()
+    entries = [line for line in lines if not line.startswith('#')]
+    for entry in entries:
+        test = entry.split('::')[0]
+        assert (_ROOT / test).exists(), entry
