--- a/trefoilsaddle/core/answers.py
+++ b/trefoilsaddle/core/answers.py
@@ -12,7 +12,7 @@
     return Answer(Outcome.not_run, code, retry_after=retry_after)
 
 
-def doubt(code: ResultCode) -> Answer:
+def report_unknown(code: ResultCode) -> Answer:
     """Tell that a request may or may not have run."""
     return Answer(Outcome.unknown, code)
 
--- a/trefoilsaddle/core/endings.py
+++ b/trefoilsaddle/core/endings.py
@@ -2,7 +2,7 @@
 
 from types import MappingProxyType
 
-from trefoilsaddle.core.answers import doubt, pass_on, refuse
+from trefoilsaddle.core.answers import pass_on, refuse, report_unknown
 from trefoilsaddle.core.calls import Answer
 from trefoilsaddle.core.effects import CancelAttempt, Effects
 from trefoilsaddle.core.events import AttemptEnded, AttemptVerdict
@@ -69,7 +69,7 @@
         return []
     queue = node.dispatching.queues[ticket.server]
     if ticket.state is TicketState.joined:
-        answer = doubt(ResultCode.in_progress)
+        answer = report_unknown(ResultCode.in_progress)
         return answer_ticket(node, moment, ticket, answer)
     if ticket.state is not TicketState.running:
         take_out(queue, ticket)
@@ -78,7 +78,7 @@
     effects = _cancel_attempt(queue, ticket)
     mean = queue.rank_queue(ticket).service.mean
     queue.pacing.note_timeout(ticket.started, mean, moment.monotonic)
-    answer = doubt(ResultCode.deadline_passed)
+    answer = report_unknown(ResultCode.deadline_passed)
     effects.extend(answer_ticket(node, moment, ticket, answer))
     return effects + fill_slots(node, moment, queue)
 
@@ -99,7 +99,7 @@
     answer = refuse(ResultCode.cancelled)
     if ticket.state is TicketState.running:
         effects = _cancel_attempt(queue, ticket)
-        answer = doubt(ResultCode.cancelled)
+        answer = report_unknown(ResultCode.cancelled)
     take_out(queue, ticket)
     record_answer(node, ticket, answer)
     effects.extend(close_ticket(node, ticket))
@@ -150,7 +150,7 @@
     refusal = _REFUSALS.get(event.verdict)
     if refusal is not None:
         return refuse(refusal)
-    return doubt(_DOUBTS.get(event.verdict, ResultCode.answer_lost))
+    return report_unknown(_DOUBTS.get(event.verdict, ResultCode.answer_lost))
 
 
 def _learn_ending(
--- a/trefoilsaddle/core/handovers.py
+++ b/trefoilsaddle/core/handovers.py
@@ -37,9 +37,9 @@
     """Take a shard's outcomes out of the state; ask again for the same."""
     state = node.dispatching.outcomes
     kept = state.floors.get(shard)
-    vouches = kept is not None and (kept.settled or kept.complete)
-    if kept is None or not vouches or kept.epoch != epoch:
-        # Left already, or never served: nothing can be vouched for.
+    certain = kept is not None and (kept.settled or kept.complete)
+    if kept is None or not certain or kept.epoch != epoch:
+        # Left already, or never served: nothing is certain.
         former = state.handovers.get(shard)
         if former is not None and former.epoch == epoch:
             return former
@@ -57,7 +57,7 @@
 
 
 def use_handover(node: Node, shard: ShardId) -> None:
-    """Lower the floor of an adopted shard to what its sender vouches for.
+    """Lower the floor of an adopted shard to what its sender is certain of.
 
     Only if no other process can have served it in between: the sender held
     the very ownership and role that this process's own follow upon.
--- a/trefoilsaddle/core/memberstate.py
+++ b/trefoilsaddle/core/memberstate.py
@@ -22,7 +22,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Errand:
+class IndirectProbe:
     """Remember a probe made for another process."""
 
     requester: NodeId
@@ -43,7 +43,7 @@
     near: list[NodeId] = field(default_factory=list)
     far: list[NodeId] = field(default_factory=list)
     # By this process's own sequence, oldest first.
-    errands: dict[int, Errand] = field(default_factory=dict)
+    indirect_probes: dict[int, IndirectProbe] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -62,8 +62,8 @@
     suspicions: dict[NodeId, Seconds] = field(default_factory=dict)
     # Monotonic time at which each process was found dead.
     deaths: dict[NodeId, Seconds] = field(default_factory=dict)
-    # Doubt about this process's own timing; zero is healthy.
-    self_doubt: int = 0
+    # Local health multiplier: how late this process itself is; zero is healthy.
+    own_slowness: int = 0
     # Monotonic time of the newest message from any peer.
     heard_at: Seconds = NEVER
     # True once a peer has answered in this run.
--- a/trefoilsaddle/core/outcomes.py
+++ b/trefoilsaddle/core/outcomes.py
@@ -3,7 +3,7 @@
 See docs/design/at-most-once.md for the floors and what they rest on.
 """
 
-from trefoilsaddle.core.answers import doubt, refuse
+from trefoilsaddle.core.answers import refuse, report_unknown
 from trefoilsaddle.core.authority import Authority
 from trefoilsaddle.core.calls import Answer, IdempotencyKey, Request
 from trefoilsaddle.core.errors import Failure
@@ -142,16 +142,18 @@
         return None
     known = _find_outcome(node, ticket)
     if known is None:
-        return doubt(ResultCode.outcome_forgotten)
+        return report_unknown(ResultCode.outcome_forgotten)
     if known.ticket != ticket.number:
-        return _meet_outcome(known, ticket) or doubt(ResultCode.in_progress)
+        return _meet_outcome(known, ticket) or report_unknown(
+            ResultCode.in_progress
+        )
     kept = follow_tokens(node, moment, ticket.shard, authority)
     if not is_forgotten(node, moment, ticket.shard, ticket.request):
         return None
     waited = moment.monotonic - kept.adopted
     if not kept.complete and waited < _HANDOVER_WAIT:
         return Failure(ResultCode.owner_changing, 'a handover may come')
-    return doubt(ResultCode.outcome_forgotten)
+    return report_unknown(ResultCode.outcome_forgotten)
 
 
 def record_answer(node: Node, ticket: Ticket, answer: Answer) -> None:
@@ -165,7 +167,7 @@
     known.ticket = None
     if answer.reply is None:
         # The code tells of the first try; a retry has not been too late.
-        known.answer = doubt(ResultCode.answer_lost)
+        known.answer = report_unknown(ResultCode.answer_lost)
         return
     size = len(answer.reply.body)
     if size <= _LARGEST_KEPT_BODY:
@@ -182,7 +184,7 @@
         return None
     if known.answer is not None:
         return known.answer
-    return doubt(ResultCode.outcome_forgotten)
+    return report_unknown(ResultCode.outcome_forgotten)
 
 
 def _find_outcome(node: Node, ticket: Ticket) -> KeyOutcome | None:
--- a/trefoilsaddle/core/probes.py
+++ b/trefoilsaddle/core/probes.py
@@ -10,15 +10,15 @@
 from trefoilsaddle.core.effects import Effects, SendMessage, SetTimer
 from trefoilsaddle.core.events import TimerKey, TimerKind
 from trefoilsaddle.core.loads import choose_loads
-from trefoilsaddle.core.memberstate import Errand, Probe
+from trefoilsaddle.core.memberstate import IndirectProbe, Probe
 from trefoilsaddle.core.messages import Ack, Health, Ping, PingRequest
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.rumours import choose_rumours
 from trefoilsaddle.core.suspicion import (
-    doubt_own_pause,
-    doubt_self,
     forget_dead,
     is_late,
+    note_own_pause,
+    note_own_slowness,
     suspect_process,
     trust_self,
 )
@@ -32,17 +32,17 @@
 # Processes that are asked to probe as well.
 _HELPERS = 3
 # Probes for others that are remembered.
-_MOST_ERRANDS = 64
+_MOST_INDIRECT_PROBES = 64
 
 
 def begin_round(node: Node, moment: Moment) -> Effects:
     """Probe the next process, unless a probe is in flight."""
     state = node.membership.probes
     if is_late(node, moment, state.round_due) and state.rounds:
-        doubt_own_pause(node)
+        note_own_pause(node)
         state.probe = None
-    doubt = 1 + node.membership.self_doubt
-    delay = Seconds(node.options.probe_interval * doubt)
+    factor = 1 + node.membership.own_slowness
+    delay = Seconds(node.options.probe_interval * factor)
     state.round_due = Seconds(moment.monotonic + delay)
     forget_dead(node, moment)
     timer = SetTimer(PROBE_TIMER, delay)
@@ -63,7 +63,7 @@
         return []
     if is_late(node, moment, probe.due):
         # The answer may be waiting to be read: this process was paused.
-        doubt_own_pause(node)
+        note_own_pause(node)
         state.probe = None
         return []
     helpers = [] if probe.indirect else _choose_helpers(node, probe.target)
@@ -72,7 +72,7 @@
     state.probe = None
     if node.membership.heard_at < probe.began:
         # Nobody was heard at all: the fault may lie here.
-        doubt_self(node)
+        note_own_slowness(node)
     return [
         *suspect_process(node, moment, probe.target),
         *send_ping(node, moment, probe.target),
@@ -99,10 +99,10 @@
     """End the probe in flight, or pass an answer on to who asked for it."""
     state = node.membership.probes
     node.membership.introduced = True
-    errand = state.errands.pop(ack.sequence, None)
-    if errand is not None and ack.subject == sender:
-        passed_on = replace(ack, sequence=errand.sequence)
-        return [SendMessage(errand.requester, passed_on)]
+    indirect = state.indirect_probes.pop(ack.sequence, None)
+    if indirect is not None and ack.subject == sender:
+        passed_on = replace(ack, sequence=indirect.sequence)
+        return [SendMessage(indirect.requester, passed_on)]
     probe = state.probe
     if probe is None:
         return []
@@ -121,9 +121,9 @@
     """Probe a process for another one."""
     state = node.membership.probes
     sequence = _next_sequence(node)
-    state.errands[sequence] = Errand(sender, request.sequence)
-    if len(state.errands) > _MOST_ERRANDS:
-        state.errands.pop(next(iter(state.errands)))
+    state.indirect_probes[sequence] = IndirectProbe(sender, request.sequence)
+    if len(state.indirect_probes) > _MOST_INDIRECT_PROBES:
+        state.indirect_probes.pop(next(iter(state.indirect_probes)))
     ping = Ping(
         sequence=sequence,
         relay_for=sender,
@@ -156,8 +156,8 @@
 
 def _watch_probe(node: Node, moment: Moment, probe: Probe) -> Effects:
     """Wait for an answer; the second wait is for the indirect ones."""
-    doubt = 1 + node.membership.self_doubt
-    delay = Seconds(node.options.probe_timeout * doubt)
+    factor = 1 + node.membership.own_slowness
+    delay = Seconds(node.options.probe_timeout * factor)
     due = Seconds(moment.monotonic + delay)
     waits_again = node.membership.probes.probe is not None
     node.membership.probes.probe = replace(
--- a/trefoilsaddle/core/recovery.py
+++ b/trefoilsaddle/core/recovery.py
@@ -36,7 +36,7 @@
 
 
 def recover_server(node: Node, moment: Moment, duty: Duty) -> Effects:
-    """Move the shards of a server that is lost beyond doubt."""
+    """Move the shards of a server that is lost for certain."""
     effects = gather_followers(node, moment, duty)
     if not is_suspect(node, moment, duty):
         return effects
--- a/trefoilsaddle/core/routing.py
+++ b/trefoilsaddle/core/routing.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from trefoilsaddle.core.answers import doubt, refuse
+from trefoilsaddle.core.answers import refuse, report_unknown
 from trefoilsaddle.core.calls import Answer, Call
 from trefoilsaddle.core.effects import (
     AnswerCaller,
@@ -274,7 +274,7 @@
         return _answer_call(node, pending, answer)
     pending.may_have_run = True
     effects = _send_abandon(pending)
-    answer = doubt(ResultCode.deadline_passed)
+    answer = report_unknown(ResultCode.deadline_passed)
     return effects + _answer_call(node, pending, answer)
 
 
@@ -307,7 +307,7 @@
         answer = refuse(ResultCode.dispatcher_unreachable)
         return _reroute_call(node, moment, pending, answer, former)
     pending.may_have_run = True
-    answer = doubt(ResultCode.dispatcher_lost)
+    answer = report_unknown(ResultCode.dispatcher_lost)
     return _repeat_call(node, moment, pending, answer)
 
 
@@ -333,7 +333,7 @@
 ) -> Effects:
     # An earlier attempt may have run although the last one did not.
     if pending.may_have_run and answer.outcome is Outcome.not_run:
-        answer = doubt(ResultCode.answer_lost)
+        answer = report_unknown(ResultCode.answer_lost)
     effects = _drop_call(node, pending)
     return [*effects, *_tell_caller(pending.call, answer)]
 
--- a/trefoilsaddle/core/settling.py
+++ b/trefoilsaddle/core/settling.py
@@ -1,7 +1,7 @@
 """Settle floors as soon as this process alone may send a server's work.
 
 A floor is set by the time of day of the first authority.  If it were set only
-at the first request, each shard would doubt that request however long ago the
+at the first request, that request would be unknown however long ago the
 former dispatcher was lost.
 """
 
--- a/trefoilsaddle/core/stopping.py
+++ b/trefoilsaddle/core/stopping.py
@@ -24,15 +24,15 @@
         return []
     records = []
     for server, duty in node.duties.held.items():
-        heir = _choose_heir(node, duty)
-        if heir is None or server in node.duties.handing_over:
+        successor = _choose_successor(node, duty)
+        if successor is None or server in node.duties.handing_over:
             continue
         node.duties.handing_over.add(server)
-        records.append(_give_role(node, duty, heir))
+        records.append(_give_role(node, duty, successor))
     return append_records(node, moment, tuple(records)) if records else []
 
 
-def _choose_heir(node: Node, duty: Duty) -> NodeId | None:
+def _choose_successor(node: Node, duty: Duty) -> NodeId | None:
     if duty.provisional or duty.moves_without_log:
         return None
     alive = [
@@ -44,13 +44,13 @@
     return ranked[0] if ranked else None
 
 
-def _give_role(node: Node, duty: Duty, heir: NodeId) -> Claim:
-    claim_set = choose_claim_set(node, duty.server, heir)
+def _give_role(node: Node, duty: Duty, successor: NodeId) -> Claim:
+    claim_set = choose_claim_set(node, duty.server, successor)
     return Claim(
         record_id=make_record_id(node),
         server=duty.server,
         expected=duty.term,
-        dispatcher=heir,
+        dispatcher=successor,
         claim_set=tuple(
             member for member in claim_set if member != node.options.node
         ),
@@ -66,6 +66,6 @@
     if node.following.log_away:
         return False
     return any(
-        _choose_heir(node, duty) is not None
+        _choose_successor(node, duty) is not None
         for duty in node.duties.held.values()
     )
--- a/trefoilsaddle/core/suspicion.py
+++ b/trefoilsaddle/core/suspicion.py
@@ -1,4 +1,4 @@
-"""Suspect processes before they count as dead, and doubt oneself first."""
+"""Suspect processes before they count as dead, and allow for one's own slowness first."""
 
 from dataclasses import replace
 
@@ -15,7 +15,7 @@
 from trefoilsaddle.core.rumours import is_newer, keep_rumour, refute_rumour
 from trefoilsaddle.core.units import Moment, NodeId, Seconds
 
-_MOST_DOUBT = 3
+_MOST_SLOWNESS = 3
 # A suspect that the host list does not name counts as dead this much sooner.
 _UNLISTED_FACTOR = 0.5
 # How long a dead process is remembered, and probed now and then.
@@ -37,7 +37,7 @@
     if not is_newer(rumour, known):
         return []
     if rumour.node == node.options.node:
-        doubt_self(node)
+        note_own_slowness(node)
         refute_rumour(node, rumour)
         return []
     keep_rumour(node, rumour)
@@ -55,7 +55,7 @@
     if due is None:
         return []
     if is_late(node, moment, due):
-        doubt_own_pause(node)
+        note_own_pause(node)
         return _begin_suspicion(node, moment, subject)
     known = node.membership.processes[subject]
     dead = replace(known, health=Health.dead)
@@ -84,26 +84,26 @@
     return moment.monotonic - due > node.options.pause_tolerance
 
 
-def doubt_self(node: Node) -> None:
-    """Take longer to judge others, since one's own timing is in doubt."""
+def note_own_slowness(node: Node) -> None:
+    """Take longer to judge others: this process may be the slow one."""
     membership = node.membership
-    membership.self_doubt = min(membership.self_doubt + 1, _MOST_DOUBT)
+    membership.own_slowness = min(membership.own_slowness + 1, _MOST_SLOWNESS)
 
 
-def doubt_own_pause(node: Node) -> None:
+def note_own_pause(node: Node) -> None:
     """Judge others as slowly as possible after an own pause."""
-    node.membership.self_doubt = _MOST_DOUBT
+    node.membership.own_slowness = _MOST_SLOWNESS
 
 
 def trust_self(node: Node) -> None:
     """Judge others sooner again after an answer in time."""
     membership = node.membership
-    membership.self_doubt = max(membership.self_doubt - 1, 0)
+    membership.own_slowness = max(membership.own_slowness - 1, 0)
 
 
 def _begin_suspicion(node: Node, moment: Moment, subject: NodeId) -> Effects:
     membership = node.membership
-    delay = node.options.suspicion_timeout * (1 + membership.self_doubt)
+    delay = node.options.suspicion_timeout * (1 + membership.own_slowness)
     if membership.listed and subject not in membership.listed:
         delay *= _UNLISTED_FACTOR
     due = Seconds(moment.monotonic + delay)
