Trust a handover only if the next holder has followed nobody without the log

Cause: a role's handover was believed if its sender's term was the one replaced. A claim-set member that was without the log can have followed, or been, another holder in between; the work that one ran was unknown to the sender. Ruled out: the sender's own renewals, the last of which may be 0.4 s old. Before: scenario follow_unseen answered the retry; after: it is unknown. Conclusion: whoever takes over without the log needs the word of every other member, so that the next holder, a member, knows.

--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -39,6 +39,7 @@
 )
 from trefoilsaddle.core.calls import Answer
 from trefoilsaddle.core.dispatching import count_running
+from trefoilsaddle.core.dutystate import KnownTerm
 from trefoilsaddle.core.effects import Effect
 from trefoilsaddle.core.events import AttemptVerdict
 from trefoilsaddle.core.messages import Handover
@@ -218,6 +219,23 @@
     assert bench.count_runs(_TOKEN) == 1
 
 
+def follow_unseen(bench: Bench) -> None:
+    """Take a role over after having followed another one without the log."""
+    _ask(bench, 1, token='settles')
+    second = bench.nodes[SECOND]
+    second.duties.known[SERVER] = KnownTerm(
+        _UNSEEN_TERM,
+        unlogged_term=_UNSEEN_TERM,
+    )
+    created = WALL + bench.now
+    handover = release_shard(bench.nodes[FIRST], SHARD, EPOCH)
+    assign_role(bench, SECOND, NEXT_TERM)
+    _adopt_with(bench, SECOND, handover)
+    _call_created(bench, 2, created)
+    # Whom it followed may have run this.
+    assert bench.last_answer(CallId(2)).outcome is Outcome.unknown
+
+
 def _call_created(bench: Bench, number: int, created: float) -> None:
     bench.call(number, build_request(_TOKEN, created=created))
     bench.run()
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -102,6 +102,9 @@
         'keys of the future': Guard(
             'outcomes.is_in_future', _deny, scenarios.future_key
         ),
+        'handover by a member that followed nobody': Guard(
+            'handovers._may_have_been_taken', _deny, scenarios.follow_unseen
+        ),
         'handover follows directly': Guard(
             'handovers._follows_directly', _confirm, scenarios.stray_handover
         ),
--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -230,6 +230,8 @@
     promised_until: Seconds = NEVER
     # Dispatcher that took the server over without the log and with our word.
     followed: NodeId | None = None
+    # Greatest term without the log that we have followed or taken.
+    unlogged_term: Epoch = FIRST_EPOCH
     # Grants that we or that dispatcher gave have lapsed after this.
     served_until: Seconds = NEVER
     moves: dict[ShardId, RememberedMove] = field(default_factory=dict)
--- a/trefoilsaddle/core/handovers.py
+++ b/trefoilsaddle/core/handovers.py
@@ -15,6 +15,7 @@
 from trefoilsaddle.core.tickets import TicketState
 from trefoilsaddle.core.units import (
     Epoch,
+    ServerId,
     ShardId,
     ShardNumber,
 )
@@ -159,12 +160,27 @@
         return False
     if owner.epoch == handover.epoch:
         # The same ownership under the role's next holder.
+        if _may_have_been_taken(node, owner.server, handover.term):
+            return False
         return role.former_term == handover.term
     moved = (owner.former_epoch, owner.former_term)
     held_before = role.term < owner.epoch
     return held_before and moved == (handover.epoch, handover.term)
 
 
+def _may_have_been_taken(node: Node, server: ServerId, term: Epoch) -> bool:
+    """Say whether another one may have served without the log since a term.
+
+    Whoever does so needs the word of every other claim-set member, and so
+    ours, if we are one.
+    """
+    duty = node.duties.held.get(server)
+    if duty is not None and duty.outsider:
+        return True
+    known = node.duties.known.get(server)
+    return known is not None and known.unlogged_term > term
+
+
 def _shard_of(node: Node, key: OutcomeKey, outcome: KeyOutcome) -> ShardId:
     hot_key = HotKey(key.service, outcome.key_hash)
     hot_shard = node.view.hot_keys.get(hot_key)
--- a/trefoilsaddle/core/leases.py
+++ b/trefoilsaddle/core/leases.py
@@ -207,6 +207,7 @@
         duty.supersede(moment.monotonic, request.term)
     if granted and is_provisional(request.term):
         known.followed = sender
+        known.unlogged_term = max(known.unlogged_term, request.term)
     if granted:
         until = moment.monotonic + lengthen(node, request.duration)
         known.promised_until = max(known.promised_until, Seconds(until))
--- a/trefoilsaddle/core/outage.py
+++ b/trefoilsaddle/core/outage.py
@@ -136,7 +136,7 @@
     role: Role,
 ) -> Effects:
     term = next_epoch(node.view.applied, known_term(node, server))
-    raise_term(node, server, term)
+    raise_term(node, server, term).unlogged_term = term
     members = tuple(
         member for member in role.claim_set if member != node.options.node
     )
