--- a/trefoilsaddle/core/reading.py
+++ b/trefoilsaddle/core/reading.py
@@ -188,7 +188,7 @@
         return []
     node.following.log_away = True
     node.reviewed = True
-    return [WriteLogLine(Part.log_client, 'The log cannot be read.')]
+    return [WriteLogLine(Part.log_client, 'the log cannot be read')]
 
 
 def _end_outage(node: Node) -> Effects:
@@ -196,4 +196,4 @@
         return []
     node.following.log_away = False
     node.reviewed = True
-    return [WriteLogLine(Part.log_client, 'The log can be read again.')]
+    return [WriteLogLine(Part.log_client, 'the log can be read again')]
--- a/trefoilsaddle/core/rebalancing.py
+++ b/trefoilsaddle/core/rebalancing.py
@@ -48,7 +48,7 @@
     quiet = node.options.placement_interval * _QUIET_INTERVALS
     work.quiet_until = Seconds(moment.monotonic + quiet)
     count = len(targets)
-    line = f'Moving {count} shards off server {server}.'
+    line = f'moving {count} shards off {server}'
     return [
         WriteLogLine(Part.placement, line),
         *start_move(node, moment, server, targets),
--- a/trefoilsaddle/core/suspicion.py
+++ b/trefoilsaddle/core/suspicion.py
@@ -59,7 +59,7 @@
         return _begin_suspicion(node, moment, subject)
     known = node.membership.processes[subject]
     dead = replace(known, health=Health.dead)
-    line = WriteLogLine(Part.membership, f'Process {subject} is dead.')
+    line = WriteLogLine(Part.membership, f'process {subject} is dead')
     return [*learn_rumour(node, moment, dead), line]
 
 
--- a/trefoilsaddle/core/viewtext.py
+++ b/trefoilsaddle/core/viewtext.py
@@ -14,19 +14,18 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from trefoilsaddle.core.durations import (
-    Durations,
-    ServiceDurations,
+from trefoilsaddle.core.durationtext import (
+    DurationsText,
+    read_durations,
+    write_durations,
 )
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.publishing import join_documents
 from trefoilsaddle.core.units import (
-    FOREVER,
     Epoch,
     NodeId,
     Offset,
     RecordId,
-    Seconds,
     ServerId,
     ServiceName,
     ShardId,
@@ -111,23 +110,6 @@
     parts_seen: int
 
 
-class _ServiceDurationsText(_TextModel):
-    """Write the durations of one service."""
-
-    longest_deadline: float
-    # None stands for ever, which JSON cannot write.
-    isolation_hold: float | None
-
-
-class _DurationsText(_TextModel):
-    """Write the durations of one base file."""
-
-    since: int
-    lease: float
-    clock_drift: float
-    services: dict[str, _ServiceDurationsText]
-
-
 class _ViewText(_TextModel):
     """Write a whole view."""
 
@@ -140,7 +122,7 @@
     hot_keys: tuple[_HotKeyText, ...]
     hot_shards_made: dict[str, int] = Field(default_factory=dict)
     lost_zones: tuple[str, ...]
-    durations: tuple[_DurationsText, ...] = ()
+    durations: tuple[DurationsText, ...] = ()
     # Oldest first: the order decides which one is dropped next.
     verdicts: tuple[_VerdictText, ...]
     snapshot_covers: int
@@ -159,7 +141,7 @@
         hot_keys=tuple(_write_hot_keys(view)),
         hot_shards_made=dict(sorted(view.hot_shards_made.items())),
         lost_zones=tuple(sorted(view.lost_zones)),
-        durations=tuple(map(_write_durations, view.durations)),
+        durations=tuple(map(write_durations, view.durations)),
         verdicts=tuple(starmap(_write_verdict, view.verdicts.items())),
         snapshot_covers=view.snapshot.covers,
         snapshot_first_part=view.snapshot.first_part,
@@ -178,7 +160,7 @@
     view = LogView(
         applied=Offset(parsed.applied),
         lost_zones={ZoneName(zone) for zone in parsed.lost_zones},
-        durations=tuple(map(_read_durations, parsed.durations)),
+        durations=tuple(map(read_durations, parsed.durations)),
         snapshot=SnapshotPosition(
             Offset(parsed.snapshot_covers),
             Offset(parsed.snapshot_first_part),
@@ -253,44 +235,6 @@
     )
 
 
-def _write_durations(durations: Durations) -> _DurationsText:
-    return _DurationsText(
-        since=durations.since,
-        lease=durations.lease,
-        clock_drift=durations.clock_drift,
-        services={
-            name: _ServiceDurationsText(
-                longest_deadline=service.longest_deadline,
-                isolation_hold=_write_hold(service.isolation_hold),
-            )
-            for name, service in sorted(durations.services.items())
-        },
-    )
-
-
-def _write_hold(hold: Seconds) -> float | None:
-    return None if hold == FOREVER else hold
-
-
-def _read_durations(text: _DurationsText) -> Durations:
-    return Durations(
-        since=Offset(text.since),
-        lease=Seconds(text.lease),
-        clock_drift=text.clock_drift,
-        services={
-            ServiceName(name): ServiceDurations(
-                Seconds(service.longest_deadline),
-                _read_hold(service.isolation_hold),
-            )
-            for name, service in text.services.items()
-        },
-    )
-
-
-def _read_hold(hold: float | None) -> Seconds:
-    return FOREVER if hold is None else Seconds(hold)
-
-
 def _write_open_snapshots(view: LogView) -> Iterable[_OpenSnapshotText]:
     for name, opened in view.open_snapshots.items():
         yield _OpenSnapshotText(
