--- a/standins/backendserver.py
+++ b/standins/backendserver.py
@@ -9,7 +9,7 @@
 from uuid import uuid4
 
 import trio
-from pydantic import BaseModel, TypeAdapter, ValidationError
+from pydantic import TypeAdapter, ValidationError
 from typer import Typer
 
 from standins.httpshell import (
@@ -20,25 +20,17 @@
     run_app,
     update_switches,
 )
+from standins.servercalls import GrantBody, read_run_call
 from standins.serverstate import (
     Execution,
-    GrantCall,
     NotRun,
-    RunCall,
     ServerState,
     ServerSwitches,
     ServerTraits,
 )
-from trefoilsaddle.core.events import GrantedShard, ServerStamp
 from trefoilsaddle.core.units import (
-    Epoch,
-    NodeId,
-    Offset,
     Seconds,
     ServerId,
-    ServiceName,
-    ShardId,
-    ShardNumber,
 )
 
 app = Typer(add_completion=False)
@@ -62,68 +54,6 @@
 )
 
 
-class GrantBody(BaseModel):
-    """Validate the body of a grant call."""
-
-    dispatcher: str
-    term: tuple[int, int]
-    sequence: int
-    duration: float
-    whole: bool
-    granted: list[tuple[str, int, int, int]]
-    revoked: list[tuple[str, int]]
-    stamp: ServerStamp | None = None
-
-    def build_call(self) -> GrantCall:
-        """Build the call that the server state takes."""
-        return GrantCall(
-            dispatcher=NodeId(self.dispatcher),
-            term=Epoch(Offset(self.term[0]), self.term[1]),
-            sequence=self.sequence,
-            duration=Seconds(self.duration),
-            whole=self.whole,
-            granted=tuple(
-                GrantedShard(
-                    ShardId(ServiceName(service), ShardNumber(number)),
-                    Epoch(Offset(offset), sequence),
-                )
-                for service, number, offset, sequence in self.granted
-            ),
-            revoked=tuple(
-                ShardId(ServiceName(service), ShardNumber(number))
-                for service, number in self.revoked
-            ),
-            stamp=self.stamp,
-        )
-
-
-def read_epoch(text: str) -> Epoch:
-    """Read an epoch as the header carries it, such as `12.0`."""
-    offset, _, sequence = text.partition('.')
-    return Epoch(Offset(int(offset)), int(sequence))
-
-
-def read_run_call(request: HttpRequest) -> RunCall:
-    """Read the headers of a request to run; raise ValueError or KeyError."""
-    headers = {
-        name.removeprefix('x-trefoil-'): text
-        for name, text in request.headers.items()
-    }
-    service, _, number = headers['shard'].rpartition('/')
-    return RunCall(
-        service=headers['service'],
-        member=headers['member'],
-        key=headers['key'],
-        shard=ShardId(ServiceName(service), ShardNumber(int(number))),
-        term=read_epoch(headers['term']),
-        epoch=read_epoch(headers['epoch']),
-        dispatcher=NodeId(headers['dispatcher']),
-        attempt=headers['attempt'],
-        path=request.path,
-        remaining=Seconds(float(headers['deadline'])),
-    )
-
-
 class ServerApp(HttpApp):
     """Answer grants, probes, control requests and requests to run."""
 
