--- a/measure/previous.py
+++ b/measure/previous.py
@@ -23,7 +23,7 @@
         ticket: Ticket,
         now: Seconds,
     ) -> Answer | None:
-        """Refuse what can not make its deadline."""
+        """Refuse what cannot make its deadline."""
         request = ticket.request
         wait = estimate_wait(queue, request.rank, request.member, now)
         excess = wait + needed_time(queue, ticket) - ticket.remaining(now)
--- a/tests/test_platformclients.py
+++ b/tests/test_platformclients.py
@@ -149,7 +149,7 @@
 
 
 def test_strange_entries_have_no_records() -> None:
-    """Keep the offset of an entry that can not be read, and count it."""
+    """Keep the offset of an entry that cannot be read, and count it."""
     body = _PAGE % (0, 2, '{"offset":0,"text":"tea"},{"offset":1,"text":""}')
     server = ScriptedServer([Step(whole(body.encode()))])
     page = trio.run(_read, server, 0)
--- a/trefoilsaddle/core/endings.py
+++ b/trefoilsaddle/core/endings.py
@@ -25,7 +25,7 @@
         AttemptVerdict.expired: ResultCode.deadline_unreachable,
     }
 )
-_DOUBTS = MappingProxyType(
+_UNKNOWN_ENDINGS = MappingProxyType(
     {
         AttemptVerdict.lost: ResultCode.server_lost,
         AttemptVerdict.cut_short: ResultCode.answer_cut_short,
@@ -33,7 +33,7 @@
 )
 # Most times that one request is sent again after the server has shed it.
 _MOST_SHEDS = 6
-# Signs that a server can not be reached for now.
+# Signs that a server cannot be reached for now.
 _FAILURES = frozenset(
     (
         AttemptVerdict.unsent,
@@ -150,7 +150,9 @@
     refusal = _REFUSALS.get(event.verdict)
     if refusal is not None:
         return refuse(refusal)
-    return report_unknown(_DOUBTS.get(event.verdict, ResultCode.answer_lost))
+    return report_unknown(
+        _UNKNOWN_ENDINGS.get(event.verdict, ResultCode.answer_lost)
+    )
 
 
 def _learn_ending(
@@ -168,5 +170,5 @@
         queue.pacing.note_shed(queue.rules.slots, now)
     elif verdict in _FAILURES:
         queue.pacing.note_failure(now)
-    if verdict in _DOUBTS:
+    if verdict in _UNKNOWN_ENDINGS:
         queue.uncertain_until = max(queue.uncertain_until, ticket.deadline)
--- a/trefoilsaddle/core/routes.py
+++ b/trefoilsaddle/core/routes.py
@@ -17,7 +17,7 @@
     ShardId,
 )
 
-# How long a lost connection keeps requests that can not be repeated back.
+# How long a lost connection keeps requests that cannot be repeated back.
 _LOSS_MEMORY = Seconds(0.1)
 
 
--- a/trefoilsaddle/core/suspicion.py
+++ b/trefoilsaddle/core/suspicion.py
@@ -1,4 +1,4 @@
-"""Suspect processes before they count as dead, and allow for one's own slowness first."""
+"""Suspect processes before they count as dead, the own pace weighed first."""
 
 from dataclasses import replace
 
