--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -251,9 +251,6 @@
     duty.witnesses = present.witnesses
     if former.contacted:
         duty.witnesses = present.claim_set
-        duty.renewed_from = present.term
-        # Nobody but a member of the claim set could have taken it over.
-        duty.continuous = not present.claim_set
     duty.moves = {
         shard: replace(move, record_id=None)
         for shard, move in present.moves.items()
--- a/trefoilsaddle/core/duties.py
+++ b/trefoilsaddle/core/duties.py
@@ -26,7 +26,6 @@
 from trefoilsaddle.core.leases import (
     answer_request,
     ask_promises,
-    ask_witnesses,
     note_promise,
 )
 from trefoilsaddle.core.messages import (
@@ -124,7 +123,6 @@
         node.reviewed = True
     return [
         *ask_promises(node, moment, duty),
-        *ask_witnesses(node, moment, duty),
         *renew_grants(node, moment, duty),
         *recover_server(node, moment, duty),
         *maintain_claim(node, moment, duty),
--- a/trefoilsaddle/core/leases.py
+++ b/trefoilsaddle/core/leases.py
@@ -21,9 +21,6 @@
     ServerId,
 )
 
-# Time for which former claim-set members are asked for their word.
-_WITNESS_TIME = Seconds(2)
-
 # For processes that know no configuration yet; they hold no role either.
 _NO_LIMITS = Seconds(0)
 
@@ -220,7 +217,6 @@
         request.sequence,
         granted,
         tuple(remembered.moved for remembered in known.moves.values()),
-        known.unlogged_term,
     )
     return [SendMessage(sender, promise)]
 
@@ -259,43 +255,3 @@
         return
     duty.promised[sender] = max(duty.promised.get(sender, NEVER), sent)
     duty.followers.setdefault(sender, moment.monotonic)
-    _note_witness(node, duty, sender, promise)
-
-
-def _note_witness(
-    node: Node,
-    duty: Duty,
-    sender: NodeId,
-    promise: Promise,
-) -> None:
-    """Learn that nobody took the server over since our former term.
-
-    Whoever did so would have needed the word of every other member, and this
-    one follows no lower term from here on.
-    """
-    if duty.renewed_from is None or sender not in duty.witnesses:
-        return
-    if promise.unlogged_term <= duty.renewed_from:
-        duty.continuous = True
-        node.woken.add(duty.server)
-
-
-def ask_witnesses(node: Node, moment: Moment, duty: Duty) -> Effects:
-    """Ask whether anybody has taken a server over since our former term."""
-    if duty.renewed_from is None or duty.continuous:
-        return []
-    if moment.monotonic - duty.started > _WITNESS_TIME:
-        return []
-    sequence = node.duties.count()
-    duty.asked[sequence] = moment.monotonic
-    request = PromiseRequest(
-        duty.server,
-        duty.term,
-        sequence,
-        lease_duration(node),
-    )
-    return [
-        SendMessage(member, request)
-        for member in duty.witnesses
-        if member != node.options.node
-    ]
--- a/trefoilsaddle/core/messages.py
+++ b/trefoilsaddle/core/messages.py
@@ -144,8 +144,6 @@
     # Moves off the server that the sender has acknowledged, so that the
     # next dispatcher learns of them while the log is away.
     moves: tuple[MovedShard, ...] = ()
-    # Greatest term without the log that the sender has followed or taken.
-    unlogged_term: Epoch = FIRST_EPOCH
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/core/roles.py
+++ b/trefoilsaddle/core/roles.py
@@ -4,7 +4,7 @@
 from trefoilsaddle.core.dutystate import Duty, RememberedMove
 from trefoilsaddle.core.effects import Effects, Part, SendMessage, WriteLogLine
 from trefoilsaddle.core.grants import renew_grants, stop_grants
-from trefoilsaddle.core.leases import ask_witnesses, raise_term
+from trefoilsaddle.core.leases import raise_term
 from trefoilsaddle.core.messages import Promise
 from trefoilsaddle.core.moves import settle_moves
 from trefoilsaddle.core.node import Node
@@ -75,7 +75,6 @@
     duty = duties.held[server]
     exclude_moved(node, moment, duty)
     effects.extend(gather_followers(node, moment, duty))
-    effects.extend(ask_witnesses(node, moment, duty))
     effects.extend(repeat_moves(node, moment, duty))
     return effects
 
