Let a claim-set member give its word when it leaves

A holder that claims again to replace a stopped member could not know that nobody had taken its servers over unseen, and told unrepeatable work unknown (304) for two clock skews. A member that has given its word promises nothing without the log any more.

--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -39,7 +39,7 @@
 )
 from trefoilsaddle.core.calls import Answer
 from trefoilsaddle.core.dispatching import count_running
-from trefoilsaddle.core.dutystate import KnownTerm
+from trefoilsaddle.core.dutystate import Duty, KnownTerm
 from trefoilsaddle.core.effects import Effect
 from trefoilsaddle.core.events import AttemptVerdict
 from trefoilsaddle.core.messages import Handover
@@ -168,6 +168,20 @@
     assert bench.count_runs(_TOKEN) == 1
 
 
+def renew_assured(bench: Bench) -> None:
+    """Claim again with a member's word that nobody served in between."""
+    _ask(bench, 1, token='settles')
+    created = WALL + bench.now
+    duty = Duty(SERVER, NEXT_TERM, (), (), None, moment_of(bench).monotonic)
+    duty.continuous = True
+    node = bench.nodes[FIRST]
+    node.duties.held[SERVER] = duty
+    assign_role(bench, FIRST, NEXT_TERM)
+    adopt_shard(node, moment_of(bench), SHARD, fresh=False)
+    _call_created(bench, 2, created)
+    assert bench.last_answer(CallId(2)).outcome is Outcome.answered
+
+
 def serve_between(bench: Bench) -> None:
     """Let another one serve unseen before the holder claims again."""
     _ask(bench, 1, token='settles')
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -93,6 +93,9 @@
             _floor_without_callers,
             scenarios.clocks_differ,
         ),
+        "floors kept by a member's word": Guard(
+            'floors._restore_floor', _nothing, scenarios.renew_assured
+        ),
         'unseen take-overs': Guard(
             'floors._may_follow_others', _deny, scenarios.serve_between
         ),
--- a/trefoilsaddle/core/claims.py
+++ b/trefoilsaddle/core/claims.py
@@ -14,6 +14,7 @@
 from trefoilsaddle.core.hashing import rank_candidates
 from trefoilsaddle.core.leases import (
     former_end,
+    is_assured,
     lengthen,
     limits_of,
     raise_term,
@@ -249,8 +250,11 @@
     duty.reached = present.reached or former.contacted
     duty.former_known = present.former_known
     duty.witnesses = present.witnesses
+    duty.last_words = present.last_words
     if former.contacted:
         duty.witnesses = present.claim_set
+        duty.renewed_from = present.term
+        duty.continuous = is_assured(present)
     duty.moves = {
         shard: replace(move, record_id=None)
         for shard, move in present.moves.items()
--- a/trefoilsaddle/core/duties.py
+++ b/trefoilsaddle/core/duties.py
@@ -26,9 +26,13 @@
 from trefoilsaddle.core.leases import (
     answer_request,
     ask_promises,
+    ask_witnesses,
+    note_last_word,
     note_promise,
 )
 from trefoilsaddle.core.messages import (
+    LAST_WORD,
+    RELEASE,
     Message,
     Promise,
     PromiseRequest,
@@ -55,7 +59,7 @@
 from trefoilsaddle.core.recovery import recover_server
 from trefoilsaddle.core.roles import follow_view
 from trefoilsaddle.core.sharing import take_ack, take_share
-from trefoilsaddle.core.stopping import hand_over_roles
+from trefoilsaddle.core.stopping import give_last_words, hand_over_roles
 from trefoilsaddle.core.units import Moment, NodeId, ServerId
 
 
@@ -88,8 +92,11 @@
 
 def _take_event(node: Node, moment: Moment, event: Event) -> Effects:
     match event:
-        case Started() | StopRequested():
+        case Started():
             node.reviewed = True
+        case StopRequested():
+            node.reviewed = True
+            return give_last_words(node)
         case TimerExpired(timer=timer):
             return _take_timer(node, moment, timer)
         case GrantAnswered():
@@ -123,6 +130,7 @@
         node.reviewed = True
     return [
         *ask_promises(node, moment, duty),
+        *ask_witnesses(node, moment, duty),
         *renew_grants(node, moment, duty),
         *recover_server(node, moment, duty),
         *maintain_claim(node, moment, duty),
@@ -178,9 +186,12 @@
     sender: NodeId,
     promise: Promise,
 ) -> Effects:
-    if promise.sequence == 0:
+    if promise.sequence == RELEASE:
         note_release(node, moment, sender, promise)
         return []
+    if promise.sequence == LAST_WORD:
+        note_last_word(node, sender, promise)
+        return []
     note_promise(node, moment, sender, promise)
     return note_follower(node, moment, sender, promise)
 
--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -139,6 +139,12 @@
     # Claim set under which the server last followed this process; until it
     # follows the present term, one of these may take it over unseen.
     witnesses: tuple[NodeId, ...] = ()
+    # Our own term that this one replaced, if the server followed it.
+    renewed_from: Epoch | None = None
+    # True if nobody else can have served the server since that term.
+    continuous: bool = False
+    # Greatest term without the log of each member that has left.
+    last_words: dict[NodeId, Epoch] = field(default_factory=dict)
     # False if the former role is not known for certain.
     former_known: bool = True
     # True if the server has followed an earlier term of this process, so
--- a/trefoilsaddle/core/floors.py
+++ b/trefoilsaddle/core/floors.py
@@ -61,17 +61,28 @@
         kept.epoch = owner.epoch
 
 
-def keeps_tokens(node: Node, shard: ShardId, kept: Floor) -> bool:
+def keeps_tokens(
+    node: Node,
+    moment: Moment,
+    shard: ShardId,
+    kept: Floor,
+) -> bool:
     """Say whether a shard is adopted again under the tokens it had."""
-    if not kept.settled and not kept.complete:
+    known = kept.settled or kept.complete or kept.assured is not None
+    if not known:
         return False
-    _follow_renewal(node, shard, kept)
+    _follow_renewal(node, moment, shard, kept)
     now = Floor(UNKNOWN_FLOOR, kept.adopted)
     _note_tokens(node, shard, now)
     return (now.term, now.epoch) == (kept.term, kept.epoch)
 
 
-def _follow_renewal(node: Node, shard: ShardId, kept: Floor) -> None:
+def _follow_renewal(
+    node: Node,
+    moment: Moment,
+    shard: ShardId,
+    kept: Floor,
+) -> None:
     """Follow a claim by which this process replaced its own term.
 
     Example: a holder claims again to change its claim set.  What it knows
@@ -88,11 +99,23 @@
         return
     kept.term = role.term
     if owner is not None and _may_follow_others(node, owner.server):
+        kept.assured = kept.floor
         kept.floor = UNKNOWN_FLOOR
         kept.complete = False
         kept.settled = False
-        # No handover is on its way.
-        kept.adopted = NO_FLOOR
+        kept.adopted = moment.monotonic
+
+
+def _restore_floor(node: Node, shard: ShardId, kept: Floor) -> None:
+    """Lower the floor again once nobody can have served in between."""
+    owner = node.view.owners.get(shard)
+    duty = node.duties.held.get(owner.server) if owner else None
+    if kept.assured is None or duty is None or not duty.continuous:
+        return
+    if duty.term == kept.term:
+        kept.floor = min(kept.floor, kept.assured)
+        kept.complete = True
+        kept.assured = None
 
 
 def _may_follow_others(node: Node, server: ServerId) -> bool:
@@ -135,18 +158,20 @@
     kept = node.dispatching.outcomes.floors.get(shard)
     if kept is None:
         kept = Floor(UNKNOWN_FLOOR, moment.monotonic)
-    _follow_renewal(node, shard, kept)
+    _follow_renewal(node, moment, shard, kept)
     served = kept.term == authority.term and kept.epoch == authority.epoch
     if kept.settled and not served:
         kept.floor = UNKNOWN_FLOOR
         kept.complete = False
         kept.settled = False
+        kept.assured = None
         kept.adopted = moment.monotonic
     if not kept.settled:
         kept.settled = True
         kept.floor = min(kept.floor, _takeover_floor(node, moment))
     kept.term = authority.term
     kept.epoch = authority.epoch
+    _restore_floor(node, shard, kept)
     set_floor(node, shard, kept)
     return kept
 
--- a/trefoilsaddle/core/leases.py
+++ b/trefoilsaddle/core/leases.py
@@ -21,6 +21,9 @@
     ServerId,
 )
 
+# Time for which former claim-set members are asked for their word.
+_WITNESS_TIME = Seconds(2)
+
 # For processes that know no configuration yet; they hold no role either.
 _NO_LIMITS = Seconds(0)
 
@@ -217,6 +220,7 @@
         request.sequence,
         granted,
         tuple(remembered.moved for remembered in known.moves.values()),
+        known.unlogged_term,
     )
     return [SendMessage(sender, promise)]
 
@@ -232,9 +236,11 @@
     duty = node.duties.held.get(server)
     if duty is not None and duty.term >= request.term:
         return False
-    if is_provisional(request.term) and not node.following.log_away:
-        # The log can still be asked, by us at least.
-        return False
+    if is_provisional(request.term):
+        # The log can still be asked, by us at least; or we have given our
+        # last word.
+        if node.stopping or not node.following.log_away:
+            return False
     return request.term >= known_term(node, server)
 
 
@@ -255,3 +261,64 @@
         return
     duty.promised[sender] = max(duty.promised.get(sender, NEVER), sent)
     duty.followers.setdefault(sender, moment.monotonic)
+    _note_witness(node, duty, sender, promise)
+
+
+def _note_witness(
+    node: Node,
+    duty: Duty,
+    sender: NodeId,
+    promise: Promise,
+) -> None:
+    """Learn that nobody took the server over since our former term.
+
+    Whoever did so would have needed the word of every other member, and this
+    one follows no lower term from here on.
+    """
+    if duty.renewed_from is None or sender not in duty.witnesses:
+        return
+    if promise.unlogged_term <= duty.renewed_from:
+        duty.continuous = True
+        node.woken.add(duty.server)
+
+
+def note_last_word(node: Node, sender: NodeId, promise: Promise) -> None:
+    """Keep the word of a claim-set member that leaves."""
+    duty = node.duties.held.get(promise.server)
+    if duty is None:
+        return
+    duty.last_words[sender] = promise.unlogged_term
+    _note_witness(node, duty, sender, promise)
+
+
+def is_assured(duty: Duty) -> bool:
+    """Say whether nobody can take a server over from a holder unseen."""
+    if not duty.claim_set:
+        return True
+    words = [
+        duty.last_words[member]
+        for member in duty.claim_set
+        if member in duty.last_words
+    ]
+    return any(word <= duty.term for word in words)
+
+
+def ask_witnesses(node: Node, moment: Moment, duty: Duty) -> Effects:
+    """Ask whether anybody has taken a server over since our former term."""
+    if duty.renewed_from is None or duty.continuous:
+        return []
+    if moment.monotonic - duty.started > _WITNESS_TIME:
+        return []
+    sequence = node.duties.count()
+    duty.asked[sequence] = moment.monotonic
+    request = PromiseRequest(
+        duty.server,
+        duty.term,
+        sequence,
+        lease_duration(node),
+    )
+    return [
+        SendMessage(member, request)
+        for member in duty.witnesses
+        if member != node.options.node
+    ]
--- a/trefoilsaddle/core/messages.py
+++ b/trefoilsaddle/core/messages.py
@@ -132,6 +132,12 @@
     duration: Seconds
 
 
+# Sequences of promises that nobody has asked for: a former dispatcher sends
+# nothing more, or a claim-set member leaves and will follow nobody any more.
+RELEASE = 0
+LAST_WORD = -1
+
+
 @dataclass(frozen=True, slots=True)
 class Promise:
     """Grant or refuse a promise not to claim a server."""
@@ -144,6 +150,8 @@
     # Moves off the server that the sender has acknowledged, so that the
     # next dispatcher learns of them while the log is away.
     moves: tuple[MovedShard, ...] = ()
+    # Greatest term without the log that the sender has followed or taken.
+    unlogged_term: Epoch = FIRST_EPOCH
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/core/outcomes.py
+++ b/trefoilsaddle/core/outcomes.py
@@ -53,7 +53,7 @@
     """
     former = node.dispatching.outcomes.floors.get(shard)
     if former is not None:
-        if keeps_tokens(node, shard, former):
+        if keeps_tokens(node, moment, shard, former):
             return
         # It moved between two servers of this process.
         build_handover(node, shard, former.epoch)
--- a/trefoilsaddle/core/outcomestate.py
+++ b/trefoilsaddle/core/outcomestate.py
@@ -56,6 +56,9 @@
     # True once its last dispatcher has handed over what it knows, or there
     # was none.
     complete: bool = False
+    # Floor from before a renewed claim; it holds again once a claim-set
+    # member has said that nobody served in between.
+    assured: Seconds | None = None
 
 
 @dataclass(slots=True)
--- a/trefoilsaddle/core/roles.py
+++ b/trefoilsaddle/core/roles.py
@@ -4,8 +4,8 @@
 from trefoilsaddle.core.dutystate import Duty, RememberedMove
 from trefoilsaddle.core.effects import Effects, Part, SendMessage, WriteLogLine
 from trefoilsaddle.core.grants import renew_grants, stop_grants
-from trefoilsaddle.core.leases import raise_term
-from trefoilsaddle.core.messages import Promise
+from trefoilsaddle.core.leases import ask_witnesses, raise_term
+from trefoilsaddle.core.messages import RELEASE, Promise
 from trefoilsaddle.core.moves import settle_moves
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.outage import exclude_moved, repeat_moves
@@ -75,6 +75,7 @@
     duty = duties.held[server]
     exclude_moved(node, moment, duty)
     effects.extend(gather_followers(node, moment, duty))
+    effects.extend(ask_witnesses(node, moment, duty))
     effects.extend(repeat_moves(node, moment, duty))
     return effects
 
@@ -182,7 +183,7 @@
     lapse = duty.grants.lapsed_after
     known.served_until = max(known.served_until, lapse)
     node.woken.add(duty.server)
-    promise = Promise(duty.server, role.term, 0, granted=True)
+    promise = Promise(duty.server, role.term, RELEASE, granted=True)
     effects: Effects = [
         stop_grants(duty.server),
         WriteLogLine(Part.ownership, f'gave up {duty.server}'),
--- a/trefoilsaddle/core/stopping.py
+++ b/trefoilsaddle/core/stopping.py
@@ -7,15 +7,16 @@
 
 from trefoilsaddle.core.claims import choose_claim_set
 from trefoilsaddle.core.dutystate import Duty
-from trefoilsaddle.core.effects import Effects
+from trefoilsaddle.core.effects import Effects, SendMessage
 from trefoilsaddle.core.following import append_records
 from trefoilsaddle.core.hashing import rank_candidates
 from trefoilsaddle.core.membership import health_of
-from trefoilsaddle.core.messages import Health
+from trefoilsaddle.core.messages import LAST_WORD, Health, Promise
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.recordids import make_record_id
 from trefoilsaddle.core.records import Claim
-from trefoilsaddle.core.units import Moment, NodeId
+from trefoilsaddle.core.units import FIRST_EPOCH, Moment, NodeId, ServerId
+from trefoilsaddle.core.view import Role
 
 
 def hand_over_roles(node: Node, moment: Moment) -> Effects:
@@ -32,6 +33,30 @@
     return append_records(node, moment, tuple(records)) if records else []
 
 
+def give_last_words(node: Node) -> Effects:
+    """Tell holders that this claim-set member follows nobody any more.
+
+    A holder that claims again to replace this member then knows that nobody
+    took its server over in between.
+    """
+    return [
+        SendMessage(role.dispatcher, _build_last_word(node, server, role))
+        for server, role in node.view.roles.items()
+        if node.options.node in role.claim_set
+    ]
+
+
+def _build_last_word(node: Node, server: ServerId, role: Role) -> Promise:
+    known = node.duties.known.get(server)
+    return Promise(
+        server=server,
+        term=role.term,
+        sequence=LAST_WORD,
+        granted=True,
+        unlogged_term=known.unlogged_term if known else FIRST_EPOCH,
+    )
+
+
 def _choose_successor(node: Node, duty: Duty) -> NodeId | None:
     if duty.provisional or duty.moves_without_log:
         return None
--- a/trefoilsaddle/wire/messages.capnp
+++ b/trefoilsaddle/wire/messages.capnp
@@ -136,6 +136,7 @@
   sequence @2 :Int64;
   granted @3 :Bool;
   moves @4 :List(MovedShard);
+  unloggedTerm @5 :Epoch;
 }
 
 struct MovedShard {
