--- a/trefoilsaddle/core/dutystate.py
+++ b/trefoilsaddle/core/dutystate.py
@@ -287,6 +287,8 @@
     # Roles as the duties last saw them.
     seen_roles: dict[ServerId, Role] = field(default_factory=dict)
     reviewed_at: Seconds = NEVER
+    # True once this process has said that it follows nobody any more.
+    gave_last_words: bool = False
     # Offset up to which the duties follow the view.
     followed: Offset = NO_OFFSET
     counter: int = 0
--- a/trefoilsaddle/core/stopping.py
+++ b/trefoilsaddle/core/stopping.py
@@ -39,6 +39,9 @@
     A holder that claims again to replace this member then knows that nobody
     took its server over in between.
     """
+    if node.duties.gave_last_words:
+        return []
+    node.duties.gave_last_words = True
     return [
         SendMessage(role.dispatcher, _build_last_word(node, server, role))
         for server, role in node.view.roles.items()
