--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -11,6 +11,7 @@
 )
 _LINK = re.compile(r'\]\(([^)#:]+)\)')
 _NAMED = re.compile(r'\b(tests/\w+\.py|python -m \w+\.\w+)')
+_TEST_ID = re.compile(r'`(tests/\w+\.py)::(\w+)`')
 _COMMAND = 'python -m '
 
 
@@ -31,6 +32,23 @@
     assert [str(path) for path in links + named if not path.exists()] == []
 
 
+def test_proofs_name_tests_that_exist() -> None:
+    """Find every test or suite that the list of proofs names."""
+    text = (_ROOT / 'docs' / 'PROOFS.md').read_text()
+    named = _TEST_ID.findall(text)
+    assert named
+    missing = [
+        (path, name)
+        for path, name in named
+        if not re.search(
+            rf'^(def {name}\(|{name} = |class {name}\b)',
+            (_ROOT / path).read_text(),
+            re.MULTILINE,
+        )
+    ]
+    assert missing == []
+
+
 def test_known_red_names_what_exists() -> None:
     """Find the file and the suite of every known fault."""
     lines = (_ROOT / 'KNOWN-RED.txt').read_text().splitlines()
