Reach backend servers by the newest view after a catch-up

Ruled out: the last words (the log shows the loss before the stop), slow starts of the stand-ins. Conclusion: the client asks the node for its view at each look-up.

--- a/trefoilsaddle/core/catchup.py
+++ b/trefoilsaddle/core/catchup.py
@@ -63,7 +63,7 @@
     node.following.relay.recent.clear()
     view.touch(view.roles)
     note_change(node)
-    return [WriteLogLine(Part.log_client, 'A newer view was taken over.')]
+    return [WriteLogLine(Part.log_client, 'a newer view was taken over')]
 
 
 def note_change(node: Node) -> None:
--- a/trefoilsaddle/programs/process.py
+++ b/trefoilsaddle/programs/process.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from signal import SIGINT, SIGTERM, SIGUSR1
 
 from trio import Event as Signal
@@ -14,12 +15,13 @@
 )
 
 from trefoilsaddle.backend.client import HttpBackendClient
-from trefoilsaddle.clock import SystemClock
+from trefoilsaddle.clock import Clock, SystemClock
+from trefoilsaddle.core.configuration import ServerPolicy
 from trefoilsaddle.core.effects import SendMessage
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.events import DumpRequested, Started, StopRequested
 from trefoilsaddle.core.node import Node, build_node
-from trefoilsaddle.core.units import NodeId
+from trefoilsaddle.core.units import NodeId, ServerId
 from trefoilsaddle.logs import ShellPart, write_line
 from trefoilsaddle.metrics import Metrics, NoMetrics, build_metrics
 from trefoilsaddle.platform.hostlist import HttpHostList
@@ -118,16 +120,26 @@
         clock=clock,
         log=HttpLogClient(reach_service(settings.platform.log)),
         hosts=HttpHostList(reach_service(settings.platform.hosts)),
-        backends=HttpBackendClient(
-            node.options.node,
-            node.view.server,
-            clock.read_monotonic,
-        ),
+        backends=build_backends(node, clock),
     )
     metrics = _build_metrics(settings)
     return Tools(exchanges, metrics, _build_recorder(settings, node))
 
 
+def build_backends(node: Node, clock: Clock) -> HttpBackendClient:
+    """Build the client of backend servers, as the newest view names them."""
+    return HttpBackendClient(
+        node.options.node,
+        partial(_find_server, node),
+        clock.read_monotonic,
+    )
+
+
+def _find_server(node: Node, server: ServerId) -> ServerPolicy | None:
+    # Not `node.view.server`: a process that catches up gets another view.
+    return node.view.server(server)
+
+
 def _build_recorder(settings: DispatcherSettings, node: Node) -> Recorder:
     trace = settings.trace
     if trace is None:
