Ask members for promises in one place

Cause: reading the whole change showed the same request written three times (ask_promises, ask_witnesses, gather_followers). Behaviour is as it was: the same requests to the same members. The whole suite was not run again on this commit by hand.

--- a/trefoilsaddle/core/leases.py
+++ b/trefoilsaddle/core/leases.py
@@ -4,6 +4,8 @@
 by the drift between two monotonic clocks.
 """
 
+from collections.abc import Iterable
+
 from trefoilsaddle.core.configuration import LimitPolicy
 from trefoilsaddle.core.durations import find_longest
 from trefoilsaddle.core.dutystate import NEVER, Duty, KnownTerm
@@ -137,21 +139,28 @@
 
 def ask_promises(node: Node, moment: Moment, duty: Duty) -> Effects:
     """Ask the claim set for promises if the log does not renew the lease."""
-    effects: Effects = []
     if not needs_promises(node, moment):
-        return effects
+        return []
+    _forget_old_requests(node, moment, duty)
+    return request_promises(node, moment, duty, duty.claim_set)
+
+
+def request_promises(
+    node: Node,
+    moment: Moment,
+    duty: Duty,
+    members: Iterable[NodeId],
+) -> Effects:
+    """Ask members to follow a duty's term, and note when they were asked."""
     sequence = node.duties.count()
     duty.asked[sequence] = moment.monotonic
-    _forget_old_requests(node, moment, duty)
     request = PromiseRequest(
         duty.server,
         duty.term,
         sequence,
         lease_duration(node),
     )
-    for member in duty.claim_set:
-        effects.append(SendMessage(member, request))
-    return effects
+    return [SendMessage(member, request) for member in members]
 
 
 def needs_promises(node: Node, moment: Moment) -> bool:
@@ -309,16 +318,7 @@
         return []
     if moment.monotonic - duty.started > _WITNESS_TIME:
         return []
-    sequence = node.duties.count()
-    duty.asked[sequence] = moment.monotonic
-    request = PromiseRequest(
-        duty.server,
-        duty.term,
-        sequence,
-        lease_duration(node),
-    )
-    return [
-        SendMessage(member, request)
-        for member in duty.witnesses
-        if member != node.options.node
+    others = [
+        member for member in duty.witnesses if member != node.options.node
     ]
+    return request_promises(node, moment, duty, others)
--- a/trefoilsaddle/core/recovery.py
+++ b/trefoilsaddle/core/recovery.py
@@ -17,17 +17,15 @@
 from trefoilsaddle.core.effects import (
     Effects,
     Part,
-    SendMessage,
     WriteLogLine,
 )
 from trefoilsaddle.core.grants import is_fenced
 from trefoilsaddle.core.leases import (
     former_end,
-    lease_duration,
     lease_end,
     limits_of,
+    request_promises,
 )
-from trefoilsaddle.core.messages import PromiseRequest
 from trefoilsaddle.core.node import Node
 from trefoilsaddle.core.sharing import share_moves
 from trefoilsaddle.core.targets import choose_targets
@@ -132,15 +130,7 @@
     ]
     if duty.grants.contacted or duty.reached or not missing:
         return []
-    sequence = node.duties.count()
-    duty.asked[sequence] = moment.monotonic
-    request = PromiseRequest(
-        duty.server,
-        duty.term,
-        sequence,
-        lease_duration(node),
-    )
-    return [SendMessage(member, request) for member in missing]
+    return request_promises(node, moment, duty, missing)
 
 
 def _movable(node: Node, duty: Duty) -> list[ShardId]:
