Doubt the removal of a server only if nobody looked at the entries

Cause: a gateway that had lived on the controller's news since its own read had failed 11 s earlier took its next read for the return of the store, and doubted a removal of 0.1 s before for 2.2 s. Ruled out: late reads of followers, the length of the takeover, resets of calls to the store. Now a removal is doubted if no gateway has looked for two heartbeats, and a doubted server is told as such.

--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -183,6 +183,7 @@
             retry_budget=RetryBudget(0.2, 64, Seconds(10)),
             longest_hold=Seconds(10),
             stop_timeout=Seconds(6),
+            heartbeat=Seconds(0.87),
         )
         process = Process(build_gateway(options))
         self.processes[node] = process
--- a/tests/test_gatewayrelay.py
+++ b/tests/test_gatewayrelay.py
@@ -6,24 +6,34 @@
 
 from measure.gatewayworld import Process, World
 from tests.gatewayscenes import GATEWAYS, build_configuration, build_scene
-from trefoilsaddle.core.units import NodeId, Seconds, Version
+from trefoilsaddle.core.units import NodeId, Seconds, ServerId, Version
 from trefoilsaddle.gateway.effects import (
     AskConfiguration,
     Effects,
     ReadTopic,
     SendConfiguration,
+    SendNews,
     SetTimer,
 )
 from trefoilsaddle.gateway.events import (
     ConfigurationCopied,
     ConfigurationWanted,
     NewsReceived,
+    PeerLinked,
+    ReadVerdict,
     TimerExpired,
     TimerKind,
+    Topic,
+    TopicRead,
 )
 from trefoilsaddle.gateway.peermessages import News
 from trefoilsaddle.gateway.reducer import reduce
+from trefoilsaddle.gateway.servers import ServerRemoved
+from trefoilsaddle.gateway.state import Gateway
 
+_LEAVING = ServerId('pay-0')
+# Longer than entries of servers take to lapse.
+_AWAY = Seconds(11)
 _READ = TimerKind.read_configuration
 
 
@@ -136,6 +146,90 @@
     assert elapsed + 0.9 < 2.5
 
 
+def _remove_after_outage(world: World, gateway: Gateway) -> list[str]:
+    """Fail a read, go on for a while, and read that a server is gone."""
+    topic = Topic.servers
+    offset = gateway.topics[topic].next_offset
+    assert offset is not None
+    lost = TopicRead(
+        topic,
+        ReadVerdict.unavailable,
+        whole=False,
+        next_offset=offset,
+        entries=(),
+        asked_at=world.now,
+    )
+    reduce(gateway, world.now, lost)
+    world.now = Seconds(world.now + _AWAY)
+    removed = (ServerRemoved(_LEAVING),)
+    back = TopicRead(
+        topic,
+        ReadVerdict.records,
+        whole=False,
+        next_offset=offset,
+        entries=removed,
+        asked_at=world.now,
+    )
+    reduce(gateway, world.now, back)
+    return list(gateway.book.servers)
+
+
+@pytest.mark.parametrize(('relayed', 'kept'), [(True, False), (False, True)])
+def test_removal_is_doubted_only_if_nobody_looked(
+    *,
+    relayed: bool,
+    kept: bool,
+) -> None:
+    """Doubt what is gone after an outage of the store, not of one's own.
+
+    Seen on kb-gateway, trouble-1 --seed 492327220673: a gateway whose own
+    reads had failed 11 s earlier, and which had lived on news since, read
+    again as it became controller, doubted a removal of 0.1 s before and kept
+    the server in use for 2.2 s: DRAIN.
+    """
+    world = build_scene()
+    gateway = _find_follower(world).gateway
+    if relayed:
+        looked = Seconds(world.now + _AWAY - 1)
+        news = replace(_build_news(world, 1).news, servers_age=Seconds(0))
+        reduce(gateway, looked, NewsReceived(news))
+    assert (_LEAVING in _remove_after_outage(world, gateway)) == kept
+
+
+def test_doubted_server_is_told_as_such() -> None:
+    """Tell a new follower what is gone and may only have lapsed."""
+    world = build_scene()
+    gateway = _find_leader(world).gateway
+    _remove_after_outage(world, gateway)
+    effects = reduce(gateway, world.now, PeerLinked(NodeId(GATEWAYS[1])))
+    news = next(kind.news for kind in effects if isinstance(kind, SendNews))
+    assert news.doubted == (_LEAVING,)
+    assert _LEAVING not in {entry.life.server for entry in news.servers}
+
+
+@pytest.mark.parametrize('known', [True, False])
+def test_doubted_server_is_kept_and_never_taken_up(*, known: bool) -> None:
+    """Keep a doubted server that is known, and add none that is not."""
+    world = build_scene()
+    gateway = _find_follower(world).gateway
+    if not known:
+        gateway.book.remove(_LEAVING, world.now)
+    servers = tuple(
+        entry
+        for name, entry in gateway.book.servers.items()
+        if name != _LEAVING
+    )
+    news = replace(
+        _build_news(world, 1).news,
+        servers_whole=True,
+        servers=servers,
+        doubted=(_LEAVING,),
+    )
+    reduce(gateway, world.now, NewsReceived(news))
+    assert (_LEAVING in gateway.book.servers) == known
+    assert len(gateway.book.servers) == len(servers) + known
+
+
 def test_fresh_news_saves_reads_of_the_store() -> None:
     """Leave the configuration to the controller while its look is fresh."""
     world = build_scene()
--- a/tests/test_platformadapter.py
+++ b/tests/test_platformadapter.py
@@ -331,6 +331,7 @@
 ip = "10.0.0.1"
 zone = "a"
 region = "east"
+heartbeat = "870ms"
 internalPorts = [7540, 7555]
 unknown = "ignored"
 [zones]
@@ -350,6 +351,7 @@
 _BAD_SETTINGS = {
     'zone': _SETTINGS.replace('zone = "a"', 'zone = 1'),
     'bounds.grace': _SETTINGS.replace('"6s"', '"soon"'),
+    'heartbeat': _SETTINGS.replace('"870ms"', '870'),
     'platform': _SETTINGS.partition('[platform]')[0],
     'TOML': 'node =',
 }
@@ -366,6 +368,7 @@
     assert settings.metrics.port == 7541
     assert settings.options.retry_budget.slack == 64
     assert settings.options.stop_timeout == Seconds(6)
+    assert settings.options.heartbeat == Seconds(0.87)
 
 
 @pytest.mark.parametrize('key', _BAD_SETTINGS)
--- a/tests/test_platformstandins.py
+++ b/tests/test_platformstandins.py
@@ -240,6 +240,7 @@
 ip = "127.0.0.1"
 zone = "a"
 region = "east"
+heartbeat = "870ms"
 internalPorts = [{peers}, {last}]
 [zones]
 a = "east"
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -32,7 +32,6 @@
 from trefoilsaddle.gateway.journal import note
 from trefoilsaddle.gateway.peers import dial, is_linked
 from trefoilsaddle.gateway.servers import (
-    LAPSE_GRACE,
     Server,
     ServerChange,
     ServerRemoved,
@@ -191,7 +190,8 @@
     event: TopicRead,
 ) -> WriteDecision:
     state.away = False
-    gateway.book.doubt_until = Seconds(now + LAPSE_GRACE)
+    if event.topic == Topic.servers:
+        gateway.book.doubt_removals(now, gateway.options.heartbeat)
     return note(Part.store, 'store back', topic=event.topic.value)
 
 
@@ -241,6 +241,7 @@
     event: TopicRead,
 ) -> Effects:
     effects: Effects = []
+    gateway.book.confirm(event.asked_at)
     for entry in event.entries:
         if isinstance(entry, (Server, ServerRemoved)):
             effects.extend(_take_server(gateway, now, entry))
--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -51,6 +51,8 @@
     longest_hold: Seconds
     # Longest time from SIGTERM until the process has to be gone.
     stop_timeout: Seconds
+    # Between two writes of a server's entry; three missed ones and it lapses.
+    heartbeat: Seconds
     server_defaults: ServerDefaults = ServerDefaults()
     # A lost controller is replaced within its lease and an urgent interval;
     # grants outlast that, and keys are to be served again within 3 s of the
--- a/trefoilsaddle/gateway/peermessages.py
+++ b/trefoilsaddle/gateway/peermessages.py
@@ -99,6 +99,9 @@
     removed: tuple[str, ...]
     owners: tuple[OwnerNews, ...]
     loads: tuple[ServerLoad, ...]
+    # Servers whose entries are gone and may have lapsed with the store: a
+    # gateway that knows them keeps them, no other takes them up.
+    doubted: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -162,14 +162,17 @@
 
 def _learn_servers(gateway: Gateway, now: Seconds, news: News) -> None:
     book = gateway.book
-    gateway.link.servers_read_at = Seconds(now - news.servers_age)
+    read_at = Seconds(now - news.servers_age)
+    gateway.link.servers_read_at = read_at
+    book.confirm(read_at)
     for server in news.servers:
         book.put(server, now)
     for name in news.removed:
         book.remove(ServerId(name), now)
     if news.servers_whole:
         present = {entry.life.server for entry in news.servers}
-        book.keep_only(present, now)
+        doubted = {ServerId(entry) for entry in news.doubted}
+        book.keep_only(present | doubted, now)
 
 
 def _learn_owners(gateway: Gateway, owners: OwnerNews) -> None:
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -16,6 +16,9 @@
 # Entries that lapsed with the store are back within two seconds (letter).
 LAPSE_GRACE = Seconds(2.2)
 
+# Heartbeat intervals from the last look at the store until an entry can lapse.
+_SOONEST_LAPSE = 2
+
 # A leaving server gets no new work 2.5 s after it said so (`drain`); it is
 # known up to a second later.
 LEAVING_USE = Seconds(1.2)
@@ -87,6 +90,22 @@
     leaving_at: dict[ServerLife, Seconds] = field(default_factory=dict)
     # Until when removals are doubted.
     doubt_until: Seconds = Seconds(0)
+    # Time of the newest look at the entries that this book knows of.
+    looked_at: Seconds | None = None
+
+    def confirm(self, looked_at: Seconds) -> None:
+        """Take note of a look at the entries, by any gateway."""
+        self.looked_at = Seconds(max(looked_at, self.looked_at or 0))
+
+    def doubt_removals(self, now: Seconds, heartbeat: Seconds) -> None:
+        """Doubt what is gone when the store is back, if it may have lapsed."""
+        if self.looked_at is None:
+            return
+        # The last heartbeat came up to one interval before the last look, and
+        # an entry lapses after three: while one gateway is turned away and
+        # others look, nothing lapses.
+        if now - self.looked_at >= _SOONEST_LAPSE * heartbeat:
+            self.doubt_until = Seconds(now + LAPSE_GRACE)
 
     def find_life(self, life: ServerLife) -> Server | None:
         """Return the entry of a server if it still is in that run."""
--- a/trefoilsaddle/gateway/telling.py
+++ b/trefoilsaddle/gateway/telling.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from trefoilsaddle.core.units import NodeId, Seconds
+from trefoilsaddle.core.units import NodeId, Seconds, ServerId
 from trefoilsaddle.gateway.control import ControlState, KeyedControl
 from trefoilsaddle.gateway.effects import (
     AnnounceTable,
@@ -32,7 +32,7 @@
     """Tell a gateway that has just connected everything."""
     if not gateway.control.leading:
         return []
-    servers = tuple(gateway.book.servers.values())
+    servers = tuple(_list_sure(gateway).values())
     owners = tuple(
         _describe_owners(keyed) for keyed in gateway.control.keyed.values()
     )
@@ -131,11 +131,20 @@
     told = gateway.control.told_servers
     return tuple(
         server
-        for name, server in gateway.book.servers.items()
+        for name, server in _list_sure(gateway).items()
         if told.get(name) != server
     )
 
 
+def _list_sure(gateway: Gateway) -> dict[ServerId, Server]:
+    book = gateway.book
+    return {
+        name: server
+        for name, server in book.servers.items()
+        if name not in book.doubted
+    }
+
+
 def _find_removed(gateway: Gateway) -> tuple[str, ...]:
     return tuple(
         name
@@ -146,7 +155,13 @@
 
 def _remember_told(gateway: Gateway) -> None:
     control = gateway.control
-    control.told_servers = dict(gateway.book.servers)
+    known = gateway.book.servers
+    told = {
+        name: server
+        for name, server in control.told_servers.items()
+        if name in known
+    }
+    control.told_servers = told | _list_sure(gateway)
     for keyed in control.keyed.values():
         control.told_change[keyed.service] = keyed.pieces.change
 
@@ -181,6 +196,7 @@
         removed=removed,
         owners=owners,
         loads=_list_loads(gateway, now) if whole else (),
+        doubted=tuple(gateway.book.doubted) if whole else (),
     )
 
 
--- a/trefoilsaddle/platform/settings.py
+++ b/trefoilsaddle/platform/settings.py
@@ -46,6 +46,8 @@
     zones: dict[str, str]
     listen: _WireListen
     bounds: _WireBounds
+    # Between two writes of an upstream's entry.
+    heartbeat: Duration
     platform: _WirePlatform
 
 
@@ -124,6 +126,7 @@
         retry_budget=budget,
         longest_hold=Seconds(bounds.hold_max),
         stop_timeout=Seconds(bounds.grace),
+        heartbeat=Seconds(wire.heartbeat),
     )
 
 
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -103,6 +103,7 @@
   removed @8 :List(Text);
   owners @9 :List(OwnerNews);
   loads @10 :List(ServerLoad);
+  doubted @11 :List(Text);
 }
 
 struct ConfigurationRead {
