Report loads each 0.2 s

Cause: gateways choose by loads that are up to a report and a message old, so that several send to the same server, and hot ranges are found late.

--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -71,7 +71,7 @@
     urgent_interval: Seconds = Seconds(0.25)
     # Longest time that a controller renews grants without the store.
     outage_tolerance: Seconds = Seconds(12)
-    report_interval: Seconds = Seconds(0.3)
+    report_interval: Seconds = Seconds(0.2)
     # Between two reads of the servers' entries; leaving servers have to be
     # known within `drain`, 2.5 s.
     servers_interval: Seconds = Seconds(0.6)
