--- a/tests/test_gatewayforwarding.py
+++ b/tests/test_gatewayforwarding.py
@@ -280,5 +280,6 @@
         call = gateway.calls.get(event.call)
         services.append('' if call is None else call.service)
     turns = gateway.turns['reads']
+    assert services[:10].count(CHECKOUT) == 3
     assert services.count(CHECKOUT) <= 30
     assert all(abs(turn) <= 100 for turn in turns.values())
--- /dev/null
+++ b/tests/test_gatewayguards.py
@@ -0,0 +1,184 @@
+"""Take out the guard of each rule, and see the rule's own test fail.
+
+The owner's guards stand in test_gatewayownership, as they need many seeds.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+import pytest
+
+from tests import test_gatewayforwarding as forwardingtests
+from tests import test_gatewayrelay as relaytests
+from tests import test_platformadapter as adaptertests
+from trefoilsaddle.core.units import Seconds, ServiceName
+from trefoilsaddle.gateway import forwarding, lifecycle, peers
+from trefoilsaddle.gateway import servers as servermodule
+from trefoilsaddle.gateway.budget import ServiceBudget
+from trefoilsaddle.gateway.choosing import choose_service
+from trefoilsaddle.gateway.configuration import Route
+from trefoilsaddle.gateway.effects import Effects, EndCall
+from trefoilsaddle.gateway.events import RequestArrived
+from trefoilsaddle.gateway.servers import ServerBook
+from trefoilsaddle.gateway.state import Gateway, OpenCall
+from trefoilsaddle.platform import dialect, headers
+from trefoilsaddle.results import ResultCode
+
+_LONG = Seconds(99)
+
+
+def _doubt_all(book: ServerBook, now: Seconds, heartbeat: Seconds) -> None:
+    book.doubt_until = Seconds(now + _LONG)
+
+
+def _deny(
+    gateway: Gateway,
+    event: RequestArrived,
+    code: ResultCode,
+    *,
+    not_run: bool,
+) -> Effects:
+    denial = ResultCode.route_unknown
+    return [EndCall(event.call, denial, not_run=False, retry_after=Seconds(0))]
+
+
+def _shift_what_does_not_fit(gateway: Gateway, route: Route) -> ServiceName:
+    choose_service(gateway, route)
+    return route.services[-1].service
+
+
+def _forget_the_run() -> property:
+    return property(lambda call: False, lambda call, ran: None)
+
+
+def _check_case(name: str) -> None:
+    forwardingtests.test_end_tells_the_truth(forwardingtests._CASES[name])
+
+
+def _check_judged(name: str) -> None:
+    adaptertests.test_answer_is_judged(adaptertests._ANSWERS[name])
+
+
+@dataclass(frozen=True, slots=True)
+class _Guard:
+    """Name a guard, what takes it out, and the test that then fails."""
+
+    holder: object
+    name: str
+    instead: object
+    check: Callable[[], None]
+
+
+_GUARDS = {
+    'REFUSED': _Guard(
+        OpenCall,
+        'may_have_run',
+        _forget_the_run(),
+        partial(_check_case, 'pay-shed-then-lost'),
+    ),
+    'TWICE': _Guard(
+        OpenCall,
+        'may_have_run',
+        _forget_the_run(),
+        partial(_check_case, 'pay-lost'),
+    ),
+    'REFUSED-of-a-server': _Guard(
+        dialect,
+        '_PROMISES',
+        frozenset(),
+        partial(_check_judged, '503-that-ran'),
+    ),
+    'MIXED': _Guard(
+        dialect,
+        '_is_proved',
+        lambda answer, request_id: True,
+        partial(_check_judged, 'no-seal'),
+    ),
+    'UNASKED': _Guard(
+        dialect,
+        'drop_connection_headers',
+        lambda headers: headers,
+        adaptertests.test_attempt_carries_what_a_server_needs,
+    ),
+    'ROUTE': _Guard(
+        dialect,
+        '_REPLACED',
+        frozenset((headers.REMAINING, headers.LENGTH)),
+        adaptertests.test_server_is_named_once,
+    ),
+    'DENIED': _Guard(
+        forwarding,
+        '_refuse_early',
+        _deny,
+        forwardingtests.test_request_before_a_configuration_is_not_run,
+    ),
+    'BUDGET': _Guard(
+        ServiceBudget,
+        'take_repeat',
+        lambda budget, now, gateways: True,
+        partial(forwardingtests.test_repeats_stay_within_the_shared_budget, 3),
+    ),
+    'GONE': _Guard(
+        forwarding,
+        '_drop_call',
+        lambda gateway, now, call: [],
+        forwardingtests.test_caller_that_leaves_cancels_its_attempt,
+    ),
+    'LOST': _Guard(
+        lifecycle,
+        'is_refusing',
+        lambda gateway, now: False,
+        partial(
+            forwardingtests.test_stopping_gateway_sends_only_what_it_can_finish,
+            5.5,
+            0,
+        ),
+    ),
+    'CONFIG': _Guard(
+        peers,
+        '_STORE_PATIENCE',
+        _LONG,
+        partial(
+            relaytests.test_newer_version_is_read_and_then_asked_for,
+            0.4,
+            asks=True,
+        ),
+    ),
+    'DRAIN-of-an-owner': _Guard(
+        servermodule,
+        'LEAVING_USE',
+        _LONG,
+        partial(
+            forwardingtests.test_leaving_owner_gets_no_late_request, 1.3, 0
+        ),
+    ),
+    'DRAIN-of-a-removed-server': _Guard(
+        ServerBook,
+        'doubt_removals',
+        _doubt_all,
+        partial(
+            relaytests.test_removal_is_doubted_only_if_nobody_looked,
+            relayed=True,
+            kept=False,
+        ),
+    ),
+    'Duty': _Guard(
+        forwarding,
+        'choose_service',
+        _shift_what_does_not_fit,
+        forwardingtests.test_weights_are_kept_while_a_service_is_full,
+    ),
+}
+
+
+@pytest.mark.parametrize('guard', _GUARDS.values(), ids=_GUARDS)
+def test_a_guard_taken_out_is_seen(
+    guard: _Guard,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Pass with the guard, fail without it."""
+    guard.check()
+    monkeypatch.setattr(guard.holder, guard.name, guard.instead)
+    with pytest.raises(AssertionError):
+        guard.check()
--- a/tests/test_platformadapter.py
+++ b/tests/test_platformadapter.py
@@ -273,6 +273,21 @@
     assert (attempt.method, attempt.target) == (b'POST', b'/a/x?q=1')
 
 
+def test_server_is_named_once() -> None:
+    """Replace the server that a caller names: it may not choose one."""
+    server = decode_entry('i-1', _encode({}))
+    assert server is not None
+    effect = SendAttempt(
+        CallId(1), 1, server, None, Seconds(1), idempotent=True
+    )
+    request = HttpRequest(b'GET', b'/a/', _HEADERS)
+    attempt = PlatformDialect().build_attempt(request, effect)
+    named = [
+        text for name, text in attempt.headers if name == b'x-target-instance'
+    ]
+    assert named == [b'i-1']
+
+
 _BAD_HEADS = {
     'no-id': (b'x-attempt-id', b''),
     'time-is-no-number': (b'x-deadline-ms', b'soon'),
