Split what ends requests off, and drop options that nothing read

A failure that is delivered after another try kept no status, and was logged as 500. A key that cannot be read is told as such, not as False. Behaviour towards callers is the same.

--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -181,7 +181,6 @@
             port=1,
             seed=self._runs,
             retry_budget=RetryBudget(0.2, 64, Seconds(10)),
-            longest_hold=Seconds(10),
             stop_timeout=Seconds(6),
             heartbeat=Seconds(0.87),
         )
--- a/tests/test_gatewayforwarding.py
+++ b/tests/test_gatewayforwarding.py
@@ -14,7 +14,9 @@
     DeliverAnswer,
     Effects,
     EndCall,
+    LogField,
     SendAttempt,
+    WriteDecision,
 )
 from trefoilsaddle.gateway.events import (
     AttemptEnded,
@@ -144,6 +146,18 @@
     assert status == case.status
 
 
+def test_failure_that_is_delivered_late_keeps_its_status() -> None:
+    """Log the status of the failure that the caller gets."""
+    world = build_scene()
+    _reduce(world, _arrive(_READ))
+    again = _reduce(world, AttemptEnded(_CALL, 1, _ANSWERED, 504))
+    assert _find(again, SendAttempt)
+    effects = _reduce(world, AttemptEnded(_CALL, 2, _LOST, 0))
+    line = _find(effects, WriteDecision)[0]
+    assert isinstance(line, WriteDecision)
+    assert LogField('status', 504) in line.fields
+
+
 @pytest.mark.parametrize('path', [_READ, _PAY])
 def test_time_that_runs_out_is_unknown_once_sent(path: str) -> None:
     """Break off at the timeout, and say 504 of what may have run."""
--- a/tests/test_gatewayguards.py
+++ b/tests/test_gatewayguards.py
@@ -109,7 +109,7 @@
     ),
     'DENIED': _Guard(
         forwarding,
-        '_refuse_early',
+        'refuse_early',
         _deny,
         forwardingtests.test_request_before_a_configuration_is_not_run,
     ),
--- /dev/null
+++ b/trefoilsaddle/gateway/ending.py
@@ -0,0 +1,167 @@
+"""End requests: deliver a server's answer, or refuse with a time to return.
+
+A request is told not run only if no server can have begun it; the time after
+which its caller is told to come back is the one at which room is expected.
+"""
+
+from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.gateway.choosing import (
+    Candidate,
+    find_depth,
+    list_candidates,
+)
+from trefoilsaddle.gateway.effects import (
+    CountMetric,
+    DeliverAnswer,
+    Effects,
+    EndCall,
+    ObserveTime,
+)
+from trefoilsaddle.gateway.events import RequestArrived
+from trefoilsaddle.gateway.journal import note_call
+from trefoilsaddle.gateway.state import Gateway, OpenCall
+from trefoilsaddle.results import ResultCode
+
+# Bounds of the time after which a caller is told to come back.
+_SHORTEST_RETRY = Seconds(0.1)
+_LONGEST_RETRY = Seconds(3)
+# Shortest time after which a full server is worth another try: others come
+# meanwhile as well.
+_SHORTEST_WAIT = Seconds(0.25)
+# Callers that are told the same time come back together: spread them.
+_RETRY_SPREAD = 0.5
+# A gateway that starts knows the configuration and servers by then.
+_START_PAUSE = Seconds(0.5)
+_HUNDRED = 100
+
+
+def refuse_early(
+    gateway: Gateway,
+    event: RequestArrived,
+    code: ResultCode,
+    *,
+    not_run: bool,
+) -> Effects:
+    """Refuse a request that is not taken."""
+    line = note_call(
+        event.head.request_id,
+        'refused',
+        code=code.name,
+        version=gateway.version,
+    )
+    end = EndCall(event.call, code, not_run, _START_PAUSE)
+    return [line, CountMetric('refused', code.name), end]
+
+
+def deliver(
+    gateway: Gateway,
+    call: OpenCall,
+    now: Seconds,
+    attempt: int,
+    status: int,
+) -> Effects:
+    """Pass a server's answer on."""
+    forget(gateway, call)
+    elapsed = Seconds(now - call.arrived)
+    line = note_call(
+        call.head.request_id,
+        'answered',
+        status=status,
+        attempt=attempt,
+        elapsed=round(elapsed, 3),
+    )
+    return [
+        line,
+        CountMetric('answered', _status_class(status)),
+        ObserveTime('answer_seconds', elapsed),
+        DeliverAnswer(call.call, attempt),
+    ]
+
+
+def _status_class(status: int) -> str:
+    hundreds = status // _HUNDRED
+    return f'{hundreds}xx'
+
+
+def end_call(
+    gateway: Gateway,
+    call: OpenCall,
+    now: Seconds,
+    code: ResultCode,
+) -> Effects:
+    """End a request that is not tried again."""
+    return refuse(gateway, call, now, code, _SHORTEST_RETRY)
+
+
+def refuse_full(gateway: Gateway, call: OpenCall, now: Seconds) -> Effects:
+    """Refuse a request that no server has room for."""
+    candidates = list_candidates(gateway, call, now)
+    if not candidates:
+        code = ResultCode.server_unreachable
+        return refuse(gateway, call, now, code, _START_PAUSE)
+    waits = [_find_wait(call, candidate) for candidate in candidates]
+    return refuse(gateway, call, now, ResultCode.queue_full, min(waits))
+
+
+def refuse_busy(
+    gateway: Gateway,
+    call: OpenCall,
+    candidate: Candidate,
+    now: Seconds,
+) -> Effects:
+    """Refuse a request whose only server has no room."""
+    wait = _find_wait(call, candidate)
+    return refuse(gateway, call, now, ResultCode.queue_full, wait)
+
+
+def _find_wait(call: OpenCall, candidate: Candidate) -> float:
+    slots = candidate.server.slots
+    excess = candidate.busy + 1 - find_depth(call, candidate) * slots
+    wait = max(excess, 1) * candidate.pool.service_time / slots
+    return max(wait, _SHORTEST_WAIT)
+
+
+def refuse(
+    gateway: Gateway,
+    call: OpenCall,
+    now: Seconds,
+    code: ResultCode,
+    wait: float,
+) -> Effects:
+    """Refuse a request, unless a server has answered it with a failure."""
+    failed = call.failed
+    if failed is not None:
+        return deliver(gateway, call, now, failed.attempt, failed.status)
+    forget(gateway, call)
+    not_run = not call.may_have_run
+    # What made the outcome unknown says more than why no try followed.
+    reason = call.unknown_code or code
+    spread = 1 + gateway.random.random() * _RETRY_SPREAD
+    pause = min(max(wait * spread, _SHORTEST_RETRY), _LONGEST_RETRY)
+    line = note_call(
+        call.head.request_id,
+        'refused' if not_run else 'outcome unknown',
+        code=reason.name,
+        last=code.name,
+        service=call.service,
+        attempts=call.attempts,
+        elapsed=round(now - call.arrived, 3),
+        retry_after=round(pause, 2),
+        owners=find_owners_offset(gateway, call),
+        version=gateway.version,
+    )
+    end = EndCall(call.call, reason, not_run, Seconds(pause))
+    kind = 'refused' if not_run else 'unknown'
+    return [line, CountMetric(kind, reason.name), end]
+
+
+def forget(gateway: Gateway, call: OpenCall) -> None:
+    """Drop a request that has ended."""
+    gateway.calls.pop(call.call, None)
+    gateway.parked.pop(call.call, None)
+
+
+def find_owners_offset(gateway: Gateway, call: OpenCall) -> int:
+    """Return the position of the table that is known, or -1."""
+    owners = gateway.owners.get(call.service)
+    return -1 if owners is None else owners.offset
--- a/trefoilsaddle/gateway/forwarding.py
+++ b/trefoilsaddle/gateway/forwarding.py
@@ -11,22 +11,27 @@
     Candidate,
     choose_server,
     choose_service,
-    find_depth,
     has_room,
-    list_candidates,
     weigh_server,
 )
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import (
     CancelAttempts,
     CountMetric,
-    DeliverAnswer,
     Effects,
-    EndCall,
-    ObserveTime,
     SendAttempt,
     SetCallTimer,
 )
+from trefoilsaddle.gateway.ending import (
+    deliver,
+    end_call,
+    find_owners_offset,
+    forget,
+    refuse,
+    refuse_busy,
+    refuse_early,
+    refuse_full,
+)
 from trefoilsaddle.gateway.events import (
     AttemptEnded,
     AttemptVerdict,
@@ -40,7 +45,7 @@
 from trefoilsaddle.gateway.journal import note_call
 from trefoilsaddle.gateway.pools import Pool
 from trefoilsaddle.gateway.servers import Server
-from trefoilsaddle.gateway.state import Gateway, OpenCall
+from trefoilsaddle.gateway.state import FailedAnswer, Gateway, OpenCall
 from trefoilsaddle.results import ResultCode
 
 # Longest wait for keys that change hands; a release takes about as long as
@@ -59,15 +64,8 @@
 _SHED_PAUSE = Seconds(0.1)
 # Time for which a server that cannot be reached gets none.
 _UNREACHED_PAUSE = Seconds(0.5)
-_SHORTEST_RETRY = Seconds(0.1)
-_LONGEST_RETRY = Seconds(3)
-# Shortest time after which a full server is worth another try: others come
-# meanwhile as well.
-_SHORTEST_WAIT = Seconds(0.25)
-# Callers that are told the same time come back together: spread them.
-_RETRY_SPREAD = 0.5
-_START_PAUSE = Seconds(0.5)
-_HUNDRED = 100
+# Keys whose server is lost or has given them up are served again by then.
+_OWNER_RETRY = Seconds(1.5)
 _FIRST_SERVER_ERROR = 500
 _NOBODY: frozenset[Server] = frozenset()
 
@@ -104,14 +102,14 @@
     head = event.head
     configuration = gateway.configuration
     if lifecycle.is_refusing(gateway, now):
-        return _refuse_early(gateway, event, ResultCode.stopping, not_run=True)
+        return refuse_early(gateway, event, ResultCode.stopping, not_run=True)
     if configuration is None:
-        return _refuse_early(
+        return refuse_early(
             gateway, event, ResultCode.configuration_missing, not_run=True
         )
     route = configuration.find_route(head.host, head.path)
     if route is None:
-        return _refuse_early(
+        return refuse_early(
             gateway, event, ResultCode.route_unknown, not_run=False
         )
     service = choose_service(gateway, route)
@@ -131,23 +129,6 @@
     return [*effects, *_place(gateway, call, now)]
 
 
-def _refuse_early(
-    gateway: Gateway,
-    event: RequestArrived,
-    code: ResultCode,
-    *,
-    not_run: bool,
-) -> Effects:
-    line = note_call(
-        event.head.request_id,
-        'refused',
-        code=code.name,
-        version=gateway.version,
-    )
-    end = EndCall(event.call, code, not_run, _START_PAUSE)
-    return [line, CountMetric('refused', code.name), end]
-
-
 def _count_key(
     gateway: Gateway,
     configuration: Configuration,
@@ -169,13 +150,13 @@
         return _place_keyed(gateway, call, now)
     candidate = choose_server(gateway, call, now, _NOBODY)
     if candidate is None:
-        return _refuse_full(gateway, call, now)
+        return refuse_full(gateway, call, now)
     return _send(gateway, call, candidate, now)
 
 
 def _place_keyed(gateway: Gateway, call: OpenCall, now: Seconds) -> Effects:
     if call.head.key is None:
-        return _end(gateway, call, now, ResultCode.key_missing)
+        return end_call(gateway, call, now, ResultCode.key_missing)
     server = _find_owner(gateway, call)
     if server is None or not gateway.book.may_serve(server, now):
         return _park(gateway, call, now, ResultCode.owner_unknown)
@@ -184,7 +165,7 @@
         return _park(gateway, call, now, ResultCode.owner_changing)
     full = now < candidate.pool.full_until
     if full or not has_room(call, candidate):
-        return _refuse_busy(gateway, call, candidate, now)
+        return refuse_busy(gateway, call, candidate, now)
     return _send(gateway, call, candidate, now)
 
 
@@ -207,7 +188,7 @@
     whole = call.expires - call.arrived
     limit = call.arrived + min(_PARKING, whole * _PARKING_PART)
     if now >= limit or call.expires - now < _LEAST_TIME:
-        return _refuse(gateway, call, now, code, _LONGEST_RETRY / 2)
+        return refuse(gateway, call, now, code, _OWNER_RETRY)
     if call.call in gateway.parked:
         return []
     gateway.parked[call.call] = call
@@ -217,16 +198,11 @@
             'waits for an owner of its key',
             service=call.service,
             code=code.name,
-            offset=_owners_offset(gateway, call),
+            offset=find_owners_offset(gateway, call),
         ),
     ]
 
 
-def _owners_offset(gateway: Gateway, call: OpenCall) -> int:
-    owners = gateway.owners.get(call.service)
-    return -1 if owners is None else owners.offset
-
-
 def _send(
     gateway: Gateway,
     call: OpenCall,
@@ -250,7 +226,7 @@
         busy=round(candidate.busy, 1),
         told_age=_told_age(gateway, now),
         version=gateway.version,
-        owners=_owners_offset(gateway, call),
+        owners=find_owners_offset(gateway, call),
     )
     send = SendAttempt(
         call.call,
@@ -334,8 +310,8 @@
     if call.uncontended and not failed:
         pool.add_sample(Seconds(now - call.sent_at))
     if not failed:
-        return _deliver(gateway, call, now, event.attempt, event.status)
-    call.failed_attempt = event.attempt
+        return deliver(gateway, call, now, event.attempt, event.status)
+    call.failed = FailedAnswer(event.attempt, event.status)
     return _try_again(gateway, call, now, ResultCode.server_failed, server)
 
 
@@ -350,14 +326,14 @@
     remaining = call.expires - now
     pool = gateway.pools.find(server.life)
     if not may_repeat or remaining < pool.service_time:
-        return _end(gateway, call, now, code)
+        return end_call(gateway, call, now, code)
     if call.attempts >= call.route.attempts:
-        return _end(gateway, call, now, code)
+        return end_call(gateway, call, now, code)
     budget = gateway.find_budget(call.service)
     if code != ResultCode.server_unreachable and not budget.take_repeat(
         now, gateway.count_gateways()
     ):
-        return _end(gateway, call, now, code)
+        return end_call(gateway, call, now, code)
     line = note_call(
         call.head.request_id,
         'tried again',
@@ -369,115 +345,12 @@
     return [line, again, *_place(gateway, call, now)]
 
 
-def _deliver(
-    gateway: Gateway,
-    call: OpenCall,
-    now: Seconds,
-    attempt: int,
-    status: int,
-) -> Effects:
-    _forget(gateway, call)
-    elapsed = Seconds(now - call.arrived)
-    line = note_call(
-        call.head.request_id,
-        'answered',
-        status=status,
-        attempt=attempt,
-        elapsed=round(elapsed, 3),
-    )
-    return [
-        line,
-        CountMetric('answered', _status_class(status)),
-        ObserveTime('answer_seconds', elapsed),
-        DeliverAnswer(call.call, attempt),
-    ]
-
-
-def _status_class(status: int) -> str:
-    hundreds = status // _HUNDRED
-    return f'{hundreds}xx'
-
-
-def _end(
-    gateway: Gateway,
-    call: OpenCall,
-    now: Seconds,
-    code: ResultCode,
-) -> Effects:
-    return _refuse(gateway, call, now, code, _SHORTEST_RETRY)
-
-
-def _refuse_full(gateway: Gateway, call: OpenCall, now: Seconds) -> Effects:
-    candidates = list_candidates(gateway, call, now)
-    if not candidates:
-        code = ResultCode.server_unreachable
-        return _refuse(gateway, call, now, code, _START_PAUSE)
-    waits = [_find_wait(call, candidate) for candidate in candidates]
-    return _refuse(gateway, call, now, ResultCode.queue_full, min(waits))
-
-
-def _refuse_busy(
-    gateway: Gateway,
-    call: OpenCall,
-    candidate: Candidate,
-    now: Seconds,
-) -> Effects:
-    wait = _find_wait(call, candidate)
-    return _refuse(gateway, call, now, ResultCode.queue_full, wait)
-
-
-def _find_wait(call: OpenCall, candidate: Candidate) -> float:
-    slots = candidate.server.slots
-    excess = candidate.busy + 1 - find_depth(call, candidate) * slots
-    wait = max(excess, 1) * candidate.pool.service_time / slots
-    return max(wait, _SHORTEST_WAIT)
-
-
-def _refuse(
-    gateway: Gateway,
-    call: OpenCall,
-    now: Seconds,
-    code: ResultCode,
-    wait: float,
-) -> Effects:
-    if call.failed_attempt is not None:
-        return _deliver(
-            gateway, call, now, call.failed_attempt, _FIRST_SERVER_ERROR
-        )
-    _forget(gateway, call)
-    not_run = not call.may_have_run
-    # What made the outcome unknown says more than why no try followed.
-    reason = call.unknown_code or code
-    spread = 1 + gateway.random.random() * _RETRY_SPREAD
-    pause = min(max(wait * spread, _SHORTEST_RETRY), _LONGEST_RETRY)
-    line = note_call(
-        call.head.request_id,
-        'refused' if not_run else 'outcome unknown',
-        code=reason.name,
-        last=code.name,
-        service=call.service,
-        attempts=call.attempts,
-        elapsed=round(now - call.arrived, 3),
-        retry_after=round(pause, 2),
-        owners=_owners_offset(gateway, call),
-        version=gateway.version,
-    )
-    end = EndCall(call.call, reason, not_run, Seconds(pause))
-    kind = 'refused' if not_run else 'unknown'
-    return [line, CountMetric(kind, reason.name), end]
-
-
-def _forget(gateway: Gateway, call: OpenCall) -> None:
-    gateway.calls.pop(call.call, None)
-    gateway.parked.pop(call.call, None)
-
-
 def _drop_call(gateway: Gateway, now: Seconds, name: CallId) -> Effects:
     call = gateway.calls.get(name)
     if call is None:
         return []
     _release_server(gateway, call, now)
-    _forget(gateway, call)
+    forget(gateway, call)
     line = note_call(
         call.head.request_id,
         'caller left',
@@ -495,7 +368,7 @@
         call.may_have_run = True
     _release_server(gateway, call, now)
     code = ResultCode.deadline_passed
-    effects = _end(gateway, call, now, code)
+    effects = end_call(gateway, call, now, code)
     return [CancelAttempts(name), *effects]
 
 
--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -27,8 +27,9 @@
 
     # Mean time of one request at a server of ordinary speed.
     service_time: Seconds = Seconds(0.15)
-    # Requests that a server queues beyond its slots before it sheds.
-    queue: int = 12
+
+
+USUAL_HOLD = Seconds(2)
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,8 +48,6 @@
     port: int
     seed: int
     retry_budget: RetryBudget
-    # Longest time that a server accepts for a grant.
-    longest_hold: Seconds
     # Longest time from SIGTERM until the process has to be gone.
     stop_timeout: Seconds
     # Between two writes of a server's entry; three missed ones and it lapses.
@@ -57,7 +56,7 @@
     # A lost controller is replaced within its lease and an urgent interval;
     # grants outlast that, and keys are to be served again within 3 s of the
     # loss of their server (the users' aim).
-    hold: Seconds = Seconds(2)
+    hold: Seconds = USUAL_HOLD
     renewal_interval: Seconds = Seconds(0.5)
     grant_timeout: Seconds = Seconds(0.3)
     # A release answers when the work on its keys has ended.
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -36,6 +36,14 @@
     away: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class FailedAnswer:
+    """Name the attempt that a server answered with a failure."""
+
+    attempt: int
+    status: int
+
+
 @dataclass(slots=True)
 class OpenCall:
     """Hold a request until it has its final answer."""
@@ -57,8 +65,8 @@
     may_have_run: bool = False
     # Why the attempt that may have run gave no answer.
     unknown_code: ResultCode | None = None
-    # Last attempt with a server's whole answer that is a failure.
-    failed_attempt: int | None = None
+    # Last whole answer of a server that is a failure.
+    failed: FailedAnswer | None = None
     parked: bool = False
 
     @property
--- a/trefoilsaddle/platform/dialect.py
+++ b/trefoilsaddle/platform/dialect.py
@@ -52,14 +52,14 @@
             return _MALFORMED
         remaining = _read_remaining(found.get(names.REMAINING))
         key = _read_key(found.get(names.KEY))
-        if remaining is None or key is False:
+        if remaining is None or isinstance(key, BadInput):
             return _MALFORMED
         host = found.get(names.HOST, b'').decode(_ENCODING).lower()
         return RequestHead(
             request_id=request_id.decode(_ENCODING),
             host=host.partition(':')[0],
             path=request.target.partition(b'?')[0].decode(_ENCODING),
-            key=None if key is None else Key(key),
+            key=key,
             remaining=remaining,
             body_bytes=len(request.body),
         )
@@ -152,9 +152,9 @@
     return Seconds(int(text) / _MILLISECONDS)
 
 
-def _read_key(text: bytes | None) -> int | bool | None:
+def _read_key(text: bytes | None) -> Key | BadInput | None:
     if text is None:
         return None
     if not text.isdigit() or int(text) > LAST_KEY:
-        return False
-    return int(text)
+        return _MALFORMED
+    return Key(int(text))
--- a/trefoilsaddle/platform/settings.py
+++ b/trefoilsaddle/platform/settings.py
@@ -8,7 +8,11 @@
 
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.units import NodeId, RegionName, Seconds, ZoneName
-from trefoilsaddle.gateway.options import GatewayOptions, RetryBudget
+from trefoilsaddle.gateway.options import (
+    USUAL_HOLD,
+    GatewayOptions,
+    RetryBudget,
+)
 from trefoilsaddle.platform.durations import Duration
 from trefoilsaddle.platform.models import WireModel
 from trefoilsaddle.results import ResultCode
@@ -124,7 +128,7 @@
         port=port,
         seed=run,
         retry_budget=budget,
-        longest_hold=Seconds(bounds.hold_max),
+        hold=Seconds(min(USUAL_HOLD, bounds.hold_max)),
         stop_timeout=Seconds(bounds.grace),
         heartbeat=Seconds(wire.heartbeat),
     )
