Divide the keys of a new service when its servers have registered

Servers register within about 3 s of each other. Ruled out: rates that are learnt too slowly, moves that are too small (both tried in the model). Now the first division waits until no server has come for 1.3 s, 4 s at most.

--- /dev/null
+++ b/measure/gatewayload.py
@@ -0,0 +1,286 @@
+"""Measure who is served under heavy keyed load, beside baselines.
+
+Run as `python -m measure.gatewayload [SEEDS]`.  Gateways, store and servers
+run in virtual time; callers are refused, come back when they are told to, at
+most once, and give up at their deadline, as those of the users' sites do.
+"""
+
+import sys
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+from types import MappingProxyType
+from unittest.mock import patch
+
+from measure.gatewayworld import World, build_world
+from measure.report import write_row
+from trefoilsaddle.core.units import CallId, Rank, Seconds, ServiceName, Version
+from trefoilsaddle.gateway import balance, controller, forwarding
+from trefoilsaddle.gateway.configuration import (
+    CallerLimits,
+    Configuration,
+    Route,
+    ServiceRules,
+    WeightedService,
+)
+from trefoilsaddle.gateway.events import Topic
+from trefoilsaddle.gateway.keys import ALL_KEYS
+
+_SEEDS = 3
+_SERVICE = 'catalogue'
+_GATEWAYS = tuple(f'gate-{number}' for number in range(6))
+# The sheet of cple-gateway: servers of the key-divided service, goal and time
+# budget of its requests, and one more attempt by the caller.
+_SERVERS = 14
+_GOAL = Seconds(0.6)
+_BUDGET = Seconds(2.5)
+_ATTEMPTS = 2
+# A caller waits at most for this part of the time that it has left.
+_PATIENCE = 3
+# Servers of one service differ in speed.
+_SPEEDS = (0.6, 0.8, 1, 1, 1.2, 1.4)
+# Logarithm of the median time of a request, and its spread: 160 ms mean.
+_WORK = -2.0
+_WORK_SPREAD = 0.6
+_SETTLING = Seconds(6)
+_LENGTH = Seconds(24)
+_REST = Seconds(4)
+# Pause between two looks at whether a request has ended.
+_LOOK = Seconds(0.01)
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Describe the requests to the key-divided service."""
+
+    # Requests a second.
+    rate: float
+    # Parts of the requests that are for one key, and for its neighbours.
+    hot: float = 0
+    near: float = 0
+    # How many keys the neighbours are, and for how long they are busy.
+    width: int = 400
+    period: Seconds = Seconds(6)
+
+
+LOADS: Mapping[str, Load] = MappingProxyType(
+    {
+        'calm': Load(110),
+        'hot neighbours': Load(130, 0.07, 0.33),
+        'hot neighbours in a burst': Load(200, 0.07, 0.33),
+        'burst': Load(230),
+        # Shape of cple-gateway, quiet-1: 135 a second, a hot key now and then.
+        'quiet day': Load(135, 0.05, 0.3, 200, Seconds(12)),
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """Name a policy by what it replaces in the product's."""
+
+    module: object
+    name: str
+    instead: object
+
+
+def _move_nothing(*_: object) -> list[balance.Move]:
+    return []
+
+
+def _take_all(*_: object) -> bool:
+    return True
+
+
+VARIANTS: Mapping[str, Variant | None] = MappingProxyType(
+    {
+        'the product': None,
+        'six ranges a server': Variant(balance, '_MOST_RANGES', 6),
+        'servers in use for 0.45 give': Variant(balance, '_BUSY_USE', 0.45),
+        'no moves': Variant(controller, 'choose_moves', _move_nothing),
+        'nothing refused (FIFO)': Variant(forwarding, 'has_room', _take_all),
+    }
+)
+
+
+@dataclass(slots=True)
+class Tally:
+    """Count what became of requests."""
+
+    asked: int = 0
+    in_goal: int = 0
+    late: int = 0
+    unserved: int = 0
+    refusals: int = 0
+    tables: int = 0
+
+    def add(self, other: 'Tally') -> None:
+        """Add the counts of another run."""
+        self.asked += other.asked
+        self.in_goal += other.in_goal
+        self.late += other.late
+        self.unserved += other.unserved
+        self.refusals += other.refusals
+        self.tables += other.tables
+
+    def part(self, count: int) -> float:
+        """Return a count as a part of all requests."""
+        return count / max(self.asked, 1)
+
+
+@dataclass(frozen=True, slots=True)
+class _Request:
+    key: int
+    began: Seconds
+    left: int
+
+
+@dataclass(slots=True)
+class _Callers:
+    """Send requests, and come back as a refusal says."""
+
+    world: World
+    load: Load
+    random: Random
+    tally: Tally = field(default_factory=Tally)
+
+    def start(self, elapsed: float) -> None:
+        """Send a new request."""
+        self.tally.asked += 1
+        key = self._choose_key(elapsed)
+        self._send(_Request(key, self.world.now, _ATTEMPTS))
+
+    def _choose_key(self, elapsed: float) -> int:
+        load = self.load
+        drawn = self.random.random()
+        centre = 3000 + int(elapsed / load.period) * 15_000
+        if drawn < load.hot:
+            return centre
+        if drawn < load.hot + load.near:
+            offset = self.random.randrange(load.width)
+            return centre - load.width // 2 + offset
+        return self.random.randrange(ALL_KEYS.width)
+
+    def _send(self, request: _Request) -> None:
+        node = self.random.choice(_GATEWAYS)
+        left = request.began + _BUDGET - self.world.now
+        call = self.world.call(node, '/reads/x', request.key, left)
+        self._look(request, call)
+
+    def _look(self, request: _Request, call: CallId) -> None:
+        ended = self.world.results[call].ended
+        if ended is None:
+            if self.world.now < request.began + _BUDGET + _REST / 2:
+                self.world.after(_LOOK, partial(self._look, request, call))
+            else:
+                self.tally.unserved += 1
+            return
+        if self.world.results[call].served:
+            self._count_served(Seconds(ended - request.began))
+            return
+        self._come_back(request, call)
+
+    def _count_served(self, elapsed: Seconds) -> None:
+        if elapsed <= _GOAL:
+            self.tally.in_goal += 1
+        else:
+            self.tally.late += 1
+
+    def _come_back(self, request: _Request, call: CallId) -> None:
+        self.tally.refusals += 1
+        left = request.began + _BUDGET - self.world.now
+        if request.left < 2 or left <= 0:
+            self.tally.unserved += 1
+            return
+        again = _Request(request.key, request.began, request.left - 1)
+        pause = min(self.world.results[call].retry_after, left / _PATIENCE)
+        self.world.after(pause, partial(self._send, again))
+
+
+def play(load: Load, seed: int) -> Tally:
+    """Play a load once."""
+    random = Random(seed)
+    world = build_world(_build_configuration(), _GATEWAYS, seed)
+    for number in range(_SERVERS):
+        world.add_server(f'guide-{number}', _SERVICE, random.choice(_SPEEDS))
+    world.run(_SETTLING)
+    work = Random(seed + 1)
+    world.work_time = partial(_draw_work, work)
+    callers = _Callers(world, load, random)
+    for moment in _list_moments(load, random):
+        world.after(moment, partial(callers.start, moment))
+    world.run(_LENGTH + _REST)
+    callers.tally.tables = world.store.find_end(Topic.ownership)
+    return callers.tally
+
+
+def _draw_work(work: Random) -> Seconds:
+    return Seconds(work.lognormvariate(_WORK, _WORK_SPREAD))
+
+
+def _list_moments(load: Load, random: Random) -> Iterator[float]:
+    moment = random.expovariate(load.rate)
+    while moment < _LENGTH:
+        yield moment
+        moment += random.expovariate(load.rate)
+
+
+def _build_configuration() -> Configuration:
+    route = Route(
+        name='reads',
+        host='shop.example',
+        prefix='/reads/',
+        idempotent=True,
+        # The sites' charges and payments, which also go there, are rank 0.
+        rank=Rank(1),
+        goal=_GOAL,
+        timeout=_BUDGET,
+        attempts=2,
+        services=(WeightedService(ServiceName(_SERVICE), 1),),
+    )
+    rules = ServiceRules(ServiceName(_SERVICE), 46, keyed=True)
+    return Configuration(
+        version=Version(1),
+        limits=CallerLimits(16_384, 1_048_576, Seconds(3), Seconds(15)),
+        routes={'shop.example': (route,)},
+        services={rules.name: rules},
+    )
+
+
+def measure(load: Load, variant: Variant | None, seeds: int) -> Tally:
+    """Sum up a load over seeds, with a policy in place of the product's."""
+    total = Tally()
+    for seed in range(1, seeds + 1):
+        total.add(_play_variant(load, variant, seed))
+    return total
+
+
+def _play_variant(load: Load, variant: Variant | None, seed: int) -> Tally:
+    if variant is None:
+        return play(load, seed)
+    with patch.object(variant.module, variant.name, variant.instead):
+        return play(load, seed)
+
+
+def main() -> None:
+    """Write a row for each load and policy."""
+    seeds = int(sys.argv[1]) if len(sys.argv) > 1 else _SEEDS
+    for name, load in LOADS.items():
+        for policy, variant in VARIANTS.items():
+            _write_tally(f'{name}: {policy}', measure(load, variant, seeds))
+
+
+def _write_tally(subject: str, tally: Tally) -> None:
+    write_row(
+        subject,
+        in_goal=tally.part(tally.in_goal),
+        late=tally.part(tally.late),
+        unserved=tally.part(tally.unserved),
+        refusals=tally.part(tally.refusals),
+        tables=tally.tables,
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -39,6 +39,10 @@
 # A free range that is on the way to no chosen server waits so long for
 # others, so that one table serves for all of them.
 _GATHER = Seconds(0.02)
+# Servers of a system that starts register within about 3 s of each other: a
+# new service waits until none has come for two reads of their entries.
+_CALM_TIME = Seconds(1.3)
+_LONGEST_GATHERING = Seconds(4)
 _RETRY_PAUSE = Seconds(0.3)
 
 
@@ -160,12 +164,23 @@
     capacities = list_capacities(gateway, keyed, now)
     if not capacities:
         return False
-    if _is_new(keyed):
-        _divide_evenly(keyed, capacities, now)
-        return True
+    if not _is_new(keyed):
+        return _give_free(gateway, keyed, capacities, now)
+    if not _are_gathered(gateway, capacities, now):
+        return False
+    _divide_evenly(keyed, capacities, now)
+    return True
+
+
+def _give_free(
+    gateway: Gateway,
+    keyed: KeyedControl,
+    capacities: list[Capacity],
+    now: Seconds,
+) -> bool:
     keyed.pieces.ordered = join_free(keyed.pieces.ordered)
     free = _list_free(keyed)
-    gathered = [piece for piece in free if now - piece.since >= _GATHER]
+    gathered = [piece for piece in free if _is_gathered(piece, now)]
     if not gathered:
         return False
     pieces = keyed.pieces.ordered
@@ -189,6 +204,12 @@
 _LEAST_RATE = 0.2
 
 
+def _is_gathered(piece: Piece, now: Seconds) -> bool:
+    # The ranges of a lost server lapse together, and have waited enough.
+    lapsed = not piece.handover
+    return lapsed or now - piece.since >= _GATHER
+
+
 def _is_new(keyed: KeyedControl) -> bool:
     return all(
         piece.state == PieceState.free and piece.keys == ALL_KEYS
@@ -196,6 +217,22 @@
     )
 
 
+def _are_gathered(
+    gateway: Gateway,
+    capacities: list[Capacity],
+    now: Seconds,
+) -> bool:
+    """Tell whether the servers of a new service have registered.
+
+    What the first ones get they keep until there is load to share.
+    """
+    seen = [
+        gateway.book.seen_at.get(entry.server.life, now) for entry in capacities
+    ]
+    calm = now - max(seen) >= _CALM_TIME
+    return calm or now - min(seen) >= _LONGEST_GATHERING
+
+
 def _divide_evenly(
     keyed: KeyedControl,
     capacities: list[Capacity],
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -12,7 +12,7 @@
 from trefoilsaddle.gateway.election import may_renew, step_down
 from trefoilsaddle.gateway.events import OrderEnded, OrderVerdict
 from trefoilsaddle.gateway.journal import note
-from trefoilsaddle.gateway.pieces import Piece, PieceState
+from trefoilsaddle.gateway.pieces import Piece, PieceState, find_hold
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import Gateway
 
@@ -24,8 +24,8 @@
 # A release that would be answered later than this before the grant lapses
 # is not worth asking for.
 _RELEASE_TIME = Seconds(0.35)
-# Part of a hold that a repeated grant is made for.
-_REPEATED_PART = 0.6
+# Part of a hold that a repeated grant is made for at least.
+_LEAST_PART = 0.3
 # Longest time that a leaving server is asked to release its keys; later its
 # grants are left to lapse, which takes about as long.
 _RELEASE_PATIENCE = Seconds(3)
@@ -127,12 +127,18 @@
     if failing is not None:
         # Ends no later than the grant without an answer, so that asking once
         # more does not put off the time at which the keys are free.
-        hold = Seconds(hold * _REPEATED_PART)
+        hold = _shorten_hold(gateway, piece, now)
     piece.calling = True
     piece.hold = hold
     return [GrantKeys(server, piece.keys, piece.fence, hold, piece.handover)]
 
 
+def _shorten_hold(gateway: Gateway, piece: Piece, now: Seconds) -> Seconds:
+    options = gateway.options
+    left = piece.held_until - now - options.grant_timeout
+    return Seconds(max(find_hold(left), options.hold * _LEAST_PART))
+
+
 def _review_releasing(
     gateway: Gateway,
     keyed: KeyedControl,
--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -58,7 +58,7 @@
     # loss of their server (the users' aim).
     hold: Seconds = USUAL_HOLD
     renewal_interval: Seconds = Seconds(0.5)
-    grant_timeout: Seconds = Seconds(0.3)
+    grant_timeout: Seconds = Seconds(0.25)
     # A release answers when the work on its keys has ended.
     release_timeout: Seconds = Seconds(2.5)
     # Shortest time to live that the store takes for group members is 1 s.
--- a/trefoilsaddle/gateway/pieces.py
+++ b/trefoilsaddle/gateway/pieces.py
@@ -25,6 +25,11 @@
 _MARGIN = Seconds(0.1)
 
 
+def find_hold(left: float) -> float:
+    """Return the hold of a grant that surely ends within a time."""
+    return (left - _MARGIN) / _SLOW_CLOCK
+
+
 @unique
 class PieceState(Enum):
     """Name the states of a range."""
