Take out the guard of recovery as well

A controller that is chosen before it knows the servers has to read again; without that, keys stay unserved when the store comes back (64 of 64 sampled keys, 15 s).

--- a/tests/test_gatewayguards.py
+++ b/tests/test_gatewayguards.py
@@ -12,8 +12,9 @@
 from tests import test_gatewayforwarding as forwardingtests
 from tests import test_gatewayrelay as relaytests
 from tests import test_platformadapter as adaptertests
+from tests.gatewayscenes import GATEWAYS, build_scene, list_unowned
 from trefoilsaddle.core.units import Seconds, ServiceName
-from trefoilsaddle.gateway import forwarding, lifecycle, peers
+from trefoilsaddle.gateway import controller, forwarding, lifecycle, peers
 from trefoilsaddle.gateway import servers as servermodule
 from trefoilsaddle.gateway.budget import ServiceBudget
 from trefoilsaddle.gateway.choosing import choose_service
@@ -26,6 +27,8 @@
 from trefoilsaddle.results import ResultCode
 
 _LONG = Seconds(99)
+# `recovery` of both sites.
+_RECOVERY = Seconds(15)
 
 
 def _doubt_all(book: ServerBook, now: Seconds, heartbeat: Seconds) -> None:
@@ -60,6 +63,21 @@
     adaptertests.test_answer_is_judged(adaptertests._ANSWERS[name])
 
 
+def _check_recovery() -> None:
+    world = build_scene()
+    world.faults.store_down = True
+    for name in GATEWAYS:
+        world.start_gateway(name)
+    world.run(5)
+    world.faults.store_down = False
+    world.run(_RECOVERY)
+    assert list_unowned(world) == []
+
+
+def _read_nothing_again(gateway: Gateway, now: Seconds) -> Effects:
+    return []
+
+
 @dataclass(frozen=True, slots=True)
 class _Guard:
     """Name a guard, what takes it out, and the test that then fails."""
@@ -163,6 +181,9 @@
             kept=False,
         ),
     ),
+    'RECOVER': _Guard(
+        controller, '_read_again', _read_nothing_again, _check_recovery
+    ),
     'Duty': _Guard(
         forwarding,
         'choose_service',
