Name the server in orders, so that another one at its address refuses them

Ruled out: late grants, a takeover, the wait for a lapse. Grants and releases now carry the server's name; another server answers 421. One test, red before.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -182,7 +182,10 @@
     requests: list[HttpRequest] = field(default_factory=list)
 
     async def answer(self, request: HttpRequest) -> HttpAnswer | None:
-        """Answer an order or a request."""
+        """Answer an order or a request, unless it names another server."""
+        named = dict(request.headers).get(b'x-target-instance')
+        if named not in {None, self.name.encode()}:
+            return HttpAnswer(421, ())
         if request.target == b'/trefoilsaddle/grant':
             return self._grant(json.loads(request.body))
         if request.target == b'/trefoilsaddle/release':
--- a/tests/test_platformstandins.py
+++ b/tests/test_platformstandins.py
@@ -258,6 +258,41 @@
 """
 
 
+def test_orders_do_not_reach_a_server_that_took_over_the_address() -> None:
+    """Have a grant refused by a server that is not the one it is for.
+
+    Seen on both sites, crash-reborn (hunts): OWNER 13 and 6, as a server that
+    crashed was renewed at its address, where another one had just started.
+    """
+
+    async def run() -> None:
+        stand_in = ServerStandIn('i-2')
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(stand_in.serve)
+            orders = PlatformOrders(Seconds(5), Seconds(5))
+            server = Server(
+                _LIFE,
+                ServiceName('guide'),
+                _HOST,
+                port,
+                ZoneName('a'),
+                slots=3,
+                draining=False,
+                warm_up_left=Seconds(0),
+            )
+            grant = GrantKeys(server, ALL_KEYS, 7, Seconds(2), '')
+            granted = await orders.grant(grant)
+            released = await orders.release(
+                ReleaseKeys(server.service, _LIFE, _HOST, port, ALL_KEYS, 7),
+            )
+            assert granted.verdict == OrderVerdict.rejected
+            assert released.verdict == OrderVerdict.rejected
+            assert not stand_in.grants
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
 async def _find_ports(number: int) -> list[int]:
     listeners = [
         (await trio.open_tcp_listeners(0, host=_HOST))[0] for _ in range(number)
--- a/trefoilsaddle/platform/orders.py
+++ b/trefoilsaddle/platform/orders.py
@@ -1,6 +1,7 @@
 """Grant keys to the platform's servers and take them back."""
 
 import json
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import trio
@@ -9,6 +10,7 @@
 from trefoilsaddle.gateway.effects import GrantKeys, ReleaseKeys
 from trefoilsaddle.gateway.events import OrderEnded, OrderVerdict
 from trefoilsaddle.gateway.keys import KeyRange
+from trefoilsaddle.gateway.servers import ServerLife
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.pool import ConnectionPool
 from trefoilsaddle.platform import headers as names
@@ -21,6 +23,15 @@
 _LONGEST_IDLE = Seconds(2)
 
 
+@dataclass(frozen=True, slots=True)
+class Receiver:
+    """Name the server that an order is for, and where it was."""
+
+    life: ServerLife
+    host: str
+    port: int
+
+
 class PlatformOrders(Orders):
     """Call servers over HTTP."""
 
@@ -43,8 +54,7 @@
             body['handover'] = effect.handover
         server = effect.server
         answer = await self._call(
-            server.host,
-            server.port,
+            Receiver(server.life, server.host, server.port),
             names.GRANT_PATH,
             body,
             self._grant_timeout,
@@ -62,8 +72,7 @@
     async def release(self, effect: ReleaseKeys) -> OrderEnded:
         """Take keys back; ends when their work has ended."""
         answer = await self._call(
-            effect.host,
-            effect.port,
+            Receiver(effect.life, effect.host, effect.port),
             names.RELEASE_PATH,
             _write_order(effect.keys, effect.fence),
             self._release_timeout,
@@ -83,16 +92,17 @@
 
     async def _call(
         self,
-        host: str,
-        port: int,
+        receiver: Receiver,
         path: bytes,
         body: dict[str, object],
         timeout: Seconds,
     ) -> HttpAnswer | Fault:
-        address = f'{host}:{port}'
+        address = f'{receiver.host}:{receiver.port}'
         pool = self._pools.get(address)
         if pool is None:
-            pool = ConnectionPool(host, port, _CONNECT_TIMEOUT)
+            pool = ConnectionPool(
+                receiver.host, receiver.port, _CONNECT_TIMEOUT
+            )
             self._pools[address] = pool
         encoded = json.dumps(body).encode()
         request = HttpRequest(
@@ -100,6 +110,8 @@
             path,
             (
                 (names.HOST, address.encode()),
+                # Another server may have the address meanwhile.
+                (names.EXPECTED_SERVER, receiver.life.server.encode()),
                 names.JSON_TYPE,
                 (names.LENGTH, b'%d' % len(encoded)),
             ),
