--- a/trefoilsaddle/platform/orders.py
+++ b/trefoilsaddle/platform/orders.py
@@ -24,7 +24,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Receiver:
+class _Receiver:
     """Name the server that an order is for, and where it was."""
 
     life: ServerLife
@@ -54,7 +54,7 @@
             body['handover'] = effect.handover
         server = effect.server
         answer = await self._call(
-            Receiver(server.life, server.host, server.port),
+            _Receiver(server.life, server.host, server.port),
             names.GRANT_PATH,
             body,
             self._grant_timeout,
@@ -72,7 +72,7 @@
     async def release(self, effect: ReleaseKeys) -> OrderEnded:
         """Take keys back; ends when their work has ended."""
         answer = await self._call(
-            Receiver(effect.life, effect.host, effect.port),
+            _Receiver(effect.life, effect.host, effect.port),
             names.RELEASE_PATH,
             _write_order(effect.keys, effect.fence),
             self._release_timeout,
@@ -92,7 +92,7 @@
 
     async def _call(
         self,
-        receiver: Receiver,
+        receiver: _Receiver,
         path: bytes,
         body: dict[str, object],
         timeout: Seconds,
