--- a/tests/test_platformstandins.py
+++ b/tests/test_platformstandins.py
@@ -194,6 +194,19 @@
     stand_in.put('keyed.servers', 'i-7', b'')
 
 
+def _build_server(port: int) -> Server:
+    return Server(
+        _LIFE,
+        ServiceName('guide'),
+        _HOST,
+        port,
+        ZoneName('a'),
+        slots=3,
+        draining=False,
+        warm_up_left=Seconds(0),
+    )
+
+
 def test_orders_are_carried_out_under_their_fence() -> None:
     """Grant, be refused below a fence, release with what was left."""
 
@@ -202,16 +215,7 @@
         async with trio.open_nursery() as nursery:
             port = await nursery.start(stand_in.serve)
             orders = PlatformOrders(Seconds(1), Seconds(1))
-            server = Server(
-                _LIFE,
-                ServiceName('guide'),
-                _HOST,
-                port,
-                ZoneName('a'),
-                slots=3,
-                draining=False,
-                warm_up_left=Seconds(0),
-            )
+            server = _build_server(port)
             verdicts = []
             for fence in (7, 6):
                 grant = GrantKeys(server, ALL_KEYS, fence, Seconds(2), 'x')
@@ -270,16 +274,7 @@
         async with trio.open_nursery() as nursery:
             port = await nursery.start(stand_in.serve)
             orders = PlatformOrders(Seconds(5), Seconds(5))
-            server = Server(
-                _LIFE,
-                ServiceName('guide'),
-                _HOST,
-                port,
-                ZoneName('a'),
-                slots=3,
-                draining=False,
-                warm_up_left=Seconds(0),
-            )
+            server = _build_server(port)
             grant = GrantKeys(server, ALL_KEYS, 7, Seconds(2), '')
             granted = await orders.grant(grant)
             released = await orders.release(
