Look for free ranges before working out capacities; say once what stood twice

Found on a last read; behaviour is the same. The capacities of all servers, with a copy of all key rates, were worked out at each review and each answered grant, also when no range was free.

--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -161,6 +161,8 @@
     keyed: KeyedControl,
     now: Seconds,
 ) -> bool:
+    if not _list_free(keyed):
+        return False
     capacities = list_capacities(gateway, keyed, now)
     if not capacities:
         return False
--- a/trefoilsaddle/gateway/choosing.py
+++ b/trefoilsaddle/gateway/choosing.py
@@ -58,13 +58,12 @@
     gateway: Gateway,
     call: OpenCall,
     now: Seconds,
-    avoided: frozenset[Server],
 ) -> Candidate | None:
     """Return the server that should answer a request soonest, if any."""
     fitting = [
         candidate
         for candidate in list_candidates(gateway, call, now)
-        if has_room(call, candidate) and candidate.server not in avoided
+        if has_room(call, candidate)
     ]
     if not fitting:
         return None
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -19,10 +19,9 @@
     Effects,
     LeaveGroup,
     Part,
-    ReadTopic,
     SetTimer,
 )
-from trefoilsaddle.gateway.election import step_down
+from trefoilsaddle.gateway.election import read_tables, step_down
 from trefoilsaddle.gateway.events import (
     AppendEnded,
     ConfigurationWanted,
@@ -149,7 +148,7 @@
     if not control.chosen or now < control.read_after:
         return []
     control.read_after = Seconds(now + gateway.options.retry_interval)
-    return [ReadTopic(Topic.ownership, None, Seconds(0))]
+    return [read_tables()]
 
 
 def _find_services(gateway: Gateway, now: Seconds) -> Effects:
--- a/trefoilsaddle/gateway/election.py
+++ b/trefoilsaddle/gateway/election.py
@@ -98,7 +98,7 @@
     if not control.chosen:
         control.chosen = True
         control.read_after = Seconds(now + gateway.options.retry_interval)
-        effects.append(_read_tables())
+        effects.append(read_tables())
         line = note(
             Part.ownership,
             'chosen as controller',
@@ -108,7 +108,8 @@
     return [*effects, SetTimer(TimerKind.join_group, _find_pause(gateway, now))]
 
 
-def _read_tables() -> ReadTopic:
+def read_tables() -> ReadTopic:
+    """Read the newest table of each service."""
     return ReadTopic(Topic.ownership, None, Seconds(0))
 
 
--- a/trefoilsaddle/gateway/forwarding.py
+++ b/trefoilsaddle/gateway/forwarding.py
@@ -67,7 +67,6 @@
 # Keys whose server is lost or has given them up are served again by then.
 _OWNER_RETRY = Seconds(1.5)
 _FIRST_SERVER_ERROR = 500
-_NOBODY: frozenset[Server] = frozenset()
 
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
@@ -148,7 +147,7 @@
     rules = configuration.services.get(call.service)
     if rules is not None and rules.keyed:
         return _place_keyed(gateway, call, now)
-    candidate = choose_server(gateway, call, now, _NOBODY)
+    candidate = choose_server(gateway, call, now)
     if candidate is None:
         return refuse_full(gateway, call, now)
     return _send(gateway, call, candidate, now)
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -46,10 +46,8 @@
     match piece.state:
         case PieceState.granting | PieceState.held:
             return _review_granted(gateway, keyed, piece, server, now)
-        case PieceState.releasing:
-            return _review_releasing(gateway, keyed, piece, now)
-        case PieceState.lapsing:
-            return _review_lapsing(gateway, keyed, piece, now)
+        case PieceState.releasing | PieceState.lapsing:
+            return _review_ending(gateway, keyed, piece, now)
     return []
 
 
@@ -117,7 +115,7 @@
     leaving = server is not None and server.draining and not piece.inherited
     if server is None or leaving:
         begin_release(keyed, piece, now)
-        return _review_releasing(gateway, keyed, piece, now)
+        return _review_ending(gateway, keyed, piece, now)
     failing = piece.failing_since
     if failing is not None and now - failing > _GIVE_UP:
         return _let_lapse(keyed, piece, now, 'its server does not answer')
@@ -139,7 +137,7 @@
     return Seconds(max(find_hold(left), options.hold * _LEAST_PART))
 
 
-def _review_releasing(
+def _review_ending(
     gateway: Gateway,
     keyed: KeyedControl,
     piece: Piece,
@@ -149,24 +147,12 @@
         return []
     if now >= piece.held_until:
         return _free(keyed, piece, now, 'its grant has lapsed')
-    if now - piece.since > _RELEASE_PATIENCE:
+    releasing = piece.state == PieceState.releasing
+    if releasing and now - piece.since > _RELEASE_PATIENCE:
         return _let_lapse(keyed, piece, now, 'its server does not release')
     return _call_release(gateway, keyed, piece, now)
 
 
-def _review_lapsing(
-    gateway: Gateway,
-    keyed: KeyedControl,
-    piece: Piece,
-    now: Seconds,
-) -> Effects:
-    if piece.calling:
-        return []
-    if now >= piece.held_until:
-        return _free(keyed, piece, now, 'its grant has lapsed')
-    return _call_release(gateway, keyed, piece, now)
-
-
 def _call_release(
     gateway: Gateway,
     keyed: KeyedControl,
--- a/trefoilsaddle/gateway/pools.py
+++ b/trefoilsaddle/gateway/pools.py
@@ -13,6 +13,8 @@
 
 # Part that one new result has in the estimate of failures.
 _FAILURE_GAIN = 0.2
+# Reports are never closer together.
+_SHORTEST_ELAPSED = Seconds(0.01)
 # Failures count as much as if each took so many times the service time.
 _FAILURE_WEIGHT = 4
 
@@ -68,7 +70,7 @@
     def take_mean(self, now: Seconds, elapsed: Seconds) -> float:
         """Return the mean of running since the last report; start anew."""
         self._advance(now)
-        self.own_mean = self.integral / max(elapsed, self._shortest())
+        self.own_mean = self.integral / max(elapsed, _SHORTEST_ELAPSED)
         self.integral = 0
         return self.own_mean
 
@@ -114,10 +116,6 @@
         self.integral += self.running * max(now - self.changed_at, 0)
         self.changed_at = now
 
-    def _shortest(self) -> float:
-        # Reports are never closer together.
-        return 0.01
-
 
 @dataclass(slots=True)
 class Pools:
