--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -144,6 +144,8 @@
     servers: list[WorldServer] = field(default_factory=list)
     results: dict[CallId, CallResult] = field(default_factory=dict)
     work_time: Callable[[], Seconds] = lambda: Seconds(0.1)
+    # Time that reports wait at a busy controller.
+    report_lag: Seconds = Seconds(0)
     _heap: list[_Due] = field(default_factory=list)
     _sequence: int = 0
     _runs: int = 0
@@ -556,7 +558,8 @@
             self._lose_link(process)
             return
         event = ReportReceived(effect.report)
-        self.after(_LATENCY, lambda: self.feed(peer, event))
+        delay = _LATENCY + self.report_lag
+        self.after(delay, lambda: self.feed(peer, event))
 
     def _send_news(self, process: Process, effect: SendNews) -> None:
         name = process.gateway.options.node
--- a/trefoilsaddle/gateway/choosing.py
+++ b/trefoilsaddle/gateway/choosing.py
@@ -1,5 +1,6 @@
 """Choose the service of a request, and the server that is to run it."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from trefoilsaddle.core.units import Seconds, ServiceName, ZoneName
@@ -59,15 +60,18 @@
     call: OpenCall,
     now: Seconds,
 ) -> Candidate | None:
-    """Return the server that should answer a request soonest, if any."""
-    fitting = [
-        candidate
-        for candidate in list_candidates(gateway, call, now)
-        if has_room(call, candidate)
+    """Return the better one of servers drawn at random, if any has room."""
+    region = gateway.options.region
+    near: list[Server] = []
+    far: list[Server] = []
+    for server in _list_open(gateway, call, now):
+        inside = find_region(gateway, server.zone) == region
+        (near if inside else far).append(server)
+    drawn = [
+        *_draw_fitting(gateway, call, near, now),
+        *_draw_fitting(gateway, call, far, now),
     ]
-    if not fitting:
-        return None
-    return min(fitting, key=lambda candidate: candidate.cost)
+    return min(drawn, key=lambda candidate: candidate.cost, default=None)
 
 
 def list_candidates(
@@ -76,15 +80,55 @@
     now: Seconds,
 ) -> list[Candidate]:
     """Return the servers of a request's service that may be sent to."""
-    candidates = []
+    return [
+        weigh_server(gateway, server, now)
+        for server in _list_open(gateway, call, now)
+    ]
+
+
+def _list_open(
+    gateway: Gateway,
+    call: OpenCall,
+    now: Seconds,
+) -> Iterator[Server]:
     for server in gateway.book.list_service(call.service):
         if server.draining:
             continue
-        candidate = weigh_server(gateway, server, now)
-        pool = candidate.pool
+        pool = gateway.pools.find(server.life)
         if now >= max(pool.shut_until, pool.full_until):
-            candidates.append(candidate)
-    return candidates
+            yield server
+
+
+# Gateways that each took the best server by the same told loads would all
+# take the same one until the next news; the better of two spreads them.
+_DRAWN = 2
+
+
+def _draw_fitting(
+    gateway: Gateway,
+    call: OpenCall,
+    servers: list[Server],
+    now: Seconds,
+) -> list[Candidate]:
+    """Draw servers in proportion to their speed, until enough have room."""
+    drawn: list[Candidate] = []
+    for server in _shuffle(gateway, servers):
+        candidate = weigh_server(gateway, server, now)
+        if has_room(call, candidate):
+            drawn.append(candidate)
+        if len(drawn) == _DRAWN:
+            break
+    return drawn
+
+
+def _shuffle(gateway: Gateway, servers: list[Server]) -> list[Server]:
+    """Order servers at random, those with short times first more often."""
+    ranks = {
+        server.life: gateway.random.random()
+        ** max(gateway.pools.find(server.life).expected_cost(), _SHORTEST)
+        for server in servers
+    }
+    return sorted(servers, key=lambda server: -ranks[server.life])
 
 
 def weigh_server(gateway: Gateway, server: Server, now: Seconds) -> Candidate:
