Write the longest hold into the table, so that successors wait long enough

What callers saw: nothing yet; found while the hold was to be sized by the number of ranges. Cause: a successor waited for its own options.hold at servers that do not answer. A predecessor with longer holds (another version, another size of the fleet) may have granted more: with 6 s holds and a resigned predecessor the keys went to a second server while the first held them. Ruled out: the tolerance for the store covers it only where the predecessor did not resign. Change: the table states the longest hold of the grants under it (`hold`); grants never ask for more; a table without the field means the longest hold that the platform allows. Before: test_longer_holds_of_a_predecessor_are_waited_out raises OwnerError (guide-0 still holds its keys, 2.9 s after the stop), with the wait as it was. After: it passes; `make check` 1527 passed.

--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -83,6 +83,7 @@
 _ZONE = ZoneName('east-1')
 _REGION = RegionName('east')
 _Action = Callable[[], None]
+_Adjust = Callable[[GatewayOptions], GatewayOptions]
 
 
 @dataclass(order=True, slots=True)
@@ -144,6 +145,8 @@
     servers: list[WorldServer] = field(default_factory=list)
     results: dict[CallId, CallResult] = field(default_factory=dict)
     work_time: Callable[[], Seconds] = lambda: Seconds(0.1)
+    # Changes the options of gateways that start from now on.
+    adjust: _Adjust = lambda options: options
     _heap: list[_Due] = field(default_factory=list)
     _sequence: int = 0
     _runs: int = 0
@@ -184,7 +187,7 @@
             stop_timeout=Seconds(6),
             heartbeat=Seconds(0.87),
         )
-        process = Process(build_gateway(options))
+        process = Process(build_gateway(self.adjust(options)))
         self.processes[node] = process
         self.feed(process, Started())
         return process
--- a/tests/test_gatewayownership.py
+++ b/tests/test_gatewayownership.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
 
@@ -20,10 +20,13 @@
     build_scene,
     list_unowned,
 )
-from trefoilsaddle.core.units import NodeId, Seconds
+from trefoilsaddle.core.units import NodeId, Seconds, ServiceName
 from trefoilsaddle.gateway import pieces
-from trefoilsaddle.gateway.events import StopRequested
+from trefoilsaddle.gateway.events import StopRequested, Topic
 from trefoilsaddle.gateway.keys import ALL_KEYS
+from trefoilsaddle.gateway.options import GatewayOptions
+from trefoilsaddle.gateway.table import StoredTable
+from trefoilsaddle.gateway.takeover import take_service
 
 _Fault = Callable[[World], None]
 
@@ -361,6 +364,62 @@
     assert list_unowned(world) == []
 
 
+def _lengthen_hold(options: GatewayOptions) -> GatewayOptions:
+    return replace(options, hold=Seconds(6))
+
+
+def _keep_options(options: GatewayOptions) -> GatewayOptions:
+    return options
+
+
+# Guards against two owners after a controller with longer holds resigned.
+def test_longer_holds_of_a_predecessor_are_waited_out() -> None:
+    """Give lost keys away only after the hold of the table taken over."""
+    world = build_world(build_configuration(), GATEWAYS, 1)
+    world.adjust = _lengthen_hold
+    world.start_gateway(GATEWAYS[0])
+    world.adjust = _keep_options
+    for number in range(4):
+        world.add_server(f'guide-{number}', CATALOGUE)
+    world.run(6)
+    assert _find_controller(world) == GATEWAYS[0]
+    world.servers[0].cut = True
+    _stop_controller(world)
+    _assert_recovers(world, 12)
+
+
+# Guards against two owners after an upgrade from tables without a hold.
+def test_table_without_a_hold_allows_the_longest() -> None:
+    """Take the longest hold of the platform where a table states none."""
+    world = build_scene()
+    gateway = world.processes[NodeId(GATEWAYS[1])].gateway
+    service = ServiceName(CATALOGUE)
+    stored = world.store.read_newest(Topic.ownership)[-1]
+    assert isinstance(stored, StoredTable)
+    table = replace(stored.table, hold=Seconds(0))
+    gateway.tables[service] = StoredTable(stored.offset, table)
+    take_service(gateway, service, world.now)
+    inherited = gateway.control.keyed[service].inherited_hold
+    assert inherited == gateway.options.longest_hold
+
+
+# Guards against holds that the successors of this controller do not expect.
+def test_table_states_the_longest_hold() -> None:
+    """Write no table that states less than any server holds keys for."""
+    world = build_world(build_configuration(), GATEWAYS, 1)
+    world.adjust = _lengthen_hold
+    world.start_gateway(GATEWAYS[0])
+    for number in range(4):
+        world.add_server(f'guide-{number}', CATALOGUE)
+    world.run(6)
+    stated = [
+        entry.table.hold
+        for entry in world.store.read_newest(Topic.ownership)
+        if isinstance(entry, StoredTable)
+    ]
+    assert stated == [Seconds(6)]
+
+
 def test_store_away_keeps_owners() -> None:
     """Renew grants while the store is away, for longer than a hold."""
     world = build_scene()
--- a/tests/test_platformstandins.py
+++ b/tests/test_platformstandins.py
@@ -56,6 +56,7 @@
     sequence=1,
     resigned=False,
     assignments=(Assignment(ALL_KEYS, _LIFE, 1),),
+    hold=Seconds(2.5),
 )
 _NO_WAIT = Seconds(0)
 _Use = Callable[[StoreStandIn, PlatformStore], Awaitable[None]]
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -30,6 +30,7 @@
     divide_keys,
 )
 from trefoilsaddle.gateway.loads import ServerLoads
+from trefoilsaddle.gateway.pacing import bound_hold
 from trefoilsaddle.gateway.peers import dial
 from trefoilsaddle.gateway.pieces import Piece, PieceState, join_free
 from trefoilsaddle.gateway.servers import Server
@@ -287,6 +288,7 @@
         sequence=keyed.sequence,
         resigned=gateway.stopping_since is not None,
         assignments=keyed.pieces.list_assignments(fence),
+        hold=bound_hold(gateway, keyed),
     )
 
 
@@ -304,6 +306,7 @@
 ) -> Effects:
     keyed.pending = None
     keyed.offset = pending.expected
+    keyed.hold = pending.table.hold
     gateway.control.end = Offset(pending.expected + 1)
     gateway.tables[keyed.service] = StoredTable(
         pending.expected,
--- a/trefoilsaddle/gateway/control.py
+++ b/trefoilsaddle/gateway/control.py
@@ -36,6 +36,12 @@
     # Earliest time of the next append after one that failed.
     append_after: Seconds = Seconds(0)
     balance_at: Seconds = Seconds(0)
+    # Longest hold that the last accepted table allows.
+    hold: Seconds = Seconds(0)
+    # Longest hold that this controller has asked for.
+    granted_hold: Seconds = Seconds(0)
+    # Longest hold that the table allowed which was taken over.
+    inherited_hold: Seconds = Seconds(0)
     # Position of the last accepted table.
     offset: Offset = Offset(-1)
     # Controller before this one, while it may still renew grants.
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -12,6 +12,7 @@
 from trefoilsaddle.gateway.election import may_renew, step_down
 from trefoilsaddle.gateway.events import OrderEnded, OrderVerdict
 from trefoilsaddle.gateway.journal import note
+from trefoilsaddle.gateway.pacing import find_hold_in_force
 from trefoilsaddle.gateway.pieces import Piece, PieceState, find_hold
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import Gateway
@@ -121,13 +122,14 @@
         return _let_lapse(keyed, piece, now, 'its server does not answer')
     if now < piece.next_call or not may_renew(gateway, now):
         return []
-    hold = gateway.options.hold
+    hold = find_hold_in_force(gateway, keyed)
     if failing is not None:
         # Ends no later than the grant without an answer, so that asking once
         # more does not put off the time at which the keys are free.
         hold = _shorten_hold(gateway, piece, now)
     piece.calling = True
     piece.hold = hold
+    keyed.granted_hold = Seconds(max(keyed.granted_hold, hold))
     return [GrantKeys(server, piece.keys, piece.fence, hold, piece.handover)]
 
 
--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -33,6 +33,8 @@
 # outlast that, and keys are to be served again within 3 s of the loss of their
 # server (the users' aim).
 USUAL_HOLD = Seconds(2)
+# What servers accept at most on the users' sites; each site states its own.
+LONGEST_HOLD = Seconds(10)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +59,7 @@
     heartbeat: Seconds
     server_defaults: ServerDefaults = ServerDefaults()
     hold: Seconds = USUAL_HOLD
+    longest_hold: Seconds = LONGEST_HOLD
     # A quarter of the hold: three calls may fail before a grant lapses.
     renewal_interval: Seconds = Seconds(0.5)
     # A round trip between regions is 40 ms; the rest is for a busy server.
--- a/trefoilsaddle/gateway/table.py
+++ b/trefoilsaddle/gateway/table.py
@@ -9,7 +9,7 @@
 from bisect import bisect_right
 from dataclasses import dataclass
 
-from trefoilsaddle.core.units import NodeId, Offset, ServiceName
+from trefoilsaddle.core.units import NodeId, Offset, Seconds, ServiceName
 from trefoilsaddle.gateway.keys import Key, KeyRange
 from trefoilsaddle.gateway.servers import ServerLife, ServerTag
 
@@ -46,6 +46,8 @@
     # True if the controller has stopped: it renews no grant any more.
     resigned: bool
     assignments: tuple[Assignment, ...]
+    # Longest hold of the grants under it; zero in records that do not say.
+    hold: Seconds = Seconds(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/takeover.py
+++ b/trefoilsaddle/gateway/takeover.py
@@ -72,12 +72,11 @@
     A controller reports to another only after it has given its part up, and
     a gateway that has started anew has forgotten it.
     """
-    limit = _lapse_time(gateway, now)
     for keyed in gateway.control.keyed.values():
         old = keyed.predecessor
         if old is not None and old.node == address.node:
             keyed.predecessor = None
-            _shorten_holds(keyed, limit)
+            _shorten_holds(keyed, _lapse_time(keyed, now))
 
 
 def _shorten_holds(keyed: KeyedControl, limit: Seconds) -> None:
@@ -98,7 +97,8 @@
 ) -> None:
     options = gateway.options
     table = stored.table
-    held_until = _lapse_time(gateway, now)
+    keyed.inherited_hold = table.hold or options.longest_hold
+    held_until = _lapse_time(keyed, now)
     gone = table.resigned or table.controller.node == options.node
     if not gone:
         # The last controller may yet renew grants without the store.
@@ -135,7 +135,7 @@
     return piece
 
 
-def _lapse_time(gateway: Gateway, now: Seconds) -> Seconds:
+def _lapse_time(keyed: KeyedControl, now: Seconds) -> Seconds:
     piece = Piece(ALL_KEYS)
-    piece.extend_hold(gateway.options.hold, now)
+    piece.extend_hold(keyed.inherited_hold, now)
     return piece.held_until
--- a/trefoilsaddle/platform/settings.py
+++ b/trefoilsaddle/platform/settings.py
@@ -129,6 +129,7 @@
         seed=run,
         retry_budget=budget,
         hold=Seconds(min(USUAL_HOLD, bounds.hold_max)),
+        longest_hold=Seconds(bounds.hold_max),
         stop_timeout=Seconds(bounds.grace),
         heartbeat=Seconds(wire.heartbeat),
     )
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -44,6 +44,7 @@
   sequence @2 :Int64;
   resigned @3 :Bool;
   assignments @4 :List(Assignment);
+  hold @5 :Float64;
 }
 
 struct OwnerEntry {
