--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -83,6 +83,7 @@
 _ZONE = ZoneName('east-1')
 _REGION = RegionName('east')
 _Action = Callable[[], None]
+_Adjust = Callable[[GatewayOptions], GatewayOptions]
 
 
 @dataclass(order=True, slots=True)
@@ -146,6 +147,8 @@
     work_time: Callable[[], Seconds] = lambda: Seconds(0.1)
     # Time that reports wait at a busy controller.
     report_lag: Seconds = Seconds(0)
+    # Changes the options of gateways that start from now on.
+    adjust: _Adjust = lambda options: options
     _heap: list[_Due] = field(default_factory=list)
     _sequence: int = 0
     _runs: int = 0
@@ -186,7 +189,7 @@
             stop_timeout=Seconds(6),
             heartbeat=Seconds(0.87),
         )
-        process = Process(build_gateway(options))
+        process = Process(build_gateway(self.adjust(options)))
         self.processes[node] = process
         self.feed(process, Started())
         return process
