Model the processor time of orders; show the fleet whose controller is slow

What callers saw: on the site of 97 servers with keys the first requests met an owner for four servers' keys only. Cause: the controller grants all ranges at once; the calls wait in its own queue for longer than their time, end as unknown, and the servers are suspected for it. The model answered orders at once, so no test saw it. A worker of one gateway now takes the orders and their answers in turn, and an order whose answer was not handled in time ends as unknown.

--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -14,6 +14,7 @@
 
 from measure.worldservers import Work, WorldServer, check_grant
 from measure.worldstore import WorldStore
+from measure.worldworker import Order, OrderWorker, Reply, build_unknown
 from trefoilsaddle.core.units import (
     CallId,
     NodeId,
@@ -104,6 +105,7 @@
     timers: dict[TimerKind, int] = field(default_factory=dict)
     dialed: GatewayAddress | None = None
     linked: NodeId | None = None
+    worker: OrderWorker = field(default_factory=OrderWorker)
 
 
 @dataclass(slots=True)
@@ -144,6 +146,8 @@
     servers: list[WorldServer] = field(default_factory=list)
     results: dict[CallId, CallResult] = field(default_factory=dict)
     work_time: Callable[[], Seconds] = lambda: Seconds(0.1)
+    # Processor time of a gateway for an order, and as much for its answer.
+    order_turn: Seconds = Seconds(0)
     _heap: list[_Due] = field(default_factory=list)
     _sequence: int = 0
     _runs: int = 0
@@ -184,7 +188,8 @@
             stop_timeout=Seconds(6),
             heartbeat=Seconds(0.87),
         )
-        process = Process(build_gateway(options))
+        worker = OrderWorker(self.order_turn)
+        process = Process(build_gateway(options), worker=worker)
         self.processes[node] = process
         self.feed(process, Started())
         return process
@@ -293,8 +298,8 @@
             AppendTable: self._append,
             JoinGroup: self._join,
             LeaveGroup: self._leave,
-            GrantKeys: self._grant,
-            ReleaseKeys: self._release,
+            GrantKeys: self._queue_order,
+            ReleaseKeys: self._queue_order,
             DialController: self._dial,
             SendReport: self._send_report,
             SendNews: self._send_news,
@@ -410,19 +415,61 @@
         if not self._is_away(process):
             self.store.leave(f'{options.node}-{options.run}')
 
-    def _grant(self, process: Process, effect: GrantKeys) -> None:
+    def _queue_order(self, process: Process, order: Order) -> None:
+        worker = process.worker
+        number = worker.open_order()
+        options = process.gateway.options
+        timeout = options.grant_timeout
+        if isinstance(order, ReleaseKeys):
+            timeout = options.release_timeout
+        if worker.turn:
+            unknown = build_unknown(order)
+            end = partial(self._end_order, process, number, unknown)
+            self.after(timeout, end)
+        send = partial(self._send_order, process, number, order)
+        self._work(process, send)
+
+    def _send_order(self, process: Process, number: int, order: Order) -> None:
+        if not process.alive or number not in process.worker.open:
+            return
+        reply = partial(self._take_reply, process, number)
+        if isinstance(order, GrantKeys):
+            self._grant(order, reply)
+        else:
+            self._release(order, reply)
+
+    def _take_reply(
+        self,
+        process: Process,
+        number: int,
+        ended: OrderEnded,
+    ) -> None:
+        if number in process.worker.open:
+            self._work(
+                process, partial(self._end_order, process, number, ended)
+            )
+
+    def _work(self, process: Process, act: _Action) -> None:
+        delay = process.worker.take_turn(self.now)
+        if delay:
+            self.after(delay, act)
+        else:
+            act()
+
+    def _end_order(
+        self,
+        process: Process,
+        number: int,
+        ended: OrderEnded,
+    ) -> None:
+        if process.worker.close_order(number):
+            self.feed(process, ended)
+
+    def _grant(self, effect: GrantKeys, reply: Reply) -> None:
         server = self._find_server(effect.server.life)
-        ended = OrderEnded(
-            effect.server.service,
-            effect.keys,
-            effect.server.life,
-            effect.fence,
-            release=False,
-            verdict=OrderVerdict.unknown,
-            handover='',
-        )
+        ended = build_unknown(effect)
         if server is None or server.cut or not server.up:
-            self.after(0.3, lambda: self.feed(process, ended))
+            self.after(0.3, lambda: reply(ended))
             return
         if self.random.random() < self.faults.late_orders:
             arrived = Seconds(self.now + _LATENCY)
@@ -431,13 +478,13 @@
                 delay,
                 lambda: self._apply_late(server, effect, arrived),
             )
-            self.after(0.3, lambda: self.feed(process, ended))
+            self.after(0.3, lambda: reply(ended))
             return
 
         def arrive() -> None:
             verdict = self._apply(server, effect, self.now)
             done = replace(ended, verdict=verdict)
-            self.after(_LATENCY, lambda: self.feed(process, done))
+            self.after(_LATENCY, lambda: reply(done))
 
         self.after(_LATENCY, arrive)
 
@@ -464,30 +511,22 @@
             )
         return verdict
 
-    def _release(self, process: Process, effect: ReleaseKeys) -> None:
+    def _release(self, effect: ReleaseKeys, reply: Reply) -> None:
         server = self._find_server(effect.life)
-        ended = OrderEnded(
-            effect.service,
-            effect.keys,
-            effect.life,
-            effect.fence,
-            release=True,
-            verdict=OrderVerdict.unknown,
-            handover='',
-        )
+        ended = build_unknown(effect)
         if server is None or server.cut or not server.up:
-            self.after(0.3, lambda: self.feed(process, ended))
+            self.after(0.3, lambda: reply(ended))
             return
 
         def arrive() -> None:
             server.release(effect.keys)
-            self._answer_release(process, server, effect.keys, ended)
+            self._answer_release(reply, server, effect.keys, ended)
 
         self.after(_LATENCY, arrive)
 
     def _answer_release(
         self,
-        process: Process,
+        reply: Reply,
         server: WorldServer,
         keys: KeyRange,
         ended: OrderEnded,
@@ -499,11 +538,11 @@
         if busy:
             self.after(
                 0.02,
-                lambda: self._answer_release(process, server, keys, ended),
+                lambda: self._answer_release(reply, server, keys, ended),
             )
             return
         done = replace(ended, verdict=OrderVerdict.done, handover='left')
-        self.after(_LATENCY, lambda: self.feed(process, done))
+        self.after(_LATENCY, lambda: reply(done))
 
     # Messages between gateways.
 
--- /dev/null
+++ b/tests/test_gatewayfleet.py
@@ -0,0 +1,87 @@
+"""Check a fleet whose controller takes time for each of its orders."""
+
+from dataclasses import dataclass
+
+import pytest
+
+from measure.gatewayworld import World, build_world
+from tests.gatewayscenes import CATALOGUE, build_configuration, list_unowned
+from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.gateway.keys import ALL_KEYS
+
+_GATEWAYS = tuple(f'gate-{number}' for number in range(30))
+_SERVERS = 97
+# Part of its mean share of keys that one server may hold.
+_MOST_SHARES = 4
+# Servers register for so long before the first table.
+_GATHERING = Seconds(1.4)
+
+
+@dataclass(frozen=True, slots=True)
+class _Scene:
+    """Say how slow the gateways are, and how much is there."""
+
+    # Half the processor time of an order: 3 ms at full speed, 0.43 cores.
+    turn: Seconds = Seconds(0.0035)
+    servers: int = _SERVERS
+
+
+def _build_fleet(scene: _Scene) -> World:
+    world = build_world(build_configuration(), ())
+    world.order_turn = scene.turn
+    for number in range(scene.servers):
+        world.add_server(f'guide-{number}', CATALOGUE)
+    for name in _GATEWAYS:
+        world.start_gateway(name)
+    world.run(_GATHERING)
+    return world
+
+
+def _assert_served(world: World) -> None:
+    assert list_unowned(world) == []
+    widths = [
+        sum(held.keys.width for held in server.overlapping(ALL_KEYS, world.now))
+        for server in world.servers
+    ]
+    assert max(widths) * len(widths) <= ALL_KEYS.width * _MOST_SHARES
+
+
+def _list_suspected(world: World) -> list[str]:
+    return [
+        life.server
+        for process in world.processes.values()
+        if process.alive
+        for life, until in process.gateway.control.suspected.items()
+        if until > world.now
+    ]
+
+
+def _watch(world: World, seconds: int) -> None:
+    for _ in range(seconds * 2):
+        world.run(0.5)
+        _assert_served(world)
+        assert _list_suspected(world) == []
+
+
+# Guards against a first division whose grants time out in the controller's own
+# queue, and against all keys on the servers that are not suspected for it.
+@pytest.mark.parametrize(
+    'scene',
+    [
+        _Scene(),
+        _Scene(turn=Seconds(0.002)),
+        _Scene(turn=Seconds(0.005)),
+        _Scene(servers=24),
+    ],
+    ids=['slow', 'faster', 'slower', 'few'],
+)
+def test_slow_controller_serves_all_keys(scene: _Scene) -> None:
+    """Own and spread all keys soon, for long, and through a takeover."""
+    world = _build_fleet(scene)
+    world.run(3)
+    _watch(world, 10)
+    process = world.find_controller()
+    assert process is not None
+    world.kill_gateway(process.gateway.options.node)
+    world.run(3)
+    _watch(world, 5)
