--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -84,6 +84,7 @@
 _ZONE = ZoneName('east-1')
 _REGION = RegionName('east')
 _Action = Callable[[], None]
+_Adjust = Callable[[GatewayOptions], GatewayOptions]
 
 
 @dataclass(order=True, slots=True)
@@ -148,6 +149,8 @@
     work_time: Callable[[], Seconds] = lambda: Seconds(0.1)
     # Processor time of a gateway for an order, and as much for its answer.
     order_turn: Seconds = Seconds(0)
+    # Changes the options of gateways that start from now on.
+    adjust: _Adjust = lambda options: options
     _heap: list[_Due] = field(default_factory=list)
     _sequence: int = 0
     _runs: int = 0
@@ -189,7 +192,8 @@
             heartbeat=Seconds(0.87),
         )
         worker = OrderWorker(self.order_turn)
-        process = Process(build_gateway(options), worker=worker)
+        gateway = build_gateway(self.adjust(options))
+        process = Process(gateway, worker=worker)
         self.processes[node] = process
         self.feed(process, Started())
         return process
