Bound an answer by its bytes, and all answers that are held

What callers saw: a backend server in trouble that sends bytes without end takes its gateway with it. The gateway read up to 32 MB of one body, without a bound on framing (a chunk may carry kilobytes of extension for one byte) or on informational heads, until the request's time was over, and nothing bounded the answers of many requests together on a machine of 200 MB.

Cause: only the decoded body was counted, per answer.

Now the bytes are counted as they come: 16 MiB for one answer, 48 MiB for all that are read, kept for a decision or written to a caller, 8 informational heads. A bound passed is an answer lost (new code 309, answer_too_large, in the lines `tried again` and `outcome unknown`): the connection is reset at once, the server has failed, a request that may be repeated goes elsewhere.

Ruled out by the table: endless status lines, header lines, headers, chunk sizes, trailers and bytes that are no HTTP were given up before as well, by the parser's 16 KiB for what is not whole; that figure is now stated here. A drip ended with the request's time before.

--- a/tests/scriptedserver.py
+++ b/tests/scriptedserver.py
@@ -8,6 +8,7 @@
 
 # Bounds a run whose expected event never comes, in seconds.
 _LIVENESS_BOUND = 20
+_BLOCK_BYTES = 65_536
 _HEAD_END = b'\r\n\r\n'
 _LENGTH = b'content-length:'
 
@@ -18,6 +19,10 @@
 
     reply: bytes = b''
     close: bool = False
+    # Bytes that are sent again and again until the client closes.
+    endless: bytes = b''
+    # Pause between two sends of the endless bytes, in seconds.
+    pause: float = 0
     # Say nothing and keep the connection until the client closes it.
     silent: bool = False
 
@@ -40,6 +45,8 @@
     # Whole requests, and the start of one that was cut short.
     requests: list[bytes] = field(default_factory=list)
     heads: int = 0
+    # Endless bytes that went out.
+    sent: int = 0
     closed: trio.Event = field(default_factory=trio.Event)
     heard: trio.Event = field(default_factory=trio.Event)
     port: int = 0
@@ -71,11 +78,25 @@
         self.heard.set()
         if step.reply:
             await stream.send_all(step.reply)
+        if step.endless:
+            await self._send_on(stream, step)
+            return False
         if step.silent:
             await _wait_for_end(stream)
             self.closed.set()
         return not (step.close or step.silent)
 
+    async def _send_on(self, stream: trio.SocketStream, step: Step) -> None:
+        block = step.endless
+        if not step.pause:
+            block *= _BLOCK_BYTES // len(block)
+        ended = False
+        while not ended:
+            ended = not await _send(stream, block)
+            self.sent += len(block)
+            await trio.sleep(step.pause)
+        self.closed.set()
+
     async def _read_request(self, stream: trio.SocketStream) -> bytes | None:
         received = b''
         while not _is_whole(received):
@@ -105,6 +126,14 @@
         return b''
 
 
+async def _send(stream: trio.SocketStream, block: bytes) -> bool:
+    try:
+        await stream.send_all(block)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        return False
+    return True
+
+
 async def _wait_for_end(stream: trio.SocketStream) -> None:
     chunk = await _receive(stream)
     while chunk:
--- a/tests/test_gatewayforwarding.py
+++ b/tests/test_gatewayforwarding.py
@@ -42,6 +42,7 @@
 _MOVED = AttemptVerdict.misdirected
 _UNSENT = AttemptVerdict.unsent
 _LOST = AttemptVerdict.lost
+_TOO_LARGE = AttemptVerdict.too_large
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +82,10 @@
         _READ, (_Step(_LOST), _Step(_SHED)), status=502
     ),
     'pay-lost': _Case(_PAY, (_Step(_LOST),), status=502),
+    'pay-too-large': _Case(_PAY, (_Step(_TOO_LARGE),), status=502),
+    'read-too-large-then-answered': _Case(
+        _READ, (_Step(_TOO_LARGE), _OK), delivered=2
+    ),
     'pay-failed': _Case(_PAY, (_FAILED,), delivered=1),
     'pay-shed-then-answered': _Case(_PAY, (_Step(_SHED), _OK), delivered=2),
     'pay-shed-then-lost': _Case(_PAY, (_Step(_SHED), _Step(_LOST)), status=502),
--- a/trefoilsaddle/gateway/events.py
+++ b/trefoilsaddle/gateway/events.py
@@ -190,6 +190,8 @@
     unsent = 'unsent'
     # May have run; no whole answer came.
     lost = 'lost'
+    # May have run; its answer passed a bound and was dropped.
+    too_large = 'too-large'
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/forwarding.py
+++ b/trefoilsaddle/gateway/forwarding.py
@@ -278,8 +278,14 @@
             )
     pool.count_result(success=False)
     call.may_have_run = True
-    call.unknown_code = ResultCode.answer_lost
-    return _try_again(gateway, call, now, ResultCode.answer_lost, server)
+    call.unknown_code = _find_unknown_code(event)
+    return _try_again(gateway, call, now, call.unknown_code, server)
+
+
+def _find_unknown_code(event: AttemptEnded) -> ResultCode:
+    if event.verdict == AttemptVerdict.too_large:
+        return ResultCode.answer_too_large
+    return ResultCode.answer_lost
 
 
 def _learn_shed(
--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -20,6 +20,7 @@
     HttpRequest,
     find_header,
 )
+from trefoilsaddle.http.room import AnswerRoom
 from trefoilsaddle.results import ResultCode
 
 _CHUNK_BYTES = 65_536
@@ -68,6 +69,8 @@
 
     service: CallerService
     stream: trio.SocketStream
+    # Counts the answers that are written.
+    room: AnswerRoom = field(default_factory=AnswerRoom)
     parser: h11.Connection = field(init=False)
     # True while a request is being answered.
     busy: bool = False
@@ -115,7 +118,8 @@
         answer = await self._find_answer(request)
         if answer is None:
             return False
-        await self._write(answer)
+        with self.room.hold(len(answer.body)):
+            await self._write(answer)
         self.busy = False
         return self._start_next()
 
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -7,10 +7,14 @@
 import trio
 
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
+from trefoilsaddle.http.room import AnswerRoom, AnswerShare, TooLargeError
 
 _CHUNK_BYTES = 65_536
-# Largest body of an answer that is held, in bytes.
-_LARGEST_BODY = 33_554_432
+# Largest head, chunk header or trailer section that is not whole yet, in
+# bytes: what the platform takes of a caller's head.
+_LARGEST_HEAD = 16_384
+# Informational heads before an answer; servers send one or two of a kind.
+_MOST_INFORMATIONAL = 8
 # Requests above this are sent while the answer is read: a server may answer
 # before it has read all, and read no more.
 _SENT_AT_ONCE = 4096
@@ -39,11 +43,12 @@
 
     stream: trio.SocketStream
     request: HttpRequest
+    share: AnswerShare
     parser: h11.Connection = field(init=False)
     sent: bool = False
 
     def __post_init__(self) -> None:
-        self.parser = h11.Connection(h11.CLIENT)
+        self.parser = _build_parser()
 
     def encode(self) -> bytes:
         """Write the request, and expect its answer."""
@@ -62,7 +67,7 @@
     def restart(self) -> None:
         """Expect another answer behind the one that was read."""
         rest, _ = self.parser.trailing_data
-        self.parser = h11.Connection(h11.CLIENT)
+        self.parser = _build_parser()
         self.encode()
         if rest:
             self.parser.receive_data(rest)
@@ -70,7 +75,11 @@
     async def read(self) -> HttpAnswer | Fault:
         """Read one whole answer."""
         event = await self._next_event()
+        informational = 0
         while isinstance(event, h11.InformationalResponse):
+            informational += 1
+            if informational > _MOST_INFORMATIONAL:
+                return Fault.too_large
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             return Fault.lost
@@ -92,8 +101,6 @@
         event = await self._next_event()
         while isinstance(event, h11.Data):
             body += event.data
-            if len(body) > _LARGEST_BODY:
-                return None
             event = await self._next_event()
         return bytes(body) if isinstance(event, h11.EndOfMessage) else None
 
@@ -103,20 +110,26 @@
             if event is not h11.NEED_DATA:
                 return event
             received = await self.stream.receive_some(_CHUNK_BYTES)
+            self.share.take(len(received))
             self.parser.receive_data(received)
 
 
 async def exchange(
     stream: trio.SocketStream,
     request: HttpRequest,
+    room: AnswerRoom,
     matches: Matches | None = None,
 ) -> Exchanged:
     """Send a request and read its whole answer.
 
-    The caller bounds the time.  Answers that do not match are answers to
+    The caller bounds the time, the room the size.  Answers that do not match are answers to
     earlier requests: they are dropped, and the connection is not used again.
     """
-    reader = _Reader(stream, request)
+    with room.open() as share:
+        return await _exchange(_Reader(stream, request, share), matches)
+
+
+async def _exchange(reader: _Reader, matches: Matches | None) -> Exchanged:
     try:
         encoded = reader.encode()
     except h11.LocalProtocolError:
@@ -124,6 +137,8 @@
         return Exchanged(Fault.unsent, reusable=True)
     try:
         return await _send_and_read(reader, encoded, matches)
+    except TooLargeError:
+        return Exchanged(Fault.too_large, reusable=False)
     except (
         trio.BrokenResourceError,
         trio.ClosedResourceError,
@@ -146,6 +161,8 @@
         nursery.start_soon(_send, reader, encoded)
         try:
             ended = await _read_matching(reader, matches)
+        except TooLargeError:
+            ended = Exchanged(Fault.too_large, reusable=False)
         except (trio.BrokenResourceError, h11.RemoteProtocolError):
             ended = Exchanged(Fault.lost, reusable=False)
         nursery.cancel_scope.cancel()
@@ -176,4 +193,12 @@
         reader.restart()
         reader.sent = False
         answer = await reader.read()
-    return Exchanged(Fault.lost, reusable=False)
+    fault = answer if isinstance(answer, Fault) else Fault.lost
+    return Exchanged(fault, reusable=False)
+
+
+def _build_parser() -> h11.Connection:
+    return h11.Connection(
+        h11.CLIENT,
+        max_incomplete_event_size=_LARGEST_HEAD,
+    )
--- a/trefoilsaddle/http/messages.py
+++ b/trefoilsaddle/http/messages.py
@@ -53,6 +53,8 @@
     unsent = 'unsent'
     # The request may have arrived.
     lost = 'lost'
+    # The request may have arrived; its answer passed a bound.
+    too_large = 'too-large'
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
--- a/trefoilsaddle/http/pool.py
+++ b/trefoilsaddle/http/pool.py
@@ -9,6 +9,7 @@
 from trefoilsaddle.http import sockets
 from trefoilsaddle.http.exchange import Exchanged, Matches, exchange
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
+from trefoilsaddle.http.room import AnswerRoom
 
 # Connections that were idle for longer are closed.  Servers close theirs
 # after some seconds, and what is sent at that moment is lost.
@@ -36,6 +37,8 @@
     connect_timeout: Seconds
     # Idle connections that are kept; a server takes a number of all callers.
     most_idle: int = _MOST_IDLE
+    # Bounds the answers; one room may serve many addresses.
+    room: AnswerRoom = field(default_factory=AnswerRoom)
     # Connections opened so far.
     opened: int = 0
     idle: list[_Idle] = field(default_factory=list)
@@ -62,7 +65,7 @@
         with ExitStack() as stack:
             # Also when this is cancelled in the middle of the exchange.
             stack.callback(sockets.abort, stream)
-            ended = await exchange(stream, request, matches)
+            ended = await exchange(stream, request, self.room, matches)
             stack.pop_all()
         self._give_back(stream, ended)
         return ended.answer
--- /dev/null
+++ b/trefoilsaddle/http/room.py
@@ -0,0 +1,66 @@
+"""Bound the bytes of answers that are read and held."""
+
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+
+# Largest answer that is read, in bytes as they come: the embedded client
+# takes bodies of 16 MiB as well, and framing is little beside that.
+LARGEST_ANSWER = 16_777_216
+# Bytes of all answers that are held: the smallest machines have 200 MB, of
+# which a process takes 60 MB and a half is left free.
+_MOST_HELD = 50_331_648
+
+
+class TooLargeError(Exception):
+    """Tell that an answer has passed a bound."""
+
+
+@dataclass(slots=True)
+class AnswerRoom:
+    """Count the bytes of answers that are held at once."""
+
+    # Largest answer, in bytes.
+    largest: int = LARGEST_ANSWER
+    # Most bytes of all answers.
+    most: int = _MOST_HELD
+    held: int = 0
+
+    @contextmanager
+    def hold(self, count: int) -> Iterator[None]:
+        """Count bytes that are held already for as long as they are."""
+        self.held += count
+        with ExitStack() as stack:
+            stack.callback(self._free, count)
+            yield
+
+    @contextmanager
+    def open(self) -> Iterator['AnswerShare']:
+        """Count the bytes of one answer while it is read."""
+        share = AnswerShare(self)
+        with ExitStack() as stack:
+            stack.callback(share.free)
+            yield share
+
+    def _free(self, count: int) -> None:
+        self.held -= count
+
+
+@dataclass(slots=True)
+class AnswerShare:
+    """Count the bytes of one answer."""
+
+    room: AnswerRoom
+    taken: int = 0
+
+    def take(self, count: int) -> None:
+        """Count received bytes (TooLargeError)."""
+        self.taken += count
+        self.room.held += count
+        if self.taken > self.room.largest or self.room.held > self.room.most:
+            raise TooLargeError
+
+    def free(self) -> None:
+        """Stop counting: the answer is dropped or handed over."""
+        self.room.held -= self.taken
+        self.taken = 0
--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -21,6 +21,7 @@
 from trefoilsaddle.gateway.state import build_gateway
 from trefoilsaddle.http import sockets
 from trefoilsaddle.http.callers import CallerConnection, CallerService
+from trefoilsaddle.http.room import AnswerRoom
 from trefoilsaddle.platform.settings import (
     Address,
     GatewaySettings,
@@ -112,10 +113,11 @@
 ) -> Failure | None:
     readiness = ReadinessService(shell)
     options = settings.options
+    room = shell.calls.servers.room
     served = (
-        (settings.callers, partial(_serve_caller, shell.calls)),
-        (settings.ready, partial(_serve_caller, readiness)),
-        (settings.metrics, partial(_serve_caller, readiness)),
+        (settings.callers, partial(_serve_caller, shell.calls, room)),
+        (settings.ready, partial(_serve_caller, readiness, room)),
+        (settings.metrics, partial(_serve_caller, readiness, room)),
         (Address(options.host, options.port), shell.controller.serve),
     )
     for address, serve in served:
@@ -129,10 +131,11 @@
 
 async def _serve_caller(
     service: CallerService,
+    room: AnswerRoom,
     stream: trio.SocketStream,
 ) -> None:
     sockets.set_options(stream)
-    await CallerConnection(service, stream).serve()
+    await CallerConnection(service, stream, room).serve()
 
 
 async def _watch_signals(shell: GatewayShell, path: Path) -> None:
--- a/trefoilsaddle/programs/gatewaycalls.py
+++ b/trefoilsaddle/programs/gatewaycalls.py
@@ -1,10 +1,11 @@
 """Carry callers' requests to the reducer and back."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
 from functools import partial
 from math import inf
+from types import MappingProxyType
 
 import trio
 
@@ -31,6 +32,7 @@
 from trefoilsaddle.http.callers import BadInput, CallerService
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.pool import ConnectionPool
+from trefoilsaddle.http.room import AnswerRoom
 from trefoilsaddle.ports import Dialect, RefusalText
 from trefoilsaddle.programs.gatewaystatuses import find_refusal_status
 
@@ -50,17 +52,33 @@
 # gateways; it takes fewer while its queue is long.
 _IDLE_PART = 0.35
 
+_FAULT_VERDICTS: Mapping[Fault, AttemptVerdict] = MappingProxyType(
+    {
+        Fault.unsent: AttemptVerdict.unsent,
+        Fault.lost: AttemptVerdict.lost,
+        Fault.too_large: AttemptVerdict.too_large,
+    }
+)
+
 
 @dataclass(slots=True)
 class _Waiting:
     request: HttpRequest
     head: RequestHead
+    # Counts the answers that are kept.
+    held: ExitStack
+    room: AnswerRoom
     answer: HttpAnswer | None = None
     ended: trio.Event = field(default_factory=trio.Event)
     expires: float = inf
     answers: dict[int, HttpAnswer] = field(default_factory=dict)
     scopes: dict[int, trio.CancelScope] = field(default_factory=dict)
 
+    def keep(self, attempt: int, answer: HttpAnswer) -> None:
+        """Keep an answer until the request has ended."""
+        self.answers[attempt] = answer
+        self.held.enter_context(self.room.hold(len(answer.body)))
+
 
 @dataclass(slots=True)
 class Servers:
@@ -68,6 +86,8 @@
 
     gateway: Gateway
     pools: dict[ServerLife, ConnectionPool] = field(default_factory=dict)
+    # Bounds the answers of all servers together.
+    room: AnswerRoom = field(default_factory=AnswerRoom)
 
     def find_pool(self, effect: SendAttempt) -> ConnectionPool:
         """Return the connections to a server, and drop those of lost ones."""
@@ -75,7 +95,9 @@
         pool = self.pools.get(server.life)
         if pool is None:
             self._drop_unknown()
-            pool = ConnectionPool(server.host, server.port, _CONNECT_TIMEOUT)
+            pool = ConnectionPool(
+                server.host, server.port, _CONNECT_TIMEOUT, room=self.room
+            )
             self.pools[server.life] = pool
         pool.most_idle = self._count_idle(effect)
         return pool
@@ -128,10 +150,11 @@
             return self.refuse(head)
         self.last_call += 1
         call = CallId(self.last_call)
-        waiting = _Waiting(request, head)
-        self.waiting[call] = waiting
-        with self._track(call, waiting):
-            await self._wait_for_end(call, waiting)
+        with ExitStack() as held:
+            waiting = _Waiting(request, head, held, self.servers.room)
+            self.waiting[call] = waiting
+            with self._track(call, waiting):
+                await self._wait_for_end(call, waiting)
         return waiting.answer
 
     def refuse(self, bad: BadInput) -> HttpAnswer:
@@ -212,9 +235,9 @@
             if isinstance(answer, HttpAnswer):
                 verdict = self.dialect.judge(answer, waiting.head.request_id)
                 status = answer.status
-                waiting.answers[effect.attempt] = answer
-            elif answer == Fault.unsent:
-                verdict = AttemptVerdict.unsent
+                waiting.keep(effect.attempt, answer)
+            else:
+                verdict = _FAULT_VERDICTS[answer]
         if not scope.cancelled_caught:
             self.feed(
                 AttemptEnded(effect.call, effect.attempt, verdict, status),
--- a/trefoilsaddle/results.py
+++ b/trefoilsaddle/results.py
@@ -67,6 +67,7 @@
     # An earlier attempt with the same idempotency key has not ended.
     in_progress = 307
     server_failed = 308
+    answer_too_large = 309
 
     # Operators' results.
     settings_invalid = 400
