Decide the controller by the group's last partition, which stays put

What callers saw: three changes of the controller in the 9 s before the first request, each a takeover of all ranges; the last one fell to a machine of 0.43 cores in the other region than the store.

Cause: the member with partition 0 was the controller. The store spreads the 24 partitions of a topic evenly, and a member that holds too many gives up its first ones first: partition 0 leaves its holder with the first join of another member, and is moved on by later ones.

Ruled out: a lease that lapsed because the holder was slow.

Change: the last partition decides; the number of partitions is read from the settings (`platform.parts`). That the last one stays is observed, not promised by the store's page: nothing but the number of takeovers depends on it.

Before: test_controller_keeps_its_part_while_others_join fails for 1, 11, 23 and 40 joining members, against a stand-in that shares partitions out as the store was seen to.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,6 +6,7 @@
 
 import json
 from base64 import b64encode
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
 
@@ -66,6 +67,9 @@
 
     topics: dict[str, list[bytes]] = field(default_factory=dict)
     members: list[str] = field(default_factory=list)
+    # Member that holds each partition of the group's topic.
+    holders: dict[int, str] = field(default_factory=dict)
+    parts: int = 1
     generation: int = 0
     # First kept offset of each topic.
     firsts: dict[str, int] = field(default_factory=dict)
@@ -95,8 +99,7 @@
             case 'log-join':
                 return self._join(json.loads(request.body))
             case 'log-leave':
-                self.members.remove(json.loads(request.body)['member'])
-                return _write_json(200, {})
+                return self._leave(json.loads(request.body))
         return HttpAnswer(404, ())
 
     def _add(self, topic: str, record: bytes) -> None:
@@ -162,14 +165,41 @@
         if body['member'] not in self.members:
             self.members.append(body['member'])
             self.generation += 1
-        parts = []
-        if self.members[0] == body['member']:
-            parts = [['controller', 0, 0]]
+        self._share_parts()
+        parts = [['controller', part, 0] for part in self._list(body['member'])]
         return _write_json(
             200,
             {'generation': self.generation, 'ttl_time': '1s', 'parts': parts},
         )
 
+    def _leave(self, body: dict[str, str]) -> HttpAnswer:
+        self.members.remove(body['member'])
+        self.generation += 1
+        if self.members:
+            self._share_parts()
+        return _write_json(200, {})
+
+    def _list(self, member: str) -> list[int]:
+        return [part for part, name in self.holders.items() if name == member]
+
+    def _share_parts(self) -> None:
+        # Even shares; who has too much gives up its first partitions.
+        for part in range(self.parts):
+            if self.holders.get(part) not in self.members:
+                self.holders[part] = self._find_member(min)
+        most = self._find_member(max)
+        least = self._find_member(min)
+        while len(self._list(most)) > len(self._list(least)) + 1:
+            self.holders[self._list(most)[0]] = least
+            most = self._find_member(max)
+            least = self._find_member(min)
+
+    def _find_member(self, choose: Callable[..., str]) -> str:
+        return choose(
+            self.members,
+            key=lambda member: len(self._list(member)),
+        )
+
 
 @dataclass(slots=True)
 class ServerStandIn(_Answers):
--- a/tests/test_platformadapter.py
+++ b/tests/test_platformadapter.py
@@ -362,6 +362,7 @@
 grace = "6s"
 [platform]
 address = "10.200.1.7:8541"
+parts = 12
 """
 _BAD_SETTINGS = {
     'zone': _SETTINGS.replace('zone = "a"', 'zone = 1'),
@@ -380,6 +381,7 @@
     assert isinstance(settings, GatewaySettings)
     assert settings.callers.port == 8548
     assert settings.options.port == 7540
+    assert settings.parts == 12
     assert settings.metrics.port == 7541
     assert settings.options.retry_budget.slack == 64
     assert settings.options.stop_timeout == Seconds(6)
--- a/tests/test_platformstandins.py
+++ b/tests/test_platformstandins.py
@@ -175,6 +175,33 @@
     _use_store(use)
 
 
+@pytest.mark.parametrize('others', [1, 11, 23, 40])
+def test_controller_keeps_its_part_while_others_join(others: int) -> None:
+    """Leave the part where it is when members join.
+
+    Guards against a takeover with each gateway that starts.
+    """
+
+    async def run() -> None:
+        stand_in = StoreStandIn(parts=24)
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(stand_in.serve)
+            effect = JoinGroup(0, Seconds(1))
+            stores = [
+                PlatformStore(_HOST, port, str(number), SystemClock(), 24)
+                for number in range(others + 1)
+            ]
+            with trio.fail_after(20):
+                first = [await store.join(effect) for store in stores]
+                again = [await store.join(effect) for store in stores]
+            nursery.cancel_scope.cancel()
+        for joined in (first, again):
+            leaders = [place for place, one in enumerate(joined) if one.leads]
+            assert leaders == [0]
+
+    trio.run(run)
+
+
 def test_a_read_that_waits_ends_with_the_next_record() -> None:
     """Return as soon as a record is there."""
 
--- a/trefoilsaddle/platform/settings.py
+++ b/trefoilsaddle/platform/settings.py
@@ -37,6 +37,8 @@
 
 class _WirePlatform(WireModel):
     address: str
+    # Partitions of each topic that the product keeps for itself.
+    parts: int = 1
 
 
 class _WireSettings(WireModel):
@@ -72,6 +74,8 @@
     ready: Address
     metrics: Address
     store: Address
+    # Partitions of a topic in the store.
+    parts: int
 
 
 def read_settings(path: Path, run: int) -> GatewaySettings | Failure:
@@ -101,6 +105,7 @@
         ready=_read_address(wire.listen.ready),
         metrics=Address(wire.ip, metrics),
         store=_read_address(wire.platform.address),
+        parts=wire.platform.parts,
     )
 
 
--- a/trefoilsaddle/platform/store.py
+++ b/trefoilsaddle/platform/store.py
@@ -59,7 +59,9 @@
 )
 _CONFIGURATION_KEY = 'config'
 _GROUP = 'gateways'
-# The member that gets partition 0 of this topic is the controller.
+# The member that gets the last partition of this topic is the controller: a
+# member that has to share what it holds gives up its first partitions first,
+# so that the last one stays where it is while others join.
 _GROUP_TOPIC = 'controller'
 _FIRST_PART = 0
 # The platform's store answers within 4 ms, and 60 times that when slow.
@@ -111,8 +113,10 @@
         port: int,
         member: str,
         clock: Clock,
+        parts: int = 1,
     ) -> None:
         """Connect at the first call; the member names this process."""
+        self._deciding_part = parts - 1
         self._clock = clock
         self._pool = ConnectionPool(host, port, _CONNECT_TIMEOUT)
         self._host = f'{host}:{port}'.encode()
@@ -165,7 +169,7 @@
         return JoinEnded(
             answered=True,
             generation=joined.generation,
-            leads=_FIRST_PART in parts,
+            leads=self._deciding_part in parts,
             asked_at=asked_at,
         )
 
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -90,6 +90,7 @@
             settings.store.port,
             f'{options.node}-{options.run}',
             self._clock,
+            settings.parts,
         )
         self._orders = PlatformOrders(
             options.grant_timeout,
