Keep own grants and those of earlier controllers apart; repeat for no more than the usual hold

What callers saw: on the grown site keys of a range unserved until 14 s, after a grant with a hold of 13,149 ms that the server refuses (400: its longest is 10 s). Found beside it: two owners possible. Cause: a range had one bound for how long its server may hold it. After a takeover that bound includes the time for which the predecessor may renew (12 s), and a repeated grant was made for what was left of it. The report of the predecessor then cut the bound to one usual hold, also where this controller itself had granted for longer without an answer; an answer from the server reset it. Ruled out: options.hold (2 s), the hold in the table. Change: two bounds, `granted_until` and `inherited_until`; shortening one leaves the other; a repeated grant asks for the usual hold at most; an accepted grant ends what the predecessor's arrived grants can last, and no own one. Before: test_grant_is_repeated_for_the_usual_hold 16 of 64 sampled keys unowned 2.5 s after a takeover; test_end_of_the_predecessor_does_not_end_own_grants OwnerError (guide-0 still holds its keys). After: both pass.

--- a/tests/test_gatewayownership.py
+++ b/tests/test_gatewayownership.py
@@ -420,6 +420,48 @@
     assert stated == [Seconds(6)]
 
 
+def _wait_for_controller(world: World, name: str) -> None:
+    process = world.processes[NodeId(name)]
+    while not process.gateway.control.leading:
+        world.run(0.01)
+
+
+# Guards against repeated grants for longer than servers accept.
+def test_grant_is_repeated_for_the_usual_hold() -> None:
+    """Renew an inherited range whose first grant had no answer."""
+    world = build_scene()
+    _kill_controller(world)
+    server = world.servers[0]
+    _wait_for_controller(world, GATEWAYS[1])
+    server.cut = True
+    world.after(0.2, lambda: _join_server(server))
+    world.run(2.5)
+    assert list_unowned(world) == []
+
+
+# Guards against shortening own grants with those of the predecessor.
+def test_end_of_the_predecessor_does_not_end_own_grants() -> None:
+    """Wait out an own grant without an answer that is the longer one."""
+    world = build_scene()
+    world.adjust = _lengthen_hold
+    for name in GATEWAYS[1:]:
+        world.start_gateway(name)
+    world.run(1)
+    process = world.processes[NodeId(_find_controller(world))]
+    process.store_cut = True
+    process.peers_cut = True
+    world.faults.late_orders = 1
+    world.faults.latest = Seconds(0.6)
+    _wait_for_controller(world, GATEWAYS[1])
+    world.run(0.65)
+    _answer_orders(world)
+    server = world.servers[0]
+    server.cut = True
+    _heal(world)
+    world.after(8, lambda: _join_server(server))
+    _assert_recovers(world, 20)
+
+
 def test_store_away_keeps_owners() -> None:
     """Renew grants while the store is away, for longer than a hold."""
     world = build_scene()
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -13,7 +13,12 @@
 from trefoilsaddle.gateway.events import OrderEnded, OrderVerdict
 from trefoilsaddle.gateway.journal import note
 from trefoilsaddle.gateway.pacing import find_hold_in_force
-from trefoilsaddle.gateway.pieces import Piece, PieceState, find_hold
+from trefoilsaddle.gateway.pieces import (
+    Piece,
+    PieceState,
+    find_end,
+    find_hold,
+)
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import Gateway
 
@@ -126,17 +131,22 @@
     if failing is not None:
         # Ends no later than the grant without an answer, so that asking once
         # more does not put off the time at which the keys are free.
-        hold = _shorten_hold(gateway, piece, now)
+        hold = _shorten_hold(gateway, piece, hold, now)
     piece.calling = True
     piece.hold = hold
     keyed.granted_hold = Seconds(max(keyed.granted_hold, hold))
     return [GrantKeys(server, piece.keys, piece.fence, hold, piece.handover)]
 
 
-def _shorten_hold(gateway: Gateway, piece: Piece, now: Seconds) -> Seconds:
-    options = gateway.options
-    left = piece.held_until - now - options.grant_timeout
-    return Seconds(max(find_hold(left), options.hold * _LEAST_PART))
+def _shorten_hold(
+    gateway: Gateway,
+    piece: Piece,
+    hold: Seconds,
+    now: Seconds,
+) -> Seconds:
+    left = piece.held_until - now - gateway.options.grant_timeout
+    shortened = max(find_hold(left), hold * _LEAST_PART)
+    return Seconds(min(shortened, hold))
 
 
 def _review_ending(
@@ -228,9 +238,9 @@
         gateway.control.suspected.pop(piece.life, None)
     if piece.inherited:
         # Its server refuses every earlier controller from now on.
+        # One that arrived before this may still be applied.
         piece.inherited = False
-        piece.held_until = Seconds(0)
-        piece.extend_hold(piece.hold, now)
+        piece.shorten_inherited(find_end(keyed.inherited_hold, now))
     piece.next_call = Seconds(now + gateway.options.renewal_interval)
     if piece.state == PieceState.granting:
         piece.state = PieceState.held
--- a/trefoilsaddle/gateway/pieces.py
+++ b/trefoilsaddle/gateway/pieces.py
@@ -25,6 +25,11 @@
 _MARGIN = Seconds(0.1)
 
 
+def find_end(hold: Seconds, sent: Seconds) -> Seconds:
+    """Return the latest end of a grant whose call ended at a time."""
+    return Seconds(sent + hold * _SLOW_CLOCK + _MARGIN)
+
+
 def find_hold(left: float) -> float:
     """Return the hold of a grant that surely ends within a time."""
     return (left - _MARGIN) / _SLOW_CLOCK
@@ -57,8 +62,10 @@
     fence: int = 0
     # Duration of the last grant.
     hold: Seconds = Seconds(0)
-    # Latest time at which the holder may still hold the keys.
-    held_until: Seconds = Seconds(0)
+    # Latest end of what this controller has granted.
+    granted_until: Seconds = Seconds(0)
+    # The same of what earlier controllers may have granted or may yet renew.
+    inherited_until: Seconds = Seconds(0)
     # Until when a grant without an answer may still be applied.
     doubted_until: Seconds = Seconds(0)
     # Names what the last holder left; empty when it left nothing.
@@ -88,6 +95,11 @@
         """Tell whether the holder stands in the table."""
         return self.state in _RECORDED
 
+    @property
+    def held_until(self) -> Seconds:
+        """Return the latest time at which the holder may hold the keys."""
+        return max(self.granted_until, self.inherited_until)
+
     def enter(self, state: PieceState, now: Seconds) -> None:
         """Change the state; the next call may be made at once."""
         self.state = state
@@ -97,12 +109,16 @@
 
     def extend_hold(self, hold: Seconds, now: Seconds) -> None:
         """Note that a grant may have reached the holder until now."""
-        until = now + hold * _SLOW_CLOCK + _MARGIN
-        self.held_until = Seconds(max(self.held_until, until))
+        until = find_end(hold, now)
+        self.granted_until = Seconds(max(self.granted_until, until))
+
+    def shorten_inherited(self, until: Seconds) -> None:
+        """Note that what earlier controllers granted ends sooner."""
+        self.inherited_until = Seconds(min(self.inherited_until, until))
 
     def doubt_grant(self) -> None:
         """Note that a grant without an answer may be applied late."""
-        self.doubted_until = self.held_until
+        self.doubted_until = self.granted_until
 
     def doubtful(self, now: Seconds) -> bool:
         """Tell whether a grant without an answer may still be applied."""
@@ -116,7 +132,8 @@
         self.serving = False
         self.reborn = False
         self.inherited = False
-        self.held_until = Seconds(0)
+        self.granted_until = Seconds(0)
+        self.inherited_until = Seconds(0)
         self.doubted_until = Seconds(0)
 
     def answers_to(self, keys: KeyRange, fence: int) -> bool:
@@ -207,12 +224,12 @@
         row: Assignment,
         now: Seconds,
     ) -> None:
-        until = max(piece.held_until for piece in inside)
         joined = replace(
             inside[0],
             keys=row.keys,
             fence=row.fence,
-            held_until=until,
+            granted_until=max(piece.granted_until for piece in inside),
+            inherited_until=max(piece.inherited_until for piece in inside),
         )
         joined.enter(PieceState.granting, now)
         place = self.ordered.index(inside[0])
--- a/trefoilsaddle/gateway/takeover.py
+++ b/trefoilsaddle/gateway/takeover.py
@@ -12,7 +12,7 @@
 from trefoilsaddle.gateway.effects import Effects, Part
 from trefoilsaddle.gateway.journal import note
 from trefoilsaddle.gateway.keys import ALL_KEYS
-from trefoilsaddle.gateway.pieces import Piece, PieceState
+from trefoilsaddle.gateway.pieces import Piece, PieceState, find_end
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.table import Assignment, GatewayAddress, StoredTable
 
@@ -76,13 +76,8 @@
         old = keyed.predecessor
         if old is not None and old.node == address.node:
             keyed.predecessor = None
-            _shorten_holds(keyed, _lapse_time(keyed, now))
-
-
-def _shorten_holds(keyed: KeyedControl, limit: Seconds) -> None:
-    for piece in _all(keyed):
-        if piece.inherited:
-            piece.held_until = Seconds(min(piece.held_until, limit))
+            for piece in _all(keyed):
+                piece.shorten_inherited(find_end(keyed.inherited_hold, now))
 
 
 def _all(keyed: KeyedControl) -> list[Piece]:
@@ -98,7 +93,7 @@
     options = gateway.options
     table = stored.table
     keyed.inherited_hold = table.hold or options.longest_hold
-    held_until = _lapse_time(keyed, now)
+    held_until = find_end(keyed.inherited_hold, now)
     gone = table.resigned or table.controller.node == options.node
     if not gone:
         # The last controller may yet renew grants without the store.
@@ -119,7 +114,7 @@
     now: Seconds,
 ) -> Piece:
     piece = Piece(row.keys, life=row.life, fence=row.fence, since=now)
-    piece.held_until = held_until
+    piece.inherited_until = held_until
     piece.inherited = True
     server = gateway.book.find_life(row.life)
     if server is None:
@@ -133,9 +128,3 @@
     piece.state = PieceState.assigning
     piece.serving = True
     return piece
-
-
-def _lapse_time(keyed: KeyedControl, now: Seconds) -> Seconds:
-    piece = Piece(ALL_KEYS)
-    piece.extend_hold(keyed.inherited_hold, now)
-    return piece.held_until
