Append the first table of a successor again once the store has refused it

What callers saw: nothing yet; found in review. A store that turns the new controller away for a moment (429, 503) while it takes over leaves all keys without an owner. Cause: the table that names the same owners with a new token was appended once. Refused, its ranges waited to be assigned, and the next table was sent only when some range was free: no grant was renewed and all keys lapsed. A choice that was undone kept the marks of the range's last holder. Ruled out: a call without an answer is repeated as it is; a conflict ends the controller's part. Change: ranges that still wait to be assigned are reason for a table; an undone choice is set free as any other range, with what its last holder left.

--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -132,6 +132,8 @@
     latest: Seconds = Seconds(4)
     # Appends that are stored and not answered.
     lost_appends: float = 0
+    # Appends that the store refuses, such as beyond its limit of calls.
+    refused_appends: float = 0
     store_down: bool = False
 
 
@@ -384,6 +386,9 @@
             self.feed(process, ended)
 
         def store() -> None:
+            if self.random.random() < self.faults.refused_appends:
+                self.after(_LATENCY, lambda: answer(AppendVerdict.refused))
+                return
             verdict = self.store.append(effect)
             if self.random.random() < self.faults.lost_appends:
                 self.after(_SILENT_CALL, lambda: answer(AppendVerdict.unknown))
--- a/tests/test_gatewayownership.py
+++ b/tests/test_gatewayownership.py
@@ -439,6 +439,19 @@
     assert list_unowned(world) == []
 
 
+# Guards against a takeover that ends with its first refused table.
+def test_refused_takeover_is_tried_again() -> None:
+    """Append the first table of a successor again once it was refused."""
+    world = build_scene()
+    _kill_controller(world)
+    world.faults.refused_appends = 1
+    _wait_for_controller(world, GATEWAYS[1])
+    world.run(0.4)
+    world.faults.refused_appends = 0
+    world.run(0.6)
+    assert list_unowned(world) == []
+
+
 # Guards against shortening own grants with those of the predecessor.
 def test_end_of_the_predecessor_does_not_end_own_grants() -> None:
     """Wait out an own grant without an answer that is the longer one."""
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -55,9 +55,9 @@
     """Give free ranges to servers by the next table."""
     if keyed.pending is not None or now < keyed.append_after:
         return []
-    if not _choose_holders(gateway, keyed, now):
-        return []
-    return append_table(gateway, keyed)
+    if _choose_holders(gateway, keyed, now) or _is_taking_over(keyed):
+        return append_table(gateway, keyed)
+    return []
 
 
 def append_table(gateway: Gateway, keyed: KeyedControl) -> Effects:
@@ -175,6 +175,13 @@
     return True
 
 
+def _is_taking_over(keyed: KeyedControl) -> bool:
+    # Ranges whose table the store has refused keep the holder they had.
+    return any(
+        piece.state == PieceState.assigning for piece in keyed.pieces.ordered
+    )
+
+
 def _give_free(
     gateway: Gateway,
     keyed: KeyedControl,
@@ -335,8 +342,7 @@
         if piece.held_until > now:
             # A range that is taken over: its holder may still serve it.
             continue
-        piece.enter(PieceState.free, now)
-        piece.life = None
+        piece.set_free(now, piece.handover)
 
 
 def fill_holes(pieces: list[Piece]) -> list[Piece]:
