Size holds and renewals by what a controller can renew

What callers saw: nothing on their own; the controller of 97 servers renewed each range twice a second, which left it no time for moves, news and its own calls to the store. Cause: the interval and the hold were sized for 12 servers, whatever the number of ranges. Change: renewals take at most half of the time for orders (71 a second at 7 ms each); the interval grows beyond 35 ranges, and the hold with it, by the interval and by the time in which a successor grants all ranges once more; it stays half a second below the longest hold that servers accept. A grant that was repeated with a short hold is renewed within a quarter of it: after the usual interval it may have lapsed. Ruled out: more renewals a second at a lower cost each; the call itself is half of the cost. The tests name what was not there before; test_renewals_are_paced_by_their_cost wants at most 75 a second.

--- a/tests/test_gatewayfleet.py
+++ b/tests/test_gatewayfleet.py
@@ -5,12 +5,21 @@
 import pytest
 
 from measure.gatewayworld import World, build_world
-from tests.gatewayscenes import CATALOGUE, build_configuration, list_unowned
+from tests.gatewayscenes import (
+    CATALOGUE,
+    build_configuration,
+    build_scene,
+    list_unowned,
+)
 from trefoilsaddle.core.units import Seconds, ServiceName
 from trefoilsaddle.gateway.calling import send_orders
 from trefoilsaddle.gateway.effects import GrantKeys
 from trefoilsaddle.gateway.keys import ALL_KEYS
-from trefoilsaddle.gateway.pacing import find_room
+from trefoilsaddle.gateway.pacing import (
+    find_renewal_interval,
+    find_room,
+    size_hold,
+)
 from trefoilsaddle.gateway.pieces import Piece, PieceState
 from trefoilsaddle.gateway.state import Gateway
 
@@ -146,3 +155,54 @@
     piece.calling = False
     piece.serving = serving
     piece.next_call = Seconds(due)
+
+
+# Guards against renewals that a slow controller cannot keep up with.
+def test_renewals_are_paced_by_their_cost() -> None:
+    """Renew all grants of a large fleet in half of the time for orders."""
+    world = _build_fleet(_Scene())
+    world.run(5)
+    gateway = _find_controller(world)
+    worker = world.processes[gateway.options.node].worker
+    before = worker.opened
+    world.run(10)
+    assert worker.opened - before < 75 * 10
+
+
+# Ranges, then the hold and the renewal interval in seconds: as the options
+# say for few, and never above what servers accept.
+_SIZES = (
+    (1, 2, 0.5),
+    (35, 2, 0.5),
+    (97, 3.29, 1.36),
+    (200, 5.45, 2.8),
+    (1000, 9.5, 8),
+)
+
+
+@pytest.mark.parametrize(('ranges', 'hold', 'interval'), _SIZES)
+def test_holds_grow_with_the_ranges(
+    ranges: int,
+    hold: float,
+    interval: float,
+) -> None:
+    """Give each grant a hold that its renewal can keep up with."""
+    gateway = _find_controller(build_scene())
+    keyed = gateway.control.keyed[ServiceName(CATALOGUE)]
+    keyed.pieces.ordered = [Piece(ALL_KEYS) for _ in range(ranges)]
+    sized = size_hold(gateway, keyed)
+    assert sized == pytest.approx(hold, abs=0.01)
+    renewal = find_renewal_interval(gateway, sized)
+    assert renewal == pytest.approx(interval, abs=0.01)
+
+
+# Guards against a grant of a short hold that lapses before its renewal.
+@pytest.mark.parametrize('hold', [0.2, 0.6, 1, 2, 3.3, 9.5])
+def test_grants_are_renewed_before_they_lapse(hold: float) -> None:
+    """Leave time for calls that fail, however short a grant is."""
+    gateway = _find_controller(build_scene())
+    keyed = gateway.control.keyed[ServiceName(CATALOGUE)]
+    for ranges in (4, 97, 1000):
+        keyed.pieces.ordered = [Piece(ALL_KEYS) for _ in range(ranges)]
+        interval = find_renewal_interval(gateway, Seconds(hold))
+        assert interval <= max(hold / 4, hold - 1.5)
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -12,7 +12,10 @@
 from trefoilsaddle.gateway.election import step_down
 from trefoilsaddle.gateway.events import OrderEnded, OrderVerdict
 from trefoilsaddle.gateway.journal import note
-from trefoilsaddle.gateway.pacing import find_hold_in_force
+from trefoilsaddle.gateway.pacing import (
+    find_hold_in_force,
+    find_renewal_interval,
+)
 from trefoilsaddle.gateway.pieces import Piece, PieceState, find_hold
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import Gateway
@@ -247,7 +250,8 @@
         piece.inherited = False
         piece.held_until = Seconds(0)
         piece.extend_hold(piece.hold, now)
-    piece.next_call = Seconds(now + gateway.options.renewal_interval)
+    interval = find_renewal_interval(gateway, piece.hold)
+    piece.next_call = Seconds(now + interval)
     if piece.state == PieceState.granting:
         piece.state = PieceState.held
         piece.since = now
--- a/trefoilsaddle/gateway/pacing.py
+++ b/trefoilsaddle/gateway/pacing.py
@@ -1,13 +1,62 @@
-"""Pace the grants of a controller."""
+"""Pace the grants of a controller.
+
+A grant is renewed before it lapses, so the number of ranges over the interval
+is what a controller has to call all the time.  Up to a number of ranges the
+interval and the hold are those of the options; above it both grow with it.
+"""
 
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.control import KeyedControl
 from trefoilsaddle.gateway.state import Gateway
 
+# Time that an order takes up on the weakest machines (0.43 cores, of which a
+# quarter is left for orders).  Measured at full speed: 0.4 ms for the call and
+# 0.3 ms for the review of 97 ranges.
+_ORDER_TIME = Seconds(0.007)
+# Part of a call's time that may pass in the queue of this process; the rest is
+# for the way between regions and for a busy server.
+_QUEUE_PART = 0.35
+# Part of the time for orders that renewals take up; the rest is for moves, and
+# for calls that are made again.
+_RENEWAL_PART = 0.5
+_RENEWALS_PER_SECOND = _RENEWAL_PART / _ORDER_TIME
+# Covers a hold that is rounded up on its way to the longest that is accepted.
+_HOLD_MARGIN = Seconds(0.5)
+
 
 def size_hold(gateway: Gateway, keyed: KeyedControl) -> Seconds:
     """Return the hold that grants of a service should have."""
-    return gateway.options.hold
+    options = gateway.options
+    interval = _size_interval(gateway)
+    usual = options.renewal_interval * _RENEWALS_PER_SECOND
+    excess = max(_count_ranges(gateway) - usual, 0)
+    # The successor of a lost controller grants each range once more before
+    # the first of them lapses.
+    takeover = excess * _ORDER_TIME
+    sized = options.hold + interval - options.renewal_interval + takeover
+    most = max(options.longest_hold - _HOLD_MARGIN, options.hold)
+    return Seconds(min(sized, most))
+
+
+def find_renewal_interval(gateway: Gateway, hold: Seconds) -> Seconds:
+    """Return when a grant with a hold is renewed."""
+    options = gateway.options
+    # Left for a lost controller to be replaced, or for calls that fail.
+    lead = options.hold - options.renewal_interval
+    part = options.renewal_interval / options.hold
+    latest = max(hold - lead, hold * part)
+    return Seconds(min(_size_interval(gateway), latest))
+
+
+def _size_interval(gateway: Gateway) -> Seconds:
+    needed = _count_ranges(gateway) / _RENEWALS_PER_SECOND
+    return Seconds(max(gateway.options.renewal_interval, needed))
+
+
+def _count_ranges(gateway: Gateway) -> int:
+    return sum(
+        len(keyed.pieces.ordered) for keyed in gateway.control.keyed.values()
+    )
 
 
 def find_hold_in_force(gateway: Gateway, keyed: KeyedControl) -> Seconds:
@@ -28,15 +77,6 @@
     return Seconds(longest)
 
 
-# Time that an order takes up on the weakest machines (0.43 cores, of which a
-# quarter is left for orders).  Measured at full speed: 0.4 ms for the call and
-# 0.3 ms for the review of 97 ranges.
-_ORDER_TIME = Seconds(0.007)
-# Part of a call's time that may pass in the queue of this process; the rest is
-# for the way between regions and for a busy server.
-_QUEUE_PART = 0.35
-
-
 def find_room(gateway: Gateway, calling: int) -> int:
     """Return how many more orders of a kind may be sent now."""
     most = gateway.options.grant_timeout * _QUEUE_PART / _ORDER_TIME
