Suspect a server only while other servers confirm orders

What callers saw: on the site of 97 servers with keys 83 ranges were left to lapse and their servers got no keys for four seconds, though no server had any trouble: the free keys went to the few others. Cause: each order without an answer counted against its server, also when the controller's own calls came to nothing. Change: gateway/suspicion.py. An order that was not confirmed counts only if at least as many other servers confirmed one of the same time as did not; a server is suspected after two such orders, and its grants are left to lapse only while it is suspected; otherwise the order is made again, before the grant lapses. The log line of a failed grant tells how many others confirmed and failed. Ruled out: a longer time until a server is given up, which would leave the keys of lost servers longer.

--- a/tests/test_gatewayfleet.py
+++ b/tests/test_gatewayfleet.py
@@ -62,11 +62,11 @@
 
 def _list_suspected(world: World) -> list[str]:
     return [
-        life.server
+        server.life.server
         for process in world.processes.values()
         if process.alive
-        for life, until in process.gateway.control.suspected.items()
-        if until > world.now
+        for server in process.gateway.book.servers.values()
+        if process.gateway.control.suspicions.suspects(server.life, world.now)
     ]
 
 
@@ -206,3 +206,40 @@
         keyed.pieces.ordered = [Piece(ALL_KEYS) for _ in range(ranges)]
         interval = find_renewal_interval(gateway, Seconds(hold))
         assert interval <= max(hold / 4, hold - 1.5)
+
+
+# How long the controller comes to nothing, and with how many servers.
+_STALLS = ((0.6, 4), (1.2, 4), (0.6, 97), (1.2, 97))
+
+
+# Guards against servers that are suspected for the controller's own slowness.
+@pytest.mark.parametrize(('stall', 'servers'), _STALLS)
+def test_busy_controller_suspects_no_server(stall: float, servers: int) -> None:
+    """Keep all grants while no order of the controller comes to its end."""
+    world = _build_fleet(_Scene(servers=servers))
+    world.run(4)
+    process = world.processes[_find_controller(world).options.node]
+    process.worker.idle_at = Seconds(world.now + stall)
+    _watch(world, 6)
+
+
+# Servers, and how many of them are cut off.
+_CUTS = ((2, 1), (4, 1), (6, 3), (97, 1), (97, 32))
+
+
+@pytest.mark.parametrize(('servers', 'cut'), _CUTS)
+def test_servers_that_do_not_answer_are_suspected(
+    servers: int,
+    cut: int,
+) -> None:
+    """Give the keys of servers that are cut off to the others."""
+    world = _build_fleet(_Scene(servers=servers))
+    world.run(4)
+    lost = world.servers[:cut]
+    for server in lost:
+        server.cut = True
+    world.run(3.5)
+    assert len(_list_suspected(world)) == cut
+    world.run(5)
+    assert list_unowned(world) == []
+    assert not any(server.overlapping(ALL_KEYS, world.now) for server in lost)
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -123,7 +123,7 @@
 def _may_take(gateway: Gateway, server: Server, now: Seconds) -> bool:
     if server.draining or server.life.server in gateway.book.doubted:
         return False
-    return gateway.control.suspected.get(server.life, now) <= now
+    return not gateway.control.suspicions.suspects(server.life, now)
 
 
 def _find_goal(gateway: Gateway, service: ServiceName) -> Seconds | None:
--- a/trefoilsaddle/gateway/control.py
+++ b/trefoilsaddle/gateway/control.py
@@ -13,6 +13,7 @@
 from trefoilsaddle.gateway.peermessages import ServerLoad
 from trefoilsaddle.gateway.pieces import Pieces
 from trefoilsaddle.gateway.servers import Server, ServerLife, ServerTag
+from trefoilsaddle.gateway.suspicion import Suspicions
 from trefoilsaddle.gateway.table import GatewayAddress, OwnershipTable
 
 
@@ -68,8 +69,7 @@
     loads: dict[ServiceName, ServerLoads] = field(default_factory=dict)
     # Last known entry of each server that holds keys.
     addresses: dict[ServerLife, Server] = field(default_factory=dict)
-    # Servers that do not answer orders, and until when they get no keys.
-    suspected: dict[ServerLife, Seconds] = field(default_factory=dict)
+    suspicions: Suspicions = field(default_factory=Suspicions)
     # Since when this gateway is the controller, and when it next tells
     # gateways that have not connected.
     leading_since: Seconds = Seconds(0)
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -27,9 +27,6 @@
 
 # Time of failed renewals after which a server's grants are left to lapse.
 _GIVE_UP = Seconds(0.7)
-# Time for which a server that does not answer gets no more keys; its entry
-# is removed by then if it is gone.
-_SUSPICION = Seconds(4)
 # A release that would be answered later than this before the grant lapses
 # is not worth asking for.
 _RELEASE_TIME = Seconds(0.35)
@@ -126,7 +123,8 @@
         begin_release(keyed, piece, now)
         return _review_ending(gateway, keyed, piece, now)
     failing = piece.failing_since
-    if failing is not None and now - failing > _GIVE_UP:
+    suspected = gateway.control.suspicions.suspects(server.life, now)
+    if failing is not None and suspected and now - failing > _GIVE_UP:
         return _let_lapse(keyed, piece, now, 'its server does not answer')
     return []
 
@@ -227,7 +225,11 @@
         piece.doubt_grant()
     if piece.failing_since is None:
         piece.failing_since = now
-    gateway.control.suspected[event.life] = Seconds(now + _SUSPICION)
+    health = gateway.control.suspicions.note_failed(
+        event.life,
+        Seconds(piece.failing_since - gateway.options.grant_timeout),
+        now,
+    )
     piece.next_call = Seconds(now + _RETRY_PAUSE)
     line = note(
         Part.ownership,
@@ -237,6 +239,9 @@
         last=event.keys.last,
         fence=event.fence,
         verdict=event.verdict.value,
+        others_confirmed=health.confirmed,
+        others_failed=health.failed,
+        suspected=gateway.control.suspicions.suspects(event.life, now),
     )
     return [line]
 
@@ -254,7 +259,7 @@
     piece.failing_since = None
     piece.handover = ''
     if piece.life is not None:
-        gateway.control.suspected.pop(piece.life, None)
+        gateway.control.suspicions.note_confirmed(piece.life, now)
     if piece.inherited:
         # Its server refuses every earlier controller from now on.
         # One that arrived before this may still be applied.
--- a/trefoilsaddle/gateway/reporting.py
+++ b/trefoilsaddle/gateway/reporting.py
@@ -16,7 +16,9 @@
     report = build_report(gateway, now)
     pause = gateway.options.report_interval
     effects: Effects = [SetTimer(TimerKind.report, pause)]
-    gateway.pools.forget(_list_lives(gateway))
+    known = _list_lives(gateway)
+    gateway.pools.forget(known)
+    gateway.control.suspicions.forget(known)
     if gateway.control.leading:
         return [*effects, *take_report(gateway, now, report)]
     return [*effects, *send_report(gateway, report)]
--- /dev/null
+++ b/trefoilsaddle/gateway/suspicion.py
@@ -0,0 +1,95 @@
+"""Tell a server that does not answer from a controller that is late itself.
+
+An order that was not confirmed counts against its server only if most orders
+to other servers of the same time were: otherwise the fault is this process',
+or the network's, and the order is made again.  One such order is not enough:
+it may have been sent while this process came to nothing.
+"""
+
+from dataclasses import dataclass, field
+
+from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.gateway.servers import ServerLife
+
+# Time for which a server that does not answer gets no more keys; its entry
+# is removed by then if it is gone.
+_SUSPICION = Seconds(4)
+# Time between two orders that count against a server: more than a call lasts,
+# so that the second one was sent after the first had ended.
+_CONFIRMATION = Seconds(0.3)
+
+
+@dataclass(frozen=True, slots=True)
+class _Outcome:
+    at: Seconds
+    confirmed: bool
+    # Since when orders count against the server.
+    blamed_since: Seconds | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Health:
+    """Count the other servers that confirmed orders, and that did not."""
+
+    confirmed: int
+    failed: int
+
+    @property
+    def good(self) -> bool:
+        """Tell whether this process' orders reach most servers."""
+        return self.confirmed > 0 and self.confirmed >= self.failed
+
+
+@dataclass(slots=True)
+class Suspicions:
+    """Hold what became of the newest order to each server."""
+
+    outcomes: dict[ServerLife, _Outcome] = field(default_factory=dict)
+    # Servers that do not answer orders, and until when they get no keys.
+    until: dict[ServerLife, Seconds] = field(default_factory=dict)
+
+    def suspects(self, life: ServerLife, now: Seconds) -> bool:
+        """Tell whether a server gets no keys at present."""
+        return self.until.get(life, now) > now
+
+    def note_confirmed(self, life: ServerLife, now: Seconds) -> None:
+        """Note that a server has confirmed an order."""
+        self.outcomes[life] = _Outcome(now, confirmed=True)
+        self.until.pop(life, None)
+
+    def note_failed(
+        self,
+        life: ServerLife,
+        since: Seconds,
+        now: Seconds,
+    ) -> Health:
+        """Suspect a server if this process was well since its first order."""
+        health = self._count_others(life, since)
+        blamed_since = self._find_blame(life, now) if health.good else None
+        self.outcomes[life] = _Outcome(
+            now, confirmed=False, blamed_since=blamed_since
+        )
+        if blamed_since is not None and now - blamed_since >= _CONFIRMATION:
+            self.until[life] = Seconds(now + _SUSPICION)
+        return health
+
+    def forget(self, known: set[ServerLife]) -> None:
+        """Drop what is held of servers that are gone."""
+        for life in set(self.outcomes).difference(known):
+            self.outcomes.pop(life)
+            self.until.pop(life, None)
+
+    def _find_blame(self, life: ServerLife, now: Seconds) -> Seconds:
+        last = self.outcomes.get(life)
+        if last is None or last.blamed_since is None:
+            return now
+        return last.blamed_since
+
+    def _count_others(self, life: ServerLife, since: Seconds) -> Health:
+        recent = [
+            outcome.confirmed
+            for other, outcome in self.outcomes.items()
+            if other != life and outcome.at >= since
+        ]
+        confirmed = sum(recent)
+        return Health(confirmed, len(recent) - confirmed)
