Let gateways join the group in the order of their speed

Cause: every gateway joined the group at its start, before there was anything to control, and renewed its membership each 0.8 s, so chance chose the controller, and 90 gateways paid for the renewals.

Change: nobody joins before the first configuration. A gateway of two cores or more then joins at once; a slower one when no controller was heard of for up to 2 s, less the faster it is, plus up to 0.3 s by chance. The controller names itself and four gateways of at least half the speed of the fastest as standbys; only those stay members, and they join at once when the controller is lost. Any number may be lost: the slowest step in within the users' 3 s and the lease. Where all are alike, four of them stand by as before.

Ruled out: a patience of 1 s, first tried: slow gateways came in while the lease of the lost controller was still running. Not covered: two of three fast gateways lost at once may leave the part to a slow one, as the member lease of a lost standby (2 s) outlasts the patience.

The guard test RECOVER no longer saw its guard taken out, as gateways now join after they have read the configuration, so the first read of the tables finds the store back. Its check is kept, and a second outage is added to it, which begins as a gateway is chosen that has read the tables before: with that the loss of the guard is seen again.

--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -165,7 +165,7 @@
 
     # Gateways.
 
-    def start_gateway(self, name: str) -> Process:
+    def start_gateway(self, name: str, speed: float = 2) -> Process:
         """Start a gateway, anew if it ran before."""
         self._runs += 1
         node = NodeId(name)
@@ -183,6 +183,7 @@
             retry_budget=RetryBudget(0.2, 64, Seconds(10)),
             stop_timeout=Seconds(6),
             heartbeat=Seconds(0.87),
+            speed=speed,
         )
         process = Process(build_gateway(options))
         self.processes[node] = process
@@ -526,7 +527,8 @@
             return
         process.linked = address.node
         own = process.gateway.own_address()
-        greeting = Report(own, Seconds(0), (), ())
+        speed = process.gateway.options.speed
+        greeting = Report(own, Seconds(0), (), (), speed)
         self.feed(peer, PeerLinked(own.node))
         self.feed(peer, ReportReceived(greeting))
 
--- a/tests/test_gatewayguards.py
+++ b/tests/test_gatewayguards.py
@@ -9,18 +9,19 @@
 
 import pytest
 
+from measure.gatewayworld import World
 from tests import test_gatewayforwarding as forwardingtests
 from tests import test_gatewayrelay as relaytests
 from tests import test_platformadapter as adaptertests
 from tests.gatewayscenes import GATEWAYS, build_scene, list_unowned
-from trefoilsaddle.core.units import Seconds, ServiceName
+from trefoilsaddle.core.units import NodeId, Seconds, ServiceName
 from trefoilsaddle.gateway import controller, forwarding, lifecycle, peers
 from trefoilsaddle.gateway import servers as servermodule
 from trefoilsaddle.gateway.budget import ServiceBudget
 from trefoilsaddle.gateway.choosing import choose_service
 from trefoilsaddle.gateway.configuration import Route
 from trefoilsaddle.gateway.effects import Effects, EndCall
-from trefoilsaddle.gateway.events import RequestArrived
+from trefoilsaddle.gateway.events import JoinEnded, RequestArrived
 from trefoilsaddle.gateway.servers import ServerBook
 from trefoilsaddle.gateway.state import Gateway, OpenCall
 from trefoilsaddle.platform import dialect, headers
@@ -68,6 +69,28 @@
     world.faults.store_down = True
     for name in GATEWAYS:
         world.start_gateway(name)
+    _end_outage(world)
+    _lose_store_as_chosen(world)
+    _end_outage(world)
+
+
+def _lose_store_as_chosen(world: World) -> None:
+    first = world.find_controller()
+    assert first is not None
+    world.kill_gateway(first.gateway.options.node)
+    world.faults.store_down = True
+    last = world.processes[NodeId(GATEWAYS[-1])]
+    chosen = JoinEnded(
+        answered=True,
+        generation=world.store.generation,
+        leads=True,
+        asked_at=world.now,
+    )
+    world.feed(last, chosen)
+    world.kill_gateway(GATEWAYS[1])
+
+
+def _end_outage(world: World) -> None:
     world.run(5)
     world.faults.store_down = False
     world.run(_RECOVERY)
--- a/tests/test_platformadapter.py
+++ b/tests/test_platformadapter.py
@@ -363,6 +363,9 @@
 [platform]
 address = "10.200.1.7:8541"
 parts = 12
+[limits]
+cpuShare = 0.5
+cores = 3
 """
 _BAD_SETTINGS = {
     'zone': _SETTINGS.replace('zone = "a"', 'zone = 1'),
@@ -382,6 +385,7 @@
     assert settings.callers.port == 8548
     assert settings.options.port == 7540
     assert settings.parts == 12
+    assert settings.options.speed == 1.5
     assert settings.metrics.port == 7541
     assert settings.options.retry_budget.slack == 64
     assert settings.options.stop_timeout == Seconds(6)
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -235,6 +235,7 @@
     node = report.gateway.node
     control.reporters[node] = now
     gateway.link.known[node] = report.gateway
+    gateway.link.speeds[node] = report.speed
     _forget_silent(control.reporters, now)
     learn_end(gateway, report.gateway, now)
     for use in report.uses:
--- a/trefoilsaddle/gateway/election.py
+++ b/trefoilsaddle/gateway/election.py
@@ -1,9 +1,14 @@
 """Follow the store's choice of the controller.
 
-Every gateway is a member of one group of the store, and the member that the
-store gives the first partition to is the controller.  The choice only says
-who may try: what the controller decides counts once the store has accepted
-its table, and a table is accepted only behind the newest one.
+The controller is one of the members of a group of the store, the one that the
+store gives the deciding partition to.  The choice only says who may try: what
+the controller decides counts once the store has accepted its table, and a
+table is accepted only behind the newest one.
+
+Gateways join the group in the order of their speed: the fastest at once, each
+other one when it has heard of no controller for as long as a faster one takes
+to be chosen and heard of.  Once there is a controller, only those that it
+names as its standbys stay members.
 
 A controller that cannot reach the store goes on renewing the grants that it
 made, for at most `outage_tolerance`; it decides nothing new.  Its successor
@@ -31,11 +36,26 @@
 from trefoilsaddle.gateway.peers import is_linked
 from trefoilsaddle.gateway.state import Gateway
 
+# A gateway of this speed waits for no faster one; in cores.
+_AMPLE_SPEED = 2
+# Longest wait for a faster gateway: the lease of a lost controller (1 s), an
+# urgent interval, and 0.75 s to read, append and be read of, with round trips
+# of 40 ms; with the silence of a lost link (1.4 s) below the 4 s within which
+# keys are owned again (the users' aim and a lease).
+_LONGEST_PATIENCE = Seconds(2)
+# Gateways of one speed join one after another: one of them is heard of by
+# most others within a part of this time.
+_PATIENCE_SPREAD = Seconds(0.3)
+
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
     """Keep this gateway a member, and learn whether it is chosen."""
     match event:
-        case Started() | TimerExpired(kind=TimerKind.join_group):
+        case Started():
+            gateway.link.led_at = now
+            gateway.link.patience = _draw_patience(gateway)
+            return _join(gateway, now)
+        case TimerExpired(kind=TimerKind.join_group):
             return _join(gateway, now)
         case LinkLost():
             return [SetTimer(TimerKind.join_group, Seconds(0))]
@@ -68,6 +88,9 @@
     options = gateway.options
     if gateway.stopping_since is not None:
         return []
+    wait = _find_wait(gateway, now)
+    if wait > 0:
+        return [SetTimer(TimerKind.join_group, wait)]
     timer = SetTimer(TimerKind.join_group, options.member_interval)
     if control.joining:
         return [timer]
@@ -78,6 +101,36 @@
     return [JoinGroup(control.generation, lease)]
 
 
+def _draw_patience(gateway: Gateway) -> Seconds:
+    lack = 1 - gateway.options.speed / _AMPLE_SPEED
+    if lack <= 0:
+        return Seconds(0)
+    spread = gateway.random.uniform(0, _PATIENCE_SPREAD)
+    return Seconds(lack * _LONGEST_PATIENCE + spread)
+
+
+def _find_wait(gateway: Gateway, now: Seconds) -> Seconds:
+    options = gateway.options
+    if gateway.control.chosen:
+        return Seconds(0)
+    if gateway.configuration is None:
+        # There is nothing to control yet.
+        return options.urgent_interval
+    if _stands_by(gateway):
+        return Seconds(0)
+    if is_linked(gateway, now):
+        return options.member_interval
+    link = gateway.link
+    return Seconds(link.led_at + link.patience - now)
+
+
+def _stands_by(gateway: Gateway) -> bool:
+    standbys = gateway.link.standbys
+    if standbys:
+        return gateway.options.node in standbys
+    return gateway.control.generation > 0
+
+
 def _take_answer(gateway: Gateway, now: Seconds, event: JoinEnded) -> Effects:
     control = gateway.control
     control.joining = False
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -294,6 +294,7 @@
     if known is not None and stored.offset <= known.offset:
         return []
     gateway.tables[table.service] = stored
+    gateway.link.led_at = now
     owners = gateway.owners.get(table.service)
     offset = NO_OFFSET if owners is None else owners.offset
     own = table.controller == gateway.own_address()
--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -55,6 +55,8 @@
     stop_timeout: Seconds
     # Between two writes of a server's entry; three missed ones and it lapses.
     heartbeat: Seconds
+    # Cores that this process may use, each counted by its own speed.
+    speed: float = 2
     server_defaults: ServerDefaults = ServerDefaults()
     hold: Seconds = USUAL_HOLD
     # A quarter of the hold: three calls may fail before a grant lapses.
--- a/trefoilsaddle/gateway/peermessages.py
+++ b/trefoilsaddle/gateway/peermessages.py
@@ -55,6 +55,8 @@
     elapsed: Seconds
     uses: tuple[ServerUse, ...]
     keys: tuple[KeyCounts, ...]
+    # Cores of the gateway, each counted by its own speed.
+    speed: float = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +104,8 @@
     # Servers whose entries are gone and may have lapsed with the store: a
     # gateway that knows them keeps them, no other takes them up.
     doubted: tuple[str, ...] = ()
+    # Gateways that stay members of the group; none if they are as told.
+    standbys: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -1,6 +1,6 @@
 """Report to the controller, and learn from what it tells."""
 
-from trefoilsaddle.core.units import Seconds, ServerId, Version
+from trefoilsaddle.core.units import NodeId, Seconds, ServerId, Version
 from trefoilsaddle.gateway.effects import (
     AskConfiguration,
     DialController,
@@ -44,7 +44,7 @@
         case NewsReceived():
             return _take_news(gateway, now, event.news)
         case LinkLost():
-            return _lose_link(gateway)
+            return _lose_link(gateway, now)
     return []
 
 
@@ -87,7 +87,13 @@
     )
     gateway.key_counts.clear()
     seen = tuple(use for use in uses if use is not None)
-    return Report(gateway.own_address(), elapsed, seen, keys)
+    return Report(
+        gateway.own_address(),
+        elapsed,
+        seen,
+        keys,
+        gateway.options.speed,
+    )
 
 
 def _sum_up(pool: Pool, now: Seconds, elapsed: Seconds) -> ServerUse | None:
@@ -112,6 +118,8 @@
     gateway.pools.told_at = now
     link.gateways = news.reporting
     link.known.update({peer.node: peer for peer in news.gateways})
+    if news.standbys:
+        link.standbys = tuple(NodeId(name) for name in news.standbys)
     for load in news.loads:
         server = gateway.book.by_tag.get(load.tag)
         if server is not None:
@@ -186,9 +194,10 @@
     gateway.owners_changed = True
 
 
-def _lose_link(gateway: Gateway) -> Effects:
+def _lose_link(gateway: Gateway, now: Seconds) -> Effects:
     if gateway.link.news_at is None:
         return []
+    gateway.link.led_at = now
     gateway.link.news_at = None
     gateway.link.servers_read_at = None
     gateway.link.configuration_read_at = None
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -98,6 +98,14 @@
     gateways: int = 1
     # Where the gateways are that a controller has told of.
     known: dict[NodeId, GatewayAddress] = field(default_factory=dict)
+    # Speeds of the gateways that report to this one.
+    speeds: dict[NodeId, float] = field(default_factory=dict)
+    # Gateways that the controller wants to stay members of the group.
+    standbys: tuple[NodeId, ...] = ()
+    # Time at which a controller was last heard of, and for how long this
+    # gateway leaves the part to faster ones then.
+    led_at: Seconds = Seconds(0)
+    patience: Seconds = Seconds(0)
 
 
 @dataclass(slots=True)
--- a/trefoilsaddle/gateway/telling.py
+++ b/trefoilsaddle/gateway/telling.py
@@ -26,6 +26,13 @@
 # for this time; the store is away for less.
 _ANNOUNCE_PAUSE = Seconds(0.7)
 _ANNOUNCE_TIME = Seconds(15)
+# Gateways that may be lost with the controller before slower ones step in.
+_STANDBYS = 4
+# Part of the fastest gateway's speed that a standby has at least: the store
+# may choose any of them.
+_LIKE_FASTEST = 0.5
+# A new controller knows the speeds of most gateways after this time.
+_SETTLING = Seconds(2)
 
 
 def tell_all(gateway: Gateway, now: Seconds, node: NodeId) -> Effects:
@@ -197,9 +204,32 @@
         owners=owners,
         loads=_list_loads(gateway, now) if whole else (),
         doubted=tuple(gateway.book.doubted) if whole else (),
+        standbys=_list_standbys(gateway, now, whole=whole),
     )
 
 
+def _list_standbys(
+    gateway: Gateway,
+    now: Seconds,
+    *,
+    whole: bool,
+) -> tuple[NodeId, ...]:
+    """Return the fastest gateways, or none if they were told before."""
+    if now - gateway.control.leading_since < _SETTLING:
+        return ()
+    speeds = gateway.link.speeds
+    nodes = gateway.control.reporters.keys() & speeds.keys()
+    least = max((speeds[node] for node in nodes), default=0) * _LIKE_FASTEST
+    swift = [node for node in nodes if speeds[node] >= least]
+    ordered = sorted(swift, key=lambda node: (-speeds[node], node))
+    own = gateway.options.node
+    chosen = [node for node in ordered if node != own][:_STANDBYS]
+    standbys = (own, *chosen)
+    if standbys == gateway.link.standbys and not whole:
+        return ()
+    return standbys
+
+
 def _find_age(gateway: Gateway, topic: Topic, now: Seconds) -> Seconds:
     read_at = gateway.topics[topic].read_at
     return Seconds(now if read_at is None else now - read_at)
--- a/trefoilsaddle/platform/settings.py
+++ b/trefoilsaddle/platform/settings.py
@@ -41,6 +41,12 @@
     parts: int = 1
 
 
+class _WireLimits(WireModel):
+    # Part of a core that the process gets, and how fast that core is.
+    cpu_share: float = Field(default=1, alias='cpuShare', strict=False)
+    cores: float = Field(default=2, strict=False)
+
+
 class _WireSettings(WireModel):
     node: str
     ip: str
@@ -55,6 +61,7 @@
     # Between two writes of an upstream's entry.
     heartbeat: Duration
     platform: _WirePlatform
+    limits: _WireLimits = _WireLimits()
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +143,7 @@
         hold=Seconds(min(USUAL_HOLD, bounds.hold_max)),
         stop_timeout=Seconds(bounds.grace),
         heartbeat=Seconds(wire.heartbeat),
+        speed=wire.limits.cpu_share * wire.limits.cores,
     )
 
 
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -100,7 +100,9 @@
             gateway, PlatformDialect(), self.feed, nursery
         )
         self.controller = ControllerServer(self.feed)
-        greeting = Report(gateway.own_address(), Seconds(0), (), ())
+        greeting = Report(
+            gateway.own_address(), Seconds(0), (), (), options.speed
+        )
         self._link = ControllerLink(
             self.feed,
             greeting,
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -77,6 +77,7 @@
   elapsed @1 :Float64;
   uses @2 :List(ServerUse);
   keys @3 :List(KeyCounts);
+  speed @4 :Float32;
 }
 
 struct ServerLoad {
@@ -104,6 +105,7 @@
   owners @9 :List(OwnerNews);
   loads @10 :List(ServerLoad);
   doubted @11 :List(Text);
+  standbys @12 :List(Text);
 }
 
 struct ConfigurationRead {
