Read little of the store before the first configuration and in outages

Cause, by reading and from the tests: a gateway polls servers, tables and the configuration from its start, also before there is a configuration that would give the others a meaning; and each topic that the store turns away is tried again after 0.3 s by each gateway, up to 900 refused calls a second from 90. A gateway that the store turned away from its start never got ready, though the relay had told it everything.

Change: servers and tables are read from the first configuration on, and the wait for that is 2 s; gateways that are not the controller try again at a pace of 90 calls a second and topic for all together, with a quarter of chance, and not sooner than before; a gateway counts as prepared once it was told everything.

Before, with following and lifecycle as they were: 5 of the 15 cases of test_gatewaystorecalls fail; after, all pass. On fleets of up to 27 gateways the pace of retries is as it was.

--- /dev/null
+++ b/tests/test_gatewaystorecalls.py
@@ -0,0 +1,139 @@
+"""Check how often gateways call the store."""
+
+import pytest
+
+from measure.gatewayworld import Process, World, build_world
+from tests.gatewayscenes import CATALOGUE, build_configuration, build_scene
+from trefoilsaddle.core.units import NodeId, Offset, Seconds, ServiceName
+from trefoilsaddle.gateway.effects import ReadTopic, SetReady, SetTimer
+from trefoilsaddle.gateway.events import (
+    ConfigurationCopied,
+    NewsReceived,
+    ReadVerdict,
+    Started,
+    TableAnnounced,
+    TimerExpired,
+    TimerKind,
+    Topic,
+    TopicRead,
+)
+from trefoilsaddle.gateway.peermessages import News
+from trefoilsaddle.gateway.reducer import reduce
+from trefoilsaddle.gateway.state import Gateway, build_gateway
+from trefoilsaddle.gateway.table import (
+    GatewayAddress,
+    OwnershipTable,
+    StoredTable,
+)
+
+_ADDRESS = GatewayAddress(NodeId('gate-9'), 9, 'gate-9', 1)
+_TABLE = OwnershipTable(
+    ServiceName(CATALOGUE),
+    _ADDRESS,
+    sequence=1,
+    resigned=False,
+    assignments=(),
+)
+
+
+def test_store_is_read_little_before_the_first_configuration(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Wait for the first configuration, and read the rest after it.
+
+    Guards against three polls of each gateway while there is nothing to do.
+    """
+    reads: list[Topic] = []
+    perform = World._read_topic
+
+    def count(world: World, process: Process, effect: ReadTopic) -> None:
+        reads.append(effect.topic)
+        perform(world, process, effect)
+
+    monkeypatch.setattr(World, '_read_topic', count)
+    world = World(build_world(build_configuration(), ()).random)
+    world.add_server('guide-0', CATALOGUE)
+    process = world.start_gateway('gate-1')
+    world.run(5)
+    assert set(reads) == {Topic.configuration}
+    assert len(reads) <= 4
+    world.store.write_configuration(build_configuration())
+    world.run(2)
+    assert process.gateway.ready
+
+
+@pytest.mark.parametrize('topic', Topic)
+@pytest.mark.parametrize(
+    ('gateways', 'chosen', 'shortest', 'longest'),
+    [
+        (1, False, 0.3, 0.3),
+        (12, False, 0.3, 0.3),
+        (90, False, 0.7, 1.3),
+        (90, True, 0.3, 0.3),
+    ],
+)
+def test_reads_are_tried_again_at_a_bounded_rate(
+    topic: Topic,
+    gateways: int,
+    shortest: float,
+    longest: float,
+    *,
+    chosen: bool,
+) -> None:
+    """Spread the retries of many gateways, except the controller's.
+
+    Guards against hundreds of refused calls a second in an outage.
+    """
+    gateway = build_scene().processes[NodeId('gate-2')].gateway
+    gateway.link.gateways = gateways
+    gateway.control.chosen = chosen
+    lost = TopicRead(
+        topic,
+        ReadVerdict.unavailable,
+        whole=False,
+        next_offset=Offset(1),
+        entries=(),
+        asked_at=Seconds(0),
+    )
+    pauses = [
+        effect.delay
+        for effect in reduce(gateway, Seconds(200), lost)
+        if isinstance(effect, SetTimer) and effect.kind.name.startswith('read')
+    ]
+    assert len(pauses) == 1
+    assert shortest <= pauses[0] <= longest
+
+
+def _start_on_relay(gateway: Gateway, now: Seconds) -> None:
+    reduce(gateway, now, Started())
+    reduce(gateway, now, ConfigurationCopied(build_configuration()))
+    stored = StoredTable(Offset(3), _TABLE)
+    reduce(gateway, now, TableAnnounced(stored))
+
+
+@pytest.mark.parametrize('whole', [True, False])
+def test_gateway_without_the_store_gets_ready_by_the_relay(
+    *,
+    whole: bool,
+) -> None:
+    """Take callers once the controller has told everything."""
+    world = build_scene()
+    options = world.processes[NodeId('gate-2')].gateway.options
+    gateway = build_gateway(options)
+    _start_on_relay(gateway, world.now)
+    news = News(
+        run=_ADDRESS.run,
+        reporting=3,
+        gateways=(),
+        configuration=gateway.version,
+        configuration_age=Seconds(0),
+        servers_age=Seconds(0),
+        servers_whole=whole,
+        servers=(),
+        removed=(),
+        owners=(),
+        loads=(),
+    )
+    reduce(gateway, world.now, NewsReceived(news))
+    effects = reduce(gateway, world.now, TimerExpired(TimerKind.review))
+    assert (SetReady(ready=True) in effects) == whole
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -1,6 +1,7 @@
 """Follow the store: configuration, servers, and tables of owners.
 
-Each topic is read whole once and then from where the last read ended.  A
+Each topic is read whole once and then from where the last read ended; servers
+and tables from the first configuration on, as they mean nothing before.  A
 gateway that hears from the controller leaves the reading of servers and
 tables to it; it reads them itself as soon as the news stops.
 """
@@ -40,6 +41,13 @@
 from trefoilsaddle.gateway.table import StoredTable, map_table
 
 _NO_WAIT = Seconds(0)
+# Wait of a read for the first configuration; callers come seconds later.
+_FIRST_WAIT = Seconds(2)
+# Reads of one topic that all gateways together try again in a second, while
+# the store turns them away.
+_RETRY_RATE = 90
+# Part by which such a pause is longer or shorter.
+_RETRY_SPREAD = 0.25
 # Wait of a read for the next table, while no controller tells of it.
 _TABLE_WAIT = Seconds(1)
 # The controller's look takes up to a second, and its age counts from the
@@ -64,7 +72,7 @@
     """Read the topics and believe what they hold."""
     match event:
         case Started():
-            return [_read(gateway, topic) for topic in Topic]
+            return [_read(gateway, Topic.configuration)]
         case TimerExpired():
             return _take_timer(gateway, now, event.kind)
         case TopicRead():
@@ -108,6 +116,8 @@
     if topic == Topic.configuration:
         if gateway.link.wanted_since is not None:
             return _NO_WAIT
+        if gateway.configuration is None:
+            return _FIRST_WAIT
         return gateway.options.configuration_wait
     if topic == Topic.ownership:
         return _TABLE_WAIT
@@ -118,6 +128,8 @@
 def _read_servers(gateway: Gateway, now: Seconds) -> Effects:
     if gateway.topics[Topic.servers].reading:
         return []
+    if gateway.configuration is None:
+        return []
     read_at = gateway.link.servers_read_at
     limit = 2 * gateway.options.servers_interval
     relayed = read_at is not None and now - read_at <= limit
@@ -144,6 +156,8 @@
 def _read_ownership(gateway: Gateway, now: Seconds) -> Effects:
     if gateway.topics[Topic.ownership].reading:
         return []
+    if gateway.configuration is None:
+        return []
     if gateway.control.leading or is_linked(gateway, now):
         return [SetTimer(TimerKind.read_ownership, _LINK_CHECK)]
     return [_read(gateway, Topic.ownership)]
@@ -174,7 +188,7 @@
     state: TopicState,
     event: TopicRead,
 ) -> Effects:
-    pause = gateway.options.retry_interval
+    pause = _find_retry_pause(gateway)
     effects: Effects = [SetTimer(_TIMERS[event.topic], pause)]
     if not state.away:
         state.away = True
@@ -183,6 +197,16 @@
     return effects
 
 
+def _find_retry_pause(gateway: Gateway) -> Seconds:
+    shortest = gateway.options.retry_interval
+    pause = gateway.count_gateways() / _RETRY_RATE
+    if pause <= shortest or gateway.control.chosen:
+        # All others live on what the controller reads.
+        return shortest
+    spread = gateway.random.uniform(-_RETRY_SPREAD, _RETRY_SPREAD)
+    return Seconds(pause * (1 + spread))
+
+
 def _note_return(
     gateway: Gateway,
     state: TopicState,
@@ -224,6 +248,7 @@
 ) -> Effects:
     if configuration.version <= gateway.version:
         return []
+    first = gateway.configuration is None
     gateway.configuration = configuration
     gateway.link.wanted_since = None
     line = note(
@@ -232,7 +257,13 @@
         version=configuration.version,
         hosts=len(configuration.routes),
     )
-    return [line]
+    if not first:
+        return [line]
+    return [
+        line,
+        SetTimer(TimerKind.read_servers, _NO_WAIT),
+        SetTimer(TimerKind.read_ownership, _NO_WAIT),
+    ]
 
 
 def _take_servers(
--- a/trefoilsaddle/gateway/lifecycle.py
+++ b/trefoilsaddle/gateway/lifecycle.py
@@ -57,7 +57,8 @@
     configuration = gateway.configuration
     if configuration is None:
         return False
-    if gateway.topics[Topic.servers].next_offset is None:
+    read = gateway.topics[Topic.servers].next_offset is not None
+    if not (read or gateway.link.complete):
         return False
     return all(
         rules.name in gateway.owners
