Tell all gateways of one that a newcomer was told of first

What callers saw, in virtual time: keys of a server lost at a takeover had no owner for more than 6 s, as the successor could not tell its predecessor of itself and had to wait for the predecessor's 12 s without the store.

Cause: news of everything for one newcomer also noted its list of gateways as told to all. A gateway that reported just before was never told to the others; with many gateways that link at the same time, and the controller's own first report among them, that is likely.

Ruled out: the takeover itself; it waits as it should for a predecessor that it cannot hear.

Before: test_gateways_are_told_of_those_that_linked_before_a_newcomer fails; after: it passes, and so do the tests of the relay.

--- a/tests/test_gatewaytelling.py
+++ b/tests/test_gatewaytelling.py
@@ -11,13 +11,15 @@
 from trefoilsaddle.gateway.events import (
     NewsReceived,
     PeerLinked,
+    ReportReceived,
     TimerExpired,
     TimerKind,
     Topic,
 )
-from trefoilsaddle.gateway.peermessages import News
+from trefoilsaddle.gateway.peermessages import News, Report
 from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.state import Gateway
+from trefoilsaddle.gateway.table import GatewayAddress
 
 _NEWCOMERS = 89
 # Bits of news of everything with 165 servers and 90 gateways.
@@ -97,6 +99,28 @@
     assert all(read.topic == Topic.servers for read in reads)
 
 
+def test_gateways_are_told_of_those_that_linked_before_a_newcomer() -> None:
+    """Tell all of a gateway also if a newcomer was told of it first.
+
+    Guards against a successor that cannot tell its predecessor of itself, and
+    waits until the grants of that one have lapsed for certain.
+    """
+    world = build_scene()
+    gateway = _find_leader(world)
+    node = NodeId('new-1')
+    address = GatewayAddress(node, 1, 'new-1', 1)
+    report = ReportReceived(Report(address, Seconds(0), (), ()))
+    reduce(gateway, world.now, report)
+    reduce(gateway, world.now, PeerLinked(NodeId('new-2')))
+    now = Seconds(world.now + 1)
+    effects = reduce(gateway, now, TimerExpired(TimerKind.review))
+    news = [kind.news for kind in effects if isinstance(kind, SendNews)]
+    told = [
+        peer for one in news if not one.servers_whole for peer in one.gateways
+    ]
+    assert address in told
+
+
 def _build_news(world: World, gateway: Gateway, *, whole: bool) -> News:
     servers = tuple(gateway.book.servers.values())
     return News(
--- a/trefoilsaddle/gateway/telling.py
+++ b/trefoilsaddle/gateway/telling.py
@@ -270,9 +270,11 @@
     whole: bool,
 ) -> tuple[GatewayAddress, ...]:
     control = gateway.control
-    if not whole and control.told_gateways == set(control.reporters):
-        return ()
-    control.told_gateways = set(control.reporters)
+    if not whole:
+        if control.told_gateways == set(control.reporters):
+            return ()
+        # What a newcomer is told the others have not heard.
+        control.told_gateways = set(control.reporters)
     return tuple(
         peer
         for node, peer in gateway.link.known.items()
