--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -176,7 +176,7 @@
 
     # Gateways.
 
-    def start_gateway(self, name: str) -> Process:
+    def start_gateway(self, name: str, speed: float = 2) -> Process:
         """Start a gateway, anew if it ran before."""
         self._runs += 1
         node = NodeId(name)
@@ -194,6 +194,7 @@
             retry_budget=RetryBudget(0.2, 64, Seconds(10)),
             stop_timeout=Seconds(6),
             heartbeat=Seconds(0.87),
+            speed=speed,
         )
         worker = OrderWorker(self.order_turn)
         gateway = build_gateway(self.adjust(options))
@@ -576,7 +577,8 @@
             return
         process.linked = address.node
         own = process.gateway.own_address()
-        greeting = Report(own, Seconds(0), (), ())
+        speed = process.gateway.options.speed
+        greeting = Report(own, Seconds(0), (), (), speed)
         self.feed(peer, PeerLinked(own.node))
         self.feed(peer, ReportReceived(greeting))
 
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -87,7 +87,7 @@
     if isinstance(event, ConfigurationWanted):
         return telling.pass_configuration(gateway, event.node)
     if isinstance(event, PeerLinked):
-        return telling.tell_all(gateway, now, event.node)
+        return telling.welcome(gateway, now, event.node)
     return _resign(gateway)
 
 
@@ -139,6 +139,7 @@
     effects.extend(send_orders(gateway, now))
     if not control.leading:
         return effects
+    effects.extend(telling.tell_newcomers(gateway, now))
     effects.extend(telling.tell_changes(gateway, now))
     return [*effects, *telling.announce(gateway, now)]
 
@@ -237,6 +238,7 @@
     node = report.gateway.node
     control.reporters[node] = now
     gateway.link.known[node] = report.gateway
+    gateway.link.speeds[node] = report.speed
     _forget_silent(control.reporters, now)
     learn_end(gateway, report.gateway, now)
     for use in report.uses:
--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -57,6 +57,10 @@
     stop_timeout: Seconds
     # Between two writes of a server's entry; three missed ones and it lapses.
     heartbeat: Seconds
+    # Cores that this process may use, each counted by its own speed.
+    speed: float = 2
+    # Of this machine's own link, in Mbit a second.
+    link_rate: float = 1000
     server_defaults: ServerDefaults = ServerDefaults()
     hold: Seconds = USUAL_HOLD
     longest_hold: Seconds = LONGEST_HOLD
--- a/trefoilsaddle/gateway/telling.py
+++ b/trefoilsaddle/gateway/telling.py
@@ -26,18 +26,54 @@
 # for this time; the store is away for less.
 _ANNOUNCE_PAUSE = Seconds(0.7)
 _ANNOUNCE_TIME = Seconds(15)
+# Between two groups of newcomers that are told everything.
+_WELCOME_PAUSE = Seconds(0.1)
+# Part of this machine's link that such news may fill.
+_WELCOME_SHARE = 0.5
+# News of everything with 165 servers and 90 gateways, compressed; in Mbit.
+_WHOLE_SIZE = 0.07
+# Each takes 0.7 ms of a core: a tenth of the pause on half a core at most.
+_MOST_WELCOMED = 8
+# Gateways that may be lost with the controller before slower ones step in.
+_STANDBYS = 4
+# Part of the fastest gateway's speed that a standby has at least: the store
+# may choose any of them.
+_LIKE_FASTEST = 0.5
+# A new controller knows the speeds of most gateways after this time.
+_SETTLING = Seconds(2)
+
+
+def welcome(gateway: Gateway, now: Seconds, node: NodeId) -> Effects:
+    """Tell a gateway that has just connected everything, in its turn."""
+    if not gateway.control.leading:
+        return []
+    gateway.link.newcomers.append(node)
+    return tell_newcomers(gateway, now)
 
 
-def tell_all(gateway: Gateway, now: Seconds, node: NodeId) -> Effects:
-    """Tell a gateway that has just connected everything."""
-    if not gateway.control.leading:
+def tell_newcomers(gateway: Gateway, now: Seconds) -> Effects:
+    """Tell some of the gateways that wait for it everything.
+
+    Grants share the link and the processor, so the rest waits.
+    """
+    link = gateway.link
+    if not link.newcomers or now < link.welcome_at:
         return []
+    link.welcome_at = Seconds(now + _WELCOME_PAUSE)
+    room = gateway.options.link_rate * _WELCOME_SHARE * _WELCOME_PAUSE
+    most = max(int(room / _WHOLE_SIZE), 1)
+    told = link.newcomers[: min(most, _MOST_WELCOMED)]
+    link.newcomers = link.newcomers[len(told) :]
+    news = _describe_all(gateway, now)
+    return [SendNews(news, node) for node in told]
+
+
+def _describe_all(gateway: Gateway, now: Seconds) -> News:
     servers = tuple(_list_sure(gateway).values())
     owners = tuple(
         _describe_owners(keyed) for keyed in gateway.control.keyed.values()
     )
-    news = _build_news(gateway, now, servers, (), owners, whole=True)
-    return [SendNews(news, node)]
+    return _build_news(gateway, now, servers, (), owners, whole=True)
 
 
 def tell_changes(gateway: Gateway, now: Seconds) -> Effects:
@@ -197,9 +233,32 @@
         owners=owners,
         loads=_list_loads(gateway, now) if whole else (),
         doubted=tuple(gateway.book.doubted) if whole else (),
+        standbys=_list_standbys(gateway, now, whole=whole),
     )
 
 
+def _list_standbys(
+    gateway: Gateway,
+    now: Seconds,
+    *,
+    whole: bool,
+) -> tuple[NodeId, ...]:
+    """Return the fastest gateways, or none if they were told before."""
+    if now - gateway.control.leading_since < _SETTLING:
+        return ()
+    speeds = gateway.link.speeds
+    nodes = gateway.control.reporters.keys() & speeds.keys()
+    least = max((speeds[node] for node in nodes), default=0) * _LIKE_FASTEST
+    swift = [node for node in nodes if speeds[node] >= least]
+    ordered = sorted(swift, key=lambda node: (-speeds[node], node))
+    own = gateway.options.node
+    chosen = [node for node in ordered if node != own][:_STANDBYS]
+    standbys = (own, *chosen)
+    if standbys == gateway.link.standbys and not whole:
+        return ()
+    return standbys
+
+
 def _find_age(gateway: Gateway, topic: Topic, now: Seconds) -> Seconds:
     read_at = gateway.topics[topic].read_at
     return Seconds(now if read_at is None else now - read_at)
@@ -211,9 +270,11 @@
     whole: bool,
 ) -> tuple[GatewayAddress, ...]:
     control = gateway.control
-    if not whole and control.told_gateways == set(control.reporters):
-        return ()
-    control.told_gateways = set(control.reporters)
+    if not whole:
+        if control.told_gateways == set(control.reporters):
+            return ()
+        # What a newcomer is told the others have not heard.
+        control.told_gateways = set(control.reporters)
     return tuple(
         peer
         for node, peer in gateway.link.known.items()
--- a/trefoilsaddle/platform/settings.py
+++ b/trefoilsaddle/platform/settings.py
@@ -41,6 +41,14 @@
     parts: int = 1
 
 
+class _WireLimits(WireModel):
+    # Part of a core that the process gets, and how fast that core is.
+    cpu_share: float = Field(default=1, alias='cpuShare', strict=False)
+    cores: float = Field(default=2, strict=False)
+    # Of the machine's link, both ways.
+    link_rate: float = Field(default=1000, alias='linkMbps', strict=False)
+
+
 class _WireSettings(WireModel):
     node: str
     ip: str
@@ -55,6 +63,7 @@
     # Between two writes of an upstream's entry.
     heartbeat: Duration
     platform: _WirePlatform
+    limits: _WireLimits = _WireLimits()
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +146,8 @@
         longest_hold=Seconds(bounds.hold_max),
         stop_timeout=Seconds(bounds.grace),
         heartbeat=Seconds(wire.heartbeat),
+        link_rate=wire.limits.link_rate,
+        speed=wire.limits.cpu_share * wire.limits.cores,
     )
 
 
--- a/trefoilsaddle/programs/gatewaylinks.py
+++ b/trefoilsaddle/programs/gatewaylinks.py
@@ -94,10 +94,13 @@
     # The configuration that was passed on last, and the message that it made.
     _copied: bytes = b''
     _copy: bytes = b''
+    # News that was encoded last, as several gateways get the same.
+    _news: News | None = None
+    _encoded: bytes = b''
 
     def send(self, effect: SendNews) -> None:
         """Send news to one gateway or to all."""
-        message = encode_peer_message(effect.news)
+        message = self._encode(effect.news)
         names = list(self.outboxes) if effect.node is None else [effect.node]
         for name in names:
             self._push(name, message)
@@ -122,6 +125,12 @@
             nursery.cancel_scope.cancel()
         sockets.close(stream)
 
+    def _encode(self, news: News) -> bytes:
+        if self._news is not news:
+            self._news = news
+            self._encoded = encode_peer_message(news)
+        return self._encoded
+
     async def _take_reports(
         self,
         messages: MessageStream,
