Bound the answers that the embedded set-up reads

What callers saw: a backend server or a log service in trouble that sends bytes without end holds a dispatcher for the whole timeout; the log service's answer was held whole in memory (1.5 GB within the 20 s of the test).

Cause: of a backend server's answer only the decoded body was counted, of the log service's nothing.

The connection now counts what it receives: 192 KiB until the head is whole (the library takes heads of 100 KB, a read brings 64 KB), 16 MiB for the answer. Above that the exchange fails as one whose protocol is broken.

Failed before (8 of 30): informational, chunked-body and chunk-extensions of a server were not given up within 10 s or their memory; of the service also body-without-length and chunk-size. After: all pass.

--- a/trefoilsaddle/backend/exchange.py
+++ b/trefoilsaddle/backend/exchange.py
@@ -7,14 +7,16 @@
 import trio
 
 from trefoilsaddle.backend.guard import Clock, SendGuard, SendTooLateError
-from trefoilsaddle.backend.streams import CountingBackend, CountingStream
+from trefoilsaddle.backend.streams import (
+    CountingBackend,
+    CountingStream,
+    read_body,
+)
 from trefoilsaddle.core.configuration import ServerPolicy
 from trefoilsaddle.core.units import Seconds
 
 # Idle connections are dropped before the usual server drops them.
 _KEEPALIVE_EXPIRY = 2.0
-# Largest body of an answer that is passed on, in bytes.
-_LARGEST_BODY = 16_777_216
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 _HEADER_ENCODING = 'latin-1'
@@ -167,15 +169,11 @@
     if length is None and not chunked and not bare:
         # Ends with the connection: a whole answer looks like a short one.
         return Fault.cut_short
-    body = b''
-    async for chunk in response.aiter_stream():
-        body += chunk
-        if len(body) > _LARGEST_BODY:
-            return Fault.cut_short
     stream = response.extensions['network_stream']
     if not isinstance(stream, CountingStream):
         # A tunnel or another protocol was opened instead of an answer.
         return Fault.cut_short
+    body = await read_body(response, stream)
     stream.end_answer(None if chunked else len(body))
     return ServerAnswer(response.status, headers, body)
 
--- a/trefoilsaddle/backend/streams.py
+++ b/trefoilsaddle/backend/streams.py
@@ -11,9 +11,18 @@
     SOCKET_OPTION,
     AsyncNetworkBackend,
     AsyncNetworkStream,
+    RemoteProtocolError,
+    Response,
     TrioBackend,
 )
 
+# Largest answer that is read, in bytes as they come; the body that is passed
+# on is bounded to the same figure.
+LARGEST_ANSWER = 16_777_216
+# Bytes that may come before the head of an answer is whole: httpcore takes
+# heads of 100 KB, and one read brings 64 KB.
+_LARGEST_HEAD = 196_608
+
 _HEAD_END = b'\r\n\r\n'
 _READABLE = 'is_readable'
 
@@ -26,11 +35,14 @@
         self._stream = stream
         self._head = b''
         self._received = 0
+        self._bound = _LARGEST_HEAD
         self._spoilt = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Receive some bytes."""
+        """Receive some bytes (RemoteProtocolError above a bound)."""
         chunk = await self._stream.read(max_bytes, timeout)
+        if self._received + len(chunk) > self._bound:
+            raise RemoteProtocolError('the answer is too large')
         if _HEAD_END not in self._head:
             self._head += chunk
         self._received += len(chunk)
@@ -41,6 +53,7 @@
         if self._received:
             self._head = b''
             self._received = 0
+            self._bound = _LARGEST_HEAD
         await self._stream.write(buffer, timeout)
 
     async def aclose(self) -> None:
@@ -53,6 +66,10 @@
             return True
         return self._stream.get_extra_info(name)
 
+    def begin_body(self) -> None:
+        """Let a whole answer follow its head."""
+        self._bound = LARGEST_ANSWER
+
     def end_answer(self, body_length: int | None) -> None:
         """Let the connection be kept only if nothing followed the answer.
 
@@ -91,3 +108,9 @@
     async def sleep(self, seconds: float) -> None:
         """Wait."""
         await self._backend.sleep(seconds)
+
+
+async def read_body(response: Response, stream: CountingStream) -> bytes:
+    """Read the body of an answer (RemoteProtocolError above a bound)."""
+    stream.begin_body()
+    return b''.join([chunk async for chunk in response.aiter_stream()])
--- a/trefoilsaddle/logservice/exchange.py
+++ b/trefoilsaddle/logservice/exchange.py
@@ -5,6 +5,11 @@
 import httpcore
 import trio
 
+from trefoilsaddle.backend.streams import (
+    CountingBackend,
+    CountingStream,
+    read_body,
+)
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.results import ResultCode
@@ -46,6 +51,7 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=address.connections,
             keepalive_expiry=_KEEPALIVE_EXPIRY,
+            network_backend=CountingBackend(),
         )
 
     async def request(self, request: ServiceRequest) -> bytes | Failure:
@@ -67,18 +73,26 @@
             target=request.path,
         )
         try:
-            response = await self._pool.request(
+            async with self._pool.stream(
                 request.method,
                 url,
                 headers={'content-type': 'application/json'},
                 content=request.body,
-            )
+            ) as response:
+                return await _read_answer(response)
         except _FAULTS as fault:
             return Failure(ResultCode.log_unavailable, type(fault).__name__)
-        if response.status != _OK:
-            reason = f'the service answered {response.status}'
-            return Failure(ResultCode.log_unavailable, reason)
-        return response.content
+
+
+async def _read_answer(response: httpcore.Response) -> bytes | Failure:
+    stream = response.extensions['network_stream']
+    if not isinstance(stream, CountingStream):
+        return Failure(ResultCode.log_unavailable, 'no answer but a tunnel')
+    body = await read_body(response, stream)
+    if response.status != _OK:
+        reason = f'the service answered {response.status}'
+        return Failure(ResultCode.log_unavailable, reason)
+    return body
 
 
 # Every way in which httpcore reports a lost or a broken exchange.
