Bound the store's answers by what its pages can hold

A page of the store holds 1 MB of records; 4 MiB covers base64 and names. Before, the bound for a caller's answer (16 MiB) held here as well.

--- a/trefoilsaddle/platform/store.py
+++ b/trefoilsaddle/platform/store.py
@@ -30,6 +30,7 @@
 from trefoilsaddle.gateway.table import StoredTable
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.pool import ConnectionPool
+from trefoilsaddle.http.room import AnswerRoom
 from trefoilsaddle.platform.configuration import decode_configuration
 from trefoilsaddle.platform.durations import write_duration
 from trefoilsaddle.platform.entries import decode_entry
@@ -65,6 +66,9 @@
 # The platform's store answers within 4 ms, and 60 times that when slow.
 _CALL_TIMEOUT = Seconds(0.9)
 _CONNECT_TIMEOUT = Seconds(0.6)
+# Largest answer of the store, in bytes: a page holds 1 MB of records, a third
+# more in base64, and 500 names.
+_LARGEST_ANSWER = 4_194_304
 _MILLISECONDS = 1000
 
 
@@ -114,7 +118,8 @@
     ) -> None:
         """Connect at the first call; the member names this process."""
         self._clock = clock
-        self._pool = ConnectionPool(host, port, _CONNECT_TIMEOUT)
+        room = AnswerRoom(_LARGEST_ANSWER)
+        self._pool = ConnectionPool(host, port, _CONNECT_TIMEOUT, room=room)
         self._host = f'{host}:{port}'.encode()
         self._member = member
 
