Time the steps of each order, from its decision to its end

OrderEnded now holds the seconds from the decision to the first turn of its task, to a connection, to its bytes written and to its end; a step that was not reached is missing. They stand on the line \`grant not confirmed\` as started_after, connected_after, written_after and ended_after, and in the histogram trefoil_order_seconds{step}. The same pools now share one bound for the answers to orders (64 KiB each, 4 MiB in all).

--- a/trefoilsaddle/gateway/events.py
+++ b/trefoilsaddle/gateway/events.py
@@ -134,6 +134,38 @@
     unknown = 'unknown'
 
 
+@dataclass(frozen=True, slots=True)
+class OrderTimes:
+    """Hold the times of an order since its decision; None if not reached."""
+
+    # Its task had its first turn.
+    started: Seconds | None = None
+    # A connection to the server was there.
+    connected: Seconds | None = None
+    # Its bytes were taken by the network.
+    written: Seconds | None = None
+    # Its answer had come, or it was given up.
+    ended: Seconds | None = None
+
+    def count_from(self, waited: Seconds) -> 'OrderTimes':
+        """Return the times counted from an earlier moment."""
+        return OrderTimes(
+            **{step: Seconds(time + waited) for step, time in self.list_steps()}
+        )
+
+    def list_steps(self) -> list[tuple[str, Seconds]]:
+        """Return the steps that were reached, with their times."""
+        steps = {
+            'started': self.started,
+            'connected': self.connected,
+            'written': self.written,
+            'ended': self.ended,
+        }
+        return [
+            (step, time) for step, time in steps.items() if time is not None
+        ]
+
+
 @dataclass(frozen=True, slots=True)
 class OrderEnded:
     """Report how a grant or a release ended."""
@@ -146,6 +178,7 @@
     verdict: OrderVerdict
     # Names what the last holder left for the next; empty if nothing.
     handover: str
+    times: OrderTimes = OrderTimes()
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -10,7 +10,11 @@
     WriteDecision,
 )
 from trefoilsaddle.gateway.election import step_down
-from trefoilsaddle.gateway.events import OrderEnded, OrderVerdict
+from trefoilsaddle.gateway.events import (
+    OrderEnded,
+    OrderTimes,
+    OrderVerdict,
+)
 from trefoilsaddle.gateway.journal import note
 from trefoilsaddle.gateway.pacing import find_hold_in_force
 from trefoilsaddle.gateway.pieces import (
@@ -234,10 +238,22 @@
         last=event.keys.last,
         fence=event.fence,
         verdict=event.verdict.value,
+        **_describe_times(event.times),
     )
     return [line]
 
 
+def _describe_times(times: OrderTimes) -> dict[str, float]:
+    return {
+        f'{step}_after': round(time, _DIGITS)
+        for step, time in times.list_steps()
+    }
+
+
+# Milliseconds are enough to tell a late step.
+_DIGITS = 3
+
+
 # Pause before a call that was not answered is made again.
 _RETRY_PAUSE = Seconds(0.1)
 
--- a/trefoilsaddle/gatewaymetrics.py
+++ b/trefoilsaddle/gatewaymetrics.py
@@ -8,9 +8,14 @@
     generate_latest,
 )
 
+from trefoilsaddle.gateway.events import OrderTimes
+
 # Bounds of the histogram, in seconds: from a fast answer to the longest
 # deadline of the letter's callers.
 _BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2, 4)
+# The same for orders, in seconds: from a round trip in a region (4 ms) and one
+# between regions (40 ms) to the limits of a grant (0.25) and a release (2.5).
+_ORDER_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5)
 # Values of a label; more would come from a slip in the code.
 _MOST_LABELS = 64
 _OVERFLOW = 'other'
@@ -37,6 +42,14 @@
             registry=self._registry,
             buckets=_BUCKETS,
         )
+        self._orders = Histogram(
+            'order_seconds',
+            'Time from the decision of a grant or release to each step.',
+            ('step',),
+            namespace=_PREFIX,
+            registry=self._registry,
+            buckets=_ORDER_BUCKETS,
+        )
         self._state = Gauge(
             'state',
             'What the process believes and holds.',
@@ -59,6 +72,11 @@
         """Add an answer's time to the histogram."""
         self._answers.observe(seconds)
 
+    def observe_order(self, times: OrderTimes) -> None:
+        """Add the steps of an order to the histogram."""
+        for step, time in times.list_steps():
+            self._orders.labels(step).observe(time)
+
     def show_state(self, name: str, level: float) -> None:
         """Set a gauge."""
         self._state.labels(name).set(level)
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -7,6 +7,7 @@
 import trio
 
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
+from trefoilsaddle.http.progress import Progress
 from trefoilsaddle.http.room import AnswerRoom, AnswerShare, TooLargeError
 
 _CHUNK_BYTES = 65_536
@@ -44,6 +45,7 @@
     stream: trio.SocketStream
     request: HttpRequest
     share: AnswerShare
+    progress: Progress
     parser: h11.Connection = field(init=False)
     sent: bool = False
 
@@ -64,6 +66,11 @@
         parts.append(self.parser.send(h11.EndOfMessage()))
         return b''.join(part for part in parts if part)
 
+    def note_sent(self) -> None:
+        """Note that the whole request was written."""
+        self.sent = True
+        self.progress.note_written()
+
     def restart(self) -> None:
         """Expect another answer behind the one that was read."""
         rest, _ = self.parser.trailing_data
@@ -119,6 +126,7 @@
     request: HttpRequest,
     room: AnswerRoom,
     matches: Matches | None = None,
+    progress: Progress | None = None,
 ) -> Exchanged:
     """Send a request and read its whole answer.
 
@@ -126,7 +134,8 @@
     earlier requests: they are dropped, and the connection is not used again.
     """
     with room.open() as share:
-        return await _exchange(_Reader(stream, request, share), matches)
+        reader = _Reader(stream, request, share, progress or Progress())
+        return await _exchange(reader, matches)
 
 
 async def _exchange(reader: _Reader, matches: Matches | None) -> Exchanged:
@@ -154,7 +163,7 @@
 ) -> Exchanged:
     if len(encoded) <= _SENT_AT_ONCE:
         await reader.stream.send_all(encoded)
-        reader.sent = True
+        reader.note_sent()
         return await _read_matching(reader, matches)
     ended = Exchanged(Fault.lost, reusable=False)
     async with trio.open_nursery() as nursery:
@@ -175,7 +184,7 @@
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         # The answer may have come before the other end closed.
         return
-    reader.sent = True
+    reader.note_sent()
 
 
 async def _read_matching(
--- a/trefoilsaddle/http/pool.py
+++ b/trefoilsaddle/http/pool.py
@@ -9,6 +9,7 @@
 from trefoilsaddle.http import sockets
 from trefoilsaddle.http.exchange import Exchanged, Matches, exchange
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
+from trefoilsaddle.http.progress import Progress
 from trefoilsaddle.http.room import AnswerRoom
 
 # Connections that were idle for longer are closed.  Servers close theirs
@@ -48,6 +49,7 @@
         request: HttpRequest,
         longest_idle: Seconds = _LONGEST_IDLE,
         matches: Matches | None = None,
+        progress: Progress | None = None,
     ) -> HttpAnswer | Fault:
         """Send a request once; the caller bounds the time.
 
@@ -62,10 +64,14 @@
             self.opened += 1
         if stream is None:
             return Fault.unsent
+        progress = progress or Progress()
+        progress.note_connected()
         with ExitStack() as stack:
             # Also when this is cancelled in the middle of the exchange.
             stack.callback(sockets.abort, stream)
-            ended = await exchange(stream, request, self.room, matches)
+            ended = await exchange(
+                stream, request, self.room, matches, progress
+            )
             stack.pop_all()
         self._give_back(stream, ended)
         return ended.answer
--- a/trefoilsaddle/platform/orders.py
+++ b/trefoilsaddle/platform/orders.py
@@ -8,11 +8,17 @@
 
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.effects import GrantKeys, ReleaseKeys
-from trefoilsaddle.gateway.events import OrderEnded, OrderVerdict
+from trefoilsaddle.gateway.events import (
+    OrderEnded,
+    OrderTimes,
+    OrderVerdict,
+)
 from trefoilsaddle.gateway.keys import KeyRange
 from trefoilsaddle.gateway.servers import ServerLife
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.pool import ConnectionPool
+from trefoilsaddle.http.progress import Progress
+from trefoilsaddle.http.room import AnswerRoom
 from trefoilsaddle.platform import headers as names
 from trefoilsaddle.platform.durations import write_duration
 from trefoilsaddle.ports import Orders
@@ -21,6 +27,10 @@
 # Orders go on connections that were idle for a short time only: one that the
 # server just closes would leave the outcome unknown.
 _LONGEST_IDLE = Seconds(2)
+# Largest answer to an order, and most bytes of all, in bytes: it says little
+# more than its status, and the heads of 64 orders fit.
+_LARGEST_ANSWER = 65_536
+_MOST_HELD = 4_194_304
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +53,7 @@
         """Connect to each server at the first order."""
         self._grant_timeout = grant_timeout
         self._release_timeout = release_timeout
+        self._room = AnswerRoom(_LARGEST_ANSWER, _MOST_HELD)
         self._pools: dict[str, ConnectionPool] = {}
 
     async def grant(self, effect: GrantKeys) -> OrderEnded:
@@ -53,11 +64,13 @@
         if effect.handover:
             body['handover'] = effect.handover
         server = effect.server
+        progress = Progress()
         answer = await self._call(
             _Receiver(server.life, server.host, server.port),
             names.GRANT_PATH,
             body,
             self._grant_timeout,
+            progress,
         )
         return OrderEnded(
             server.service,
@@ -67,15 +80,18 @@
             release=False,
             verdict=_judge(answer),
             handover='',
+            times=_read_times(progress),
         )
 
     async def release(self, effect: ReleaseKeys) -> OrderEnded:
         """Take keys back; ends when their work has ended."""
+        progress = Progress()
         answer = await self._call(
             _Receiver(effect.life, effect.host, effect.port),
             names.RELEASE_PATH,
             _write_order(effect.keys, effect.fence),
             self._release_timeout,
+            progress,
         )
         handover = None
         if isinstance(answer, HttpAnswer):
@@ -88,6 +104,7 @@
             release=True,
             verdict=_judge(answer),
             handover='' if handover is None else handover.decode('latin-1'),
+            times=_read_times(progress),
         )
 
     async def _call(
@@ -96,12 +113,16 @@
         path: bytes,
         body: dict[str, object],
         timeout: Seconds,
+        progress: Progress,
     ) -> HttpAnswer | Fault:
         address = f'{receiver.host}:{receiver.port}'
         pool = self._pools.get(address)
         if pool is None:
             pool = ConnectionPool(
-                receiver.host, receiver.port, _CONNECT_TIMEOUT
+                receiver.host,
+                receiver.port,
+                _CONNECT_TIMEOUT,
+                room=self._room,
             )
             self._pools[address] = pool
         encoded = json.dumps(body).encode()
@@ -118,10 +139,21 @@
             encoded,
         )
         with trio.move_on_after(timeout):
-            return await pool.exchange(request, _LONGEST_IDLE)
+            return await pool.exchange(
+                request, _LONGEST_IDLE, progress=progress
+            )
         return Fault.lost
 
 
+def _read_times(progress: Progress) -> OrderTimes:
+    return OrderTimes(
+        Seconds(0),
+        progress.connected,
+        progress.written,
+        progress.read(),
+    )
+
+
 def _write_order(keys: KeyRange, fence: int) -> dict[str, object]:
     return {
         'from': keys.first,
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -39,7 +39,11 @@
     SetTimer,
     WriteDecision,
 )
-from trefoilsaddle.gateway.events import Event, TimerExpired, TimerKind
+from trefoilsaddle.gateway.events import (
+    Event,
+    TimerExpired,
+    TimerKind,
+)
 from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.state import Gateway
@@ -56,6 +60,7 @@
     ControllerServer,
     announce_table,
 )
+from trefoilsaddle.programs.gatewayorders import OrderRunner
 
 _Perform = Callable[[Any], None]
 _METRICS_PATH = b'/metrics'
@@ -91,10 +96,11 @@
             f'{options.node}-{options.run}',
             self._clock,
         )
-        self._orders = PlatformOrders(
+        orders = PlatformOrders(
             options.grant_timeout,
             options.release_timeout,
         )
+        self._orders = OrderRunner(orders, self.metrics, self.feed, nursery)
         self.calls = GatewayCalls(
             gateway, PlatformDialect(), self.feed, nursery
         )
@@ -147,8 +153,8 @@
             AppendTable: self._start(self._store.append),
             JoinGroup: self._start(self._store.join),
             LeaveGroup: self._leave,
-            GrantKeys: self._start(self._orders.grant),
-            ReleaseKeys: self._start(self._orders.release),
+            GrantKeys: self._orders.grant,
+            ReleaseKeys: self._orders.release,
             DialController: self._link.dial,
             SendReport: self._link.send,
             SendNews: self.controller.send,
