Tell the state of ownership and the lag of the loop in the log

What callers saw: after the start of the grown site one server held all keys, and no line said so: \`table stored\` named ranges, not owners; whether the controller was slow, and for how long keys had no server, had to be put together from hundreds of lines.

- \`keys unserved\`, at most one a second while a service has unserved keys: their number, ranges by state, orders on the way, servers suspected, age of the controller's part and of its last confirmation, lateness of its review.
The dump holds the same under \`control\`.
- \`table stored\` gives the number of owners and the widest share of one.
- \`keys are free\` and \`grant left to lapse\` give the last hold, the time that the range may still be held (negative: past it) and whether it was inherited.

The lines and their pace are held by tables in virtual time.

--- /dev/null
+++ b/tests/test_gatewaywatching.py
@@ -0,0 +1,143 @@
+"""Check that the state of ownership can be read from the lines alone."""
+
+from dataclasses import dataclass
+
+import pytest
+
+from measure.gatewayworld import World
+from tests.gatewayscenes import CATALOGUE, build_scene
+from trefoilsaddle.core.units import NodeId, Seconds, ServerId, ServiceName
+from trefoilsaddle.gateway.effects import Effects, LogValue, WriteDecision
+from trefoilsaddle.gateway.events import DumpRequested, TimerExpired, TimerKind
+from trefoilsaddle.gateway.granting import begin_release
+from trefoilsaddle.gateway.keys import divide_keys
+from trefoilsaddle.gateway.reducer import reduce
+from trefoilsaddle.gateway.servers import ServerLife
+from trefoilsaddle.gateway.state import Gateway
+from trefoilsaddle.gateway.table import (
+    Assignment,
+    GatewayAddress,
+    OwnershipTable,
+)
+from trefoilsaddle.gateway.watching import describe_spread
+from trefoilsaddle.gatewaymetrics import GatewayMetrics
+from trefoilsaddle.programs.looplag import LoopLag
+
+_REVIEW = TimerExpired(TimerKind.review)
+_UNSERVED = 'keys unserved'
+
+
+def _find_controller(world: World) -> Gateway:
+    process = world.find_controller()
+    assert process is not None
+    return process.gateway
+
+
+def _find_lines(
+    effects: Effects,
+    sentence: str,
+) -> list[dict[str, LogValue]]:
+    return [
+        {entry.name: entry.text for entry in effect.fields}
+        for effect in effects
+        if isinstance(effect, WriteDecision) and effect.sentence == sentence
+    ]
+
+
+def test_unserved_keys_are_told_with_their_states() -> None:
+    """Guard against keys that no server serves without a line that says so."""
+    world = build_scene()
+    gateway = _find_controller(world)
+    now = Seconds(world.now)
+    assert not _find_lines(reduce(gateway, now, _REVIEW), _UNSERVED)
+    keyed = gateway.control.keyed[ServiceName(CATALOGUE)]
+    piece = keyed.pieces.ordered[0]
+    begin_release(keyed, piece, now)
+    line = _find_lines(reduce(gateway, now, _REVIEW), _UNSERVED)[0]
+    assert line['unserved_keys'] == piece.keys.last - piece.keys.first + 1
+    assert line['releasing'] == 1
+    assert line['held'] == len(keyed.pieces.ordered) - 1
+    dump = _find_lines(reduce(gateway, now, DumpRequested()), 'state dump')[0]
+    assert '"unserved_keys"' in str(dump['state'])
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'lines'),
+    [(0.9, 1), (1.0, 2), (2.5, 3)],
+    ids=['soon', 'a-second', 'longer'],
+)
+def test_unserved_keys_are_told_once_a_second(
+    seconds: float, lines: int
+) -> None:
+    """Guard against a line for every review of a long outage."""
+    world = build_scene()
+    gateway = _find_controller(world)
+    now = Seconds(world.now)
+    keyed = gateway.control.keyed[ServiceName(CATALOGUE)]
+    begin_release(keyed, keyed.pieces.ordered[0], now)
+    reviews = int(seconds / 0.1) + 1
+    effects: Effects = []
+    for review in range(reviews):
+        moment = Seconds(now + review * 0.1 + 0.0001)
+        effects.extend(reduce(gateway, moment, _REVIEW))
+    assert len(_find_lines(effects, _UNSERVED)) == lines
+
+
+@pytest.mark.parametrize(
+    ('holders', 'owners', 'widest'),
+    [('', 0, 0), ('a', 1, 1), ('abcd', 4, 0.25), ('aaab', 2, 0.75)],
+    ids=['empty', 'one-holds-all', 'even', 'uneven'],
+)
+def test_spread_of_a_table_is_told(
+    holders: str, owners: int, widest: float
+) -> None:
+    """Guard against one server that holds all keys, unseen in the log."""
+    ranges = divide_keys(len(holders)) if holders else []
+    rows = tuple(
+        Assignment(keys, ServerLife(ServerId(holder), 1), 1)
+        for keys, holder in zip(ranges, holders, strict=True)
+    )
+    address = GatewayAddress(NodeId('gate-1'), 1, 'host', 1)
+    table = OwnershipTable(
+        ServiceName(CATALOGUE),
+        address,
+        sequence=1,
+        resigned=False,
+        hold=Seconds(2),
+        assignments=rows,
+    )
+    assert describe_spread(table) == {'owners': owners, 'widest_share': widest}
+
+
+@dataclass(frozen=True, slots=True)
+class _Lag:
+    """Say how many of the first timers are late, a tenth of a second apart."""
+
+    late: float
+    often: int
+    total: int
+    lines: int
+    # Late timers that the lines tell of.
+    told: int
+
+
+_LAGS = {
+    'in-time': _Lag(0.01, 20, 20, 0, 0),
+    'late-once': _Lag(0.15, 1, 20, 1, 1),
+    'late-always': _Lag(0.2, 9, 9, 1, 1),
+    'late-for-long': _Lag(0.2, 25, 25, 3, 21),
+}
+
+
+@pytest.mark.parametrize('case', _LAGS.values(), ids=_LAGS)
+def test_late_loop_is_told_once_a_second(case: _Lag) -> None:
+    """Guard against a slow loop that is taken for a slow server."""
+    lines: Effects = []
+    lag = LoopLag(GatewayMetrics(), lines.append, float)
+    for number in range(case.total):
+        late = case.late if number < case.often else 0
+        now = 10 + number * 0.1 + 0.0001 * number
+        lag.note_timer(TimerKind.review, now - late, now)
+    told = _find_lines(lines, 'event loop is late')
+    assert len(told) == case.lines
+    assert sum(int(str(line['timers'])) for line in told) == case.told
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -36,6 +36,7 @@
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.table import OwnershipTable, StoredTable
+from trefoilsaddle.gateway.watching import describe_spread
 
 # A free range that is on the way to no chosen server waits so long for
 # others, so that one table serves for all of them.
@@ -331,6 +332,7 @@
         service=keyed.service,
         offset=pending.expected,
         ranges=len(pending.table.assignments),
+        **describe_spread(pending.table),
     )
     return [line, *dial(gateway, pending.table.controller)]
 
--- a/trefoilsaddle/gateway/control.py
+++ b/trefoilsaddle/gateway/control.py
@@ -48,6 +48,24 @@
     predecessor: GatewayAddress | None = None
 
 
+@dataclass(slots=True)
+class Watch:
+    """Hold when the controller's state is written next."""
+
+    next_line: Seconds = Seconds(0)
+    # When the last review was made by its timer.
+    reviewed_at: Seconds | None = None
+    # How late the latest review since the last line was.
+    latest: Seconds = Seconds(0)
+
+    def note_review(self, now: Seconds, interval: Seconds) -> None:
+        """Note how late a review is."""
+        if self.reviewed_at is not None:
+            late = now - self.reviewed_at - interval
+            self.latest = Seconds(max(self.latest, late))
+        self.reviewed_at = now
+
+
 @dataclass(slots=True)
 class ControlState:
     """Hold whether the store gives this gateway the controller's part."""
@@ -84,3 +102,4 @@
     tell_at: Seconds = Seconds(0)
     # Earliest time of the next news.
     tell_after: Seconds = Seconds(0)
+    watch: Watch = field(default_factory=Watch)
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -52,6 +52,7 @@
     take_over,
     take_service,
 )
+from trefoilsaddle.gateway.watching import watch_keys
 
 # Gateways that have not reported for this time are not counted.
 _SILENCE = Seconds(3)
@@ -67,7 +68,8 @@
         case Started() | TimerExpired(kind=TimerKind.review):
             pause = gateway.options.review_interval
             timer = SetTimer(TimerKind.review, pause)
-            return [timer, *_review(gateway, now)]
+            reviewed = _review(gateway, now)
+            return [timer, *reviewed, *watch_keys(gateway, now)]
         case AppendEnded() | OrderEnded():
             return _take_ending(gateway, now, event)
         case TopicRead(topic=Topic.ownership):
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -108,7 +108,7 @@
         gateway.control.addresses[piece.life] = server
     piece.reborn = True
     begin_release(keyed, piece, now)
-    return [_describe(piece, 'server started anew', 'its entry says so')]
+    return [_describe(piece, now, 'server started anew', 'its entry says so')]
 
 
 def _review_granted(
@@ -314,7 +314,7 @@
     piece.enter(PieceState.lapsing, now)
     piece.serving = False
     keyed.pieces.change += 1
-    return [_describe(piece, 'grant left to lapse', reason)]
+    return [_describe(piece, now, 'grant left to lapse', reason)]
 
 
 def _free(
@@ -324,13 +324,18 @@
     reason: str,
     handover: str = '',
 ) -> Effects:
-    line = _describe(piece, 'keys are free', reason)
+    line = _describe(piece, now, 'keys are free', reason)
     piece.set_free(now, handover)
     keyed.pieces.change += 1
     return [line]
 
 
-def _describe(piece: Piece, sentence: str, reason: str) -> WriteDecision:
+def _describe(
+    piece: Piece,
+    now: Seconds,
+    sentence: str,
+    reason: str,
+) -> WriteDecision:
     return note(
         Part.ownership,
         sentence,
@@ -339,4 +344,7 @@
         first=piece.keys.first,
         last=piece.keys.last,
         fence=piece.fence,
+        hold=round(piece.hold, _DIGITS),
+        held_for=round(piece.held_until - now, _DIGITS),
+        inherited=piece.inherited,
     )
--- a/trefoilsaddle/gateway/statedump.py
+++ b/trefoilsaddle/gateway/statedump.py
@@ -12,6 +12,7 @@
 from trefoilsaddle.gateway.events import DumpRequested, Event
 from trefoilsaddle.gateway.journal import note
 from trefoilsaddle.gateway.state import Gateway, ServiceOwners
+from trefoilsaddle.gateway.watching import describe_control
 
 # A part of the state, as it is written.
 _Described = dict[str, Any]
@@ -57,6 +58,10 @@
             service: _describe_grants(keyed, now)
             for service, keyed in control.keyed.items()
         },
+        'control': [
+            describe_control(gateway, keyed, now)
+            for keyed in control.keyed.values()
+        ],
         'requests': {
             'open': len(gateway.calls),
             'parked': len(gateway.parked),
--- /dev/null
+++ b/trefoilsaddle/gateway/watching.py
@@ -0,0 +1,89 @@
+"""Describe the ownership of keys, and write it while keys are unserved."""
+
+from collections import Counter
+
+from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.gateway.control import KeyedControl
+from trefoilsaddle.gateway.effects import Effects, LogValue, Part
+from trefoilsaddle.gateway.journal import note
+from trefoilsaddle.gateway.keys import ALL_KEYS, KeyRange
+from trefoilsaddle.gateway.pieces import PieceState
+from trefoilsaddle.gateway.servers import ServerLife
+from trefoilsaddle.gateway.state import Gateway
+from trefoilsaddle.gateway.table import OwnershipTable
+
+# Pause between two lines about a service: an operator reads no faster, and
+# all services of a long outage add a few lines a second.
+_LINE_PAUSE = Seconds(1)
+_DIGITS = 3
+
+
+def watch_keys(gateway: Gateway, now: Seconds) -> Effects:
+    """Write a line for each service with unserved keys, at most one a second.
+
+    It is called when the review's timer has run out.
+    """
+    watch = gateway.control.watch
+    interval = gateway.options.review_interval
+    watch.note_review(now, interval)
+    if not gateway.control.leading or now < watch.next_line:
+        return []
+    effects: Effects = []
+    for keyed in gateway.control.keyed.values():
+        if count_unserved(keyed):
+            described = describe_control(gateway, keyed, now)
+            effects.append(note(Part.ownership, 'keys unserved', **described))
+    if effects:
+        watch.next_line = Seconds(now + _LINE_PAUSE)
+        watch.latest = Seconds(0)
+    return effects
+
+
+def describe_control(
+    gateway: Gateway,
+    keyed: KeyedControl,
+    now: Seconds,
+) -> dict[str, LogValue]:
+    """Return the ranges by state, and what the controller acts upon."""
+    control = gateway.control
+    pieces = keyed.pieces.ordered
+    states = Counter(piece.state for piece in pieces)
+    suspected = sum(until > now for until in control.suspected.values())
+    return {
+        'service': keyed.service,
+        'unserved_keys': count_unserved(keyed),
+        'ranges': len(pieces),
+        **{state.value: states[state] for state in PieceState},
+        'orders': sum(piece.calling for piece in pieces),
+        'suspected': suspected,
+        'servers': len(list(gateway.book.list_service(keyed.service))),
+        'offset': keyed.offset,
+        'append_pending': keyed.pending is not None,
+        'generation': control.generation,
+        'leading_for': round(now - control.leading_since, _DIGITS),
+        'confirmed_age': round(now - control.confirmed_at, _DIGITS),
+        'review_late': round(control.watch.latest, _DIGITS),
+    }
+
+
+def count_unserved(keyed: KeyedControl) -> int:
+    """Return the number of keys that no server serves."""
+    served = sum(
+        _count_keys(piece.keys)
+        for piece in keyed.pieces.ordered
+        if piece.serving
+    )
+    return _count_keys(ALL_KEYS) - served
+
+
+def describe_spread(table: OwnershipTable) -> dict[str, LogValue]:
+    """Return how many servers own keys, and the widest share of one."""
+    widths: Counter[ServerLife] = Counter()
+    for row in table.assignments:
+        widths[row.life] += _count_keys(row.keys)
+    widest = max(widths.values(), default=0) / _count_keys(ALL_KEYS)
+    return {'owners': len(widths), 'widest_share': round(widest, _DIGITS)}
+
+
+def _count_keys(keys: KeyRange) -> int:
+    return keys.last - keys.first + 1
--- a/trefoilsaddle/gatewaymetrics.py
+++ b/trefoilsaddle/gatewaymetrics.py
@@ -8,6 +8,7 @@
     generate_latest,
 )
 
+from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.events import OrderTimes
 
 # Bounds of the histogram, in seconds: from a fast answer to the longest
@@ -16,6 +17,9 @@
 # The same for orders, in seconds: from a round trip in a region (4 ms) and one
 # between regions (40 ms) to the limits of a grant (0.25) and a release (2.5).
 _ORDER_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5)
+# The same for late timers, in seconds: from one step of the loop to the lease
+# of the controller.
+_LAG_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1)
 # Values of a label; more would come from a slip in the code.
 _MOST_LABELS = 64
 _OVERFLOW = 'other'
@@ -50,6 +54,13 @@
             registry=self._registry,
             buckets=_ORDER_BUCKETS,
         )
+        self._lag = Histogram(
+            'loop_lag_seconds',
+            'How late the event loop runs its timers.',
+            namespace=_PREFIX,
+            registry=self._registry,
+            buckets=_LAG_BUCKETS,
+        )
         self._state = Gauge(
             'state',
             'What the process believes and holds.',
@@ -77,6 +88,10 @@
         for step, time in times.list_steps():
             self._orders.labels(step).observe(time)
 
+    def observe_lag(self, late: Seconds) -> None:
+        """Add a timer to the histogram."""
+        self._lag.observe(late)
+
     def show_state(self, name: str, level: float) -> None:
         """Set a gauge."""
         self._state.labels(name).set(level)
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -61,6 +61,7 @@
     announce_table,
 )
 from trefoilsaddle.programs.gatewayorders import OrderRunner
+from trefoilsaddle.programs.looplag import LoopLag
 
 _Perform = Callable[[Any], None]
 _METRICS_PATH = b'/metrics'
@@ -88,6 +89,7 @@
         self._clock = SystemClock()
         self._events: deque[Event] = deque()
         self._reducing = False
+        self._lag = LoopLag(self.metrics, self.write)
         self._timers: dict[TimerKind, float] = {}
         self._timer_set = trio.Event()
         self._store = PlatformStore(
@@ -189,7 +191,7 @@
         now = trio.current_time()
         due = [kind for kind, at in self._timers.items() if at <= now]
         for kind in due:
-            self._timers.pop(kind)
+            self._lag.note_timer(kind, self._timers.pop(kind), now)
         for kind in due:
             self.feed(TimerExpired(kind))
 
