--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -16,7 +16,10 @@
     OrderVerdict,
 )
 from trefoilsaddle.gateway.journal import note
-from trefoilsaddle.gateway.pacing import find_hold_in_force
+from trefoilsaddle.gateway.pacing import (
+    find_hold_in_force,
+    find_renewal_interval,
+)
 from trefoilsaddle.gateway.pieces import (
     Piece,
     PieceState,
@@ -273,7 +276,8 @@
         # One that arrived before this may still be applied.
         piece.inherited = False
         piece.shorten_inherited(find_end(keyed.inherited_hold, now))
-    piece.next_call = Seconds(now + gateway.options.renewal_interval)
+    interval = find_renewal_interval(gateway, piece.hold)
+    piece.next_call = Seconds(now + interval)
     if piece.state == PieceState.granting:
         piece.state = PieceState.held
         piece.since = now
