--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -10,7 +10,11 @@
     WriteDecision,
 )
 from trefoilsaddle.gateway.election import step_down
-from trefoilsaddle.gateway.events import OrderEnded, OrderVerdict
+from trefoilsaddle.gateway.events import (
+    OrderEnded,
+    OrderTimes,
+    OrderVerdict,
+)
 from trefoilsaddle.gateway.journal import note
 from trefoilsaddle.gateway.pacing import (
     find_hold_in_force,
@@ -104,7 +108,7 @@
         gateway.control.addresses[piece.life] = server
     piece.reborn = True
     begin_release(keyed, piece, now)
-    return [_describe(piece, 'server started anew', 'its entry says so')]
+    return [_describe(piece, now, 'server started anew', 'its entry says so')]
 
 
 def _review_granted(
@@ -242,10 +246,22 @@
         others_confirmed=health.confirmed,
         others_failed=health.failed,
         suspected=gateway.control.suspicions.suspects(event.life, now),
+        **_describe_times(event.times),
     )
     return [line]
 
 
+def _describe_times(times: OrderTimes) -> dict[str, float]:
+    return {
+        f'{step}_after': round(time, _DIGITS)
+        for step, time in times.list_steps()
+    }
+
+
+# Milliseconds are enough to tell a late step.
+_DIGITS = 3
+
+
 # Pause before a call that was not answered is made again.
 _RETRY_PAUSE = Seconds(0.1)
 
@@ -307,7 +323,7 @@
     piece.enter(PieceState.lapsing, now)
     piece.serving = False
     keyed.pieces.change += 1
-    return [_describe(piece, 'grant left to lapse', reason)]
+    return [_describe(piece, now, 'grant left to lapse', reason)]
 
 
 def _free(
@@ -317,13 +333,18 @@
     reason: str,
     handover: str = '',
 ) -> Effects:
-    line = _describe(piece, 'keys are free', reason)
+    line = _describe(piece, now, 'keys are free', reason)
     piece.set_free(now, handover)
     keyed.pieces.change += 1
     return [line]
 
 
-def _describe(piece: Piece, sentence: str, reason: str) -> WriteDecision:
+def _describe(
+    piece: Piece,
+    now: Seconds,
+    sentence: str,
+    reason: str,
+) -> WriteDecision:
     return note(
         Part.ownership,
         sentence,
@@ -332,4 +353,7 @@
         first=piece.keys.first,
         last=piece.keys.last,
         fence=piece.fence,
+        hold=round(piece.hold, _DIGITS),
+        held_for=round(piece.held_until - now, _DIGITS),
+        inherited=piece.inherited,
     )
--- a/trefoilsaddle/gateway/suspicion.py
+++ b/trefoilsaddle/gateway/suspicion.py
@@ -52,6 +52,10 @@
         """Tell whether a server gets no keys at present."""
         return self.until.get(life, now) > now
 
+    def count(self, now: Seconds) -> int:
+        """Return how many servers get no keys at present."""
+        return sum(until > now for until in self.until.values())
+
     def note_confirmed(self, life: ServerLife, now: Seconds) -> None:
         """Note that a server has confirmed an order."""
         self.outcomes[life] = _Outcome(now, confirmed=True)
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -39,7 +39,11 @@
     SetTimer,
     WriteDecision,
 )
-from trefoilsaddle.gateway.events import Event, TimerExpired, TimerKind
+from trefoilsaddle.gateway.events import (
+    Event,
+    TimerExpired,
+    TimerKind,
+)
 from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.state import Gateway
@@ -56,6 +60,8 @@
     ControllerServer,
     announce_table,
 )
+from trefoilsaddle.programs.gatewayorders import OrderRunner
+from trefoilsaddle.programs.looplag import LoopLag
 
 _Perform = Callable[[Any], None]
 _METRICS_PATH = b'/metrics'
@@ -83,6 +89,7 @@
         self._clock = SystemClock()
         self._events: deque[Event] = deque()
         self._reducing = False
+        self._lag = LoopLag(self.metrics, self.write)
         self._timers: dict[TimerKind, float] = {}
         self._timer_set = trio.Event()
         self._store = PlatformStore(
@@ -92,10 +99,11 @@
             self._clock,
             settings.parts,
         )
-        self._orders = PlatformOrders(
+        orders = PlatformOrders(
             options.grant_timeout,
             options.release_timeout,
         )
+        self._orders = OrderRunner(orders, self.metrics, self.feed, nursery)
         self.calls = GatewayCalls(
             gateway, PlatformDialect(), self.feed, nursery
         )
@@ -150,8 +158,8 @@
             AppendTable: self._start(self._store.append),
             JoinGroup: self._start(self._store.join),
             LeaveGroup: self._leave,
-            GrantKeys: self._start(self._orders.grant),
-            ReleaseKeys: self._start(self._orders.release),
+            GrantKeys: self._orders.grant,
+            ReleaseKeys: self._orders.release,
             DialController: self._link.dial,
             SendReport: self._link.send,
             SendNews: self.controller.send,
@@ -186,7 +194,7 @@
         now = trio.current_time()
         due = [kind for kind, at in self._timers.items() if at <= now]
         for kind in due:
-            self._timers.pop(kind)
+            self._lag.note_timer(kind, self._timers.pop(kind), now)
         for kind in due:
             self.feed(TimerExpired(kind))
 
