Open a connection for each grant, and wait two seconds for one that was given up

Cause: a renewal went on a kept connection, stood 2.6 s in a queue between the regions and was taken 2.6 s after its call had been given up and reset; 0.1 s was allowed (0.5 s since, by the bound for a link without harm). By then the keys had been given away.

Ruled out by the evidence: the controller's own loop (no gap above 0.25 s), a second controller, late application (the hold of 2 s counted from the late arrival).

Now a grant is written only on a connection that was opened for it. Without a handshake within the time of the call nothing was written, so it is told as not sent and extends no hold: the keys of a server that is gone are free one hold after its last answer, and the usual hold is 2 s again, renewed each 0.5 s. A grant that was written and not answered may be ahead of no more than what others have written since the handshake: 2 s, the windows of a hundred connections at 30 Mbit/s.

A server that does not release either stays suspected; before, its suspicion ended as its keys became free, and it could be given them again.

Tests, red before: test_each_grant_proves_its_way_by_a_handshake (1 connection for 2 grants), test_grant_without_a_connection_was_not_sent (unknown).

--- a/measure/worldworker.py
+++ b/measure/worldworker.py
@@ -26,6 +26,8 @@
     # Numbers of the orders that have not ended.
     open: set[int] = field(default_factory=set)
     opened: int = 0
+    # Numbers of the orders that found a connection.
+    connected: set[int] = field(default_factory=set)
     # Most orders that were open at a time.
     peak: int = 0
 
--- a/tests/scriptedserver.py
+++ b/tests/scriptedserver.py
@@ -45,6 +45,7 @@
     # Whole requests, and the start of one that was cut short.
     requests: list[bytes] = field(default_factory=list)
     heads: int = 0
+    connections: int = 0
     # Endless bytes that went out.
     sent: int = 0
     closed: trio.Event = field(default_factory=trio.Event)
@@ -63,6 +64,7 @@
         await trio.serve_listeners(self._serve_connection, listeners)
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
         async with stream:
             going_on = True
             while going_on:
--- a/tests/test_gatewayorders.py
+++ b/tests/test_gatewayorders.py
@@ -1,6 +1,8 @@
 """Check that the step at which an order was late can be told."""
 
+import socket
 import time
+from contextlib import ExitStack
 from dataclasses import dataclass
 
 import pytest
@@ -9,7 +11,12 @@
 from tests.scriptedserver import ScriptedServer, Step, serve_script, whole
 from trefoilsaddle.core.units import Seconds, ServerId, ServiceName, ZoneName
 from trefoilsaddle.gateway.effects import GrantKeys
-from trefoilsaddle.gateway.events import Event, OrderEnded, OrderTimes
+from trefoilsaddle.gateway.events import (
+    Event,
+    OrderEnded,
+    OrderTimes,
+    OrderVerdict,
+)
 from trefoilsaddle.gateway.keys import ALL_KEYS
 from trefoilsaddle.gateway.servers import Server, ServerLife
 from trefoilsaddle.gatewaymetrics import GatewayMetrics
@@ -20,6 +27,7 @@
 # Time for which the loop is kept busy after the decision, in seconds.
 _BUSY = 0.2
 _GRANT_TIMEOUT = Seconds(0.3)
+_MORE_THAN_QUEUED = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,3 +99,55 @@
     text = metrics.write_text().decode()
     for step in case.reached:
         assert f'trefoil_order_seconds_count{{step="{step}"}} 1.0' in text
+
+
+async def _grant_twice() -> int:
+    server = ScriptedServer([Step(whole(b'{}')), Step(whole(b'{}'))])
+    async with serve_script(server):
+        orders = PlatformOrders(_GRANT_TIMEOUT, _GRANT_TIMEOUT)
+        for _ in range(2):
+            ended = await orders.grant(_build_grant(server.port))
+            assert ended.verdict == OrderVerdict.done
+    return server.connections
+
+
+# Guards against grants that wait on a choked way until after their keys were
+# given to another server.
+def test_each_grant_proves_its_way_by_a_handshake() -> None:
+    """Open a connection for each grant, whatever was open before."""
+    assert trio.run(_grant_twice) == 2
+
+
+async def _grant_unheard() -> OrderVerdict:
+    with socket.socket() as listener:
+        listener.bind((_HOST, 0))
+        listener.listen(0)
+        address = listener.getsockname()
+        # Beyond the queue of new connections no handshake ends.
+        with ExitStack() as stack:
+            for _ in range(_MORE_THAN_QUEUED):
+                filler = stack.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex(address)
+            orders = PlatformOrders(_GRANT_TIMEOUT, _GRANT_TIMEOUT)
+            ended = await orders.grant(_build_grant(address[1]))
+    return ended.verdict
+
+
+# Guards against waiting out a grant of which not a byte was written.
+def test_grant_without_a_connection_was_not_sent() -> None:
+    """Tell a call that found no connection from one without an answer."""
+    assert trio.run(_grant_unheard) == OrderVerdict.rejected
+
+
+async def _grant_unanswered() -> OrderVerdict:
+    server = ScriptedServer([Step(silent=True)])
+    async with serve_script(server):
+        orders = PlatformOrders(_GRANT_TIMEOUT, _GRANT_TIMEOUT)
+        ended = await orders.grant(_build_grant(server.port))
+    return ended.verdict
+
+
+def test_grant_that_was_written_may_have_been_taken() -> None:
+    """Keep what was written without an answer as unknown."""
+    assert trio.run(_grant_unanswered) == OrderVerdict.unknown
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -311,6 +311,8 @@
         # A grant without an answer may still be applied, or the earlier
         # controller may renew: wait it out.
         piece.handover = event.handover or piece.handover
+    else:
+        gateway.control.suspicions.prolong(event.life, now)
     piece.next_call = Seconds(now + gateway.options.retry_interval)
     return []
 
--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -31,9 +31,9 @@
 
 # A lost controller is replaced within its lease and an urgent interval; grants
 # outlast that, and keys are to be served again within 3 s of the loss of their
-# server (the users' aim): a renewal interval, the time of a call, its latest
-# arrival and the hold by a slow clock are less together.
-USUAL_HOLD = Seconds(1.65)
+# server (the users' aim): calls to a lost server find no connection, so that
+# only the hold by a slow clock counts.
+USUAL_HOLD = Seconds(2)
 # What servers accept at most on the users' sites; each site states its own.
 LONGEST_HOLD = Seconds(10)
 
@@ -65,8 +65,8 @@
     server_defaults: ServerDefaults = ServerDefaults()
     hold: Seconds = USUAL_HOLD
     longest_hold: Seconds = LONGEST_HOLD
-    # A fifth of the hold: three calls may fail before a grant lapses.
-    renewal_interval: Seconds = Seconds(0.35)
+    # A quarter of the hold: three calls may fail before a grant lapses.
+    renewal_interval: Seconds = Seconds(0.5)
     # A round trip between regions is 40 ms; the rest is for a busy server.
     grant_timeout: Seconds = Seconds(0.25)
     # A release answers when the work on its keys has ended.
--- a/trefoilsaddle/gateway/suspicion.py
+++ b/trefoilsaddle/gateway/suspicion.py
@@ -77,6 +77,11 @@
             self.until[life] = Seconds(now + _SUSPICION)
         return health
 
+    def prolong(self, life: ServerLife, now: Seconds) -> None:
+        """Go on suspecting a server that does not release keys either."""
+        if self.suspects(life, now):
+            self.until[life] = Seconds(now + _SUSPICION)
+
     def forget(self, known: set[ServerLife]) -> None:
         """Drop what is held of servers that are gone."""
         for life in set(self.outcomes).difference(known):
--- a/trefoilsaddle/http/pool.py
+++ b/trefoilsaddle/http/pool.py
@@ -85,7 +85,7 @@
         now = trio.current_time()
         while self.idle:
             newest = self.idle.pop()
-            fresh = now - newest.since <= longest_idle and now < newest.until
+            fresh = now - newest.since < longest_idle and now < newest.until
             if fresh and sockets.is_quiet(newest.stream):
                 return newest.stream
             sockets.close(newest.stream)
--- a/trefoilsaddle/platform/orders.py
+++ b/trefoilsaddle/platform/orders.py
@@ -24,7 +24,10 @@
 from trefoilsaddle.ports import Orders
 
 _CONNECT_TIMEOUT = Seconds(0.3)
-# Orders go on connections that were idle for a short time only: one that the
+# A grant goes on a connection that was just opened: the handshake shows that
+# the way to the server is free, so that the grant does not arrive late.
+_NO_IDLE = Seconds(0)
+# Releases go on connections that were idle for a short time only: one that the
 # server just closes would leave the outcome unknown.
 _LONGEST_IDLE = Seconds(2)
 # Largest answer to an order, and most bytes of all, in bytes: it says little
@@ -42,6 +45,14 @@
     port: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Limits:
+    """Bound a call, and how long its connection may have been idle."""
+
+    timeout: Seconds
+    longest_idle: Seconds
+
+
 class PlatformOrders(Orders):
     """Call servers over HTTP."""
 
@@ -69,7 +80,7 @@
             _Receiver(server.life, server.host, server.port),
             names.GRANT_PATH,
             body,
-            self._grant_timeout,
+            _Limits(self._grant_timeout, _NO_IDLE),
             progress,
         )
         return OrderEnded(
@@ -90,7 +101,7 @@
             _Receiver(effect.life, effect.host, effect.port),
             names.RELEASE_PATH,
             _write_order(effect.keys, effect.fence),
-            self._release_timeout,
+            _Limits(self._release_timeout, _LONGEST_IDLE),
             progress,
         )
         handover = None
@@ -112,7 +123,7 @@
         receiver: _Receiver,
         path: bytes,
         body: dict[str, object],
-        timeout: Seconds,
+        limits: _Limits,
         progress: Progress,
     ) -> HttpAnswer | Fault:
         address = f'{receiver.host}:{receiver.port}'
@@ -138,11 +149,12 @@
             ),
             encoded,
         )
-        with trio.move_on_after(timeout):
+        with trio.move_on_after(limits.timeout):
             return await pool.exchange(
-                request, _LONGEST_IDLE, progress=progress
+                request, limits.longest_idle, progress=progress
             )
-        return Fault.lost
+        # Before there is a connection nothing is written.
+        return Fault.unsent if progress.connected is None else Fault.lost
 
 
 def _read_times(progress: Progress) -> OrderTimes:
