Divide free keys by capacity, and wait rather than pile them on few servers

Cause: free neighbours were joined first, and a joined range went to one server whole, as keys without load counted next to nothing; the servers were those that were not suspected, however few. Change: gateway/division.py. Keys without load count for their width (a tenth of what the servers can serve, over all keys); a free range is cut so that each server takes its share; while servers are suspected, another one takes three mean shares at most and the rest waits for their return or for their entries to go. A review that gives nothing away appends no table. Ruled out: orders to suspected servers, as a lost one would put off the time at which the keys are free.

--- a/tests/test_gatewayfleet.py
+++ b/tests/test_gatewayfleet.py
@@ -53,11 +53,7 @@
 
 def _assert_served(world: World) -> None:
     assert list_unowned(world) == []
-    widths = [
-        sum(held.keys.width for held in server.overlapping(ALL_KEYS, world.now))
-        for server in world.servers
-    ]
-    assert max(widths) * len(widths) <= ALL_KEYS.width * _MOST_SHARES
+    _assert_even(world)
 
 
 def _list_suspected(world: World) -> list[str]:
@@ -243,3 +239,31 @@
     world.run(5)
     assert list_unowned(world) == []
     assert not any(server.overlapping(ALL_KEYS, world.now) for server in lost)
+
+
+# Guards against all keys on the few servers that are not suspected.
+@pytest.mark.parametrize('suspected', [40, 83, 96])
+def test_few_servers_are_not_given_all_free_keys(suspected: int) -> None:
+    """Leave no server with many shares, and no key without an owner."""
+    world = _build_fleet(_Scene())
+    world.run(4)
+    gateway = _find_controller(world)
+    lapsed = {server.entry.life: server for server in world.servers[:suspected]}
+    for piece in gateway.control.keyed[ServiceName(CATALOGUE)].pieces.ordered:
+        if piece.life in lapsed:
+            piece.set_free(world.now)
+    for life, server in lapsed.items():
+        server.holdings.clear()
+        gateway.control.suspicions.until[life] = Seconds(world.now + 4)
+    for _ in range(14):
+        world.run(0.5)
+        _assert_even(world)
+    _assert_served(world)
+
+
+def _assert_even(world: World) -> None:
+    widths = [
+        sum(held.keys.width for held in server.overlapping(ALL_KEYS, world.now))
+        for server in world.servers
+    ]
+    assert max(widths) * len(widths) <= ALL_KEYS.width * _MOST_SHARES
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -10,13 +10,11 @@
 from trefoilsaddle.gateway.balance import (
     Capacity,
     KeyLoad,
-    choose_target,
-    count_room,
     find_rate,
     prefer_fast,
-    sum_rates,
 )
 from trefoilsaddle.gateway.control import KeyedControl, PendingAppend
+from trefoilsaddle.gateway.division import Division
 from trefoilsaddle.gateway.effects import AppendTable, Effects, Part
 from trefoilsaddle.gateway.election import step_down
 from trefoilsaddle.gateway.events import AppendEnded, AppendVerdict
@@ -121,9 +119,15 @@
 
 
 def _may_take(gateway: Gateway, server: Server, now: Seconds) -> bool:
-    if server.draining or server.life.server in gateway.book.doubted:
+    if gateway.control.suspicions.suspects(server.life, now):
         return False
-    return not gateway.control.suspicions.suspects(server.life, now)
+    return _is_staying(gateway, server)
+
+
+def _is_staying(gateway: Gateway, server: Server) -> bool:
+    return not server.draining and (
+        server.life.server not in gateway.book.doubted
+    )
 
 
 def _find_goal(gateway: Gateway, service: ServiceName) -> Seconds | None:
@@ -193,25 +197,52 @@
     gathered = [piece for piece in free if _is_gathered(piece, now)]
     if not gathered:
         return False
-    pieces = keyed.pieces.ordered
+    division = _begin_division(gateway, keyed, capacities, now)
+    given = [_give(gateway, keyed, division, piece, now) for piece in free]
+    return any(given)
+
+
+def _begin_division(
+    gateway: Gateway,
+    keyed: KeyedControl,
+    capacities: list[Capacity],
+    now: Seconds,
+) -> Division:
+    servers = sum(
+        _is_staying(gateway, server)
+        for server in gateway.book.list_service(keyed.service)
+    )
     load = KeyLoad(keyed.rates.read(now))
-    rates = sum_rates(pieces, load)
-    for piece in free:
-        server = _find_target(gateway, piece)
-        if server is None:
-            room = count_room(pieces, capacities) or capacities
-            server = choose_target(room, rates)
-        if server is None:
-            continue
-        _assign(piece, server, now)
-        # Ranges without load are spread as well.
-        added = load.total(piece.keys) + _LEAST_RATE
-        rates[server.life] = rates.get(server.life, 0) + added
-    return True
+    division = Division(capacities, load, servers)
+    division.count(keyed.pieces.ordered)
+    return division
 
 
-# Rate that a range counts with at least when it is given away.
-_LEAST_RATE = 0.2
+def _give(
+    gateway: Gateway,
+    keyed: KeyedControl,
+    division: Division,
+    piece: Piece,
+    now: Seconds,
+) -> bool:
+    """Give a free range to servers; tell whether one took any of it."""
+    given = False
+    target = _find_target(gateway, piece)
+    while True:
+        server = target or division.choose(keyed.pieces.ordered)
+        if server is None:
+            return given
+        keys = piece.keys
+        # What the last holder left is for all keys of the range.
+        if target is None and not piece.handover:
+            keys = division.cut(keys, server)
+        part = keyed.pieces.cut_out(piece, keys)
+        _assign(part, server, now)
+        division.add(server.life, keys)
+        given = True
+        if part is piece:
+            return given
+        piece = keyed.pieces.find_behind(part)
 
 
 def _is_gathered(piece: Piece, now: Seconds) -> bool:
--- /dev/null
+++ b/trefoilsaddle/gateway/division.py
@@ -0,0 +1,98 @@
+"""Divide free ranges among servers, each by its capacity.
+
+Keys without load count as well: those that nobody asks for yet may be asked
+for as soon as they have an owner.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from trefoilsaddle.gateway.balance import (
+    Capacity,
+    KeyLoad,
+    choose_target,
+    count_room,
+)
+from trefoilsaddle.gateway.keys import ALL_KEYS, Key, KeyRange
+from trefoilsaddle.gateway.pieces import Piece
+from trefoilsaddle.gateway.servers import Server, ServerLife
+
+# Part of what the servers can serve that keys without load count for, spread
+# over all keys: a tenth hardly weighs beside a busy key.
+_UNSEEN_PART = 0.1
+# Mean shares that a server is given at most while others are suspected: their
+# keys are back or their entries are gone within seconds.
+_MOST_SHARES = 3
+# Part of a mean share that a range is cut down to at least.
+_LEAST_CUT = 0.5
+
+
+@dataclass(slots=True)
+class Division:
+    """Weigh keys and servers while free ranges are given away."""
+
+    capacities: list[Capacity]
+    load: KeyLoad
+    # Servers with an entry, those that are suspected among them.
+    servers: int
+    # Weight of the keys of each server.
+    weights: dict[ServerLife, float] = field(default_factory=dict)
+
+    def count(self, pieces: Sequence[Piece]) -> None:
+        """Weigh what each server has."""
+        for piece in pieces:
+            if piece.life is not None:
+                self.add(piece.life, piece.keys)
+
+    def add(self, life: ServerLife, keys: KeyRange) -> None:
+        """Weigh what a server is given."""
+        self.weights[life] = self.weights.get(life, 0) + self.weigh(keys)
+
+    def weigh(self, keys: KeyRange) -> float:
+        """Return the rate that keys count with."""
+        whole = sum(entry.rate for entry in self.capacities)
+        unseen = whole * _UNSEEN_PART * keys.width / ALL_KEYS.width
+        return self.load.total(keys) + unseen
+
+    def choose(self, pieces: Sequence[Piece]) -> Server | None:
+        """Return the server that is to get keys, if one may take any."""
+        room = count_room(pieces, self.capacities) or self.capacities
+        server = choose_target(room, self.weights)
+        if server is None:
+            return None
+        full = self._find_limit() <= self.weights.get(server.life, 0)
+        waits = self.servers > len(self.capacities)
+        return None if full and waits else server
+
+    def cut(self, keys: KeyRange, server: Server) -> KeyRange:
+        """Return the first keys of a range that a server is to take."""
+        fair = min(self._find_fair(server), self._find_limit())
+        left = fair - self.weights.get(server.life, 0)
+        least = self._find_limit() / _MOST_SHARES * _LEAST_CUT
+        wanted = max(left, least)
+        if self.weigh(keys) <= wanted + least:
+            return keys
+        return self._find_front(keys, wanted)
+
+    def _find_front(self, keys: KeyRange, weight: float) -> KeyRange:
+        low, high = keys.first, keys.last
+        while low < high:
+            middle = Key((low + high + 1) // 2)
+            if self.weigh(KeyRange(keys.first, middle)) <= weight:
+                low = middle
+            else:
+                high = Key(middle - 1)
+        return KeyRange(keys.first, low)
+
+    def _find_fair(self, server: Server) -> float:
+        whole = sum(entry.rate for entry in self.capacities)
+        rate = sum(
+            entry.rate
+            for entry in self.capacities
+            if entry.server.life == server.life
+        )
+        return self.weigh(ALL_KEYS) * rate / whole
+
+    def _find_limit(self) -> float:
+        servers = max(self.servers, len(self.capacities))
+        return self.weigh(ALL_KEYS) * _MOST_SHARES / servers
--- a/trefoilsaddle/gateway/pieces.py
+++ b/trefoilsaddle/gateway/pieces.py
@@ -171,6 +171,10 @@
         self.change += 1
         return split
 
+    def find_behind(self, piece: Piece) -> Piece:
+        """Return the range that follows another one."""
+        return self.ordered[self.ordered.index(piece) + 1]
+
     def list_entries(self) -> tuple[OwnerEntry, ...]:
         """Return who serves what, neighbours of one server joined."""
         entries: list[OwnerEntry] = []
