Scale moves with the servers, and ranges with the time for orders

What callers saw: after a pile-up on a few of 97 servers requests were refused for seconds, while four ranges a round were moved away. Cause: four moves a round and six ranges that may change hands were sized for 12 servers; and ranges were bounded for each server only (twelve), which allows 1,164 of them for 97: more than can be renewed. Change: moves to a third of the servers a round, and half of the servers' number changing, at least what it was and at most what renewals leave of the time for orders (14 a round); once there are 178 ranges, or one and a half for each server, only whole ranges are moved. Ruled out: rounds that come more often (the effect of a move is seen after two reports).

--- a/tests/test_gatewaybalance.py
+++ b/tests/test_gatewaybalance.py
@@ -3,13 +3,20 @@
 import pytest
 
 from trefoilsaddle.core.units import Seconds, ServerId, ServiceName, ZoneName
-from trefoilsaddle.gateway.balance import Capacity, KeyLoad, Move, choose_moves
+from trefoilsaddle.gateway.balance import (
+    Capacity,
+    KeyLoad,
+    Move,
+    MoveBounds,
+    choose_moves,
+)
 from trefoilsaddle.gateway.keys import Key, KeyRange
 from trefoilsaddle.gateway.pieces import Piece, PieceState
 from trefoilsaddle.gateway.servers import Server, ServerLife
 
 _WIDTH = 1000
 _RATE = 20
+_BOUNDS = MoveBounds(moves=4, cuts=9)
 
 
 def _build_server(number: int) -> Server:
@@ -40,9 +47,13 @@
     return pieces
 
 
-def _choose(owners: str, rates: dict[int, float]) -> list[Move]:
+def _choose(
+    owners: str,
+    rates: dict[int, float],
+    bounds: MoveBounds = _BOUNDS,
+) -> list[Move]:
     load = KeyLoad({Key(key): rate for key, rate in rates.items()})
-    return choose_moves(_build_pieces(owners), load, _CAPACITIES)
+    return choose_moves(_build_pieces(owners), load, _CAPACITIES, bounds)
 
 
 @pytest.mark.parametrize(
@@ -91,3 +102,20 @@
     """Move nothing while the busiest server is in use for little."""
     moves = _choose('02', {10: rate, 20: rate})
     assert len(moves) == count
+
+
+# Ranges that moves may add, and what is moved then.
+_CUTS = (
+    (1, KeyRange(Key(501), Key(999))),
+    # Only whole ranges: the second one of the server.
+    (0, KeyRange(Key(1000), Key(1999))),
+)
+
+
+@pytest.mark.parametrize(('cuts', 'moved'), _CUTS)
+def test_ranges_are_cut_up_to_their_limit(cuts: int, moved: KeyRange) -> None:
+    """Move whole ranges once there are as many as can be renewed."""
+    bounds = MoveBounds(moves=1, cuts=cuts)
+    rates: dict[int, float] = {100: 6, 500: 6, 990: 6, 1500: 4}
+    moves = _choose('002', rates, bounds)
+    assert [move.keys for move in moves] == [moved]
--- a/tests/test_gatewayfleet.py
+++ b/tests/test_gatewayfleet.py
@@ -1,6 +1,8 @@
 """Check a fleet whose controller takes time for each of its orders."""
 
 from dataclasses import dataclass
+from functools import partial
+from random import Random
 
 import pytest
 
@@ -267,3 +269,27 @@
         for server in world.servers
     ]
     assert max(widths) * len(widths) <= ALL_KEYS.width * _MOST_SHARES
+
+
+def _send_load(world: World, until: Seconds, random: Random) -> None:
+    if world.now < until:
+        key = random.randrange(ALL_KEYS.width)
+        world.call(random.choice(_GATEWAYS), '/reads/x', key)
+        world.after(0.004, partial(_send_load, world, until, random))
+
+
+# Guards against a fleet that takes over its keys a few ranges at a time.
+def test_many_servers_soon_share_the_keys_of_few() -> None:
+    """Serve what four servers of 97 cannot, within seconds."""
+    world = _build_fleet(_Scene(servers=4))
+    world.run(3)
+    for number in range(4, _SERVERS):
+        world.add_server(f'guide-{number}', CATALOGUE)
+    world.work_time = lambda: Seconds(0.2)
+    world.run(1)
+    _send_load(world, Seconds(world.now + 6), Random(1))
+    world.run(3)
+    seen = len(world.results)
+    world.run(3)
+    later = list(world.results.values())[seen:]
+    assert sum(ended.not_run for ended in later) <= len(later) * 0.12
--- a/trefoilsaddle/gateway/balance.py
+++ b/trefoilsaddle/gateway/balance.py
@@ -23,8 +23,6 @@
 # Ranges that a server may hold and still be given another; each is renewed by
 # a call of its own, twice a second.
 _MOST_RANGES = 12
-# Moves that are begun in one round.
-_MOST_MOVES = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +44,15 @@
     target: ServerId
 
 
+@dataclass(frozen=True, slots=True)
+class MoveBounds:
+    """Bound what one round of moves may do."""
+
+    moves: int
+    # Ranges that moves may add by cutting others.
+    cuts: int
+
+
 @dataclass(slots=True)
 class _Use:
     capacity: Capacity
@@ -125,15 +132,18 @@
     pieces: Sequence[Piece],
     load: KeyLoad,
     capacities: Iterable[Capacity],
+    bounds: MoveBounds,
 ) -> list[Move]:
     """Choose the moves of one round."""
     uses = _measure_uses(pieces, load, capacities)
     moves: list[Move] = []
-    while len(moves) < _MOST_MOVES:
-        move = _choose_move(pieces, load, uses)
+    cuts = bounds.cuts
+    while len(moves) < bounds.moves:
+        move = _choose_move(pieces, load, uses, may_cut=cuts > 0)
         if move is None:
             break
         moves.append(move)
+        cuts -= move.keys != move.piece.keys
     return moves
 
 
@@ -190,6 +200,8 @@
     pieces: Sequence[Piece],
     load: KeyLoad,
     uses: dict[ServerLife, _Use],
+    *,
+    may_cut: bool,
 ) -> Move | None:
     resting = [use for use in uses.values() if not use.moved]
     # A server that holds many ranges can still give keys away.
@@ -204,27 +216,25 @@
     busiest.moved = True
     # With this rate moved both servers have the same use.
     inverse = 1 / busiest.capacity.rate + 1 / least.capacity.rate
-    move = _cut_move(pieces, load, busiest, least, gap / inverse)
+    movable = [piece for piece in pieces if _may_move(piece, busiest)]
+    cuts = [
+        Move(piece, keys, least.capacity.server.life.server)
+        for piece in movable
+        for keys in _list_cuts(piece, load, gap / inverse)
+        if may_cut or keys == piece.keys
+    ]
+    move = _choose_cut(cuts, load, gap / inverse)
     if move is not None:
         least.moved = True
         return move
-    return _choose_move(pieces, load, uses)
+    return _choose_move(pieces, load, uses, may_cut=may_cut)
 
 
-def _cut_move(
-    pieces: Sequence[Piece],
+def _choose_cut(
+    moves: list[Move],
     load: KeyLoad,
-    busiest: _Use,
-    least: _Use,
     rate: float,
 ) -> Move | None:
-    target = least.capacity.server
-    moves = [
-        Move(piece, keys, target.life.server)
-        for piece in pieces
-        if _may_move(piece, busiest)
-        for keys in _list_cuts(piece, load, rate)
-    ]
     if not moves:
         return None
     most = max(load.total(move.keys) for move in moves)
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -45,6 +45,7 @@
 )
 from trefoilsaddle.gateway.journal import note
 from trefoilsaddle.gateway.loads import UseSample
+from trefoilsaddle.gateway.pacing import bound_moves, count_changing
 from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.takeover import (
@@ -57,8 +58,6 @@
 _SILENCE = Seconds(3)
 # Age of the store's last answer up to which it is taken to be there.
 _STORE_AGE = Seconds(0.8)
-# Ranges that may be changing hands while more moves are begun.
-_MOST_CHANGING = 6
 
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
@@ -193,12 +192,15 @@
     keyed.rates.decay(now)
     pieces = keyed.pieces.ordered
     changing = sum(not piece.granted for piece in pieces)
-    if changing > _MOST_CHANGING or keyed.pending is not None:
+    if keyed.pending is not None:
         return []
     capacities = list_capacities(gateway, keyed, now)
+    if changing > count_changing(gateway, len(capacities)):
+        return []
     load = KeyLoad(keyed.rates.read(now))
     effects: Effects = []
-    for move in choose_moves(pieces, load, capacities):
+    bounds = bound_moves(gateway, len(capacities))
+    for move in choose_moves(pieces, load, capacities, bounds):
         effects.extend(_begin_move(gateway, keyed, move, now))
     return effects
 
--- a/trefoilsaddle/gateway/pacing.py
+++ b/trefoilsaddle/gateway/pacing.py
@@ -6,6 +6,7 @@
 """
 
 from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.gateway.balance import MoveBounds
 from trefoilsaddle.gateway.control import KeyedControl
 from trefoilsaddle.gateway.state import Gateway
 
@@ -20,6 +21,18 @@
 # for calls that are made again.
 _RENEWAL_PART = 0.5
 _RENEWALS_PER_SECOND = _RENEWAL_PART / _ORDER_TIME
+# Ranges up to which they are added; the interval is 2.5 s then.
+_MOST_RANGES = 2.5 * _RENEWALS_PER_SECOND
+# Ranges for each server that there are at least: a hot one can still be cut.
+_RANGES_PER_SERVER = 1.5
+# A release and a grant.
+_ORDERS_PER_MOVE = 2
+# Parts of the servers that moves of one round go to, and that may be changing
+# ranges while more are begun; with 12 servers these are the fewest.
+_MOVING_PART = 1 / 3
+_CHANGING_PART = 1 / 2
+_FEWEST_MOVES = 4
+_FEWEST_CHANGING = 6
 # Covers a hold that is rounded up on its way to the longest that is accepted.
 _HOLD_MARGIN = Seconds(0.5)
 
@@ -88,3 +101,23 @@
     # Half, so that a call which fails can still be made again.
     options = gateway.options
     return Seconds((options.hold - options.renewal_interval) / 2)
+
+
+def bound_moves(gateway: Gateway, servers: int) -> MoveBounds:
+    """Return what one round of moves may do, by the time for orders."""
+    ranges = max(_MOST_RANGES, servers * _RANGES_PER_SERVER)
+    return MoveBounds(
+        moves=_scale(gateway, servers, _MOVING_PART, _FEWEST_MOVES),
+        cuts=int(ranges) - _count_ranges(gateway),
+    )
+
+
+def count_changing(gateway: Gateway, servers: int) -> int:
+    """Return how many ranges may change hands while moves are begun."""
+    return _scale(gateway, servers, _CHANGING_PART, _FEWEST_CHANGING)
+
+
+def _scale(gateway: Gateway, servers: int, part: float, least: int) -> int:
+    time = gateway.options.balance_interval * (1 - _RENEWAL_PART)
+    affordable = time / _ORDER_TIME / _ORDERS_PER_MOVE
+    return max(int(min(servers * part, affordable)), least)
