Store a first table at once, so that gateways hear of the controller

What callers saw: 2,194 calls to the store in the first 20 s of 90 gateways, the dearest price of the start.

Change: the first controller of a service stores a table without owners. The division waits as before; a successor finds all keys free, as it did without a table. Gateways say that they are ready when they know that nobody owns keys yet, as they already did after the loss of all owners.

Before: test_controller_is_heard_of_before_servers_register fails at both speeds; after: it passes, with all tests of gateways and ownership.

--- a/tests/test_gatewayelection.py
+++ b/tests/test_gatewayelection.py
@@ -102,3 +102,18 @@
     world.run(Seconds(2))
     assert world.processes[NodeId('gate-1')].gateway.control.leading
     assert process.alive
+
+
+@pytest.mark.parametrize('speed', [_SLOW, _FAST])
+def test_controller_is_heard_of_before_servers_register(speed: float) -> None:
+    """Link with the controller of a service that has no servers yet.
+
+    Guards against gateways that poll the store until the first division.
+    """
+    world = build_world(build_configuration(), ())
+    for name in _list_names('gate-', 6):
+        world.start_gateway(name, speed)
+    world.run(4)
+    linked = [process.linked for process in world.processes.values()]
+    assert linked.count(None) == 1
+    assert set(linked) == {None, _name_controller(world)}
--- a/trefoilsaddle/gateway/takeover.py
+++ b/trefoilsaddle/gateway/takeover.py
@@ -46,7 +46,9 @@
     stored = gateway.tables.get(service)
     if stored is None:
         keyed.pieces.ordered = [Piece(ALL_KEYS, since=now)]
-        return [note(Part.ownership, 'first controller', service=service)]
+        first = note(Part.ownership, 'first controller', service=service)
+        # Without an owner yet: it tells gateways where the controller is.
+        return [first, *append_table(gateway, keyed)]
     _import_table(gateway, keyed, stored, now)
     line = note(
         Part.ownership,
