Write one line for a list of servers, single lines for changes

What operators saw: 14,850 lines `server changed` at a start, 165 from each of 90 gateways, and no line of what a gateway was told by its controller.

Cause: a whole list that was read was logged entry by entry; news of servers was not logged at all.

Change: `servers read` and `servers told` give the count, what of it was new, and the age of the look; later changes are a line each up to four in a message, and one line `servers changed` beyond.

Before: 4 of the 5 new cases in test_gatewayrelay fail; after, all pass.

--- a/tests/test_gatewayrelay.py
+++ b/tests/test_gatewayrelay.py
@@ -6,7 +6,13 @@
 
 from measure.gatewayworld import Process, World
 from tests.gatewayscenes import GATEWAYS, build_configuration, build_scene
-from trefoilsaddle.core.units import NodeId, Seconds, ServerId, Version
+from trefoilsaddle.core.units import (
+    NodeId,
+    Offset,
+    Seconds,
+    ServerId,
+    Version,
+)
 from trefoilsaddle.gateway.effects import (
     AskConfiguration,
     Effects,
@@ -14,6 +20,7 @@
     SendConfiguration,
     SendNews,
     SetTimer,
+    WriteDecision,
 )
 from trefoilsaddle.gateway.events import (
     ConfigurationCopied,
@@ -28,7 +35,7 @@
 )
 from trefoilsaddle.gateway.peermessages import News
 from trefoilsaddle.gateway.reducer import reduce
-from trefoilsaddle.gateway.servers import ServerRemoved
+from trefoilsaddle.gateway.servers import ServerLife, ServerRemoved
 from trefoilsaddle.gateway.state import Gateway
 
 _LEAVING = ServerId('pay-0')
@@ -240,3 +247,60 @@
     world.now = Seconds(world.now + 3)
     effects = reduce(gateway, world.now, TimerExpired(_READ))
     assert any(isinstance(kind, ReadTopic) for kind in effects)
+
+
+def _list_lines(effects: Effects) -> list[str]:
+    sentences = [
+        effect.sentence
+        for effect in effects
+        if isinstance(effect, WriteDecision)
+    ]
+    return [line for line in sentences if line.startswith('server')]
+
+
+@pytest.mark.parametrize(
+    ('count', 'whole', 'lines'),
+    [
+        (165, True, ['servers told']),
+        (165, False, ['servers changed']),
+        (1, False, ['server changed']),
+        (0, False, []),
+    ],
+)
+def test_servers_that_are_told_together_are_one_line(
+    count: int,
+    lines: list[str],
+    *,
+    whole: bool,
+) -> None:
+    """Write one line for a list of servers, and single ones for changes.
+
+    Guards against a line of each gateway for each server at the start.
+    """
+    world = build_scene()
+    gateway = _find_follower(world).gateway
+    known = next(iter(gateway.book.servers.values()))
+    servers = tuple(
+        replace(known, life=ServerLife(ServerId(f'new-{number}'), 1))
+        for number in range(count)
+    )
+    news = _build_news(world, 1).news
+    event = NewsReceived(replace(news, servers=servers, servers_whole=whole))
+    assert _list_lines(reduce(gateway, world.now, event)) == lines
+
+
+def test_servers_that_are_read_together_are_one_line() -> None:
+    """Write one line for a whole list that was read from the store."""
+    world = build_scene()
+    gateway = _find_follower(world).gateway
+    entries = tuple(gateway.book.servers.values())
+    gateway.book.keep_only((), world.now)
+    event = TopicRead(
+        Topic.servers,
+        ReadVerdict.records,
+        whole=True,
+        next_offset=Offset(9),
+        entries=entries,
+        asked_at=world.now,
+    )
+    assert _list_lines(reduce(gateway, world.now, event)) == ['servers read']
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -31,7 +31,7 @@
     TopicRead,
 )
 from trefoilsaddle.gateway.journal import note
-from trefoilsaddle.gateway.peers import dial, is_linked
+from trefoilsaddle.gateway.peers import dial, is_linked, note_change
 from trefoilsaddle.gateway.servers import (
     Server,
     ServerChange,
@@ -271,12 +271,15 @@
     now: Seconds,
     event: TopicRead,
 ) -> Effects:
-    effects: Effects = []
+    changes: Effects = []
     gateway.book.confirm(event.asked_at)
     for entry in event.entries:
         if isinstance(entry, (Server, ServerRemoved)):
-            effects.extend(_take_server(gateway, now, entry))
+            changes.extend(_take_server(gateway, now, entry))
+    # A whole list is one line; what changes later is one line each.
+    effects = changes
     if event.whole:
+        effects = [_note_list(event, now, len(changes))]
         present = [
             server.life.server
             for server in event.entries
@@ -289,6 +292,20 @@
     return effects
 
 
+def _note_list(
+    event: TopicRead,
+    now: Seconds,
+    changed: int,
+) -> WriteDecision:
+    return note(
+        Part.store,
+        'servers read',
+        servers=len(event.entries),
+        changed=changed,
+        age=round(now - event.asked_at, 3),
+    )
+
+
 def _take_server(
     gateway: Gateway,
     now: Seconds,
@@ -300,15 +317,7 @@
         return []
     if not gateway.book.put(change, now):
         return []
-    line = note(
-        Part.store,
-        'server changed',
-        server=change.life.server,
-        born=change.life.born,
-        service=change.service,
-        draining=change.draining,
-    )
-    return [line]
+    return [note_change(Part.store, change)]
 
 
 def _note_server(sentence: str, name: str) -> WriteDecision:
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -8,6 +8,7 @@
     Part,
     SendReport,
     SetTimer,
+    WriteDecision,
 )
 from trefoilsaddle.gateway.events import (
     Event,
@@ -26,11 +27,14 @@
     ServerUse,
 )
 from trefoilsaddle.gateway.pools import Pool
+from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import Gateway, ServiceOwners
 from trefoilsaddle.gateway.table import GatewayAddress, OwnerMap
 
 # Time that a read of the store has before the controller is asked.
 _STORE_PATIENCE = Seconds(0.35)
+# Changes of servers that are told in lines of their own.
+_MOST_LINES = 4
 # News older than this tells nothing; it comes twice a second.
 _NEWS_AGE = Seconds(1.4)
 
@@ -138,7 +142,7 @@
     effects: Effects = []
     if gateway.link.news_at is None:
         effects.append(note(Part.peers, 'linked', controller=address.node))
-    _learn_servers(gateway, now, news)
+    effects.extend(_learn_servers(gateway, now, news))
     effects.extend(apply_news(gateway, now, news))
     age = news.configuration_age
     gateway.link.configuration_read_at = Seconds(now - age)
@@ -169,7 +173,7 @@
     return [line, AskConfiguration(gateway.version)]
 
 
-def _learn_servers(gateway: Gateway, now: Seconds, news: News) -> None:
+def _learn_servers(gateway: Gateway, now: Seconds, news: News) -> Effects:
     book = gateway.book
     link = gateway.link
     read_at = Seconds(now - news.servers_age)
@@ -178,14 +182,52 @@
         # Changes alone do not replace a look at all entries.
         link.servers_read_at = read_at
     book.confirm(read_at)
-    for server in news.servers:
-        book.put(server, now)
-    for name in news.removed:
-        book.remove(ServerId(name), now)
-    if news.servers_whole:
-        present = {entry.life.server for entry in news.servers}
-        doubted = {ServerId(entry) for entry in news.doubted}
-        book.keep_only(present | doubted, now)
+    changed = [server for server in news.servers if book.put(server, now)]
+    removed = [ServerId(name) for name in news.removed]
+    gone = [name for name in removed if book.remove(name, now)]
+    if not news.servers_whole:
+        return _note_changes(changed, gone)
+    present = {entry.life.server for entry in news.servers}
+    doubted = {ServerId(entry) for entry in news.doubted}
+    gone.extend(book.keep_only(present | doubted, now))
+    line = note(
+        Part.peers,
+        'servers told',
+        servers=len(news.servers),
+        changed=len(changed),
+        gone=len(gone),
+        age=round(news.servers_age, 3),
+    )
+    return [line]
+
+
+def _note_changes(changed: list[Server], gone: list[ServerId]) -> Effects:
+    """Write a line for each change, or one if many come together."""
+    total = len(changed) + len(gone)
+    if total > _MOST_LINES:
+        line = note(
+            Part.peers,
+            'servers changed',
+            changed=len(changed),
+            gone=len(gone),
+        )
+        return [line]
+    effects: Effects = [note_change(Part.peers, server) for server in changed]
+    for name in gone:
+        effects.append(note(Part.peers, 'server gone', server=name))
+    return effects
+
+
+def note_change(part: Part, server: Server) -> WriteDecision:
+    """Describe what a server says anew of itself."""
+    return note(
+        part,
+        'server changed',
+        server=server.life.server,
+        born=server.life.born,
+        service=server.service,
+        draining=server.draining,
+    )
 
 
 def _learn_owners(gateway: Gateway, owners: OwnerNews) -> None:
