Let a controller ask for its part each interval, answered or not

What callers would see: a takeover of all ranges by one lost answer of the store.

Cause: the lease of the controller is 1 s, a call may take 0.9 s, and the next call waited for the end of the last one: from the last arrival to the next one up to 1.23 s pass. The calls have connections of their own: the pool opens one when none is idle, so they wait for no other call.

Change: a chosen member sends its call each 0.33 s, whether or not the last one was answered, three in flight at most as each ends after 0.9 s; an answer to a call that was sent before the one that confirmed the part last is ignored.

Before: 2 of 3 new cases in test_gatewayelection fail (the third shows that a newer answer still ends the part); after, all pass, with the tests of gateways, ownership and the platform.

--- a/tests/test_gatewayelection.py
+++ b/tests/test_gatewayelection.py
@@ -5,6 +5,9 @@
 from measure.gatewayworld import World, build_world
 from tests.gatewayscenes import CATALOGUE, build_configuration
 from trefoilsaddle.core.units import NodeId, Seconds
+from trefoilsaddle.gateway.effects import Effects, JoinGroup, SetTimer
+from trefoilsaddle.gateway.events import JoinEnded, TimerExpired, TimerKind
+from trefoilsaddle.gateway.reducer import reduce
 
 _SLOW = 0.43
 _FAST = 2.15
@@ -117,3 +120,46 @@
     linked = [process.linked for process in world.processes.values()]
     assert linked.count(None) == 1
     assert set(linked) == {None, _name_controller(world)}
+
+
+def _list_joins(effects: Effects) -> list[JoinGroup]:
+    return [effect for effect in effects if isinstance(effect, JoinGroup)]
+
+
+def test_unanswered_call_does_not_hold_up_the_next_one() -> None:
+    """Ask each interval, as the lease is shorter than a call may take.
+
+    Guards against a controller that loses its part by one lost answer.
+    """
+    world = _build_fleet(_mix(0, 3))
+    world.run(4)
+    process = world.find_controller()
+    assert process is not None
+    timer = TimerExpired(TimerKind.join_group)
+    pause = process.gateway.options.controller_interval
+    for _ in range(3):
+        effects = reduce(process.gateway, world.now, timer)
+        assert len(_list_joins(effects)) == 1
+        assert SetTimer(TimerKind.join_group, pause) in effects
+
+
+@pytest.mark.parametrize(('age', 'chosen'), [(0.5, True), (-0.1, False)])
+def test_late_answer_does_not_undo_a_newer_one(
+    age: float,
+    *,
+    chosen: bool,
+) -> None:
+    """Believe the answer to the call that was sent last."""
+    world = _build_fleet(_mix(0, 3))
+    world.run(4)
+    process = world.find_controller()
+    assert process is not None
+    control = process.gateway.control
+    late = JoinEnded(
+        answered=True,
+        generation=control.generation,
+        leads=False,
+        asked_at=Seconds(control.confirmed_at - age),
+    )
+    reduce(process.gateway, world.now, late)
+    assert control.chosen == chosen
--- a/trefoilsaddle/gateway/election.py
+++ b/trefoilsaddle/gateway/election.py
@@ -92,14 +92,16 @@
     wait = _find_wait(gateway, now)
     if wait > 0:
         return [SetTimer(TimerKind.join_group, wait)]
+    if control.chosen:
+        # A call that is not answered in time must not hold up the next one:
+        # the lease is shorter than a call may take.
+        timer = SetTimer(TimerKind.join_group, options.controller_interval)
+        return [JoinGroup(control.generation, options.controller_lease), timer]
     timer = SetTimer(TimerKind.join_group, options.member_interval)
     if control.joining:
         return [timer]
     control.joining = True
-    lease = options.member_lease
-    if control.chosen:
-        lease = options.controller_lease
-    return [JoinGroup(control.generation, lease)]
+    return [JoinGroup(control.generation, options.member_lease)]
 
 
 def _draw_patience(gateway: Gateway) -> Seconds:
@@ -135,9 +137,14 @@
 def _take_answer(gateway: Gateway, now: Seconds, event: JoinEnded) -> Effects:
     control = gateway.control
     control.joining = False
-    effects: Effects = [
-        SetTimer(TimerKind.join_group, _find_pause(gateway, now))
-    ]
+    if event.asked_at < control.confirmed_at:
+        # A later call was answered before this one.
+        return []
+    effects: Effects = []
+    if not control.chosen:
+        # The next call of a chosen member is already due.
+        pause = _find_pause(gateway, now)
+        effects.append(SetTimer(TimerKind.join_group, pause))
     if not event.answered:
         if control.leading and not may_renew(gateway, now):
             effects.extend(step_down(gateway, 'store away for too long'))
@@ -149,17 +156,22 @@
         effects.extend(step_down(gateway, 'the store chose another member'))
         return effects
     control.confirmed_at = event.asked_at
-    if not control.chosen:
-        control.chosen = True
-        control.read_after = Seconds(now + gateway.options.retry_interval)
-        effects.append(read_tables())
-        line = note(
-            Part.ownership,
-            'chosen as controller',
-            generation=event.generation,
-        )
-        effects.append(line)
-    return [*effects, SetTimer(TimerKind.join_group, _find_pause(gateway, now))]
+    if control.chosen:
+        return effects
+    return [*effects, *_begin(gateway, now, event.generation)]
+
+
+def _begin(gateway: Gateway, now: Seconds, generation: int) -> Effects:
+    options = gateway.options
+    gateway.control.chosen = True
+    gateway.control.read_after = Seconds(now + options.retry_interval)
+    line = note(
+        Part.ownership,
+        'chosen as controller',
+        generation=generation,
+    )
+    timer = SetTimer(TimerKind.join_group, options.controller_interval)
+    return [read_tables(), line, timer]
 
 
 def read_tables() -> ReadTopic:
@@ -169,8 +181,6 @@
 
 def _find_pause(gateway: Gateway, now: Seconds) -> Seconds:
     options = gateway.options
-    if gateway.control.chosen:
-        return options.controller_interval
     if is_linked(gateway, now):
         return options.member_interval
     return options.urgent_interval
