Close idle connections on which a server sends unasked

What callers saw: nothing yet. A server that goes on sending behind a whole answer filled the receive buffer of the kept connection; nothing read it, and nothing closed it until the next request to that server.

Cause: an idle connection was looked at only when one was taken.

Idle connections are now swept every 3 s, the longest time that one may be idle; those with bytes are reset, those that are too old are closed.

--- a/tests/test_gatewayendless.py
+++ b/tests/test_gatewayendless.py
@@ -18,6 +18,7 @@
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.pool import ConnectionPool
 from trefoilsaddle.http.room import AnswerRoom
+from trefoilsaddle.programs.sweeping import sweep_pools
 
 _REQUEST = HttpRequest(
     b'GET', b'/work', ((b'host', b'server'), (b'content-length', b'0'))
@@ -97,3 +98,21 @@
     answer = trio.run(run)
     assert (answer != Fault.too_large) == taken
     assert not room.held
+
+
+def test_bytes_behind_an_idle_connection_are_not_kept() -> None:
+    """Guard against bytes that pile up where no answer is awaited."""
+    server = ScriptedServer([Step(whole(b'mine'), endless=b'x', pause=0.02)])
+
+    async def run() -> None:
+        async with serve_script(server), trio.open_nursery() as nursery:
+            pool = ConnectionPool('127.0.0.1', server.port, Seconds(5))
+            nursery.start_soon(sweep_pools, lambda: [pool], Seconds(0.05))
+            answer = await pool.exchange(_REQUEST)
+            assert _read_end(answer) == b'mine'
+            with trio.fail_after(SOON):
+                await server.closed.wait()
+            assert not pool.idle
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
--- a/trefoilsaddle/http/pool.py
+++ b/trefoilsaddle/http/pool.py
@@ -76,16 +76,32 @@
         self._give_back(stream, ended)
         return ended.answer
 
+    def sweep(self) -> None:
+        """Close idle connections that no request may go on any more."""
+        idle = self.idle
+        self.idle = []
+        for entry in idle:
+            if sockets.is_quiet(entry.stream):
+                self._keep_fresh(entry)
+            else:
+                # What a server sends unasked is not to pile up here.
+                sockets.abort(entry.stream)
+
     def close(self) -> None:
         """Close all idle connections."""
         while self.idle:
             sockets.close(self.idle.pop().stream)
 
+    def _keep_fresh(self, entry: _Idle) -> None:
+        if _is_fresh(entry, _LONGEST_IDLE):
+            self.idle.append(entry)
+        else:
+            sockets.close(entry.stream)
+
     def _take_idle(self, longest_idle: Seconds) -> trio.SocketStream | None:
-        now = trio.current_time()
         while self.idle:
             newest = self.idle.pop()
-            fresh = now - newest.since <= longest_idle and now < newest.until
+            fresh = _is_fresh(newest, longest_idle)
             if fresh and sockets.is_quiet(newest.stream):
                 return newest.stream
             sockets.close(newest.stream)
@@ -103,6 +119,11 @@
             sockets.close(self.idle.pop(0).stream)
 
 
+def _is_fresh(idle: _Idle, longest_idle: Seconds) -> bool:
+    now = trio.current_time()
+    return now - idle.since <= longest_idle and now < idle.until
+
+
 def _find_keep_alive(answer: HttpAnswer) -> float:
     text = answer.find_header(_KEEP_ALIVE)
     if text is None:
--- a/trefoilsaddle/platform/orders.py
+++ b/trefoilsaddle/platform/orders.py
@@ -1,6 +1,7 @@
 """Grant keys to the platform's servers and take them back."""
 
 import json
+from collections.abc import Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -56,6 +57,10 @@
         self._room = AnswerRoom(_LARGEST_ANSWER, _MOST_HELD)
         self._pools: dict[str, ConnectionPool] = {}
 
+    def list_pools(self) -> Iterable[ConnectionPool]:
+        """Return the connections to servers."""
+        return self._pools.values()
+
     async def grant(self, effect: GrantKeys) -> OrderEnded:
         """Grant keys, or renew a grant."""
         body = _write_order(effect.keys, effect.fence)
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -62,6 +62,7 @@
 )
 from trefoilsaddle.programs.gatewayorders import OrderRunner
 from trefoilsaddle.programs.looplag import LoopLag
+from trefoilsaddle.programs.sweeping import sweep_pools
 
 _Perform = Callable[[Any], None]
 _METRICS_PATH = b'/metrics'
@@ -102,6 +103,7 @@
             options.grant_timeout,
             options.release_timeout,
         )
+        self._list_order_pools = orders.list_pools
         self._orders = OrderRunner(orders, self.metrics, self.feed, nursery)
         self.calls = GatewayCalls(
             gateway, PlatformDialect(), self.feed, nursery
@@ -118,6 +120,9 @@
     async def run(self) -> None:
         """Run the timers and the link to the controller."""
         self._nursery.start_soon(self._link.run)
+        pools = self.calls.servers.pools
+        self._nursery.start_soon(sweep_pools, pools.values)
+        self._nursery.start_soon(sweep_pools, self._list_order_pools)
         while True:
             self._timer_set = trio.Event()
             due = min(self._timers.values(), default=inf)
--- /dev/null
+++ b/trefoilsaddle/programs/sweeping.py
@@ -0,0 +1,22 @@
+"""Close idle connections that are of no more use."""
+
+from collections.abc import Callable, Iterable
+
+import trio
+
+from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.http.pool import ConnectionPool
+
+# As long as a connection may be idle: each is looked at once or twice.
+_PAUSE = Seconds(3)
+
+
+async def sweep_pools(
+    list_pools: Callable[[], Iterable[ConnectionPool]],
+    pause: Seconds = _PAUSE,
+) -> None:
+    """Sweep connection pools again and again."""
+    while True:
+        await trio.sleep(pause)
+        for pool in list(list_pools()):
+            pool.sweep()
