Write one line for the servers that a read brings

Cause of the log's volume: each gateway wrote a line for each server that it learnt of.

A read that brings servers unknown before now gives one line `servers registered`, with their number, the first five names and how many are known. A change of a known server (draining, started anew) keeps its own line.

--- a/tests/test_gatewaywatching.py
+++ b/tests/test_gatewaywatching.py
@@ -6,13 +6,27 @@
 
 from measure.gatewayworld import World
 from tests.gatewayscenes import CATALOGUE, build_scene
-from trefoilsaddle.core.units import NodeId, Seconds, ServerId, ServiceName
+from trefoilsaddle.core.units import (
+    NodeId,
+    Offset,
+    Seconds,
+    ServerId,
+    ServiceName,
+    ZoneName,
+)
 from trefoilsaddle.gateway.effects import Effects, LogValue, WriteDecision
-from trefoilsaddle.gateway.events import DumpRequested, TimerExpired, TimerKind
+from trefoilsaddle.gateway.events import (
+    DumpRequested,
+    ReadVerdict,
+    TimerExpired,
+    TimerKind,
+    Topic,
+    TopicRead,
+)
 from trefoilsaddle.gateway.granting import begin_release
 from trefoilsaddle.gateway.keys import divide_keys
 from trefoilsaddle.gateway.reducer import reduce
-from trefoilsaddle.gateway.servers import ServerLife
+from trefoilsaddle.gateway.servers import Server, ServerLife
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.table import (
     Assignment,
@@ -141,3 +155,42 @@
     told = _find_lines(lines, 'event loop is late')
     assert len(told) == case.lines
     assert sum(int(str(line['timers'])) for line in told) == case.told
+
+
+def _read_servers(gateway: Gateway, now: Seconds, *, draining: int) -> Effects:
+    entries = tuple(
+        Server(
+            ServerLife(ServerId(f'new-{number}'), 1),
+            ServiceName(CATALOGUE),
+            'host',
+            1,
+            ZoneName('a'),
+            slots=3,
+            draining=number < draining,
+            warm_up_left=Seconds(0),
+        )
+        for number in range(20)
+    )
+    read = TopicRead(
+        Topic.servers,
+        ReadVerdict.records,
+        whole=False,
+        next_offset=Offset(100),
+        entries=entries,
+        asked_at=now,
+    )
+    return reduce(gateway, now, read)
+
+
+def test_servers_that_register_share_a_line() -> None:
+    """Guard against a line for each server on each gateway at a start."""
+    world = build_scene()
+    gateway = _find_controller(world)
+    now = Seconds(world.now)
+    first = _read_servers(gateway, now, draining=0)
+    line = _find_lines(first, 'servers registered')[0]
+    assert line['servers'] == 20
+    assert not _find_lines(first, 'server changed')
+    later = _read_servers(gateway, now, draining=2)
+    assert len(_find_lines(later, 'server changed')) == 2
+    assert not _find_lines(later, 'servers registered')
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from types import MappingProxyType
 
-from trefoilsaddle.core.units import NO_OFFSET, Seconds
+from trefoilsaddle.core.units import NO_OFFSET, Seconds, ServerId
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import (
     Effects,
@@ -242,9 +242,11 @@
 ) -> Effects:
     effects: Effects = []
     gateway.book.confirm(event.asked_at)
+    known = set(gateway.book.servers)
     for entry in event.entries:
         if isinstance(entry, (Server, ServerRemoved)):
             effects.extend(_take_server(gateway, now, entry))
+    effects.extend(_note_new(gateway, known))
     if event.whole:
         present = [
             server.life.server
@@ -267,7 +269,8 @@
         if gateway.book.remove(change.server, now):
             return [_note_server('server gone', change.server)]
         return []
-    if not gateway.book.put(change, now):
+    known = change.life.server in gateway.book.servers
+    if not gateway.book.put(change, now) or not known:
         return []
     line = note(
         Part.store,
@@ -280,6 +283,25 @@
     return [line]
 
 
+def _note_new(gateway: Gateway, known: set[ServerId]) -> Effects:
+    # One line a read: every gateway learns of every server.
+    names = sorted(set(gateway.book.servers).difference(known))
+    if not names:
+        return []
+    line = note(
+        Part.store,
+        'servers registered',
+        servers=len(names),
+        first=' '.join(names[:_MOST_NAMES]),
+        known=len(gateway.book.servers),
+    )
+    return [line]
+
+
+# Names of new servers that a line holds.
+_MOST_NAMES = 5
+
+
 def _note_server(sentence: str, name: str) -> WriteDecision:
     return note(Part.store, sentence, server=name)
 
