--- a/trefoilsaddle/gateway/watching.py
+++ b/trefoilsaddle/gateway/watching.py
@@ -48,7 +48,7 @@
     control = gateway.control
     pieces = keyed.pieces.ordered
     states = Counter(piece.state for piece in pieces)
-    suspected = sum(until > now for until in control.suspected.values())
+    suspected = sum(until > now for until in control.suspicions.until.values())
     return {
         'service': keyed.service,
         'unserved_keys': count_unserved(keyed),
