--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -45,6 +45,7 @@
 )
 from trefoilsaddle.gateway.journal import note
 from trefoilsaddle.gateway.loads import UseSample
+from trefoilsaddle.gateway.pacing import bound_moves, count_changing
 from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.takeover import (
@@ -58,8 +59,6 @@
 _SILENCE = Seconds(3)
 # Age of the store's last answer up to which it is taken to be there.
 _STORE_AGE = Seconds(0.8)
-# Ranges that may be changing hands while more moves are begun.
-_MOST_CHANGING = 6
 
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
@@ -89,7 +88,7 @@
     if isinstance(event, ConfigurationWanted):
         return telling.pass_configuration(gateway, event.node)
     if isinstance(event, PeerLinked):
-        return telling.tell_all(gateway, now, event.node)
+        return telling.welcome(gateway, now, event.node)
     return _resign(gateway)
 
 
@@ -141,6 +140,7 @@
     effects.extend(send_orders(gateway, now))
     if not control.leading:
         return effects
+    effects.extend(telling.tell_newcomers(gateway, now))
     effects.extend(telling.tell_changes(gateway, now))
     return [*effects, *telling.announce(gateway, now)]
 
@@ -195,12 +195,15 @@
     keyed.rates.decay(now)
     pieces = keyed.pieces.ordered
     changing = sum(not piece.granted for piece in pieces)
-    if changing > _MOST_CHANGING or keyed.pending is not None:
+    if keyed.pending is not None:
         return []
     capacities = list_capacities(gateway, keyed, now)
+    if changing > count_changing(gateway, len(capacities)):
+        return []
     load = KeyLoad(keyed.rates.read(now))
     effects: Effects = []
-    for move in choose_moves(pieces, load, capacities):
+    bounds = bound_moves(gateway, len(capacities))
+    for move in choose_moves(pieces, load, capacities, bounds):
         effects.extend(_begin_move(gateway, keyed, move, now))
     return effects
 
@@ -239,6 +242,7 @@
     node = report.gateway.node
     control.reporters[node] = now
     gateway.link.known[node] = report.gateway
+    gateway.link.speeds[node] = report.speed
     _forget_silent(control.reporters, now)
     learn_end(gateway, report.gateway, now)
     for use in report.uses:
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -1,6 +1,6 @@
 """Report to the controller, and learn from what it tells."""
 
-from trefoilsaddle.core.units import Seconds, ServerId, Version
+from trefoilsaddle.core.units import NodeId, Seconds, ServerId, Version
 from trefoilsaddle.gateway.effects import (
     AskConfiguration,
     DialController,
@@ -29,8 +29,10 @@
 from trefoilsaddle.gateway.state import Gateway, ServiceOwners
 from trefoilsaddle.gateway.table import GatewayAddress, OwnerMap
 
-# Time that a read of the store has before the controller is asked.
-_STORE_PATIENCE = Seconds(0.35)
+# Time that the controller's copy of a configuration has before the store is
+# read: copies of 65 KB for 45 gateways take 0.8 s of a link of 30 Mbit/s
+# between regions, and a version has to be in force within 2.5 s.
+_COPY_PATIENCE = Seconds(0.8)
 # News older than this tells nothing; it comes twice a second.
 _NEWS_AGE = Seconds(1.4)
 
@@ -44,7 +46,7 @@
         case NewsReceived():
             return _take_news(gateway, now, event.news)
         case LinkLost():
-            return _lose_link(gateway)
+            return _lose_link(gateway, now)
     return []
 
 
@@ -62,6 +64,7 @@
     link.address = address
     link.news_at = None
     link.servers_read_at = None
+    link.complete = False
     if address == gateway.own_address():
         return [DialController(None)]
     line = note(
@@ -87,7 +90,13 @@
     )
     gateway.key_counts.clear()
     seen = tuple(use for use in uses if use is not None)
-    return Report(gateway.own_address(), elapsed, seen, keys)
+    return Report(
+        gateway.own_address(),
+        elapsed,
+        seen,
+        keys,
+        gateway.options.speed,
+    )
 
 
 def _sum_up(pool: Pool, now: Seconds, elapsed: Seconds) -> ServerUse | None:
@@ -112,6 +121,8 @@
     gateway.pools.told_at = now
     link.gateways = news.reporting
     link.known.update({peer.node: peer for peer in news.gateways})
+    if news.standbys:
+        link.standbys = tuple(NodeId(name) for name in news.standbys)
     for load in news.loads:
         server = gateway.book.by_tag.get(load.tag)
         if server is not None:
@@ -136,6 +147,12 @@
     return [*effects, *_want_configuration(gateway, now, news.configuration)]
 
 
+def is_copy_overdue(gateway: Gateway, now: Seconds) -> bool:
+    """Tell whether a newer configuration has to be read in the store."""
+    wanted = gateway.link.wanted_since
+    return wanted is not None and now - wanted >= _COPY_PATIENCE
+
+
 def _want_configuration(
     gateway: Gateway,
     now: Seconds,
@@ -147,10 +164,19 @@
         return []
     if link.wanted_since is None:
         link.wanted_since = now
-        return [SetTimer(TimerKind.read_configuration, Seconds(0))]
-    if now - link.wanted_since < _STORE_PATIENCE:
+        return _ask_configuration(gateway, now, version)
+    if now - link.asked_at < _COPY_PATIENCE:
         return []
-    link.wanted_since = now
+    read = SetTimer(TimerKind.read_configuration, Seconds(0))
+    return [read, *_ask_configuration(gateway, now, version)]
+
+
+def _ask_configuration(
+    gateway: Gateway,
+    now: Seconds,
+    version: Version,
+) -> Effects:
+    gateway.link.asked_at = now
     line = note(
         Part.peers,
         'asking the controller for the configuration',
@@ -162,8 +188,12 @@
 
 def _learn_servers(gateway: Gateway, now: Seconds, news: News) -> None:
     book = gateway.book
+    link = gateway.link
     read_at = Seconds(now - news.servers_age)
-    gateway.link.servers_read_at = read_at
+    link.complete = link.complete or news.servers_whole
+    if link.complete:
+        # Changes alone do not replace a look at all entries.
+        link.servers_read_at = read_at
     book.confirm(read_at)
     for server in news.servers:
         book.put(server, now)
@@ -186,11 +216,13 @@
     gateway.owners_changed = True
 
 
-def _lose_link(gateway: Gateway) -> Effects:
+def _lose_link(gateway: Gateway, now: Seconds) -> Effects:
     if gateway.link.news_at is None:
         return []
+    gateway.link.led_at = now
     gateway.link.news_at = None
     gateway.link.servers_read_at = None
+    gateway.link.complete = False
     gateway.link.configuration_read_at = None
     return [
         SetTimer(TimerKind.read_configuration, Seconds(0)),
--- a/trefoilsaddle/gateway/suspicion.py
+++ b/trefoilsaddle/gateway/suspicion.py
@@ -52,6 +52,10 @@
         """Tell whether a server gets no keys at present."""
         return self.until.get(life, now) > now
 
+    def count(self, now: Seconds) -> int:
+        """Return how many servers get no keys at present."""
+        return sum(until > now for until in self.until.values())
+
     def note_confirmed(self, life: ServerLife, now: Seconds) -> None:
         """Note that a server has confirmed an order."""
         self.outcomes[life] = _Outcome(now, confirmed=True)
@@ -73,6 +77,11 @@
             self.until[life] = Seconds(now + _SUSPICION)
         return health
 
+    def prolong(self, life: ServerLife, now: Seconds) -> None:
+        """Go on suspecting a server that does not release keys either."""
+        if self.suspects(life, now):
+            self.until[life] = Seconds(now + _SUSPICION)
+
     def forget(self, known: set[ServerLife]) -> None:
         """Drop what is held of servers that are gone."""
         for life in set(self.outcomes).difference(known):
--- a/trefoilsaddle/http/pool.py
+++ b/trefoilsaddle/http/pool.py
@@ -121,7 +121,7 @@
 
 def _is_fresh(idle: _Idle, longest_idle: Seconds) -> bool:
     now = trio.current_time()
-    return now - idle.since <= longest_idle and now < idle.until
+    return now - idle.since < longest_idle and now < idle.until
 
 
 def _find_keep_alive(answer: HttpAnswer) -> float:
--- a/trefoilsaddle/platform/settings.py
+++ b/trefoilsaddle/platform/settings.py
@@ -37,6 +37,16 @@
 
 class _WirePlatform(WireModel):
     address: str
+    # Partitions of each topic that the product keeps for itself.
+    parts: int = 1
+
+
+class _WireLimits(WireModel):
+    # Part of a core that the process gets, and how fast that core is.
+    cpu_share: float = Field(default=1, alias='cpuShare', strict=False)
+    cores: float = Field(default=2, strict=False)
+    # Of the machine's link, both ways.
+    link_rate: float = Field(default=1000, alias='linkMbps', strict=False)
 
 
 class _WireSettings(WireModel):
@@ -53,6 +63,7 @@
     # Between two writes of an upstream's entry.
     heartbeat: Duration
     platform: _WirePlatform
+    limits: _WireLimits = _WireLimits()
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +83,8 @@
     ready: Address
     metrics: Address
     store: Address
+    # Partitions of a topic in the store.
+    parts: int
 
 
 def read_settings(path: Path, run: int) -> GatewaySettings | Failure:
@@ -101,6 +114,7 @@
         ready=_read_address(wire.listen.ready),
         metrics=Address(wire.ip, metrics),
         store=_read_address(wire.platform.address),
+        parts=wire.platform.parts,
     )
 
 
@@ -132,6 +146,8 @@
         longest_hold=Seconds(bounds.hold_max),
         stop_timeout=Seconds(bounds.grace),
         heartbeat=Seconds(wire.heartbeat),
+        link_rate=wire.limits.link_rate,
+        speed=wire.limits.cpu_share * wire.limits.cores,
     )
 
 
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -98,6 +98,7 @@
             settings.store.port,
             f'{options.node}-{options.run}',
             self._clock,
+            settings.parts,
         )
         orders = PlatformOrders(
             options.grant_timeout,
@@ -109,7 +110,9 @@
             gateway, PlatformDialect(), self.feed, nursery
         )
         self.controller = ControllerServer(self.feed)
-        greeting = Report(gateway.own_address(), Seconds(0), (), ())
+        greeting = Report(
+            gateway.own_address(), Seconds(0), (), (), options.speed
+        )
         self._link = ControllerLink(
             self.feed,
             greeting,
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -78,6 +78,7 @@
   elapsed @1 :Float64;
   uses @2 :List(ServerUse);
   keys @3 :List(KeyCounts);
+  speed @4 :Float32;
 }
 
 struct ServerLoad {
@@ -105,6 +106,7 @@
   owners @9 :List(OwnerNews);
   loads @10 :List(ServerLoad);
   doubted @11 :List(Text);
+  standbys @12 :List(Text);
 }
 
 struct ConfigurationRead {
@@ -112,7 +114,7 @@
 }
 
 struct ConfigurationCopy {
-  encoded @0 :Data;
+  deflated @0 :Data;
 }
 
 struct TableAnnouncement {
