--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from types import MappingProxyType
 
-from trefoilsaddle.core.units import NO_OFFSET, Seconds
+from trefoilsaddle.core.units import NO_OFFSET, Seconds, ServerId
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import (
     Effects,
@@ -278,13 +278,16 @@
 ) -> Effects:
     changes: Effects = []
     gateway.book.confirm(event.asked_at)
+    known = set(gateway.book.servers)
     for entry in event.entries:
         if isinstance(entry, (Server, ServerRemoved)):
             changes.extend(_take_server(gateway, now, entry))
-    # A whole list is one line; what changes later is one line each.
-    effects = changes
+    added = set(gateway.book.servers).difference(known)
+    # A whole list is one line, as are the new servers of a later read; what
+    # changes is one line each.
+    effects = [*changes, *_note_new(gateway, added)]
     if event.whole:
-        effects = [_note_list(event, now, len(changes))]
+        effects = [_note_list(event, now, len(changes) + len(added))]
         present = [
             server.life.server
             for server in event.entries
@@ -320,11 +323,30 @@
         if gateway.book.remove(change.server, now):
             return [_note_server('server gone', change.server)]
         return []
-    if not gateway.book.put(change, now):
+    known = change.life.server in gateway.book.servers
+    if not gateway.book.put(change, now) or not known:
         return []
     return [note_change(Part.store, change)]
 
 
+def _note_new(gateway: Gateway, added: set[ServerId]) -> Effects:
+    if not added:
+        return []
+    names = sorted(added)
+    line = note(
+        Part.store,
+        'servers registered',
+        servers=len(names),
+        first=' '.join(names[:_MOST_NAMES]),
+        known=len(gateway.book.servers),
+    )
+    return [line]
+
+
+# Names of new servers that a line holds.
+_MOST_NAMES = 5
+
+
 def _note_server(sentence: str, name: str) -> WriteDecision:
     return note(Part.store, sentence, server=name)
 
