Count the time of an order from its sending, and read an answer that has come

Cause: the time of an order ran over connecting as well, so one that never connected counted as perhaps carried out. And when the time ran out while the process was busy, the call was cancelled although its answer stood in the socket: the cancellation comes first at the next read. Change: connecting has a bound of its own (0.25 s), and an order of which no byte was sent has not run; after the time of an order its answer is read if it has begun to come, for 0.05 s at most. A takeover allows for both times; a repeated grant is shorter by the time of connecting.

--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -12,6 +12,7 @@
 from trefoilsaddle.gateway.election import step_down
 from trefoilsaddle.gateway.events import OrderEnded, OrderVerdict
 from trefoilsaddle.gateway.journal import note
+from trefoilsaddle.gateway.options import CONNECT_TIMEOUT
 from trefoilsaddle.gateway.pacing import (
     find_hold_in_force,
     find_renewal_interval,
@@ -159,7 +160,8 @@
     hold: Seconds,
     now: Seconds,
 ) -> Seconds:
-    left = piece.held_until - now - gateway.options.grant_timeout
+    call = gateway.options.grant_timeout + CONNECT_TIMEOUT
+    left = piece.held_until - now - call
     shortened = max(find_hold(left), hold * _LEAST_PART)
     return Seconds(min(shortened, hold))
 
--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -34,6 +34,9 @@
 # server (the users' aim): a renewal interval, the time of a call, its latest
 # arrival and the hold by a slow clock are less together.
 USUAL_HOLD = Seconds(1.65)
+# Longest time until the connection of an order is made, before its own time
+# begins.  A round trip between regions is 40 ms; the rest is for this machine.
+CONNECT_TIMEOUT = Seconds(0.25)
 # What servers accept at most on the users' sites; each site states its own.
 LONGEST_HOLD = Seconds(10)
 
--- a/trefoilsaddle/gateway/takeover.py
+++ b/trefoilsaddle/gateway/takeover.py
@@ -12,6 +12,7 @@
 from trefoilsaddle.gateway.effects import Effects, Part
 from trefoilsaddle.gateway.journal import note
 from trefoilsaddle.gateway.keys import ALL_KEYS
+from trefoilsaddle.gateway.options import CONNECT_TIMEOUT
 from trefoilsaddle.gateway.pieces import (
     LATEST_ARRIVAL,
     Piece,
@@ -119,8 +120,9 @@
     ended: Seconds,
 ) -> Seconds:
     # A call that began as its controller ended may still be on its way.
-    arrival = ended + gateway.options.grant_timeout + LATEST_ARRIVAL
-    return find_end(keyed.inherited_hold, Seconds(arrival))
+    call = gateway.options.grant_timeout + CONNECT_TIMEOUT
+    arrival = Seconds(ended + call + LATEST_ARRIVAL)
+    return find_end(keyed.inherited_hold, arrival)
 
 
 def _import_piece(
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -1,12 +1,15 @@
 """Exchange one request for one whole answer on a connection."""
 
 from dataclasses import dataclass, field
+from math import inf
 from typing import Protocol
 
 import h11
 import trio
 
+from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
+from trefoilsaddle.http.sockets import is_quiet
 
 _CHUNK_BYTES = 65_536
 # Largest body of an answer that is held, in bytes.
@@ -14,6 +17,8 @@
 # Requests above this are sent while the answer is read: a server may answer
 # before it has read all, and read no more.
 _SENT_AT_ONCE = 4096
+# Time for an answer that has begun to come when the time has run out.
+_READ_TIME = Seconds(0.05)
 # Answers to earlier requests that are skipped on one connection.
 _MOST_STALE = 2
 
@@ -110,10 +115,12 @@
     stream: trio.SocketStream,
     request: HttpRequest,
     matches: Matches | None = None,
+    timeout: float = inf,
 ) -> Exchanged:
     """Send a request and read its whole answer.
 
-    The caller bounds the time.  Answers that do not match are answers to
+    An answer that has come is read also if the time has run out in the queue
+    of this process.  Answers that do not match are answers to
     earlier requests: they are dropped, and the connection is not used again.
     """
     reader = _Reader(stream, request)
@@ -123,7 +130,7 @@
         # Not a byte of it can be written as HTTP.
         return Exchanged(Fault.unsent, reusable=True)
     try:
-        return await _send_and_read(reader, encoded, matches)
+        return await _exchange_in_time(reader, encoded, matches, timeout)
     except (
         trio.BrokenResourceError,
         trio.ClosedResourceError,
@@ -132,6 +139,25 @@
         return Exchanged(Fault.lost, reusable=False)
 
 
+async def _exchange_in_time(
+    reader: _Reader,
+    encoded: bytes,
+    matches: Matches | None,
+    timeout: float,
+) -> Exchanged:
+    with trio.move_on_after(timeout):
+        return await _send_and_read(reader, encoded, matches)
+    return await _read_late(reader, matches)
+
+
+async def _read_late(reader: _Reader, matches: Matches | None) -> Exchanged:
+    ended = Exchanged(Fault.lost, reusable=False)
+    if reader.sent and not is_quiet(reader.stream):
+        with trio.move_on_after(_READ_TIME):
+            ended = await _read_matching(reader, matches)
+    return ended
+
+
 async def _send_and_read(
     reader: _Reader,
     encoded: bytes,
--- a/trefoilsaddle/http/pool.py
+++ b/trefoilsaddle/http/pool.py
@@ -2,6 +2,7 @@
 
 from contextlib import ExitStack
 from dataclasses import dataclass, field
+from math import inf
 
 import trio
 
@@ -46,23 +47,42 @@
         longest_idle: Seconds = _LONGEST_IDLE,
         matches: Matches | None = None,
     ) -> HttpAnswer | Fault:
-        """Send a request once; the caller bounds the time.
+        """Send a request once; the caller bounds the time."""
+        stream = await self.open(longest_idle)
+        if stream is None:
+            return Fault.unsent
+        return await self.exchange_on(stream, request, matches)
 
-        If it is cancelled the connection is reset, so that the server drops
-        the request and bytes that wait on the way are lost.
-        """
+    async def open(
+        self,
+        longest_idle: Seconds = _LONGEST_IDLE,
+    ) -> trio.SocketStream | None:
+        """Return a connection, or None if none can be made in time."""
         stream = self._take_idle(longest_idle)
         if stream is None:
             stream = await sockets.open_stream(
                 self.host, self.port, self.connect_timeout
             )
             self.opened += 1
-        if stream is None:
-            return Fault.unsent
+        return stream
+
+    async def exchange_on(
+        self,
+        stream: trio.SocketStream,
+        request: HttpRequest,
+        matches: Matches | None = None,
+        timeout: float = inf,
+    ) -> HttpAnswer | Fault:
+        """Send a request once on a connection, which is then kept.
+
+        If the time runs out or this is cancelled the connection is reset, so
+        that the server drops the request and bytes that wait on the way are
+        lost.
+        """
         with ExitStack() as stack:
             # Also when this is cancelled in the middle of the exchange.
             stack.callback(sockets.abort, stream)
-            ended = await exchange(stream, request, matches)
+            ended = await exchange(stream, request, matches, timeout)
             stack.pop_all()
         self._give_back(stream, ended)
         return ended.answer
--- a/trefoilsaddle/platform/orders.py
+++ b/trefoilsaddle/platform/orders.py
@@ -4,12 +4,11 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-import trio
-
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.effects import GrantKeys, ReleaseKeys
 from trefoilsaddle.gateway.events import OrderEnded, OrderVerdict
 from trefoilsaddle.gateway.keys import KeyRange
+from trefoilsaddle.gateway.options import CONNECT_TIMEOUT
 from trefoilsaddle.gateway.servers import ServerLife
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.pool import ConnectionPool
@@ -17,7 +16,6 @@
 from trefoilsaddle.platform.durations import write_duration
 from trefoilsaddle.ports import Orders
 
-_CONNECT_TIMEOUT = Seconds(0.3)
 # Orders go on connections that were idle for a short time only: one that the
 # server just closes would leave the outcome unknown.
 _LONGEST_IDLE = Seconds(2)
@@ -100,9 +98,7 @@
         address = f'{receiver.host}:{receiver.port}'
         pool = self._pools.get(address)
         if pool is None:
-            pool = ConnectionPool(
-                receiver.host, receiver.port, _CONNECT_TIMEOUT
-            )
+            pool = ConnectionPool(receiver.host, receiver.port, CONNECT_TIMEOUT)
             self._pools[address] = pool
         encoded = json.dumps(body).encode()
         request = HttpRequest(
@@ -117,9 +113,11 @@
             ),
             encoded,
         )
-        with trio.move_on_after(timeout):
-            return await pool.exchange(request, _LONGEST_IDLE)
-        return Fault.lost
+        stream = await pool.open(_LONGEST_IDLE)
+        if stream is None:
+            return Fault.unsent
+        # The time counts from the sending: what was not sent cannot run.
+        return await pool.exchange_on(stream, request, timeout=timeout)
 
 
 def _write_order(keys: KeyRange, fence: int) -> dict[str, object]:
