--- a/tests/test_gatewayfleet.py
+++ b/tests/test_gatewayfleet.py
@@ -1,6 +1,8 @@
 """Check a fleet whose controller takes time for each of its orders."""
 
 from dataclasses import dataclass
+from functools import partial
+from random import Random
 
 import pytest
 
@@ -53,11 +55,7 @@
 
 def _assert_served(world: World) -> None:
     assert list_unowned(world) == []
-    widths = [
-        sum(held.keys.width for held in server.overlapping(ALL_KEYS, world.now))
-        for server in world.servers
-    ]
-    assert max(widths) * len(widths) <= ALL_KEYS.width * _MOST_SHARES
+    _assert_even(world)
 
 
 def _list_suspected(world: World) -> list[str]:
@@ -245,3 +243,55 @@
     world.run(5)
     assert list_unowned(world) == []
     assert not any(server.overlapping(ALL_KEYS, world.now) for server in lost)
+
+
+# Guards against all keys on the few servers that are not suspected.
+@pytest.mark.parametrize('suspected', [40, 83, 96])
+def test_few_servers_are_not_given_all_free_keys(suspected: int) -> None:
+    """Leave no server with many shares, and no key without an owner."""
+    world = _build_fleet(_Scene())
+    world.run(4)
+    gateway = _find_controller(world)
+    lapsed = {server.entry.life: server for server in world.servers[:suspected]}
+    for piece in gateway.control.keyed[ServiceName(CATALOGUE)].pieces.ordered:
+        if piece.life in lapsed:
+            piece.set_free(world.now)
+    for life, server in lapsed.items():
+        server.holdings.clear()
+        gateway.control.suspicions.until[life] = Seconds(world.now + 4)
+    for _ in range(14):
+        world.run(0.5)
+        _assert_even(world)
+    _assert_served(world)
+
+
+def _assert_even(world: World) -> None:
+    widths = [
+        sum(held.keys.width for held in server.overlapping(ALL_KEYS, world.now))
+        for server in world.servers
+    ]
+    assert max(widths) * len(widths) <= ALL_KEYS.width * _MOST_SHARES
+
+
+def _send_load(world: World, until: Seconds, random: Random) -> None:
+    if world.now < until:
+        key = random.randrange(ALL_KEYS.width)
+        world.call(random.choice(_GATEWAYS), '/reads/x', key)
+        world.after(0.004, partial(_send_load, world, until, random))
+
+
+# Guards against a fleet that takes over its keys a few ranges at a time.
+def test_many_servers_soon_share_the_keys_of_few() -> None:
+    """Serve what four servers of 97 cannot, within seconds."""
+    world = _build_fleet(_Scene(servers=4))
+    world.run(3)
+    for number in range(4, _SERVERS):
+        world.add_server(f'guide-{number}', CATALOGUE)
+    world.work_time = lambda: Seconds(0.2)
+    world.run(1)
+    _send_load(world, Seconds(world.now + 6), Random(1))
+    world.run(3)
+    seen = len(world.results)
+    world.run(3)
+    later = list(world.results.values())[seen:]
+    assert sum(ended.not_run for ended in later) <= len(later) * 0.12
