Name in the table the earlier controllers that may still renew

What callers saw: nothing yet; found in review. Two owners after two takeovers in a row. Cause: a controller that is cut off from the store goes on renewing for 12 s. Its successor waited that out, but the successor's successor knew of the last controller only: if that one had resigned (a process that is stopped), it waited one hold and gave the keys of a server away that was cut off together with the first controller. The same if the last table was its own, of an earlier run. Ruled out: servers that accepted a newer token (they refuse the first controller, which then ends). Change: the table lists the earlier controllers while some server has not accepted a grant of its controller; a successor waits for all of them, and each that reports to it is struck off. Tables without the list read as empty. Before: test_controller_before_the_last_is_waited_out[_stop_controller] OwnerError (guide-0 still holds its keys); the case with a kill passed. After: both pass.

--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -103,6 +103,8 @@
     # True while it cannot reach the store, or the other gateways.
     store_cut: bool = False
     peers_cut: bool = False
+    # Servers that it cannot reach with orders.
+    unreachable: set[ServerId] = field(default_factory=set)
     timers: dict[TimerKind, int] = field(default_factory=dict)
     dialed: GatewayAddress | None = None
     linked: NodeId | None = None
@@ -446,7 +448,10 @@
         if not process.alive or number not in process.worker.open:
             return
         reply = partial(self._take_reply, process, number)
-        if isinstance(order, GrantKeys):
+        unknown = build_unknown(order)
+        if unknown.life.server in process.unreachable:
+            self.after(0.3, partial(reply, unknown))
+        elif isinstance(order, GrantKeys):
             self._grant(order, reply)
         else:
             self._release(order, reply)
--- a/tests/test_gatewayownership.py
+++ b/tests/test_gatewayownership.py
@@ -462,6 +462,36 @@
     assert list_unowned(world) == []
 
 
+# Guards against forgetting a controller that renews through two takeovers.
+@pytest.mark.parametrize('end', [_kill_controller, _stop_controller])
+def test_controller_before_the_last_is_waited_out(end: _Fault) -> None:
+    """Own each key once while the first of three controllers renews.
+
+    Pattern: an availability zone with a server is cut off with the first.
+    """
+    world = build_scene()
+    first = world.processes[NodeId(GATEWAYS[0])]
+    first.store_cut = True
+    first.peers_cut = True
+    names = [server.entry.life.server for server in world.servers]
+    lost = names.pop(0)
+    first.unreachable.update(names)
+    for name in GATEWAYS[1:]:
+        world.processes[NodeId(name)].unreachable.add(lost)
+    _wait_for_controller(world, GATEWAYS[1])
+    world.run(0.5)
+    second = world.processes[NodeId(GATEWAYS[1])]
+    first.alive = False
+    end(world)
+    first.alive = True
+    second.alive = False
+    _wait_for_controller(world, GATEWAYS[2])
+    world.run(6)
+    assert first.gateway.control.leading
+    world.run(14)
+    assert list_unowned(world) == []
+
+
 # Guards against shortening own grants with those of the predecessor.
 def test_end_of_the_predecessor_does_not_end_own_grants() -> None:
     """Wait out an own grant without an answer that is the longer one."""
--- a/tests/test_platformstandins.py
+++ b/tests/test_platformstandins.py
@@ -57,6 +57,7 @@
     resigned=False,
     assignments=(Assignment(ALL_KEYS, _LIFE, 1),),
     hold=Seconds(2.5),
+    predecessors=(_ADDRESS,),
 )
 _NO_WAIT = Seconds(0)
 _Use = Callable[[StoreStandIn, PlatformStore], Awaitable[None]]
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -33,7 +33,11 @@
 from trefoilsaddle.gateway.pieces import Piece, PieceState, join_free
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import Gateway
-from trefoilsaddle.gateway.table import OwnershipTable, StoredTable
+from trefoilsaddle.gateway.table import (
+    GatewayAddress,
+    OwnershipTable,
+    StoredTable,
+)
 
 # A free range that is on the way to no chosen server waits so long for
 # others, so that one table serves for all of them.
@@ -327,9 +331,17 @@
         resigned=gateway.stopping_since is not None,
         assignments=keyed.pieces.list_assignments(fence),
         hold=bound_hold(gateway, keyed),
+        predecessors=_list_predecessors(keyed),
     )
 
 
+def _list_predecessors(keyed: KeyedControl) -> tuple[GatewayAddress, ...]:
+    # Servers that accepted a grant refuse all controllers before it.
+    if any(piece.inherited for piece in keyed.pieces.ordered):
+        return keyed.predecessors
+    return ()
+
+
 def find_fence(position: Offset) -> int:
     """Return the fencing token of the grants of a table."""
     # Positions begin at zero, tokens at one.
--- a/trefoilsaddle/gateway/control.py
+++ b/trefoilsaddle/gateway/control.py
@@ -45,8 +45,8 @@
     inherited_hold: Seconds = Seconds(0)
     # Position of the last accepted table.
     offset: Offset = Offset(-1)
-    # Controller before this one, while it may still renew grants.
-    predecessor: GatewayAddress | None = None
+    # Controllers before this one that may still renew grants.
+    predecessors: tuple[GatewayAddress, ...] = ()
 
 
 @dataclass(slots=True)
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -288,7 +288,7 @@
 ) -> Effects:
     if piece.state not in {PieceState.releasing, PieceState.lapsing}:
         return []
-    renewable = piece.inherited and keyed.predecessor is not None
+    renewable = piece.inherited and bool(keyed.predecessors)
     settled = not renewable and not piece.doubtful(now)
     if event.verdict == OrderVerdict.done and settled:
         handover = '' if piece.reborn else event.handover
--- a/trefoilsaddle/gateway/table.py
+++ b/trefoilsaddle/gateway/table.py
@@ -48,6 +48,9 @@
     assignments: tuple[Assignment, ...]
     # Longest hold of the grants under it; zero in records that do not say.
     hold: Seconds = Seconds(0)
+    # Earlier controllers that may renew grants at servers which have not yet
+    # accepted one of this controller.
+    predecessors: tuple[GatewayAddress, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/takeover.py
+++ b/trefoilsaddle/gateway/takeover.py
@@ -6,7 +6,9 @@
 keys: as long as the earlier controller may renew them, and one hold more.
 """
 
-from trefoilsaddle.core.units import Seconds, ServiceName
+from collections.abc import Iterable
+
+from trefoilsaddle.core.units import NodeId, Seconds, ServiceName
 from trefoilsaddle.gateway.assigning import append_table, fill_holes
 from trefoilsaddle.gateway.control import KeyedControl
 from trefoilsaddle.gateway.effects import Effects, Part
@@ -79,14 +81,23 @@
     a gateway that has started anew has forgotten it.
     """
     for keyed in gateway.control.keyed.values():
-        old = keyed.predecessor
-        if old is not None and old.node == address.node:
-            keyed.predecessor = None
+        left = _drop_node(keyed.predecessors, address.node)
+        if left == keyed.predecessors:
+            continue
+        keyed.predecessors = left
+        if not left:
             until = _find_last_end(gateway, keyed, now)
             for piece in _all(keyed):
                 piece.shorten_inherited(until)
 
 
+def _drop_node(
+    addresses: Iterable[GatewayAddress],
+    node: NodeId,
+) -> tuple[GatewayAddress, ...]:
+    return tuple(address for address in addresses if address.node != node)
+
+
 def _all(keyed: KeyedControl) -> list[Piece]:
     return keyed.pieces.ordered
 
@@ -101,10 +112,12 @@
     table = stored.table
     keyed.inherited_hold = table.hold or options.longest_hold
     held_until = _find_last_end(gateway, keyed, now)
-    gone = table.resigned or table.controller.node == options.node
-    if not gone:
-        # The last controller may yet renew grants without the store.
-        keyed.predecessor = table.controller
+    # Controllers before this one may yet renew grants without the store.
+    renewing = table.predecessors
+    if not table.resigned:
+        renewing = (*renewing, table.controller)
+    keyed.predecessors = _drop_node(renewing, options.node)
+    if keyed.predecessors:
         held_until = Seconds(held_until + options.outage_tolerance)
     keyed.offset = stored.offset
     pieces = [
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -45,6 +45,7 @@
   resigned @3 :Bool;
   assignments @4 :List(Assignment);
   hold @5 :Float64;
+  predecessors @6 :List(GatewayAddress);
 }
 
 struct OwnerEntry {
