--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -147,6 +147,7 @@
         # more does not put off the time at which the keys are free.
         hold = _shorten_hold(gateway, piece, hold, now)
     piece.calling = True
+    piece.called_at = now
     piece.hold = hold
     keyed.granted_hold = Seconds(max(keyed.granted_hold, hold))
     return [GrantKeys(server, piece.keys, piece.fence, hold, piece.handover)]
@@ -239,6 +240,7 @@
         last=event.keys.last,
         fence=event.fence,
         verdict=event.verdict.value,
+        elapsed=round(now - piece.called_at, 3),
         others_confirmed=health.confirmed,
         others_failed=health.failed,
         suspected=gateway.control.suspicions.suspects(event.life, now),
