--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -12,11 +12,13 @@
 from trefoilsaddle.gateway.election import step_down
 from trefoilsaddle.gateway.events import OrderEnded, OrderVerdict
 from trefoilsaddle.gateway.journal import note
+from trefoilsaddle.gateway.options import CONNECT_TIMEOUT
 from trefoilsaddle.gateway.pacing import (
     find_hold_in_force,
     find_renewal_interval,
 )
 from trefoilsaddle.gateway.pieces import (
+    LATEST_ARRIVAL,
     Piece,
     PieceState,
     find_end,
@@ -159,7 +161,8 @@
     hold: Seconds,
     now: Seconds,
 ) -> Seconds:
-    left = piece.held_until - now - gateway.options.grant_timeout
+    call = gateway.options.grant_timeout + CONNECT_TIMEOUT
+    left = piece.held_until - now - call
     shortened = max(find_hold(left), hold * _LEAST_PART)
     return Seconds(min(shortened, hold))
 
@@ -218,11 +221,11 @@
 ) -> Effects:
     if event.verdict == OrderVerdict.fenced:
         return step_down(gateway, 'a server has seen a newer grant')
-    if event.verdict != OrderVerdict.rejected:
-        piece.extend_hold(piece.hold, now)
     if event.verdict == OrderVerdict.done:
+        piece.extend_hold(piece.hold, now)
         return _confirm(gateway, keyed, piece, now)
     if event.verdict == OrderVerdict.unknown:
+        piece.extend_hold(piece.hold, Seconds(now + LATEST_ARRIVAL))
         piece.doubt_grant()
     if piece.failing_since is None:
         piece.failing_since = now
