--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -33,7 +33,11 @@
 from trefoilsaddle.gateway.pieces import Piece, PieceState, join_free
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import Gateway
-from trefoilsaddle.gateway.table import OwnershipTable, StoredTable
+from trefoilsaddle.gateway.table import (
+    GatewayAddress,
+    OwnershipTable,
+    StoredTable,
+)
 from trefoilsaddle.gateway.watching import describe_spread
 
 # A free range that is on the way to no chosen server waits so long for
@@ -120,7 +124,8 @@
 
 
 def _may_take(gateway: Gateway, server: Server, now: Seconds) -> bool:
-    if gateway.control.suspicions.suspects(server.life, now):
+    suspicions = gateway.control.suspicions
+    if suspicions.suspects(server.life, now) or suspicions.blames(server.life):
         return False
     return _is_staying(gateway, server)
 
@@ -328,9 +333,17 @@
         resigned=gateway.stopping_since is not None,
         assignments=keyed.pieces.list_assignments(fence),
         hold=bound_hold(gateway, keyed),
+        predecessors=_list_predecessors(keyed),
     )
 
 
+def _list_predecessors(keyed: KeyedControl) -> tuple[GatewayAddress, ...]:
+    # Servers that accepted a grant refuse all controllers before it.
+    if any(piece.inherited for piece in keyed.pieces.ordered):
+        return keyed.predecessors
+    return ()
+
+
 def find_fence(position: Offset) -> int:
     """Return the fencing token of the grants of a table."""
     # Positions begin at zero, tokens at one.
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -16,6 +16,7 @@
     OrderVerdict,
 )
 from trefoilsaddle.gateway.journal import note
+from trefoilsaddle.gateway.options import CONNECT_TIMEOUT
 from trefoilsaddle.gateway.pacing import (
     find_hold_in_force,
     find_renewal_interval,
@@ -128,8 +129,14 @@
         begin_release(keyed, piece, now)
         return _review_ending(gateway, keyed, piece, now)
     failing = piece.failing_since
-    suspected = gateway.control.suspicions.suspects(server.life, now)
-    if failing is not None and suspected and now - failing > _GIVE_UP:
+    if failing is None:
+        return []
+    suspicions = gateway.control.suspicions
+    if suspicions.blames(server.life) and now >= piece.held_until:
+        suspicions.suspect(server.life, now)
+        return _let_lapse(keyed, piece, now, 'its grant has lapsed')
+    suspected = suspicions.suspects(server.life, now)
+    if suspected and now - failing > _GIVE_UP:
         return _let_lapse(keyed, piece, now, 'its server does not answer')
     return []
 
@@ -152,6 +159,7 @@
         # more does not put off the time at which the keys are free.
         hold = _shorten_hold(gateway, piece, hold, now)
     piece.calling = True
+    piece.called_at = now
     piece.hold = hold
     keyed.granted_hold = Seconds(max(keyed.granted_hold, hold))
     return [GrantKeys(server, piece.keys, piece.fence, hold, piece.handover)]
@@ -163,7 +171,8 @@
     hold: Seconds,
     now: Seconds,
 ) -> Seconds:
-    left = piece.held_until - now - gateway.options.grant_timeout
+    call = gateway.options.grant_timeout + CONNECT_TIMEOUT
+    left = piece.held_until - now - call
     shortened = max(find_hold(left), hold * _LEAST_PART)
     return Seconds(min(shortened, hold))
 
@@ -244,6 +253,7 @@
         last=event.keys.last,
         fence=event.fence,
         verdict=event.verdict.value,
+        elapsed=round(now - piece.called_at, 3),
         others_confirmed=health.confirmed,
         others_failed=health.failed,
         suspected=gateway.control.suspicions.suspects(event.life, now),
@@ -302,7 +312,7 @@
 ) -> Effects:
     if piece.state not in {PieceState.releasing, PieceState.lapsing}:
         return []
-    renewable = piece.inherited and keyed.predecessor is not None
+    renewable = piece.inherited and bool(keyed.predecessors)
     settled = not renewable and not piece.doubtful(now)
     if event.verdict == OrderVerdict.done and settled:
         handover = '' if piece.reborn else event.handover
@@ -311,8 +321,9 @@
         # A grant without an answer may still be applied, or the earlier
         # controller may renew: wait it out.
         piece.handover = event.handover or piece.handover
-    else:
-        gateway.control.suspicions.prolong(event.life, now)
+    elif gateway.control.suspicions.suspects(event.life, now):
+        # It does not release keys either.
+        gateway.control.suspicions.suspect(event.life, now)
     piece.next_call = Seconds(now + gateway.options.retry_interval)
     return []
 
--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -34,6 +34,9 @@
 # server (the users' aim): calls to a lost server find no connection, so that
 # only the hold by a slow clock counts.
 USUAL_HOLD = Seconds(2)
+# Longest time until the connection of an order is made, before its own time
+# begins.  A round trip between regions is 40 ms; the rest is for this machine.
+CONNECT_TIMEOUT = Seconds(0.25)
 # What servers accept at most on the users' sites; each site states its own.
 LONGEST_HOLD = Seconds(10)
 
--- a/trefoilsaddle/gateway/suspicion.py
+++ b/trefoilsaddle/gateway/suspicion.py
@@ -14,9 +14,10 @@
 # Time for which a server that does not answer gets no more keys; its entry
 # is removed by then if it is gone.
 _SUSPICION = Seconds(4)
-# Time between two orders that count against a server: more than a call lasts,
-# so that the second one was sent after the first had ended.
-_CONFIRMATION = Seconds(0.3)
+# Time over which orders have to count against a server: three calls of 0.25 s
+# and the pauses between them.  A third of the calls of a busy controller may
+# fail; three in a row to one server hardly do.
+_CONFIRMATION = Seconds(0.6)
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +53,11 @@
         """Tell whether a server gets no keys at present."""
         return self.until.get(life, now) > now
 
+    def blames(self, life: ServerLife) -> bool:
+        """Tell whether the newest order counts against a server."""
+        last = self.outcomes.get(life)
+        return last is not None and last.blamed_since is not None
+
     def count(self, now: Seconds) -> int:
         """Return how many servers get no keys at present."""
         return sum(until > now for until in self.until.values())
@@ -74,13 +80,12 @@
             now, confirmed=False, blamed_since=blamed_since
         )
         if blamed_since is not None and now - blamed_since >= _CONFIRMATION:
-            self.until[life] = Seconds(now + _SUSPICION)
+            self.suspect(life, now)
         return health
 
-    def prolong(self, life: ServerLife, now: Seconds) -> None:
-        """Go on suspecting a server that does not release keys either."""
-        if self.suspects(life, now):
-            self.until[life] = Seconds(now + _SUSPICION)
+    def suspect(self, life: ServerLife, now: Seconds) -> None:
+        """Give a server no keys for a time."""
+        self.until[life] = Seconds(now + _SUSPICION)
 
     def forget(self, known: set[ServerLife]) -> None:
         """Drop what is held of servers that are gone."""
--- a/trefoilsaddle/gateway/takeover.py
+++ b/trefoilsaddle/gateway/takeover.py
@@ -6,12 +6,15 @@
 keys: as long as the earlier controller may renew them, and one hold more.
 """
 
-from trefoilsaddle.core.units import Seconds, ServiceName
+from collections.abc import Iterable
+
+from trefoilsaddle.core.units import NodeId, Seconds, ServiceName
 from trefoilsaddle.gateway.assigning import append_table, fill_holes
 from trefoilsaddle.gateway.control import KeyedControl
 from trefoilsaddle.gateway.effects import Effects, Part
 from trefoilsaddle.gateway.journal import note
 from trefoilsaddle.gateway.keys import ALL_KEYS
+from trefoilsaddle.gateway.options import CONNECT_TIMEOUT
 from trefoilsaddle.gateway.pieces import (
     LATEST_ARRIVAL,
     Piece,
@@ -80,14 +83,23 @@
     a gateway that has started anew has forgotten it.
     """
     for keyed in gateway.control.keyed.values():
-        old = keyed.predecessor
-        if old is not None and old.node == address.node:
-            keyed.predecessor = None
+        left = _drop_node(keyed.predecessors, address.node)
+        if left == keyed.predecessors:
+            continue
+        keyed.predecessors = left
+        if not left:
             until = _find_last_end(gateway, keyed, now)
             for piece in _all(keyed):
                 piece.shorten_inherited(until)
 
 
+def _drop_node(
+    addresses: Iterable[GatewayAddress],
+    node: NodeId,
+) -> tuple[GatewayAddress, ...]:
+    return tuple(address for address in addresses if address.node != node)
+
+
 def _all(keyed: KeyedControl) -> list[Piece]:
     return keyed.pieces.ordered
 
@@ -102,10 +114,12 @@
     table = stored.table
     keyed.inherited_hold = table.hold or options.longest_hold
     held_until = _find_last_end(gateway, keyed, now)
-    gone = table.resigned or table.controller.node == options.node
-    if not gone:
-        # The last controller may yet renew grants without the store.
-        keyed.predecessor = table.controller
+    # Controllers before this one may yet renew grants without the store.
+    renewing = table.predecessors
+    if not table.resigned:
+        renewing = (*renewing, table.controller)
+    keyed.predecessors = _drop_node(renewing, options.node)
+    if keyed.predecessors:
         held_until = Seconds(held_until + options.outage_tolerance)
     keyed.offset = stored.offset
     pieces = [
@@ -121,8 +135,9 @@
     ended: Seconds,
 ) -> Seconds:
     # A call that began as its controller ended may still be on its way.
-    arrival = ended + gateway.options.grant_timeout + LATEST_ARRIVAL
-    return find_end(keyed.inherited_hold, Seconds(arrival))
+    call = gateway.options.grant_timeout + CONNECT_TIMEOUT
+    arrival = Seconds(ended + call + LATEST_ARRIVAL)
+    return find_end(keyed.inherited_hold, arrival)
 
 
 def _import_piece(
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -1,14 +1,17 @@
 """Exchange one request for one whole answer on a connection."""
 
 from dataclasses import dataclass, field
+from math import inf
 from typing import Protocol
 
 import h11
 import trio
 
+from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.progress import Progress
 from trefoilsaddle.http.room import AnswerRoom, AnswerShare, TooLargeError
+from trefoilsaddle.http.sockets import is_quiet
 
 _CHUNK_BYTES = 65_536
 # Largest head, chunk header or trailer section that is not whole yet, in
@@ -19,6 +22,8 @@
 # Requests above this are sent while the answer is read: a server may answer
 # before it has read all, and read no more.
 _SENT_AT_ONCE = 4096
+# Time for an answer that has begun to come when the time has run out.
+_READ_TIME = Seconds(0.05)
 # Answers to earlier requests that are skipped on one connection.
 _MOST_STALE = 2
 
@@ -127,25 +132,31 @@
     room: AnswerRoom,
     matches: Matches | None = None,
     progress: Progress | None = None,
+    timeout: float = inf,
 ) -> Exchanged:
     """Send a request and read its whole answer.
 
-    The caller bounds the time, the room the size.  Answers that do not match are answers to
+    The room bounds the size.  An answer that has come is read also if the time
+    has run out in the queue of this process.  Answers that do not match are answers to
     earlier requests: they are dropped, and the connection is not used again.
     """
     with room.open() as share:
         reader = _Reader(stream, request, share, progress or Progress())
-        return await _exchange(reader, matches)
+        return await _exchange(reader, matches, timeout)
 
 
-async def _exchange(reader: _Reader, matches: Matches | None) -> Exchanged:
+async def _exchange(
+    reader: _Reader,
+    matches: Matches | None,
+    timeout: float,
+) -> Exchanged:
     try:
         encoded = reader.encode()
     except h11.LocalProtocolError:
         # Not a byte of it can be written as HTTP.
         return Exchanged(Fault.unsent, reusable=True)
     try:
-        return await _send_and_read(reader, encoded, matches)
+        return await _exchange_in_time(reader, encoded, matches, timeout)
     except TooLargeError:
         return Exchanged(Fault.too_large, reusable=False)
     except (
@@ -156,6 +167,25 @@
         return Exchanged(Fault.lost, reusable=False)
 
 
+async def _exchange_in_time(
+    reader: _Reader,
+    encoded: bytes,
+    matches: Matches | None,
+    timeout: float,
+) -> Exchanged:
+    with trio.move_on_after(timeout):
+        return await _send_and_read(reader, encoded, matches)
+    return await _read_late(reader, matches)
+
+
+async def _read_late(reader: _Reader, matches: Matches | None) -> Exchanged:
+    ended = Exchanged(Fault.lost, reusable=False)
+    if reader.sent and not is_quiet(reader.stream):
+        with trio.move_on_after(_READ_TIME):
+            ended = await _read_matching(reader, matches)
+    return ended
+
+
 async def _send_and_read(
     reader: _Reader,
     encoded: bytes,
--- a/trefoilsaddle/platform/orders.py
+++ b/trefoilsaddle/platform/orders.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-import trio
-
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.effects import GrantKeys, ReleaseKeys
 from trefoilsaddle.gateway.events import (
@@ -15,6 +13,7 @@
     OrderVerdict,
 )
 from trefoilsaddle.gateway.keys import KeyRange
+from trefoilsaddle.gateway.options import CONNECT_TIMEOUT
 from trefoilsaddle.gateway.servers import ServerLife
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.pool import ConnectionPool
@@ -24,7 +23,6 @@
 from trefoilsaddle.platform.durations import write_duration
 from trefoilsaddle.ports import Orders
 
-_CONNECT_TIMEOUT = Seconds(0.3)
 # A grant goes on a connection that was just opened: the handshake shows that
 # the way to the server is free, so that the grant does not arrive late.
 _NO_IDLE = Seconds(0)
@@ -137,7 +135,7 @@
             pool = ConnectionPool(
                 receiver.host,
                 receiver.port,
-                _CONNECT_TIMEOUT,
+                CONNECT_TIMEOUT,
                 room=self._room,
             )
             self._pools[address] = pool
@@ -154,12 +152,13 @@
             ),
             encoded,
         )
-        with trio.move_on_after(limits.timeout):
-            return await pool.exchange(
-                request, limits.longest_idle, progress=progress
-            )
-        # Before there is a connection nothing is written.
-        return Fault.unsent if progress.connected is None else Fault.lost
+        stream = await pool.open(limits.longest_idle)
+        if stream is None:
+            return Fault.unsent
+        # The time counts from the sending: what was not sent cannot run.
+        return await pool.exchange_on(
+            stream, request, progress=progress, timeout=limits.timeout
+        )
 
 
 def _read_times(progress: Progress) -> OrderTimes:
