Take a release as final only once no earlier controller's grant can arrive

What callers saw: nothing yet; found in review of the incident. Once its predecessor had resigned or reported, a successor took the release of a range that it had not granted itself as final, although a grant that the predecessor sent last could still arrive (a call, its connection and 2 s) at a server that knows no newer token.

Ruled out: ranges that the successor has granted; there the newer token refuses it.

Such a release now counts only after the bound on what earlier controllers granted, as it did before only while one of them could renew. Red before: test_release_does_not_end_a_late_grant_of_a_predecessor[-0.01-False].

--- a/tests/test_gatewayfleet.py
+++ b/tests/test_gatewayfleet.py
@@ -14,8 +14,11 @@
     list_unowned,
 )
 from trefoilsaddle.core.units import Seconds, ServiceName
+from trefoilsaddle.gateway.assigning import list_capacities
 from trefoilsaddle.gateway.calling import send_orders
 from trefoilsaddle.gateway.effects import GrantKeys
+from trefoilsaddle.gateway.events import OrderEnded, OrderVerdict
+from trefoilsaddle.gateway.granting import take_order
 from trefoilsaddle.gateway.keys import ALL_KEYS
 from trefoilsaddle.gateway.pacing import (
     bound_moves,
@@ -295,6 +298,52 @@
         world.after(0.004, partial(_send_load, world, until, random))
 
 
+# Guards against keys that are given to servers which are cut off, and found to
+# be so only one hold later.
+def test_server_with_an_unconfirmed_order_gets_no_keys() -> None:
+    """Leave out a server as soon as an order counts against it."""
+    world = build_scene()
+    gateway = _find_controller(world)
+    keyed = gateway.control.keyed[ServiceName(CATALOGUE)]
+    lost = world.servers[0]
+    lost.cut = True
+    world.run(1)
+    assert not gateway.control.suspicions.suspects(lost.entry.life, world.now)
+    capable = list_capacities(gateway, keyed, world.now)
+    assert lost.entry.life not in {entry.server.life for entry in capable}
+
+
+# Guards against a server that is given its keys again as they become free.
+@pytest.mark.parametrize(
+    ('verdict', 'suspected'),
+    [(OrderVerdict.unknown, True), (OrderVerdict.done, False)],
+)
+def test_server_that_does_not_release_stays_suspected(
+    verdict: OrderVerdict,
+    *,
+    suspected: bool,
+) -> None:
+    """Go on suspecting a server while it leaves releases unanswered."""
+    gateway = _find_controller(build_scene())
+    service = ServiceName(CATALOGUE)
+    piece = gateway.control.keyed[service].pieces.ordered[0]
+    assert piece.life is not None
+    suspicions = gateway.control.suspicions
+    suspicions.suspect(piece.life, Seconds(0))
+    piece.state = PieceState.lapsing
+    release = OrderEnded(
+        service,
+        piece.keys,
+        piece.life,
+        piece.fence,
+        release=True,
+        verdict=verdict,
+        handover='',
+    )
+    take_order(gateway, Seconds(3), release)
+    assert suspicions.suspects(piece.life, Seconds(5)) == suspected
+
+
 # Guards against a fleet that takes over its keys a few ranges at a time.
 def test_many_servers_soon_share_the_keys_of_few() -> None:
     """Serve what four servers of 97 cannot, within seconds."""
--- a/tests/test_gatewayownership.py
+++ b/tests/test_gatewayownership.py
@@ -22,7 +22,13 @@
 )
 from trefoilsaddle.core.units import NodeId, Seconds, ServiceName
 from trefoilsaddle.gateway import pieces
-from trefoilsaddle.gateway.events import StopRequested, Topic
+from trefoilsaddle.gateway.events import (
+    OrderEnded,
+    OrderVerdict,
+    StopRequested,
+    Topic,
+)
+from trefoilsaddle.gateway.granting import take_order
 from trefoilsaddle.gateway.keys import ALL_KEYS
 from trefoilsaddle.gateway.options import GatewayOptions
 from trefoilsaddle.gateway.table import StoredTable
@@ -530,6 +536,40 @@
     _assert_recovers(world, 10)
 
 
+# Guards against two owners when the last grant of a predecessor that resigned
+# reaches a server after it has released the keys to the successor.
+@pytest.mark.parametrize(('late', 'freed'), [(-0.01, False), (0.01, True)])
+def test_release_does_not_end_a_late_grant_of_a_predecessor(
+    late: float,
+    *,
+    freed: bool,
+) -> None:
+    """Wait for what an earlier controller sent last, whatever is released."""
+    world = build_scene()
+    gateway = world.processes[NodeId(GATEWAYS[1])].gateway
+    service = ServiceName(CATALOGUE)
+    stored = world.store.read_newest(Topic.ownership)[-1]
+    assert isinstance(stored, StoredTable)
+    gateway.tables[service] = stored
+    take_service(gateway, service, world.now)
+    keyed = gateway.control.keyed[service]
+    keyed.predecessors = ()
+    piece = keyed.pieces.ordered[0]
+    piece.state = pieces.PieceState.releasing
+    assert piece.life is not None
+    released = OrderEnded(
+        service,
+        piece.keys,
+        piece.life,
+        piece.fence,
+        release=True,
+        verdict=OrderVerdict.done,
+        handover='left',
+    )
+    take_order(gateway, Seconds(piece.inherited_until + late), released)
+    assert (piece.state == pieces.PieceState.free) == freed
+
+
 def test_store_away_keeps_owners() -> None:
     """Renew grants while the store is away, for longer than a hold."""
     world = build_scene()
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -159,7 +159,6 @@
         # more does not put off the time at which the keys are free.
         hold = _shorten_hold(gateway, piece, hold, now)
     piece.calling = True
-    piece.called_at = now
     piece.hold = hold
     keyed.granted_hold = Seconds(max(keyed.granted_hold, hold))
     return [GrantKeys(server, piece.keys, piece.fence, hold, piece.handover)]
@@ -253,7 +252,6 @@
         last=event.keys.last,
         fence=event.fence,
         verdict=event.verdict.value,
-        elapsed=round(now - piece.called_at, 3),
         others_confirmed=health.confirmed,
         others_failed=health.failed,
         suspected=gateway.control.suspicions.suspects(event.life, now),
@@ -312,7 +310,8 @@
 ) -> Effects:
     if piece.state not in {PieceState.releasing, PieceState.lapsing}:
         return []
-    renewable = piece.inherited and bool(keyed.predecessors)
+    # What an earlier controller sent last may still be on its way.
+    renewable = piece.inherited and now < piece.inherited_until
     settled = not renewable and not piece.doubtful(now)
     if event.verdict == OrderVerdict.done and settled:
         handover = '' if piece.reborn else event.handover
--- a/trefoilsaddle/gateway/pieces.py
+++ b/trefoilsaddle/gateway/pieces.py
@@ -78,7 +78,6 @@
     # True while a call about the range is on its way.
     calling: bool = False
     next_call: Seconds = Seconds(0)
-    called_at: Seconds = Seconds(0)
     failing_since: Seconds | None = None
     # True if the holder is believed to serve the keys.
     serving: bool = False
