Read the newest entries of servers when the last own read is old

Found in review: a gateway that lives on the controller's news does not read the entries of servers itself.

After three heartbeats the newest entries are read instead. Red before: test_old_reads_of_servers_begin_anew[4-True].

--- a/tests/test_gatewayrelay.py
+++ b/tests/test_gatewayrelay.py
@@ -319,3 +319,20 @@
         asked_at=world.now,
     )
     assert _list_lines(reduce(gateway, world.now, event)) == ['servers read']
+
+
+# Guards against a link between regions that is choked when all gateways lose
+# their controller and read what every server wrote since their last read.
+@pytest.mark.parametrize(('age', 'whole'), [(2, False), (4, True)])
+def test_old_reads_of_servers_begin_anew(age: float, *, whole: bool) -> None:
+    """Read the newest entries rather than all that were written for long."""
+    world = build_scene()
+    gateway = _find_follower(world).gateway
+    state = gateway.topics[Topic.servers]
+    state.read_at = world.now
+    state.reading = False
+    gateway.link.news_at = None
+    now = Seconds(world.now + age)
+    effects = reduce(gateway, now, TimerExpired(TimerKind.read_servers))
+    reads = [kind for kind in effects if isinstance(kind, ReadTopic)]
+    assert [read.offset is None for read in reads] == [whole]
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -140,7 +140,22 @@
     relayed = read_at is not None and now - read_at <= limit
     if relayed and _leaves_to_other(gateway, now):
         return [SetTimer(TimerKind.read_servers, _SERVERS_CHECK)]
-    return [_read(gateway, Topic.servers)]
+    return [_read_recent(gateway, now)]
+
+
+def _read_recent(gateway: Gateway, now: Seconds) -> ReadTopic:
+    # All servers write at each heartbeat: after a while the newest entries
+    # are less than what was written since.
+    state = gateway.topics[Topic.servers]
+    read = _read(gateway, Topic.servers)
+    age = _MOST_HEARTBEATS * gateway.options.heartbeat
+    if state.read_at is None or now - state.read_at <= age:
+        return read
+    return ReadTopic(Topic.servers, None, _NO_WAIT)
+
+
+# Heartbeats since the last own read up to which all that was written is read.
+_MOST_HEARTBEATS = 3
 
 
 def _read_configuration(gateway: Gateway, now: Seconds) -> Effects:
