Take only a promise as proof that an order was not carried out

Found in review: every status other than 200 and 409 counted as not carried out, so that a 500 or 504 of a server extended no hold. Only 400, 421, 429 and 503 promise that nothing ran; all others are unknown now. Red before: 3 of the 8 cases of test_only_a_promise_says_that_a_grant_was_not_taken.

--- a/tests/test_gatewayorders.py
+++ b/tests/test_gatewayorders.py
@@ -140,6 +140,36 @@
     assert trio.run(_grant_unheard) == OrderVerdict.rejected
 
 
+async def _grant_answered(status: bytes) -> OrderVerdict:
+    server = ScriptedServer([Step(whole(b'{}', status=status))])
+    async with serve_script(server):
+        orders = PlatformOrders(_GRANT_TIMEOUT, _GRANT_TIMEOUT)
+        ended = await orders.grant(_build_grant(server.port))
+    return ended.verdict
+
+
+# Guards against keys that are given away while a failed grant may be in force.
+@pytest.mark.parametrize(
+    ('status', 'verdict'),
+    [
+        (b'200 OK', OrderVerdict.done),
+        (b'400 Bad Request', OrderVerdict.rejected),
+        (b'404 Not Found', OrderVerdict.unknown),
+        (b'409 Conflict', OrderVerdict.fenced),
+        (b'421 Misdirected Request', OrderVerdict.rejected),
+        (b'500 Internal Server Error', OrderVerdict.unknown),
+        (b'503 Service Unavailable', OrderVerdict.rejected),
+        (b'504 Gateway Timeout', OrderVerdict.unknown),
+    ],
+)
+def test_only_a_promise_says_that_a_grant_was_not_taken(
+    status: bytes,
+    verdict: OrderVerdict,
+) -> None:
+    """Judge an order by what its status promises."""
+    assert trio.run(_grant_answered, status) == verdict
+
+
 async def _grant_unanswered() -> OrderVerdict:
     server = ScriptedServer([Step(silent=True)])
     async with serve_script(server):
--- a/trefoilsaddle/platform/orders.py
+++ b/trefoilsaddle/platform/orders.py
@@ -35,6 +35,17 @@
 _MOST_HELD = 4_194_304
 
 
+# Statuses that say that an order was not carried out and never will be.
+_NOT_RUN = frozenset(
+    (
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
+
 @dataclass(frozen=True, slots=True)
 class _Receiver:
     """Name the server that an order is for, and where it was."""
@@ -188,4 +199,7 @@
         return OrderVerdict.done
     if answer.status == HTTPStatus.CONFLICT:
         return OrderVerdict.fenced
-    return OrderVerdict.rejected
+    if answer.status in _NOT_RUN:
+        return OrderVerdict.rejected
+    # Every other failure leaves open whether the order was carried out.
+    return OrderVerdict.unknown
