Free keys whose grant has lapsed, whoever is to blame, and let blame end

Blame now ends with the time of a suspicion. A range whose grant has lapsed is given away after a hold of failed calls whatever the others say, as its server does not hold it any more; a share that nobody may take waits for 5 s at most. A release by a server that started anew waits for late grants of earlier controllers as well.

--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -48,6 +48,9 @@
 _CALM_TIME = Seconds(1.3)
 _LONGEST_GATHERING = Seconds(4)
 _RETRY_PAUSE = Seconds(0.3)
+# Longest time that keys wait for servers that are suspected: the entries of
+# those that are lost lapse after three heartbeats of up to 1.5 s.
+_PATIENCE = Seconds(5)
 
 
 def assign_free(
@@ -125,7 +128,8 @@
 
 def _may_take(gateway: Gateway, server: Server, now: Seconds) -> bool:
     suspicions = gateway.control.suspicions
-    if suspicions.suspects(server.life, now) or suspicions.blames(server.life):
+    life = server.life
+    if suspicions.suspects(life, now) or suspicions.blames(life, now):
         return False
     return _is_staying(gateway, server)
 
@@ -219,7 +223,9 @@
         for server in gateway.book.list_service(keyed.service)
     )
     load = KeyLoad(keyed.rates.read(now))
-    division = Division(capacities, load, servers)
+    freed = min(piece.since for piece in _list_free(keyed))
+    patient = now - freed < _PATIENCE
+    division = Division(capacities, load, servers, patient)
     division.count(keyed.pieces.ordered)
     return division
 
--- a/trefoilsaddle/gateway/division.py
+++ b/trefoilsaddle/gateway/division.py
@@ -35,6 +35,8 @@
     load: KeyLoad
     # Servers with an entry, those that are suspected among them.
     servers: int
+    # True while keys are rather left free than given to a full server.
+    patient: bool = True
     # Weight of the keys of each server.
     weights: dict[ServerLife, float] = field(default_factory=dict)
 
@@ -61,7 +63,7 @@
         if server is None:
             return None
         full = self._find_limit() <= self.weights.get(server.life, 0)
-        waits = self.servers > len(self.capacities)
+        waits = self.patient and self.servers > len(self.capacities)
         return None if full and waits else server
 
     def cut(self, keys: KeyRange, server: Server) -> KeyRange:
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -28,7 +28,7 @@
     find_end,
     find_hold,
 )
-from trefoilsaddle.gateway.servers import Server
+from trefoilsaddle.gateway.servers import Server, ServerLife
 from trefoilsaddle.gateway.state import Gateway
 
 # Time of failed renewals after which a server's grants are left to lapse.
@@ -132,7 +132,7 @@
     if failing is None:
         return []
     suspicions = gateway.control.suspicions
-    if suspicions.blames(server.life) and now >= piece.held_until:
+    if _has_lapsed(gateway, piece, server.life, now):
         suspicions.suspect(server.life, now)
         return _let_lapse(keyed, piece, now, 'its grant has lapsed')
     suspected = suspicions.suspects(server.life, now)
@@ -141,6 +141,19 @@
     return []
 
 
+def _has_lapsed(
+    gateway: Gateway,
+    piece: Piece,
+    life: ServerLife,
+    now: Seconds,
+) -> bool:
+    if piece.failing_since is None or now < piece.held_until:
+        return False
+    # Whoever is to blame, the server does not hold the keys any more.
+    silent = now - piece.failing_since >= gateway.options.hold
+    return silent or gateway.control.suspicions.blames(life, now)
+
+
 def grant(
     gateway: Gateway,
     keyed: KeyedControl,
@@ -311,7 +324,8 @@
     if piece.state not in {PieceState.releasing, PieceState.lapsing}:
         return []
     # What an earlier controller sent last may still be on its way.
-    renewable = piece.inherited and now < piece.inherited_until
+    unfenced = piece.inherited or piece.reborn
+    renewable = unfenced and now < piece.inherited_until
     settled = not renewable and not piece.doubtful(now)
     if event.verdict == OrderVerdict.done and settled:
         handover = '' if piece.reborn else event.handover
--- a/trefoilsaddle/gateway/suspicion.py
+++ b/trefoilsaddle/gateway/suspicion.py
@@ -52,10 +52,13 @@
         """Tell whether a server gets no keys at present."""
         return self.until.get(life, now) > now
 
-    def blames(self, life: ServerLife) -> bool:
-        """Tell whether the newest order counts against a server."""
+    def blames(self, life: ServerLife, now: Seconds) -> bool:
+        """Tell whether a recent order counts against a server."""
         last = self.outcomes.get(life)
-        return last is not None and last.blamed_since is not None
+        if last is None or last.blamed_since is None:
+            return False
+        # A server without keys gets no order that it could confirm.
+        return now < last.at + _SUSPICION
 
     def count(self, now: Seconds) -> int:
         """Return how many servers get no keys at present."""
