Try lost servers more rarely and free their keys sooner

With 5 of 6 servers cut off while their entries stayed, 33 of 64 keys had no owner after 12 s. Cause: keys waited 5 s for suspected servers, but a suspicion ended after 4 s, so that lost servers got them again; the grant of a lost server then took up to 3 s to be given up, as its failure did not count while more orders failed than were confirmed; and the wait of 5 s began anew. Ruled out: a shorter wait (then keys go to the few servers that are not suspected by mistake) and a longer first suspicion (a server that was cut for a moment would stay idle).

A suspected server is on trial after its suspicion: one failed order suspects it again, for twice as long (up to 16 s), and its keys are free as soon as no grant can be in force. The wait counts from when the keys became free.

--- a/tests/test_gatewayfleet.py
+++ b/tests/test_gatewayfleet.py
@@ -281,9 +281,7 @@
             partition.set_free(world.now)
     for incarnation, server in lapsed.items():
         server.holdings.clear()
-        gateway.control.suspicions.suspected_until[incarnation] = Seconds(
-            world.now + 4
-        )
+        gateway.control.suspicions.suspect(incarnation, world.now)
     for _ in range(14):
         world.run(0.5)
         _assert_even(world)
--- a/tests/test_gatewaylosses.py
+++ b/tests/test_gatewaylosses.py
@@ -11,9 +11,14 @@
     build_scene,
     list_unowned,
 )
+from trefoilsaddle.core.units import Seconds, ServerId
 from trefoilsaddle.gateway.keys import ALL_KEYS
+from trefoilsaddle.gateway.servers import ServerIncarnation
+from trefoilsaddle.gateway.suspicion import Suspicions
 
 _SERVERS = 6
+_LOST = ServerIncarnation(ServerId('lost'), 1)
+_OTHER = ServerIncarnation(ServerId('other'), 1)
 # Time limit: a hold of failed calls, the suspicion of the last servers tried,
 # and a hold for each of two more that turn out to be lost.
 _REGAINED = 12
@@ -65,3 +70,39 @@
     other.cut = True
     world.run(6)
     assert server.find_holdings(ALL_KEYS, world.now)
+
+
+# Times of failed orders and the time up to which the server is suspected: a
+# suspicion after an ended one, without a confirmed order in between, is longer.
+_SUSPICIONS = (
+    ((0, 0.4), 4.4),
+    ((0, 0.4, 5), 13),
+    ((0, 0.4, 5, 13.5), 29.5),
+    ((0, 0.4, 5, 13.5, 30), 46),
+)
+
+
+# Guards against keys that are assigned to a lost server every few seconds.
+@pytest.mark.parametrize(('failures', 'until'), _SUSPICIONS)
+def test_lost_servers_are_tried_more_rarely(
+    failures: tuple[float, ...], until: float
+) -> None:
+    """Double the time for which a server that fails again gets no keys."""
+    suspicions = Suspicions()
+    for failed_at in failures:
+        suspicions.record_confirmed(_OTHER, Seconds(failed_at))
+        suspicions.record_failed(_LOST, Seconds(0), Seconds(failed_at))
+    assert suspicions.is_suspected(_LOST, Seconds(until - 0.01))
+    assert not suspicions.is_suspected(_LOST, Seconds(until))
+
+
+# Guards against a long exclusion of a server that works again.
+def test_confirmed_order_restores_trust() -> None:
+    """Start with the shortest suspicion after a confirmed order."""
+    suspicions = Suspicions()
+    for failed_at in (0, 0.4, 5):
+        suspicions.record_confirmed(_OTHER, Seconds(failed_at))
+        suspicions.record_failed(_LOST, Seconds(0), Seconds(failed_at))
+    suspicions.record_confirmed(_LOST, Seconds(20))
+    suspicions.suspect(_LOST, Seconds(21))
+    assert not suspicions.is_suspected(_LOST, Seconds(25))
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -238,7 +238,7 @@
         for server in gateway.registry.list_service(keyed.service)
     )
     load = KeyLoad(keyed.rates.read(now))
-    freed = min(partition.since for partition in _list_free(keyed))
+    freed = min(partition.free_since or now for partition in _list_free(keyed))
     wait_for_suspected = now - freed < _SUSPECTED_SERVER_WAIT
     division = Division(capacities, load, servers, wait_for_suspected)
     division.count(keyed.partitions.ordered)
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -165,8 +165,10 @@
     # Whether server or network failed, the server does not own the keys any
     # more.
     silent = now - partition.failing_since >= gateway.options.hold
-    return silent or gateway.control.suspicions.has_recent_failure(
-        incarnation, now
+    suspicions = gateway.control.suspicions
+    suspected = suspicions.is_suspected(incarnation, now)
+    return (
+        silent or suspected or suspicions.has_recent_failure(incarnation, now)
     )
 
 
@@ -334,6 +336,7 @@
         partition.since = now
     if not partition.serving:
         partition.serving = True
+        partition.free_since = None
         keyed.partitions.revision += 1
     return []
 
--- a/trefoilsaddle/gateway/partitions.py
+++ b/trefoilsaddle/gateway/partitions.py
@@ -90,6 +90,8 @@
     inherited: bool = False
     # Time at which the state was entered.
     since: Seconds = Seconds(0)
+    # Time at which the keys became free; None once a holder has confirmed them.
+    free_since: Seconds | None = None
 
     @property
     def granted(self) -> bool:
@@ -133,6 +135,8 @@
     def set_free(self, now: Seconds, handover: str = '') -> None:
         """Record that no server can own the keys any more."""
         self.enter_state(PartitionState.free, now)
+        if self.free_since is None:
+            self.free_since = now
         self.incarnation = None
         self.handover = handover
         self.serving = False
--- a/trefoilsaddle/gateway/suspicion.py
+++ b/trefoilsaddle/gateway/suspicion.py
@@ -14,6 +14,10 @@
 # Time for which a suspected server gets no keys; its entry is removed by then
 # if it is gone.
 _SUSPICION_TIME = Seconds(4)
+# A server that is suspected again without a confirmed order in between gets no
+# keys for twice as long as before, up to this time.
+_MAX_SUSPICION_TIME = Seconds(16)
+_SUSPICION_GROWTH = 2
 # Minimum time between two failed orders that make a server suspected: longer
 # than a call lasts, so that the second one was sent after the first had ended.
 _MIN_FAILING_TIME = Seconds(0.3)
@@ -27,6 +31,12 @@
     failing_since: Seconds | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Suspicion:
+    until: Seconds
+    length: Seconds
+
+
 @dataclass(frozen=True, slots=True)
 class OtherServers:
     """Count the other servers whose newest order succeeded or failed."""
@@ -45,16 +55,20 @@
     """Hold the result of the newest order to each server."""
 
     outcomes: dict[ServerIncarnation, _Outcome] = field(default_factory=dict)
-    # Suspected servers, and the time until which they get no keys.
-    suspected_until: dict[ServerIncarnation, Seconds] = field(
-        default_factory=dict
-    )
+    # The newest suspicion of each server since its last confirmed order.
+    suspected: dict[ServerIncarnation, _Suspicion] = field(default_factory=dict)
 
     def is_suspected(
         self, incarnation: ServerIncarnation, now: Seconds
     ) -> bool:
         """Return whether a server is suspected."""
-        return self.suspected_until.get(incarnation, now) > now
+        suspicion = self.suspected.get(incarnation)
+        return suspicion is not None and now < suspicion.until
+
+    def is_on_trial(self, incarnation: ServerIncarnation, now: Seconds) -> bool:
+        """Return whether no order was confirmed since an ended suspicion."""
+        suspicion = self.suspected.get(incarnation)
+        return suspicion is not None and now >= suspicion.until
 
     def has_recent_failure(
         self, incarnation: ServerIncarnation, now: Seconds
@@ -68,14 +82,16 @@
 
     def count(self, now: Seconds) -> int:
         """Return the number of suspected servers."""
-        return sum(until > now for until in self.suspected_until.values())
+        return sum(
+            now < suspicion.until for suspicion in self.suspected.values()
+        )
 
     def record_confirmed(
         self, incarnation: ServerIncarnation, now: Seconds
     ) -> None:
         """Record a confirmed order, which ends the suspicion."""
         self.outcomes[incarnation] = _Outcome(now, confirmed=True)
-        self.suspected_until.pop(incarnation, None)
+        self.suspected.pop(incarnation, None)
 
     def record_failed(
         self,
@@ -93,22 +109,35 @@
         self.outcomes[incarnation] = _Outcome(
             now, confirmed=False, failing_since=failing_since
         )
-        if (
+        silent = (
             failing_since is not None
             and now - failing_since >= _MIN_FAILING_TIME
-        ):
+        )
+        if silent or self.is_on_trial(incarnation, now):
             self.suspect(incarnation, now)
         return others
 
     def suspect(self, incarnation: ServerIncarnation, now: Seconds) -> None:
         """Suspect a server, so that it gets no keys for a time."""
-        self.suspected_until[incarnation] = Seconds(now + _SUSPICION_TIME)
+        length = self._find_length(incarnation, now)
+        self.suspected[incarnation] = _Suspicion(Seconds(now + length), length)
 
     def remove_gone(self, known: set[ServerIncarnation]) -> None:
         """Remove the results of servers that are gone."""
         for incarnation in set(self.outcomes).difference(known):
             self.outcomes.pop(incarnation)
-            self.suspected_until.pop(incarnation, None)
+            self.suspected.pop(incarnation, None)
+
+    def _find_length(
+        self, incarnation: ServerIncarnation, now: Seconds
+    ) -> Seconds:
+        last = self.suspected.get(incarnation)
+        if last is None:
+            return _SUSPICION_TIME
+        if now < last.until:
+            return last.length
+        longer = last.length * _SUSPICION_GROWTH
+        return Seconds(min(longer, _MAX_SUSPICION_TIME))
 
     def _find_failing_since(
         self, incarnation: ServerIncarnation, now: Seconds
