Cut a hot range for several servers in one round

Cause: in a round (0.4 s and a release) each busy server gave one part away, half of its load, and the receiver was then as busy: the number of servers that shared the load doubled once a round. Ruled out: the pace of orders (at most 14 moves a round were allowed, 4 were made in the first).

A server now gives parts to several receivers in one round; each is filled to half of its capacity, or to the fleet's mean use if that is higher.

An order's partition is found by its first key instead of a walk, as a cut partition is looked up by its keys too.

--- a/tests/test_gatewaybalance.py
+++ b/tests/test_gatewaybalance.py
@@ -119,3 +119,26 @@
     rates: dict[int, float] = {100: 6, 500: 6, 990: 6, 1500: 4}
     moves = _choose('002', rates, bounds)
     assert [move.keys for move in moves] == [moved]
+
+
+# Rates of the keys of one server, and the number of servers that get some.
+_BURSTS = (
+    # One receiver brings the server below the utilisation that is relieved.
+    (range(100, 900, 100), 2, 1),
+    (range(100, 900, 100), 8, 2),
+)
+
+
+# Guards against a hot range that is halved once a round.
+@pytest.mark.parametrize(('keys', 'rate', 'count'), _BURSTS)
+def test_hot_server_gives_keys_to_several_at_once(
+    keys: range, rate: float, count: int
+) -> None:
+    """Relieve a server by moves to different servers in one round."""
+    moves = _choose('012', dict.fromkeys(keys, rate))
+    assert [move.target for move in moves] == ['guide-1', 'guide-2'][:count]
+    moved = [move.keys for move in moves]
+    assert not any(
+        first.overlaps(second)
+        for first, second in zip(moved, moved[1:], strict=False)
+    )
--- a/trefoilsaddle/gateway/balance.py
+++ b/trefoilsaddle/gateway/balance.py
@@ -2,8 +2,10 @@
 
 The utilisation of a server is the request rate of its keys over the rate that
 its slots can serve. A move takes a run of keys from one end of a partition of
-the busiest server to the least busy one, so that both get the same utilisation.
-It is made only if the gain is worth the keys that change hands.
+the busiest server to the least busy one, so that both get the same utilisation,
+or so that the receiver is filled as far as the whole fleet has to be; a server
+that is still too busy then gives keys to further servers in the same round. A
+move is made only if the gain is worth the keys that change hands.
 """
 
 from bisect import bisect_left, bisect_right
@@ -12,7 +14,7 @@
 from dataclasses import dataclass, replace
 
 from trefoilsaddle.core.units import Seconds, ServerId
-from trefoilsaddle.gateway.keys import Key, KeyRange
+from trefoilsaddle.gateway.keys import Key, KeyRange, cut_range
 from trefoilsaddle.gateway.partitions import Partition, PartitionState
 from trefoilsaddle.gateway.servers import Server, ServerIncarnation
 
@@ -20,6 +22,9 @@
 _MIN_BUSY_USE = 0.6
 # Minimum difference of utilisation that is worth a move.
 _MIN_USE_GAP = 0.15
+# Utilisation up to which one move fills a server, unless the fleet's mean is
+# higher: below `_MIN_BUSY_USE`, so that the keys need not move on.
+_FILLED_USE = 0.5
 # A server that holds this many partitions gets no more; each one is renewed by
 # a call of its own, twice a second.
 _MAX_RANGES = 12
@@ -53,12 +58,26 @@
     cuts: int
 
 
+@dataclass(slots=True)
+class _Remainder:
+    """The keys of a partition that no move of this round has taken yet."""
+
+    partition: Partition
+    keys: KeyRange | None
+
+    def remove(self, part: KeyRange) -> None:
+        """Remove the keys of a move, which are at one end."""
+        rest = [] if self.keys is None else cut_range(self.keys, part)
+        self.keys = rest[0] if rest else None
+
+
 @dataclass(slots=True)
 class _Utilisation:
     capacity: Capacity
     rate: float
     ranges: int
-    moved: bool = False
+    # True once the server has got keys in this round, or has none to give.
+    done: bool = False
 
     @property
     def use(self) -> float:
@@ -136,10 +155,15 @@
 ) -> list[Move]:
     """Choose the moves of one round."""
     uses = _measure_uses(partitions, load, capacities)
+    remainders = [
+        _Remainder(partition, partition.keys)
+        for partition in partitions
+        if _may_move(partition)
+    ]
     moves: list[Move] = []
     cuts = bounds.cuts
     while len(moves) < bounds.moves:
-        move = _choose_move(partitions, load, uses, may_cut=cuts > 0)
+        move = _choose_move(remainders, load, uses, may_cut=cuts > 0)
         if move is None:
             break
         moves.append(move)
@@ -199,39 +223,65 @@
 
 
 def _choose_move(
-    partitions: Sequence[Partition],
+    remainders: list[_Remainder],
     load: KeyLoad,
     uses: dict[ServerIncarnation, _Utilisation],
     *,
     may_cut: bool,
 ) -> Move | None:
-    unmoved = [use for use in uses.values() if not use.moved]
+    open_uses = [use for use in uses.values() if not use.done]
     # A server that holds too many partitions can still give keys away.
-    targets = [use for use in unmoved if use.may_gain_range]
+    targets = [use for use in open_uses if use.may_gain_range]
     if not targets:
         return None
-    busiest = max(unmoved, key=lambda use: use.use)
+    busiest = max(open_uses, key=lambda use: use.use)
     least = min(targets, key=lambda use: use.use)
     gap = busiest.use - least.use
     if busiest.use < _MIN_BUSY_USE or gap < _MIN_USE_GAP:
         return None
-    busiest.moved = True
-    # Moving the rate `gap / inverse` gives both servers the same utilisation.
-    inverse = 1 / busiest.capacity.rate + 1 / least.capacity.rate
-    movable = [
-        partition for partition in partitions if _may_move(partition, busiest)
+    rate = _find_rate_to_move(busiest, least, _find_filled_use(uses))
+    own = [
+        entry
+        for entry in remainders
+        if entry.partition.incarnation == busiest.capacity.server.life
     ]
     cuts = [
-        Move(partition, keys, least.capacity.server.life.server)
-        for partition in movable
-        for keys in _list_cuts(partition, load, gap / inverse)
-        if may_cut or keys == partition.keys
+        Move(entry.partition, keys, least.capacity.server.life.server)
+        for entry in own
+        for keys in _list_cuts(entry.keys, load, rate)
+        if may_cut or keys == entry.partition.keys
     ]
-    move = _choose_cut(cuts, load, gap / inverse)
-    if move is not None:
-        least.moved = True
-        return move
-    return _choose_move(partitions, load, uses, may_cut=may_cut)
+    move = _choose_cut(cuts, load, rate)
+    if move is None:
+        busiest.done = True
+        return _choose_move(remainders, load, uses, may_cut=may_cut)
+    least.done = True
+    least.rate += load.total(move.keys)
+    busiest.rate -= load.total(move.keys)
+    _remove_moved(own, move)
+    return move
+
+
+def _remove_moved(remainders: list[_Remainder], move: Move) -> None:
+    for entry in remainders:
+        if entry.partition is move.partition:
+            entry.remove(move.keys)
+
+
+def _find_filled_use(uses: dict[ServerIncarnation, _Utilisation]) -> float:
+    rate = sum(use.rate for use in uses.values())
+    whole = sum(use.capacity.rate for use in uses.values())
+    return max(rate / whole, _FILLED_USE)
+
+
+def _find_rate_to_move(
+    busiest: _Utilisation, least: _Utilisation, filled: float
+) -> float:
+    # Moving the rate `gap / inverse` gives both servers the same utilisation.
+    gap = busiest.use - least.use
+    inverse = 1 / busiest.capacity.rate + 1 / least.capacity.rate
+    room = (filled - least.use) * least.capacity.rate
+    return min(gap / inverse, room) if room > 0 else gap / inverse
 
 
 def _choose_cut(
@@ -261,21 +311,22 @@
 _MIN_RATE_FRACTION = 0.15
 
 
-def _may_move(partition: Partition, busiest: _Utilisation) -> bool:
-    held = partition.state == PartitionState.held and not partition.call_pending
-    return held and partition.incarnation == busiest.capacity.server.life
+def _may_move(partition: Partition) -> bool:
+    return partition.state == PartitionState.held and not partition.call_pending
 
 
 def _list_cuts(
-    partition: Partition,
+    keys: KeyRange | None,
     load: KeyLoad,
     rate: float,
 ) -> list[KeyRange]:
+    if keys is None:
+        return []
     cuts = (
-        load.find_first_keys(partition.keys, rate),
-        load.find_last_keys(partition.keys, rate),
+        load.find_first_keys(keys, rate),
+        load.find_last_keys(keys, rate),
     )
-    return [keys for keys in cuts if keys is not None]
+    return [part for part in cuts if part is not None]
 
 
 def list_with_room(
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -221,7 +221,9 @@
     move: Move,
     now: Seconds,
 ) -> Effects:
-    part = keyed.partitions.split_off(move.partition, move.keys)
+    # An earlier move of this round may have cut the same partition.
+    partition = keyed.partitions.find_around(move.keys)
+    part = keyed.partitions.split_off(partition, move.keys)
     part.target = move.target
     line = log_event(
         Component.ownership,
--- a/trefoilsaddle/gateway/partitions.py
+++ b/trefoilsaddle/gateway/partitions.py
@@ -10,6 +10,7 @@
 given to another server, and only by a table that the store has accepted.
 """
 
+from bisect import bisect_right
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from enum import Enum, unique
@@ -161,10 +162,15 @@
 
     def find(self, keys: KeyRange, fence: int) -> Partition | None:
         """Return the partition that an order was for, if it still exists."""
-        for partition in self.ordered:
-            if partition.matches(keys, fence):
-                return partition
-        return None
+        if not self.ordered:
+            return None
+        partition = self.find_around(keys)
+        return partition if partition.matches(keys, fence) else None
+
+    def find_around(self, keys: KeyRange) -> Partition:
+        """Return the partition that contains the first of some keys."""
+        place = bisect_right(self.ordered, keys.first, key=_first_key) - 1
+        return self.ordered[place]
 
     def split_off(self, partition: Partition, part: KeyRange) -> Partition:
         """Split a partition, and return the part with the given keys."""
