--- a/trefoilsaddle/gateway/partitions.py
+++ b/trefoilsaddle/gateway/partitions.py
@@ -16,7 +16,7 @@
 from enum import Enum, unique
 
 from trefoilsaddle.core.units import Seconds, ServerId
-from trefoilsaddle.gateway.keys import KeyRange, cut_range
+from trefoilsaddle.gateway.keys import Key, KeyRange, cut_range
 from trefoilsaddle.gateway.servers import ServerIncarnation
 from trefoilsaddle.gateway.table import Assignment, OwnerEntry
 
@@ -311,5 +311,5 @@
     )
 
 
-def _first_key(partition: Partition) -> int:
+def _first_key(partition: Partition) -> Key:
     return partition.keys.first
