End deferred removals of servers without a read of the store

Trace (entry, all logs): the entry was removed at 23.3 s; edge-salalah-b-18, whose own reads had failed for 3 s, read it at 22.96 s, linked to the new controller at 24.3 s and was told a list without it; as its store had just come back it deferred the removal until 25.6 s. Deferred removals were ended only after a read of its own, and a linked gateway reads no entries: it used the server until 26.5 s. Ruled out: late reads (the list came 1.3 s after the removal) and the controller's view (it told the removal).

Removals that were deferred now end with the review timer of every gateway. test_deferred_removal_ends_without_a_read fails before, passes now.

--- a/tests/test_gatewayrelay.py
+++ b/tests/test_gatewayrelay.py
@@ -35,7 +35,11 @@
 )
 from trefoilsaddle.gateway.peermessages import News
 from trefoilsaddle.gateway.reducer import reduce
-from trefoilsaddle.gateway.servers import ServerIncarnation, ServerRemoved
+from trefoilsaddle.gateway.servers import (
+    LAPSE_GRACE,
+    ServerIncarnation,
+    ServerRemoved,
+)
 from trefoilsaddle.gateway.state import Gateway
 
 _LEAVING = ServerId('pay-0')
@@ -253,6 +257,21 @@
     assert len(gateway.registry.servers) == len(servers) + known
 
 
+# Guards against a server that had left and got requests for seconds: its removal
+# was deferred by a gateway that then relied on the controller, as seen on
+# qurum-drawers-grown, trouble-1 (DRAIN).
+def test_deferred_removal_ends_without_a_read() -> None:
+    """Remove a server whose removal was deferred, also without own reads."""
+    world = build_scene()
+    process = _find_member(world)
+    registry = process.gateway.registry
+    registry.removals_deferred_until = Seconds(world.now + LAPSE_GRACE)
+    assert not registry.remove(_LEAVING, world.now)
+    world.faults.store_down = True
+    world.run(LAPSE_GRACE + 0.2)
+    assert _LEAVING not in registry.servers
+
+
 def test_fresh_news_saves_reads_of_the_store() -> None:
     """Leave reads of the configuration to the controller, if recent."""
     world = build_scene()
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -97,6 +97,8 @@
             return _read_servers(gateway, now)
         case TimerKind.read_ownership:
             return _read_ownership(gateway, now)
+        case TimerKind.review:
+            return _expire_removals(gateway, now)
     return []
 
 
@@ -315,9 +317,14 @@
         ]
         for name in gateway.registry.keep_only(present, now):
             effects.append(_log_server('server gone', name))
-    for name in gateway.registry.expire(now):
-        effects.append(_log_server('server did not come back', name))
-    return effects
+    return [*effects, *_expire_removals(gateway, now)]
+
+
+def _expire_removals(gateway: Gateway, now: Seconds) -> Effects:
+    return [
+        _log_server('server did not come back', name)
+        for name in gateway.registry.expire(now)
+    ]
 
 
 def _log_servers_read(
