Make a controller's work follow what changes

The controller looked at all partitions at the end of each order, summed the reports of all gateways for each use of a server, looked for silent gateways at each report, and joined rows of a stored table by a walk of all partitions for each; every gateway walked all servers for each report. All of it grows with the square of the fleet.

An ended order that has changed no owner only sends the next one that waits; the review (0.1 s) looks at all. Orders in flight are counted as they are sent and end. A server's sum follows its reports and is renewed five times a second. Unused servers are left out of a report at once, and servers that left are looked for only when one has. Reports and updates are paced: 450 a second over all gateways, so each 0.43 s at 195, 0.2 s up to 90 as before.

--- a/measure/gatewayload.py
+++ b/measure/gatewayload.py
@@ -28,7 +28,7 @@
 from trefoilsaddle.gateway.keys import ALL_KEYS
 
 _SEEDS = 3
-_SERVICE = 'catalogue'
+SERVICE = 'catalogue'
 _GATEWAYS = tuple(f'gate-{number}' for number in range(6))
 # Values of the cple-gateway data sheet: number of servers of the keyed service,
 # latency goal and time budget of its requests, and one retry by the caller.
@@ -229,9 +229,9 @@
 def run_load(load: Load, seed: int) -> Tally:
     """Simulate a load with one seed."""
     random = Random(seed)
-    world = build_world(_build_configuration(), _GATEWAYS, seed)
+    world = build_world(build_configuration(), _GATEWAYS, seed)
     for number in range(_SERVERS):
-        world.add_server(f'guide-{number}', _SERVICE, random.choice(_SPEEDS))
+        world.add_server(f'guide-{number}', SERVICE, random.choice(_SPEEDS))
     world.run(_WARM_UP)
     work = Random(seed + 1)
     world.work_time = partial(_draw_work, work)
@@ -254,7 +254,8 @@
         moment += random.expovariate(load.rate)
 
 
-def _build_configuration() -> Configuration:
+def build_configuration() -> Configuration:
+    """Build a configuration with one key-divided service."""
     route = Route(
         name='reads',
         host='shop.example',
@@ -265,9 +266,9 @@
         goal=_GOAL,
         timeout=_BUDGET,
         attempts=2,
-        services=(WeightedService(ServiceName(_SERVICE), 1),),
+        services=(WeightedService(ServiceName(SERVICE), 1),),
     )
-    rules = ServiceRules(ServiceName(_SERVICE), 46, keyed=True)
+    rules = ServiceRules(ServiceName(SERVICE), 46, keyed=True)
     return Configuration(
         version=Version(1),
         limits=CallerLimits(16_384, 1_048_576, Seconds(3), Seconds(15)),
--- a/trefoilsaddle/gateway/control.py
+++ b/trefoilsaddle/gateway/control.py
@@ -10,7 +10,7 @@
     ServiceName,
 )
 from trefoilsaddle.gateway.loads import KeyRates, ServerLoads
-from trefoilsaddle.gateway.partitions import Partitions
+from trefoilsaddle.gateway.partitions import Partition, Partitions
 from trefoilsaddle.gateway.peermessages import ServerLoad
 from trefoilsaddle.gateway.servers import Server, ServerIncarnation, ServerTag
 from trefoilsaddle.gateway.suspicion import Suspicions
@@ -49,6 +49,28 @@
     predecessors: tuple[GatewayAddress, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class DueOrder:
+    """Hold an order that is due, and the time up to which it may wait."""
+
+    deadline: Seconds
+    keyed: KeyedControl
+    partition: Partition
+
+
+@dataclass(slots=True)
+class OrderQueue:
+    """Count the orders of one kind in flight, and hold those that wait."""
+
+    in_flight: int = 0
+    # The most urgent order is the last.
+    waiting: list[DueOrder] = field(default_factory=list)
+
+    def record_ended(self) -> None:
+        """Record that an order has ended in any way."""
+        self.in_flight = max(self.in_flight - 1, 0)
+
+
 @dataclass(slots=True)
 class ReviewMonitor:
     """Track how late reviews run and when to log unserved keys."""
@@ -86,6 +108,10 @@
     end: Offset | None = None
     keyed: dict[ServiceName, KeyedControl] = field(default_factory=dict)
     loads: dict[ServiceName, ServerLoads] = field(default_factory=dict)
+    # A release is answered once the work on its keys has ended: grants must not
+    # wait for that, so that releases are counted separately.
+    grants: OrderQueue = field(default_factory=OrderQueue)
+    releases: OrderQueue = field(default_factory=OrderQueue)
     # Last known entry of each server that owns keys.
     addresses: dict[ServerIncarnation, Server] = field(default_factory=dict)
     suspicions: Suspicions = field(default_factory=Suspicions)
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -1,6 +1,6 @@
 """Run the controller: review partitions, balance load, send updates."""
 
-from trefoilsaddle.core.units import NodeId, Seconds
+from trefoilsaddle.core.units import NodeId, Seconds, ServiceName
 from trefoilsaddle.gateway import updates
 from trefoilsaddle.gateway.assigning import (
     append_table,
@@ -14,7 +14,7 @@
     Move,
     choose_moves,
 )
-from trefoilsaddle.gateway.calling import send_orders
+from trefoilsaddle.gateway.calling import send_orders, send_waiting
 from trefoilsaddle.gateway.control import KeyedControl
 from trefoilsaddle.gateway.effects import (
     Component,
@@ -99,11 +99,20 @@
 ) -> Effects:
     if isinstance(event, AppendEnded):
         effects = handle_append_ended(gateway, now, event)
-    else:
-        effects = handle_order_ended(gateway, now, event)
+        return [*effects, *_update(gateway, now)]
+    before = _find_revision(gateway, event.service)
+    effects = handle_order_ended(gateway, now, event)
+    if before == _find_revision(gateway, event.service):
+        # Most orders renew a grant and change nothing.
+        return [*effects, *send_waiting(gateway, now)]
     return [*effects, *_update(gateway, now)]
 
 
+def _find_revision(gateway: Gateway, service: ServiceName) -> int | None:
+    keyed = gateway.control.keyed.get(service)
+    return None if keyed is None else keyed.partitions.revision
+
+
 def _handle_tables_read(
     gateway: Gateway, now: Seconds, event: TopicRead
 ) -> Effects:
@@ -133,6 +142,7 @@
     if not control.leading:
         return _retry_read(gateway, now)
     effects = _add_services(gateway, now)
+    _remove_silent(control.reporters, now)
     _record_addresses(gateway)
     for keyed in list(control.keyed.values()):
         for partition in list(keyed.partitions.ordered):
@@ -247,7 +257,6 @@
     control.reporters[node] = now
     gateway.link.known[node] = report.gateway
     gateway.link.speeds[node] = report.speed
-    _remove_silent(control.reporters, now)
     record_resigned(gateway, report.gateway, now)
     for use in report.uses:
         server = gateway.registry.by_tag.get(use.tag)
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -83,7 +83,10 @@
     gateway: Gateway, now: Seconds, event: OrderEnded
 ) -> Effects:
     """Handle the result of a grant or a release."""
-    keyed = gateway.control.keyed.get(event.service)
+    control = gateway.control
+    queue = control.releases if event.release else control.grants
+    queue.record_ended()
+    keyed = control.keyed.get(event.service)
     if keyed is None:
         return []
     partition = keyed.partitions.find(event.keys, event.fence)
@@ -189,6 +192,7 @@
         # The repeated grant ends no later than the unanswered one, so that it
         # does not delay the time at which the keys become free.
         hold = _shorten_hold(gateway, partition, hold, now)
+    gateway.control.grants.in_flight += 1
     partition.call_pending = True
     partition.hold = hold
     keyed.granted_hold = Seconds(max(keyed.granted_hold, hold))
@@ -246,6 +250,7 @@
     address = gateway.control.addresses.get(partition.incarnation)
     if address is None:
         return []
+    gateway.control.releases.in_flight += 1
     partition.call_pending = True
     order = ReleaseKeys(
         keyed.service,
--- a/trefoilsaddle/gateway/loads.py
+++ b/trefoilsaddle/gateway/loads.py
@@ -21,8 +21,10 @@
 _MIN_RATE = 0.02
 # Time constant of a server's mean request time.
 _SERVICE_TIME_CONSTANT = Seconds(4)
-# Reports older than this are ignored.
+# Reports older than this are ignored; a sum over all reports is renewed at this
+# interval, and follows new reports in between.
 _MAX_REPORT_AGE = Seconds(1.2)
+_SUM_INTERVAL = Seconds(0.2)
 
 
 @dataclass(slots=True)
@@ -70,6 +72,9 @@
 
     # By gateway: the mean number of its requests and the time of the report.
     busy: dict[NodeId, tuple[float, Seconds]] = field(default_factory=dict)
+    # Sum of `busy`, and the time at which outdated reports were left out.
+    busy_sum: float = 0
+    summed_at: Seconds = Seconds(float('-inf'))
     # Decaying sums: slot-seconds in use and the requests completed in them.
     work: float = 0
     done: float = 0
@@ -79,11 +84,15 @@
 
     def total_busy(self, now: Seconds) -> float:
         """Return the mean number of requests at the server."""
-        return sum(
-            mean
-            for mean, reported_at in self.busy.values()
-            if now - reported_at <= _MAX_REPORT_AGE
-        )
+        if now - self.summed_at > _SUM_INTERVAL:
+            self._drop_outdated(now)
+        return self.busy_sum
+
+    def record_busy(self, node: NodeId, mean: float, now: Seconds) -> None:
+        """Record the mean number of a gateway's requests."""
+        known, _ = self.busy.get(node, (0, now))
+        self.busy[node] = (mean, now)
+        self.busy_sum += mean - known
 
     def count(self, use: ServerUse) -> None:
         """Add the successes and failures of a report."""
@@ -104,6 +113,15 @@
         self.succeeded *= part
         self.failed *= part
 
+    def _drop_outdated(self, now: Seconds) -> None:
+        self.summed_at = now
+        self.busy = {
+            node: entry
+            for node, entry in self.busy.items()
+            if now - entry[1] <= _MAX_REPORT_AGE
+        }
+        self.busy_sum = sum(mean for mean, _ in self.busy.values())
+
 
 @dataclass(frozen=True, slots=True)
 class UseSample:
@@ -133,7 +151,7 @@
         use = sample.use
         measure = self.measures.setdefault(server.life, ServerMeasure())
         measure.decay(now)
-        measure.busy[node] = (use.busy, now)
+        measure.record_busy(node, use.busy, now)
         total = measure.total_busy(now)
         measure.count(use)
         if total <= server.slots:
--- a/trefoilsaddle/gateway/pacing.py
+++ b/trefoilsaddle/gateway/pacing.py
@@ -1,9 +1,10 @@
-"""Set the pace at which a controller renews grants.
+"""Set the pace of grants, reports and updates, which all load the controller.
 
 A grant is renewed before it lapses, so the controller's rate of calls is the
 number of partitions divided by the renewal interval. Up to a certain number of
 partitions the interval and the hold are those of the options; above it both
-grow with the number.
+grow with the number. In the same way the interval of reports and updates grows
+with the number of gateways.
 """
 
 from trefoilsaddle.core.units import Seconds
@@ -31,11 +32,35 @@
 _CHANGING_FRACTION = 1 / 2
 _MIN_MOVES = 4
 _MIN_CHANGING = 6
+# Reports per second of all gateways together; each is answered by an update.
+_REPORT_RATE = 450
+# Longest interval between reports, and between updates: the controller's sums
+# leave out reports that are older than twice as much.
+_MAX_REPORT_INTERVAL = Seconds(0.5)
+# Changes of owners and servers per second that are sent to all gateways
+# together, and the shortest time for which changes are collected.
+_CHANGE_RATE = 2000
+_MIN_BATCHING_DELAY = Seconds(0.04)
 # Margin for a hold that is rounded up in transit, below the longest one that
 # servers accept.
 _HOLD_MARGIN = Seconds(0.5)
 
 
+def find_report_interval(gateway: Gateway) -> Seconds:
+    """Return the interval of a gateway's reports and of the updates."""
+    paced = max(
+        gateway.options.report_interval,
+        gateway.count_gateways() / _REPORT_RATE,
+    )
+    return Seconds(min(paced, _MAX_REPORT_INTERVAL))
+
+
+def find_batching_delay(gateway: Gateway) -> Seconds:
+    """Return the time within which changes are sent in one update."""
+    paced = gateway.count_gateways() / _CHANGE_RATE
+    return Seconds(max(_MIN_BATCHING_DELAY, paced))
+
+
 def size_hold(gateway: Gateway, keyed: KeyedControl) -> Seconds:
     """Return the hold that grants of a service should have."""
     options = gateway.options
--- a/trefoilsaddle/gateway/partitions.py
+++ b/trefoilsaddle/gateway/partitions.py
@@ -235,14 +235,19 @@
     ) -> None:
         """Join the partitions that an accepted table has joined."""
         for row in rows:
-            inside = [
-                partition
-                for partition in self.ordered
-                if row.keys.overlaps(partition.keys)
-            ]
+            inside = self._list_overlapping(row.keys)
             if len(inside) > 1 and _are_joinable(inside):
                 self._join(inside, row, now)
 
+    def _list_overlapping(self, keys: KeyRange) -> list[Partition]:
+        after = bisect_right(self.ordered, keys.last, key=_first_key)
+        first = bisect_right(self.ordered, keys.first, key=_first_key) - 1
+        return [
+            partition
+            for partition in self.ordered[max(first, 0) : after]
+            if keys.overlaps(partition.keys)
+        ]
+
     def _join(
         self,
         inside: list[Partition],
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -88,7 +88,11 @@
     elapsed = Seconds(now - gateway.reported_at)
     gateway.reported_at = now
     pools = gateway.pools.by_incarnation.values()
-    uses = (_build_server_use(pool, now, elapsed) for pool in pools)
+    uses = (
+        _build_server_use(pool, now, elapsed)
+        for pool in pools
+        if not pool.is_unused()
+    )
     keys = tuple(
         KeyCounts(
             service,
--- a/trefoilsaddle/gateway/pools.py
+++ b/trefoilsaddle/gateway/pools.py
@@ -68,6 +68,11 @@
         miss = 0 if success else 1
         self.failure_rate += (miss - self.failure_rate) * _FAILURE_GAIN
 
+    def is_unused(self) -> bool:
+        """Return whether nothing has happened since the last report."""
+        ended = self.succeeded + self.failed
+        return not (self.running or self.integral or ended or self.own_mean)
+
     def pop_mean(self, now: Seconds, elapsed: Seconds) -> float:
         """Return the mean of `running` since the last report, and reset it."""
         self._advance(now)
@@ -149,12 +154,17 @@
         others = max(pool.fleet_busy - pool.own_at_update, 0)
         return others + pool.running
 
-    def remove_gone(self, known: set[ServerIncarnation]) -> None:
-        """Remove the idle pools of servers that are gone."""
-        gone = [
+    def remove_gone(self, known: set[ServerIncarnation]) -> bool:
+        """Remove the pools of servers that are gone, unless they are in use.
+
+        Returns whether none is left.
+        """
+        gone = set(self.by_incarnation).difference(known)
+        idle = [
             incarnation
-            for incarnation, pool in self.by_incarnation.items()
-            if incarnation not in known and not pool.running
+            for incarnation in gone
+            if not self.by_incarnation[incarnation].running
         ]
-        for incarnation in gone:
+        for incarnation in idle:
             self.by_incarnation.pop(incarnation)
+        return len(idle) == len(gone)
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -99,6 +99,8 @@
     removals_deferred_until: Seconds = Seconds(0)
     # Time of the newest known read of the entries.
     read_at: Seconds | None = None
+    # Incremented whenever an incarnation is replaced or removed.
+    departures: int = 0
 
     def record_read(self, read_at: Seconds) -> None:
         """Record a read of the entries by any gateway."""
@@ -144,6 +146,7 @@
             self._drop(known)
         if known is not None:
             self.by_tag.pop(known.life.tag, None)
+            self.departures += known.life != server.life
         self.servers[server.life.server] = server
         self.by_tag[server.life.tag] = server
         group = self.by_service.setdefault(server.service, {})
@@ -191,6 +194,7 @@
 
     def _drop(self, server: Server) -> None:
         name = server.life.server
+        self.departures += 1
         self.servers.pop(name, None)
         self.deferred_removals.pop(name, None)
         self.by_tag.pop(server.life.tag, None)
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -142,6 +142,8 @@
     turns: dict[str, dict[ServiceName, float]] = field(default_factory=dict)
     key_counts: dict[ServiceName, dict[Key, int]] = field(default_factory=dict)
     reported_at: Seconds = Seconds(0)
+    # Departures of servers that are handled here; see `ServerRegistry`.
+    departures_handled: int = 0
     ready: bool = False
     stopping_since: Seconds | None = None
 
--- a/trefoilsaddle/gateway/updates.py
+++ b/trefoilsaddle/gateway/updates.py
@@ -11,6 +11,10 @@
     SendNews,
 )
 from trefoilsaddle.gateway.events import Topic
+from trefoilsaddle.gateway.pacing import (
+    find_batching_delay,
+    find_report_interval,
+)
 from trefoilsaddle.gateway.peermessages import News, OwnerNews, ServerLoad
 from trefoilsaddle.gateway.peers import apply_news
 from trefoilsaddle.gateway.rounding import round_load, round_time
@@ -18,8 +22,6 @@
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.table import GatewayAddress
 
-# Changes within this time are sent together.
-_BATCHING_DELAY = Seconds(0.04)
 # Smallest change of a load that is sent: in requests, and as a fraction of a
 # request time.
 _BUSY_STEP = 0.4
@@ -100,11 +102,11 @@
     due = now >= control.update_due_at
     if not (owners or servers or removed or due):
         return []
-    control.update_not_before = Seconds(now + _BATCHING_DELAY)
+    control.update_not_before = Seconds(now + find_batching_delay(gateway))
     _record_sent(gateway)
     loads: tuple[ServerLoad, ...] = ()
     if due:
-        control.update_due_at = Seconds(now + gateway.options.report_interval)
+        control.update_due_at = Seconds(now + find_report_interval(gateway))
         loads = _record_changed_loads(gateway, now)
     news = _build_news(gateway, now, servers, removed, owners, whole=False)
     news = replace(news, loads=loads)
