Take quick resets of busy servers as the sign of a full queue

Servers of the further deployment reset a connection when they are full. Such a reset counted as a failure of the server, which moved requests to servers that were no better, and nothing told the gateway to send less.

A reset within 0.15 s at a server with two requests per slot keeps other requests away for 0.1 s and is no failure; the service's servers are then filled to three requests per slot instead of 4.2, as each request too many has an unknown outcome. Connections stay within a server's limit as each carries a request and requests are bounded by that depth; idle ones are bounded by the fleet's share.

tests/test_gatewayforwarding.py::test_reset_of_a_full_server_is_no_failure: the case of 9 requests and 0.02 s fails before (no such field, and a failure counted), all pass now.

--- a/tests/test_gatewayforwarding.py
+++ b/tests/test_gatewayforwarding.py
@@ -9,6 +9,7 @@
 from tests.gatewayscenes import CHECKOUT, build_scene
 from trefoilsaddle.core.units import CallId, NodeId, Seconds, ServiceName
 from trefoilsaddle.gateway.budget import ServiceBudget
+from trefoilsaddle.gateway.choosing import build_candidate
 from trefoilsaddle.gateway.effects import (
     CancelAttempts,
     DeliverAnswer,
@@ -303,3 +304,37 @@
     assert services[:10].count(CHECKOUT) == 3
     assert services.count(CHECKOUT) <= 30
     assert all(abs(turn) <= 100 for turn in turns.values())
+
+
+# Requests of all gateways at the server, the time until the connection was
+# reset, and whether the reset is taken as the sign of a full server.
+_RESETS = (
+    (9, 0.02, True),
+    (9, 0.5, False),
+    (3, 0.02, False),
+)
+
+
+# Guards against a choice of servers by resets that only tell how full they are.
+@pytest.mark.parametrize(('busy', 'elapsed', 'full'), _RESETS)
+def test_reset_of_a_full_server_is_no_failure(
+    busy: float, elapsed: float, *, full: bool
+) -> None:
+    """Send less to a server that resets when full, and tell no falsehood."""
+    world = build_scene()
+    gateway = _find_gateway(world)
+    sent = _find(_reduce(world, _arrive(_PAY)), SendAttempt)[0]
+    assert isinstance(sent, SendAttempt)
+    pool = gateway.pools.find(sent.server.life)
+    world.now = Seconds(world.now + elapsed)
+    gateway.pools.updated_at = world.now
+    pool.fleet_busy = busy
+    end = _find(_reduce(world, AttemptEnded(_CALL, 1, _LOST, 0)), EndCall)[0]
+    assert isinstance(end, EndCall) and not end.not_run
+    candidate = build_candidate(gateway, sent.server, world.now)
+    signs = (
+        pool.failed == 0,
+        pool.full_until > world.now,
+        candidate.max_depth < 4,
+    )
+    assert signs == (full, full, full)
--- a/trefoilsaddle/gateway/choosing.py
+++ b/trefoilsaddle/gateway/choosing.py
@@ -24,6 +24,10 @@
 # idling, and a server sheds what exceeds its queue, the maximum.
 _MIN_DEPTH = 2
 _MAX_DEPTH = 4.2
+# The same maximum for servers that reset connections when they are full, as the
+# outcome of such a request is unknown: with the most urgent rank's share and
+# requests of other gateways it stays below a queue of four per slot.
+_MAX_DEPTH_RESETTING = 3
 # Fraction of the depth that each rank may fill. The most urgent rank may exceed
 # it: the requests that it displaces are worth less.
 _RANK_FRACTIONS = (1.5, 1.0, 0.85)
@@ -37,6 +41,8 @@
     pool: Pool
     busy: float
     cost: float
+    # Limit of the requests per slot at the server.
+    max_depth: float = _MAX_DEPTH
 
 
 def choose_service(gateway: Gateway, route: Route) -> ServiceName:
@@ -144,8 +150,13 @@
         cost *= _COLD_FACTOR
     cost *= max(1, (busy + 1) / server.slots)
     cost *= 1 + gateway.random.random() * _COST_JITTER
+    resets = server.service in gateway.pools.resetting
     return Candidate(
-        server, pool, busy, cost + _find_distance_cost(gateway, server)
+        server,
+        pool,
+        busy,
+        cost + _find_distance_cost(gateway, server),
+        _MAX_DEPTH_RESETTING if resets else _MAX_DEPTH,
     )
 
 
@@ -163,7 +174,7 @@
     time = max(candidate.pool.service_time, _MIN_TIME)
     depth = call.route.goal * _GOAL_FRACTION / time
     rank = min(call.route.rank, len(_RANK_FRACTIONS) - 1)
-    depth = min(depth, _MAX_DEPTH) * _RANK_FRACTIONS[rank]
+    depth = min(depth, candidate.max_depth) * _RANK_FRACTIONS[rank]
     return max(depth, _MIN_DEPTH)
 
 
--- a/trefoilsaddle/gateway/forwarding.py
+++ b/trefoilsaddle/gateway/forwarding.py
@@ -43,7 +43,6 @@
     TimerKind,
 )
 from trefoilsaddle.gateway.loglines import log_request
-from trefoilsaddle.gateway.pools import Pool
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import FailedAnswer, Gateway, OpenCall
 from trefoilsaddle.results import ResultCode
@@ -60,6 +59,9 @@
 _MIN_REMAINING = Seconds(0.03)
 # Requests per slot from which a server that sheds is considered full.
 _FULL_SERVER_DEPTH = 2
+# A full server that resets connections does so within this time: a connection
+# between regions takes 40 ms, the request another 40 ms.
+_MAX_RESET_TIME = Seconds(0.15)
 # Time for which a full server gets no requests of this gateway.
 _SHED_DELAY = Seconds(0.1)
 # Time for which an unreachable server gets no requests.
@@ -268,7 +270,10 @@
         case AttemptVerdict.answered:
             return _handle_answer(gateway, call, server, now, event)
         case AttemptVerdict.shed:
-            _record_shed(gateway, pool, server, now)
+            if _is_busy(gateway, server, now):
+                # A server that sheds requests at low load is faulty, not full:
+                # a retry may succeed.
+                pool.full_until = Seconds(now + _SHED_DELAY)
             return _try_again(
                 gateway, call, now, ResultCode.shed_by_server, server
             )
@@ -281,29 +286,41 @@
             return _try_again(
                 gateway, call, now, ResultCode.server_unreachable, server
             )
-    pool.count_result(success=False)
+    if _is_reset_when_full(gateway, call, server, now, event):
+        pool.full_until = Seconds(now + _SHED_DELAY)
+        gateway.pools.resetting.add(server.service)
+    else:
+        pool.count_result(success=False)
     call.may_have_run = True
     call.unknown_code = _find_unknown_code(event)
     return _try_again(gateway, call, now, call.unknown_code, server)
 
 
-def _find_unknown_code(event: AttemptEnded) -> ResultCode:
-    if event.verdict == AttemptVerdict.too_large:
-        return ResultCode.answer_too_large
-    return ResultCode.answer_lost
-
-
-def _record_shed(
+def _is_reset_when_full(
     gateway: Gateway,
-    pool: Pool,
+    call: OpenCall,
     server: Server,
     now: Seconds,
-) -> None:
-    # A server that sheds requests at low load is faulty, not full: a retry may
-    # succeed.
+    event: AttemptEnded,
+) -> bool:
+    # The request may have run all the same, but the server is not at fault: it
+    # gets less work for a moment and keeps its good name.
+    if event.verdict != AttemptVerdict.lost:
+        return False
+    quick = now - call.sent_at <= _MAX_RESET_TIME
+    return quick and _is_busy(gateway, server, now)
+
+
+def _is_busy(gateway: Gateway, server: Server, now: Seconds) -> bool:
+    pool = gateway.pools.find(server.life)
     busy = gateway.pools.estimate_busy(pool, now, gateway.count_gateways())
-    if busy >= server.slots * _FULL_SERVER_DEPTH:
-        pool.full_until = Seconds(now + _SHED_DELAY)
+    return busy >= server.slots * _FULL_SERVER_DEPTH
+
+
+def _find_unknown_code(event: AttemptEnded) -> ResultCode:
+    if event.verdict == AttemptVerdict.too_large:
+        return ResultCode.answer_too_large
+    return ResultCode.answer_lost
 
 
 def _handle_answer(
--- a/trefoilsaddle/gateway/pools.py
+++ b/trefoilsaddle/gateway/pools.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.core.units import Seconds, ServiceName
 from trefoilsaddle.gateway.peermessages import ServerUse
 from trefoilsaddle.gateway.servers import ServerIncarnation
 
@@ -133,6 +133,8 @@
     # Time of the last update; values that it omits have not changed.
     updated_at: Seconds = Seconds(float('-inf'))
     by_incarnation: dict[ServerIncarnation, Pool] = field(default_factory=dict)
+    # Services whose servers reset connections when they are full.
+    resetting: set[ServiceName] = field(default_factory=set)
 
     def find(self, incarnation: ServerIncarnation) -> Pool:
         """Return the pool of a server, created on first use."""
