Keep unexpected errors and malformed numbers in their own task

One caller's request could end a gateway: a deadline of 400 digits raised OverflowError, one of 5,000 digits (or such a key, or a server's Keep-Alive timeout) ValueError, and any error in a connection's task ends the process. Ruled out: Content-Length and chunk sizes, which the parser bounds.

Numbers of headers have at most 18 digits. A connection that has just ended no longer keeps an update from the other gateways.

--- a/tests/test_gatewayorders.py
+++ b/tests/test_gatewayorders.py
@@ -21,6 +21,7 @@
 from trefoilsaddle.gateway.servers import Server, ServerIncarnation
 from trefoilsaddle.gatewaymetrics import GatewayMetrics
 from trefoilsaddle.platform.orders import PlatformOrders
+from trefoilsaddle.programs.containment import Containment
 from trefoilsaddle.programs.gatewayorders import OrderRunner
 
 _HOST = '127.0.0.1'
@@ -79,7 +80,9 @@
         port = server.port if case.listens else await _find_free_port()
         orders = PlatformOrders(_GRANT_TIMEOUT, _GRANT_TIMEOUT)
         async with trio.open_nursery() as nursery:
-            runner = OrderRunner(orders, metrics, events.append, nursery)
+            runner = OrderRunner(
+                orders, metrics, events.append, nursery, Containment(print)
+            )
             runner.grant(_build_grant(port))
             # Blocks the event loop, as an overloaded machine would.
             time.sleep(case.busy)
--- a/tests/test_platformstandins.py
+++ b/tests/test_platformstandins.py
@@ -18,18 +18,24 @@
     ServiceName,
     ZoneName,
 )
+from trefoilsaddle.decisionlog import DecisionLog
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import (
     AppendTable,
+    Effects,
     GrantKeys,
     JoinGroup,
     ReadTopic,
     ReleaseKeys,
+    WriteDecision,
 )
 from trefoilsaddle.gateway.events import (
     AppendVerdict,
+    Event,
     OrderVerdict,
     ReadVerdict,
+    Started,
+    StopRequested,
     Topic,
 )
 from trefoilsaddle.gateway.keys import ALL_KEYS
@@ -38,6 +44,7 @@
     ServerIncarnation,
     ServerRemoved,
 )
+from trefoilsaddle.gateway.state import Gateway, build_gateway
 from trefoilsaddle.gateway.table import (
     Assignment,
     GatewayAddress,
@@ -50,6 +57,7 @@
 from trefoilsaddle.platform.settings import GatewaySettings, read_settings
 from trefoilsaddle.platform.store import PlatformStore
 from trefoilsaddle.programs.gateway import serve_gateway
+from trefoilsaddle.programs.gatewayshell import GatewayShell
 
 _HOST = '127.0.0.1'
 _LIFE = ServerIncarnation(ServerId('i-1'), 5)
@@ -467,6 +475,71 @@
     return settings
 
 
+# Guards against a gateway that handles no event after one that failed.
+def test_event_that_fails_is_logged_and_left(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Handle the next event after an unexpected error in one."""
+    handled: list[Event] = []
+    lines: list[WriteDecision] = []
+
+    def reduce(gateway: Gateway, now: Seconds, event: Event) -> Effects:
+        if isinstance(event, StopRequested):
+            raise ZeroDivisionError
+        handled.append(event)
+        return []
+
+    async def run() -> None:
+        settings = _write_settings(tmp_path, [81, 82, 83], 84)
+        gateway = build_gateway(settings.options)
+        async with trio.open_nursery() as nursery:
+            log = DecisionLog('edge-a-1')
+            shell = GatewayShell(gateway, settings, log, nursery)
+            shell.feed(StopRequested())
+            shell.feed(Started())
+
+    monkeypatch.setattr('trefoilsaddle.programs.gatewayshell.reduce', reduce)
+    monkeypatch.setattr(
+        DecisionLog, 'write', lambda log, line, now: lines.append(line)
+    )
+    trio.run(run)
+    assert handled == [Started()]
+    assert [line.event_name for line in lines] == ['unexpected error']
+
+
+# Guards against a gateway that one caller's header ends.
+def test_malformed_request_harms_nobody_else(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Refuse a request with an endless deadline, and serve the next one."""
+    caplog.set_level(logging.WARNING)
+
+    async def run() -> None:
+        store = StoreStandIn()
+        async with trio.open_nursery() as nursery:
+            store_port = await nursery.start(store.serve)
+            ports = await _find_ports(3)
+            settings = _write_settings(tmp_path, ports, store_port)
+            nursery.start_soon(serve_gateway, settings, tmp_path)
+            headers = (
+                (b'host', b'shop.example'),
+                (b'x-attempt-id', b'mine'),
+                (b'x-deadline-ms', b'9' * 5000),
+            )
+            request = HttpRequest(b'GET', b'/reads/1', headers)
+            pool = ConnectionPool(_HOST, ports[0], Seconds(1))
+            with trio.fail_after(20):
+                bad = await pool.exchange(request)
+                while not isinstance(bad, HttpAnswer):
+                    await trio.sleep(0.05)
+                    bad = await pool.exchange(request)
+                good = await _ask(ports[0], b'/reads/1')
+            nursery.cancel_scope.cancel()
+        assert (bad.status, good.status) == (400, 503)
+
+    trio.run(run)
+
+
 def test_configuration_of_the_stand_in_is_valid() -> None:
     """Decode the configuration that the tests of this file use."""
     store = PlatformStore(_HOST, 1, 'me', SystemClock())
--- a/trefoilsaddle/http/messages.py
+++ b/trefoilsaddle/http/messages.py
@@ -20,6 +20,8 @@
     ),
 )
 _CONNECTION = b'connection'
+# Longer numbers exceed any limit; some thousand digits are refused by Python.
+_MAX_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +67,13 @@
     return None
 
 
+def parse_number(text: bytes) -> int | None:
+    """Return the number of a header, or None if it is none or too long."""
+    if len(text) > _MAX_DIGITS or not text.isdigit():
+        return None
+    return int(text)
+
+
 def drop_connection_headers(headers: Headers) -> Headers:
     """Return the headers without the hop-by-hop ones."""
     named = _list_connection_options(headers)
--- a/trefoilsaddle/http/pool.py
+++ b/trefoilsaddle/http/pool.py
@@ -10,7 +10,12 @@
 from trefoilsaddle.http import sockets
 from trefoilsaddle.http.budget import AnswerBudget
 from trefoilsaddle.http.exchange import AnswerMatcher, ExchangeResult, exchange
-from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
+from trefoilsaddle.http.messages import (
+    Fault,
+    HttpAnswer,
+    HttpRequest,
+    parse_number,
+)
 from trefoilsaddle.http.progress import Progress
 
 # Connections that were idle for longer are closed.  Servers close idle
@@ -153,6 +158,7 @@
         return _MAX_IDLE_TIME
     for part in text.lower().split(b','):
         name, _, number = part.strip().partition(b'=')
-        if name == b'timeout' and number.isdigit():
-            return max(int(number) - _KEEP_ALIVE_MARGIN, 0)
+        timeout = parse_number(number)
+        if name == b'timeout' and timeout is not None:
+            return max(timeout - _KEEP_ALIVE_MARGIN, 0)
     return _MAX_IDLE_TIME
--- a/trefoilsaddle/platform/dialect.py
+++ b/trefoilsaddle/platform/dialect.py
@@ -11,6 +11,7 @@
     HttpAnswer,
     HttpRequest,
     drop_connection_headers,
+    parse_number,
 )
 from trefoilsaddle.http.requests import BadInput
 from trefoilsaddle.platform import headers as names
@@ -150,14 +151,16 @@
 def _read_remaining(text: bytes | None) -> Seconds | None:
     if text is None:
         return _DEFAULT_REMAINING
-    if not text.isdigit():
+    milliseconds = parse_number(text)
+    if milliseconds is None:
         return None
-    return Seconds(int(text) / _MILLISECONDS)
+    return Seconds(milliseconds / _MILLISECONDS)
 
 
 def _read_key(text: bytes | None) -> Key | BadInput | None:
     if text is None:
         return None
-    if not text.isdigit() or int(text) > LAST_KEY:
+    key = parse_number(text)
+    if key is None or key > LAST_KEY:
         return _MALFORMED
-    return Key(int(text))
+    return Key(key)
--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -121,11 +121,12 @@
         (settings.metrics, partial(_serve_caller, readiness, budget)),
         (Address(options.host, options.port), shell.controller.serve),
     )
-    for address, serve in served:
+    for address, serve_connection in served:
         listener = sockets.listen(address.host, address.port)
         if listener is None:
             reason = f'{address.host}:{address.port} is not free'
             return Failure(ResultCode.settings_invalid, reason)
+        serve = partial(shell.containment.run, 'connection', serve_connection)
         nursery.start_soon(trio.serve_listeners, serve, [listener])
     return None
 
--- a/trefoilsaddle/programs/gatewaycalls.py
+++ b/trefoilsaddle/programs/gatewaycalls.py
@@ -36,6 +36,7 @@
 from trefoilsaddle.http.pool import ConnectionPool
 from trefoilsaddle.http.requests import BadInput
 from trefoilsaddle.ports import Dialect, RefusalText
+from trefoilsaddle.programs.containment import Containment
 from trefoilsaddle.programs.gatewaystatuses import find_refusal_status
 
 # Limits until the first configuration has been read.
@@ -144,6 +145,7 @@
     dialect: Dialect
     feed: Callable[[Event], None]
     nursery: trio.Nursery
+    containment: Containment
     servers: Servers = field(init=False)
     pending: dict[CallId, _PendingCall] = field(default_factory=dict)
     last_call: int = 0
@@ -266,25 +268,33 @@
         effect: SendAttempt,
     ) -> None:
         scope = pending.scopes[effect.attempt]
-        verdict = AttemptVerdict.lost
-        status = 0
+        ended = _build_lost(effect)
         with scope:
-            request_id = pending.head.request_id
-            answer = await self.servers.exchange(
-                effect,
-                self.dialect.build_attempt(pending.request, effect),
-                partial(self.dialect.matches, request_id=request_id),
-            )
-            if isinstance(answer, HttpAnswer):
-                verdict = self.dialect.evaluate_answer(answer, request_id)
-                status = answer.status
-                pending.store_answer(effect.attempt, answer)
-            else:
-                verdict = _FAULT_VERDICTS[answer]
+            try_once = partial(_try_once, self, pending)
+            ended = await self.containment.call(try_once, effect, _build_lost)
         if not scope.cancelled_caught:
-            self.feed(
-                AttemptEnded(effect.call, effect.attempt, verdict, status),
-            )
+            self.feed(ended)
+
+
+async def _try_once(
+    calls: GatewayCalls, pending: _PendingCall, effect: SendAttempt
+) -> AttemptEnded:
+    request_id = pending.head.request_id
+    answer = await calls.servers.exchange(
+        effect,
+        calls.dialect.build_attempt(pending.request, effect),
+        partial(calls.dialect.matches, request_id=request_id),
+    )
+    call, attempt = effect.call, effect.attempt
+    if not isinstance(answer, HttpAnswer):
+        return AttemptEnded(call, attempt, _FAULT_VERDICTS[answer], 0)
+    pending.store_answer(attempt, answer)
+    verdict = calls.dialect.evaluate_answer(answer, request_id)
+    return AttemptEnded(call, attempt, verdict, answer.status)
+
+
+def _build_lost(effect: SendAttempt) -> AttemptEnded:
+    return AttemptEnded(effect.call, effect.attempt, AttemptVerdict.lost, 0)
 
 
 def _cancel_scopes(pending: _PendingCall) -> None:
--- a/trefoilsaddle/programs/gatewaylinks.py
+++ b/trefoilsaddle/programs/gatewaylinks.py
@@ -176,8 +176,8 @@
             return
         try:
             outbox.send_nowait(message)
-        except trio.WouldBlock:
-            # The gateway does not read; it gets a full update when it connects
+        except (trio.WouldBlock, trio.BrokenResourceError):
+            # The gateway does not read, or its connection has ended; it gets a full update when it connects
             # again.
             self.outboxes.pop(node)
             outbox.close()
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -55,6 +55,7 @@
 from trefoilsaddle.platform.orders import PlatformOrders
 from trefoilsaddle.platform.settings import GatewaySettings
 from trefoilsaddle.platform.store import PlatformStore
+from trefoilsaddle.programs.containment import Containment
 from trefoilsaddle.programs.gatewaycalls import GatewayCalls
 from trefoilsaddle.programs.gatewaylinks import (
     ControllerLink,
@@ -106,9 +107,12 @@
             options.release_timeout,
         )
         self._list_order_pools = orders.list_pools
-        self._orders = OrderRunner(orders, self.metrics, self.feed, nursery)
+        self.containment = Containment(self.write)
+        self._orders = OrderRunner(
+            orders, self.metrics, self.feed, nursery, self.containment
+        )
         self.calls = GatewayCalls(
-            gateway, PlatformDialect(), self.feed, nursery
+            gateway, PlatformDialect(), self.feed, nursery, self.containment
         )
         self.controller = ControllerServer(self.feed)
         greeting = Report(
@@ -123,7 +127,8 @@
 
     async def run(self) -> None:
         """Run the timers, the controller link and the sweeping of pools."""
-        self._nursery.start_soon(self._link.run)
+        keep_running = self.containment.keep_running
+        self._nursery.start_soon(keep_running, 'link', self._link.run)
         pools = self.calls.servers.pools
         self._nursery.start_soon(sweep_pools, pools.values)
         self._nursery.start_soon(sweep_pools, self._list_order_pools)
@@ -141,15 +146,21 @@
             return
         self._reducing = True
         while self._events:
-            now = self._clock.read_monotonic()
-            for effect in reduce(self.gateway, now, self._events.popleft()):
-                self._actions[type(effect)](effect)
+            self._handle_event(self._events.popleft())
         self._reducing = False
 
     def write(self, decision: WriteDecision) -> None:
         """Write a log line."""
         self._log.write(decision, self._clock.read_moment().wall)
 
+    def _handle_event(self, event: Event) -> None:
+        now = self._clock.read_monotonic()
+        try:
+            for effect in reduce(self.gateway, now, event):
+                self._actions[type(effect)](effect)
+        except Exception as error:
+            self.containment.log_error(type(event).__name__, error)
+
     def _list_actions(self) -> dict[type[Effect], _Perform]:
         calls = self.calls
         return {
@@ -171,7 +182,12 @@
             SendNews: self.controller.send,
             SendConfiguration: self.controller.send_configuration,
             AskConfiguration: self._link.request_configuration,
-            AnnounceTable: self._announce,
+            AnnounceTable: partial(
+                self._nursery.start_soon,
+                self.containment.run,
+                'announcement',
+                announce_table,
+            ),
             SetReady: self._set_ready,
             ExitProcess: self._exit,
             CountMetric: self._count,
@@ -190,7 +206,7 @@
         exchange: Callable[[Any], Awaitable[Event]],
         effect: Effect,
     ) -> None:
-        self.feed(await exchange(effect))
+        self.feed(await self.containment.call_store(exchange, effect))
 
     def _set_timer(self, effect: SetTimer) -> None:
         self._timers[effect.kind] = trio.current_time() + effect.delay
@@ -204,11 +220,10 @@
         for kind in due:
             self.feed(TimerExpired(kind))
 
-    def _announce(self, effect: AnnounceTable) -> None:
-        self._nursery.start_soon(announce_table, effect)
-
     def _leave(self, effect: LeaveGroup) -> None:
-        self._nursery.start_soon(self._store.leave)
+        self._nursery.start_soon(
+            self.containment.run, 'leaving the group', self._store.leave
+        )
 
     def _set_ready(self, effect: SetReady) -> None:
         self.ready = effect.ready
