Close connections to the log and host list after surplus bytes

Found by looking for the operators' reports (a second copy of an answer on a reused connection): the client of backend servers marks a connection unusable when an answer did not end exactly, the client of the log and the host list did not, so that a second copy became the answer to the next request. Ruled out: the gateways' own client, which compares request ids and drops such a connection.

test_surplus_answer_is_not_taken_for_the_next_one: the second request was answered with the first one's body before, with its own now.

--- a/tests/test_platformclients.py
+++ b/tests/test_platformclients.py
@@ -15,7 +15,11 @@
     Seconds,
     ZoneName,
 )
-from trefoilsaddle.logservice.exchange import ServiceAddress
+from trefoilsaddle.logservice.exchange import (
+    ServiceAddress,
+    ServiceExchange,
+    ServiceRequest,
+)
 from trefoilsaddle.logservice.hostlist import HttpHostList
 from trefoilsaddle.logservice.logclient import HttpLogClient, LogPage
 from trefoilsaddle.logservice.recordcodec import encode_records
@@ -184,3 +188,21 @@
     answer = trio.run(_list_hosts, ScriptedServer([Step(whole(body))]))
     assert answer == listed or listed is None
     assert isinstance(answer, Failure) == (listed is None)
+
+
+# Guards against a second copy of an answer that is taken for the next answer.
+def test_surplus_answer_is_not_taken_for_the_next_one() -> None:
+    """Use a connection no more after bytes that nobody asked for."""
+    first, second = whole(b'first'), whole(b'second')
+    server = ScriptedServer([Step(first + first), Step(second)])
+
+    async def run() -> list[bytes | Failure]:
+        async with serve_script(server):
+            exchange = ServiceExchange(_address(server))
+            request = ServiceRequest('GET', '/')
+            answers = [await exchange.request(request) for _ in range(2)]
+            await exchange.aclose()
+        return answers
+
+    assert trio.run(run) == [b'first', b'second']
+    assert server.connections == 2
--- a/trefoilsaddle/logservice/exchange.py
+++ b/trefoilsaddle/logservice/exchange.py
@@ -18,6 +18,7 @@
 # client closes an idle connection first.
 _KEEPALIVE_EXPIRY = 2.0
 _OK = 200
+_LENGTH = b'content-length'
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +93,9 @@
             ResultCode.log_unavailable, 'the service opened a tunnel'
         )
     body = await read_body(response, stream)
+    names = {name.lower() for name, _ in response.headers}
+    # Surplus bytes would be taken for the answer to the next request.
+    stream.end_answer(len(body) if _LENGTH in names else None)
     if response.status != _OK:
         reason = f'the service answered {response.status}'
         return Failure(ResultCode.log_unavailable, reason)
