--- a/tests/test_platformstandins.py
+++ b/tests/test_platformstandins.py
@@ -51,6 +51,7 @@
     OwnershipTable,
     StoredTable,
 )
+from trefoilsaddle.http import sockets
 from trefoilsaddle.http.messages import HttpAnswer, HttpRequest
 from trefoilsaddle.http.pool import ConnectionPool
 from trefoilsaddle.platform.orders import PlatformOrders
@@ -331,15 +332,28 @@
 
 
 async def _find_ports(number: int) -> list[int]:
-    listeners = [
-        (await trio.open_tcp_listeners(0, host=_HOST))[0] for _ in range(number)
-    ]
-    ports = [listener.socket.getsockname()[1] for listener in listeners]
-    for listener in listeners:
-        await listener.aclose()
+    """Return free ports, each with a free one above it."""
+    listeners = []
+    ports: list[int] = []
+    while len(ports) < number:
+        listener = (await trio.open_tcp_listeners(0, host=_HOST))[0]
+        listeners.append(listener)
+        port = listener.socket.getsockname()[1]
+        above = sockets.listen(_HOST, port + 1)
+        if above is not None:
+            listeners.append(above)
+            ports.append(port)
+    for opened in listeners:
+        await opened.aclose()
     return ports
 
 
+async def _run_gateway(settings: GatewaySettings, path: Path) -> None:
+    """Run a gateway, and fail at once if it cannot start."""
+    failure = await serve_gateway(settings, path)
+    assert failure is None, failure
+
+
 def _write_entry(service: str, port: int) -> bytes:
     return json.dumps(
         {
@@ -436,7 +450,7 @@
             store.put('keyed.servers', 'i-1', entry)
             ports = await _find_ports(3)
             settings = _write_settings(tmp_path, ports, store_port)
-            nursery.start_soon(serve_gateway, settings, tmp_path)
+            nursery.start_soon(_run_gateway, settings, tmp_path)
             with trio.fail_after(20):
                 await _wait_until_ready(ports[1])
                 served = await _ask_until_served(ports[0], b'/reads/1')
@@ -520,7 +534,7 @@
             store_port = await nursery.start(store.serve)
             ports = await _find_ports(3)
             settings = _write_settings(tmp_path, ports, store_port)
-            nursery.start_soon(serve_gateway, settings, tmp_path)
+            nursery.start_soon(_run_gateway, settings, tmp_path)
             headers = (
                 (b'host', b'shop.example'),
                 (b'x-attempt-id', b'mine'),
