Tell servers over their connection cap from requests whose outcome is unknown

A server accepts fewer connections while its queue is long, and its reset of a new one arrives a round trip after the connection was established, when the request has been written: nobody can tell whether it ran. Ruled out: requests in flight above a share of the cap (a server holds at most 15 requests).

After a quick reset, new connections to the service's servers are watched for a round trip before a request is written, for 30 s: one that is closed by then has carried nothing, so the request goes elsewhere, without the shared budget as it has arrived nowhere, or is refused as not run. Idle connections to a server with two requests per slot are closed, as they count against its cap.

Tests: test_connection_that_is_reset_at_once_carries_no_request (lost without settling, as before), test_settled_connection_carries_the_request, test_pool_is_trimmed_to_its_limit, three cases of outcomes, and test_new_connections_settle_after_a_reset.

--- a/tests/test_gatewayexchange.py
+++ b/tests/test_gatewayexchange.py
@@ -8,9 +8,11 @@
 
 from tests.scriptedserver import ScriptedServer, Step, whole
 from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.http import sockets
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.pool import ConnectionPool
 
+_LIVENESS_BOUND = 20
 _ID = b'x-attempt-id: mine'
 _LENGTHLESS = b'HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\n\r\nall of it'
 _STALE = whole(b'theirs', b'x-attempt-id: theirs')
@@ -145,3 +147,70 @@
 ) -> None:
     await server.request_received.wait()
     scope.cancel()
+
+
+async def _refuse(stream: trio.SocketStream) -> None:
+    """Reset a new connection, as a server with too many of them does."""
+    sockets.abort(stream)
+
+
+# Whether the exchange settles, and its result.
+_REFUSALS = ((True, Fault.refused), (False, Fault.lost))
+
+
+# Guards against a request that nobody received but that is told as unknown.
+@pytest.mark.parametrize(('settle', 'fault'), _REFUSALS)
+def test_connection_that_is_reset_at_once_carries_no_request(
+    fault: Fault, *, settle: bool
+) -> None:
+    """Send nothing on a new connection that the server does not keep."""
+
+    async def run() -> HttpAnswer | Fault:
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        port = listeners[0].socket.getsockname()[1]
+        pool = ConnectionPool('127.0.0.1', port, Seconds(5))
+        with trio.fail_after(_LIVENESS_BOUND):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, _refuse, listeners)
+                ended = await pool.exchange(_build_request(), settle=settle)
+                nursery.cancel_scope.cancel()
+        return ended
+
+    assert trio.run(run) == fault
+
+
+def test_settled_connection_carries_the_request() -> None:
+    """Send on a new connection that stays open, and on a kept one at once."""
+
+    async def run() -> list[HttpAnswer | Fault]:
+        server = ScriptedServer([Step(_OWN), Step(_OWN)])
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(server.serve)
+            pool = ConnectionPool('127.0.0.1', port, Seconds(5))
+            answers = [
+                await pool.exchange(_build_request(), settle=True)
+                for _ in range(2)
+            ]
+            nursery.cancel_scope.cancel()
+        assert (server.connections, pool.opened) == (1, 1)
+        return answers
+
+    assert all(isinstance(each, HttpAnswer) for each in trio.run(run))
+
+
+def test_pool_is_trimmed_to_its_limit() -> None:
+    """Close idle connections when fewer may be kept."""
+
+    async def run() -> int:
+        server = ScriptedServer([Step(_OWN)])
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(server.serve)
+            pool = ConnectionPool('127.0.0.1', port, Seconds(5))
+            await pool.exchange(_build_request())
+            pool.max_idle_connections = 0
+            pool.trim()
+            await server.closed.wait()
+            nursery.cancel_scope.cancel()
+        return len(pool.idle)
+
+    assert trio.run(run) == 0
--- a/tests/test_gatewayforwarding.py
+++ b/tests/test_gatewayforwarding.py
@@ -43,6 +43,7 @@
 _MOVED = AttemptVerdict.misdirected
 _UNSENT = AttemptVerdict.unsent
 _LOST = AttemptVerdict.lost
+_REFUSED = AttemptVerdict.refused
 _TOO_LARGE = AttemptVerdict.too_large
 
 
@@ -90,6 +91,15 @@
     'pay-failed': _Case(_PAY, (_FAILED,), delivered=1),
     'pay-shed-then-answered': _Case(_PAY, (_Step(_SHED), _OK), delivered=2),
     'pay-shed-then-lost': _Case(_PAY, (_Step(_SHED), _Step(_LOST)), status=502),
+    'pay-refused-then-answered': _Case(
+        _PAY, (_Step(_REFUSED), _OK), delivered=2
+    ),
+    'pay-refused-twice': _Case(
+        _PAY, (_Step(_REFUSED), _Step(_REFUSED)), status=503
+    ),
+    'pay-refused-then-lost': _Case(
+        _PAY, (_Step(_REFUSED), _Step(_LOST)), status=502
+    ),
     'pay-shed-twice': _Case(_PAY, (_Step(_SHED), _Step(_SHED)), status=503),
     'pay-unsent-then-answered': _Case(_PAY, (_Step(_UNSENT), _OK), delivered=2),
     'pay-moved-twice': _Case(_PAY, (_Step(_MOVED), _Step(_MOVED)), status=503),
@@ -338,3 +348,21 @@
         candidate.max_depth < 4,
     )
     assert signs == (full, full, full)
+
+
+# Guards against orders of which nobody can tell whether they ran: a server that
+# resets connections over its cap does so before it has read a request.
+@pytest.mark.parametrize(
+    ('elapsed', 'settles'), [(0.02, True), (29, True), (31, False)]
+)
+def test_new_connections_settle_after_a_reset(
+    elapsed: float, *, settles: bool
+) -> None:
+    """Watch new connections to a service for a time after a quick reset."""
+    world = build_scene()
+    first = _find(_reduce(world, _arrive(_PAY)), SendAttempt)[0]
+    _reduce(world, AttemptEnded(_CALL, 1, _LOST, 0))
+    world.now = Seconds(world.now + elapsed)
+    again = _find(_reduce(world, _arrive(_PAY)), SendAttempt)[0]
+    assert isinstance(first, SendAttempt) and isinstance(again, SendAttempt)
+    assert (first.settle, again.settle) == (False, settles)
--- a/trefoilsaddle/gateway/effects.py
+++ b/trefoilsaddle/gateway/effects.py
@@ -139,6 +139,10 @@
     # True if the request may be sent on a connection that the server may be
     # closing.
     idempotent: bool
+    # True to see first whether the server keeps a new connection open.
+    settle: bool = False
+    # True to keep the connection for later requests.
+    keep: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/events.py
+++ b/trefoilsaddle/gateway/events.py
@@ -223,8 +223,10 @@
     shed = 'shed'
     # The server does not own the key, or is another server than expected.
     misdirected = 'misdirected'
-    # No byte of the request was sent.
+    # No byte of the request was sent, as no connection could be opened.
     unsent = 'unsent'
+    # No byte of the request was sent, as the server closed a new connection.
+    refused = 'refused'
     # The request may have run; no complete answer arrived.
     lost = 'lost'
     # The request may have run; its answer exceeded the size limit and was
--- a/trefoilsaddle/gateway/forwarding.py
+++ b/trefoilsaddle/gateway/forwarding.py
@@ -57,8 +57,9 @@
 _NOT_HOLDER_DELAY = Seconds(0.06)
 # A request with less time left is not worth sending.
 _MIN_REMAINING = Seconds(0.03)
-# Requests per slot from which a server that sheds is considered full.
-_FULL_SERVER_DEPTH = 2
+# Requests per slot from which a server that sheds, or resets connections, is
+# considered full.
+FULL_SERVER_DEPTH = 2
 # A full server that resets connections does so within this time: a connection
 # between regions takes 40 ms, the request another 40 ms.
 _MAX_RESET_TIME = Seconds(0.15)
@@ -118,7 +119,7 @@
     remaining = min(head.remaining, route.timeout)
     if remaining < _MIN_REMAINING:
         return refuse_early(
-            gateway, event, ResultCode.deadline_passed, not_run=True
+            gateway, event, ResultCode.deadline_unreachable, not_run=True
         )
     call = OpenCall(
         event.call,
@@ -241,6 +242,8 @@
         call.head.key,
         remaining,
         call.idempotent,
+        settle=gateway.pools.has_recent_reset(call.service, now),
+        keep=candidate.busy < candidate.server.slots * FULL_SERVER_DEPTH,
     )
     return [line, CountMetric('sent'), send]
 
@@ -280,12 +283,10 @@
         case AttemptVerdict.misdirected:
             pool.blocked_until = Seconds(now + _NOT_HOLDER_DELAY)
             return _try_again(gateway, call, now, ResultCode.not_holder, server)
-        case AttemptVerdict.unsent:
-            pool.count_result(success=False)
-            pool.blocked_until = Seconds(now + _UNREACHABLE_DELAY)
-            return _try_again(
-                gateway, call, now, ResultCode.server_unreachable, server
-            )
+        case AttemptVerdict.refused | AttemptVerdict.unsent:
+            return _handle_not_sent(gateway, call, server, now, event)
+    if _is_quick_reset(call, now, event):
+        gateway.pools.record_reset(server.service, now)
     if _is_reset_when_full(gateway, call, server, now, event):
         pool.full_until = Seconds(now + _SHED_DELAY)
         gateway.pools.resetting.add(server.service)
@@ -296,6 +297,25 @@
     return _try_again(gateway, call, now, call.unknown_code, server)
 
 
+def _handle_not_sent(
+    gateway: Gateway,
+    call: OpenCall,
+    server: Server,
+    now: Seconds,
+    event: AttemptEnded,
+) -> Effects:
+    pool = gateway.pools.find(server.life)
+    code = ResultCode.shed_by_server
+    if event.verdict == AttemptVerdict.refused:
+        # The server has as many connections as it accepts.
+        pool.full_until = Seconds(now + _SHED_DELAY)
+    else:
+        code = ResultCode.server_unreachable
+        pool.count_result(success=False)
+        pool.blocked_until = Seconds(now + _UNREACHABLE_DELAY)
+    return _try_again(gateway, call, now, code, server, arrived=False)
+
+
 def _is_reset_when_full(
     gateway: Gateway,
     call: OpenCall,
@@ -305,16 +325,19 @@
 ) -> bool:
     # The request may have run all the same, but the server is not at fault: it
     # gets less work for a moment and keeps its good name.
-    if event.verdict != AttemptVerdict.lost:
-        return False
-    quick = now - call.sent_at <= _MAX_RESET_TIME
+    quick = _is_quick_reset(call, now, event)
     return quick and _is_busy(gateway, server, now)
 
 
+def _is_quick_reset(call: OpenCall, now: Seconds, event: AttemptEnded) -> bool:
+    lost = event.verdict == AttemptVerdict.lost
+    return lost and now - call.sent_at <= _MAX_RESET_TIME
+
+
 def _is_busy(gateway: Gateway, server: Server, now: Seconds) -> bool:
     pool = gateway.pools.find(server.life)
     busy = gateway.pools.estimate_busy(pool, now, gateway.count_gateways())
-    return busy >= server.slots * _FULL_SERVER_DEPTH
+    return busy >= server.slots * FULL_SERVER_DEPTH
 
 
 def _find_unknown_code(event: AttemptEnded) -> ResultCode:
@@ -348,6 +371,8 @@
     now: Seconds,
     code: ResultCode,
     server: Server,
+    *,
+    arrived: bool = True,
 ) -> Effects:
     may_repeat = call.idempotent or not call.may_have_run
     remaining = call.expires - now
@@ -357,9 +382,7 @@
     if call.attempts >= call.route.attempts:
         return end_call(gateway, call, now, code)
     budget = gateway.find_budget(call.service)
-    if code != ResultCode.server_unreachable and not budget.spend_retry(
-        now, gateway.count_gateways()
-    ):
+    if arrived and not budget.spend_retry(now, gateway.count_gateways()):
         return end_call(gateway, call, now, code)
     line = log_request(
         call.head.request_id,
--- a/trefoilsaddle/gateway/pools.py
+++ b/trefoilsaddle/gateway/pools.py
@@ -15,6 +15,9 @@
 _FAILURE_GAIN = 0.2
 # Minimum interval between two reports.
 _MIN_ELAPSED = Seconds(0.01)
+# Time after a reset for which new connections to a service's servers are
+# watched before a request is sent.
+_RESET_MEMORY = Seconds(30)
 # A failure costs this many times the service time.
 _FAILURE_COST = 4
 
@@ -135,6 +138,17 @@
     by_incarnation: dict[ServerIncarnation, Pool] = field(default_factory=dict)
     # Services whose servers reset connections when they are full.
     resetting: set[ServiceName] = field(default_factory=set)
+    # Time of the last request of a service whose connection was reset at once.
+    reset_at: dict[ServiceName, Seconds] = field(default_factory=dict)
+
+    def record_reset(self, service: ServiceName, now: Seconds) -> None:
+        """Record that a server reset a connection soon after a request."""
+        self.reset_at[service] = now
+
+    def has_recent_reset(self, service: ServiceName, now: Seconds) -> bool:
+        """Return whether servers of a service reset connections lately."""
+        reset_at = self.reset_at.get(service)
+        return reset_at is not None and now - reset_at < _RESET_MEMORY
 
     def find(self, incarnation: ServerIncarnation) -> Pool:
         """Return the pool of a server, created on first use."""
--- a/trefoilsaddle/http/messages.py
+++ b/trefoilsaddle/http/messages.py
@@ -51,8 +51,10 @@
 class Fault(Enum):
     """Classify an exchange that gave no whole answer."""
 
-    # No byte of the request was sent.
+    # No byte of the request was sent: no connection could be opened.
     unsent = 'unsent'
+    # No byte of the request was sent: the server closed the new connection.
+    refused = 'refused'
     # The request may have reached the server.
     lost = 'lost'
     # The request may have reached the server; its answer exceeded a limit.
--- a/trefoilsaddle/http/pool.py
+++ b/trefoilsaddle/http/pool.py
@@ -57,11 +57,24 @@
         max_idle_time: Seconds = _MAX_IDLE_TIME,
         matches: AnswerMatcher | None = None,
         progress: Progress | None = None,
+        *,
+        settle: bool = False,
     ) -> HttpAnswer | Fault:
-        """Send a request once, without a timeout of its own."""
+        """Send a request once, without a timeout of its own.
+
+        With `settle` it is sent on a new connection only if the server has not
+        closed that by the time at which a refusal would have arrived.
+        """
+        opened = self.opened
+        started = trio.current_time()
         stream = await self.open(max_idle_time)
         if stream is None:
             return Fault.unsent
+        if settle and self.opened > opened:
+            round_trip = trio.current_time() - started
+            if await sockets.is_closed_within(stream, round_trip):
+                sockets.abort(stream)
+                return Fault.refused
         return await self.exchange_on(stream, request, matches, progress)
 
     async def open(
@@ -102,6 +115,11 @@
         self._return_to_pool(stream, ended)
         return ended.answer
 
+    def trim(self) -> None:
+        """Close the idle connections above their limit."""
+        while len(self.idle) > self.max_idle_connections:
+            sockets.close(self.idle.pop(0).stream)
+
     def sweep(self) -> None:
         """Close idle connections that can no longer be reused."""
         idle = self.idle
@@ -143,8 +161,7 @@
         now = trio.current_time()
         idle = _IdleConnection(stream, now, now + _read_keep_alive(answer))
         self.idle.append(idle)
-        if len(self.idle) > self.max_idle_connections:
-            sockets.close(self.idle.pop(0).stream)
+        self.trim()
 
 
 def _is_fresh(idle: _IdleConnection, max_idle_time: Seconds) -> bool:
--- a/trefoilsaddle/http/sockets.py
+++ b/trefoilsaddle/http/sockets.py
@@ -13,6 +13,10 @@
 _MAX_UNACKNOWLEDGED_MS = 4000
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _BACKLOG = 1024
+# Wait for a refusal after a connection was established, in round trips, and the
+# time that the other end may take.
+_SETTLE_FACTOR = 1.25
+_SETTLE_MARGIN = Seconds(0.003)
 
 
 async def open_stream(
@@ -57,6 +61,20 @@
     return not poll.poll(0)
 
 
+async def is_closed_within(
+    stream: trio.SocketStream, round_trip: float
+) -> bool:
+    """Wait one round trip; return whether the other end has closed by then.
+
+    The other end refuses a connection after it was established, so that a
+    reset arrives up to one round trip later.
+    """
+    with trio.move_on_after(round_trip * _SETTLE_FACTOR + _SETTLE_MARGIN):
+        await trio.lowlevel.wait_readable(stream.socket)
+        return True
+    return False
+
+
 def abort(stream: trio.SocketStream) -> None:
     """Reset a connection and discard the bytes not yet delivered."""
     with suppress(OSError):
