Tell refused callers when their keys or their server are ready again

The time told after shedding follows the server's queue; while an owner is known and only changes, callers are told 0.6 s; the time to wait for an owner counts from when a request begins to wait.

Three tests in test_gatewayforwarding.py, red before: callers that return when keys are served (owner known), a request from a queue, a shed request at a full server.

--- a/tests/test_gatewayforwarding.py
+++ b/tests/test_gatewayforwarding.py
@@ -6,7 +6,7 @@
 import pytest
 
 from measure.gatewayworld import World
-from tests.gatewayscenes import CHECKOUT, build_scene
+from tests.gatewayscenes import CATALOGUE, CHECKOUT, build_scene
 from trefoilsaddle.core.units import CallId, NodeId, Seconds, ServiceName
 from trefoilsaddle.gateway.budget import ServiceBudget
 from trefoilsaddle.gateway.choosing import build_candidate
@@ -34,6 +34,7 @@
 from trefoilsaddle.gateway.options import RetryBudget
 from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.state import Gateway
+from trefoilsaddle.gateway.table import OwnerMap
 from trefoilsaddle.programs.gatewaystatuses import find_refusal_status
 from trefoilsaddle.results import ResultCode
 
@@ -366,3 +367,62 @@
     again = _find(_reduce(world, _arrive(_PAY)), SendAttempt)[0]
     assert isinstance(first, SendAttempt) and isinstance(again, SendAttempt)
     assert (first.settle, again.settle) == (False, settles)
+
+
+# Guards against callers that come back long before or long after their keys are
+# served again. Whether the owner is known and registered, and the longest time
+# told in seconds (half of it is jitter).
+@pytest.mark.parametrize(
+    ('known', 'least', 'most'), [(True, 0.6, 0.9), (False, 1.5, 2.25)]
+)
+def test_callers_return_when_keys_are_served(
+    least: float, most: float, *, known: bool
+) -> None:
+    """Tell a shorter time while keys change hands than when they are lost."""
+    world = build_scene()
+    gateway = _find_gateway(world)
+    owners = gateway.owners[ServiceName(CATALOGUE)]
+    tag = owners.owners.find(Key(7))
+    assert tag is not None
+    entry = replace(tag, serving=False)
+    owners.owners = OwnerMap((entry,) if known else ())
+    _reduce(world, _arrive(_READ))
+    world.now = Seconds(world.now + 0.6)
+    end = _find(retry_parked(gateway, world.now), EndCall)[0]
+    assert isinstance(end, EndCall)
+    assert least <= end.retry_after <= most
+
+
+# Guards against a request that is refused at once when it comes back from a
+# server, as the time that it spent there counted as time without an owner.
+def test_request_from_a_queue_may_wait_for_an_owner() -> None:
+    """Wait for a new owner although the request arrived long ago."""
+    world = build_scene()
+    gateway = _find_gateway(world)
+    _reduce(world, _arrive(_READ))
+    world.now = Seconds(world.now + 1)
+    gateway.owners[ServiceName(CATALOGUE)].owners = OwnerMap(())
+    effects = _reduce(world, AttemptEnded(_CALL, 1, _MOVED, 0))
+    assert not _find(effects, EndCall)
+    assert _CALL in gateway.parked
+    world.now = Seconds(world.now + 0.6)
+    assert _find(retry_parked(gateway, world.now), EndCall)
+
+
+# Requests of all gateways at the server that sheds, and the least time told.
+@pytest.mark.parametrize(('busy', 'least'), [(0, 0.1), (15, 0.25)])
+def test_time_told_after_shedding_follows_the_queue(
+    busy: float, least: float
+) -> None:
+    """Have callers return when a full server has room, or soon after."""
+    world = build_scene()
+    gateway = _find_gateway(world)
+    sent = _find(_reduce(world, _arrive(_READ)), SendAttempt)[0]
+    assert isinstance(sent, SendAttempt)
+    gateway.calls[_CALL].attempts = gateway.calls[_CALL].route.attempts
+    gateway.pools.updated_at = world.now
+    gateway.pools.find(sent.server.life).fleet_busy = busy
+    ended = AttemptEnded(_CALL, 2, _SHED, 0)
+    end = _find(_reduce(world, ended), EndCall)[0]
+    assert isinstance(end, EndCall)
+    assert least <= end.retry_after <= max(least * 1.5, busy / 3 * 0.3)
--- a/trefoilsaddle/gateway/ending.py
+++ b/trefoilsaddle/gateway/ending.py
@@ -100,7 +100,7 @@
     if not candidates:
         code = ResultCode.server_unreachable
         return refuse(gateway, call, now, code, _START_RETRY_AFTER)
-    waits = [_find_wait(call, candidate) for candidate in candidates]
+    waits = [find_wait(call, candidate) for candidate in candidates]
     return refuse(gateway, call, now, ResultCode.queue_full, min(waits))
 
 
@@ -111,11 +111,12 @@
     now: Seconds,
 ) -> Effects:
     """Refuse a request whose only server has no room."""
-    wait = _find_wait(call, candidate)
+    wait = find_wait(call, candidate)
     return refuse(gateway, call, now, ResultCode.queue_full, wait)
 
 
-def _find_wait(call: OpenCall, candidate: Candidate) -> float:
+def find_wait(call: OpenCall, candidate: Candidate) -> float:
+    """Return the time after which a server is expected to have room."""
     slots = candidate.server.slots
     excess = candidate.busy + 1 - find_depth(call, candidate) * slots
     wait = max(excess, 1) * candidate.pool.service_time / slots
--- a/trefoilsaddle/gateway/forwarding.py
+++ b/trefoilsaddle/gateway/forwarding.py
@@ -26,6 +26,7 @@
     deliver,
     end_call,
     find_owners_offset,
+    find_wait,
     refuse,
     refuse_busy,
     refuse_early,
@@ -45,6 +46,7 @@
 from trefoilsaddle.gateway.loglines import log_request
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import FailedAnswer, Gateway, OpenCall
+from trefoilsaddle.gateway.table import OwnerEntry
 from trefoilsaddle.results import ResultCode
 
 # Longest time for which a request waits for keys that change hands; a release
@@ -67,9 +69,10 @@
 _SHED_DELAY = Seconds(0.1)
 # Time for which an unreachable server gets no requests.
 _UNREACHABLE_DELAY = Seconds(0.5)
-# Retry time given to callers whose key has no owner: by then lost or released
-# keys are served again.
+# Retry times given to callers whose key has no owner, or whose owner is being
+# replaced: by then lost, or released, keys are served again.
 _OWNER_RETRY_AFTER = Seconds(1.5)
+_CHANGE_RETRY_AFTER = Seconds(0.6)
 _FIRST_SERVER_ERROR = 500
 
 
@@ -166,7 +169,7 @@
         return end_call(gateway, call, now, ResultCode.key_missing)
     server = _find_owner(gateway, call)
     if server is None or not gateway.registry.may_serve(server, now):
-        return _park(gateway, call, now, ResultCode.owner_unknown)
+        return _park(gateway, call, now, _find_owner_code(gateway, call))
     candidate = build_candidate(gateway, server, now)
     if now < candidate.pool.blocked_until:
         return _park(gateway, call, now, ResultCode.owner_changing)
@@ -177,25 +180,44 @@
 
 
 def _find_owner(gateway: Gateway, call: OpenCall) -> Server | None:
-    owners = gateway.owners.get(call.service)
-    if owners is None or call.head.key is None:
-        return None
-    entry = owners.owners.find(call.head.key)
+    entry = _find_entry(gateway, call)
     if entry is None or not entry.serving:
         return None
     return gateway.registry.by_tag.get(entry.tag)
 
 
+def _find_entry(gateway: Gateway, call: OpenCall) -> OwnerEntry | None:
+    owners = gateway.owners.get(call.service)
+    if owners is None or call.head.key is None:
+        return None
+    return owners.owners.find(call.head.key)
+
+
+def _find_owner_code(gateway: Gateway, call: OpenCall) -> ResultCode:
+    """Return whether the key of a request is released or has no owner."""
+    entry = _find_entry(gateway, call)
+    if entry is None or entry.tag not in gateway.registry.by_tag:
+        return ResultCode.owner_unknown
+    return ResultCode.owner_changing
+
+
 def _park(
     gateway: Gateway,
     call: OpenCall,
     now: Seconds,
     code: ResultCode,
 ) -> Effects:
+    if call.call not in gateway.parked:
+        # A request that comes back from a server has its time to wait as well.
+        call.parked_at = now
     whole = call.expires - call.arrived
-    limit = call.arrived + min(_MAX_PARKED_TIME, whole * _MAX_PARKED_FRACTION)
-    if now >= limit or call.expires - now < _MIN_REMAINING:
-        return refuse(gateway, call, now, code, _OWNER_RETRY_AFTER)
+    longest = min(_MAX_PARKED_TIME, whole * _MAX_PARKED_FRACTION)
+    late = now >= call.parked_at + longest
+    if late or call.expires - now < _MIN_REMAINING:
+        pause = _OWNER_RETRY_AFTER
+        if code == ResultCode.owner_changing:
+            pause = _CHANGE_RETRY_AFTER
+        return refuse(gateway, call, now, code, pause)
     if call.call in gateway.parked:
         return []
     gateway.parked[call.call] = call
@@ -378,12 +400,12 @@
     remaining = call.expires - now
     pool = gateway.pools.find(server.life)
     if not may_repeat or remaining < pool.service_time:
-        return end_call(gateway, call, now, code)
+        return _end_attempts(gateway, call, now, code, server)
     if call.attempts >= call.route.attempts:
-        return end_call(gateway, call, now, code)
+        return _end_attempts(gateway, call, now, code, server)
     budget = gateway.find_budget(call.service)
     if arrived and not budget.spend_retry(now, gateway.count_gateways()):
-        return end_call(gateway, call, now, code)
+        return _end_attempts(gateway, call, now, code, server)
     line = log_request(
         call.head.request_id,
         'tried again',
@@ -395,6 +417,21 @@
     return [line, again, *_place(gateway, call, now)]
 
 
+def _end_attempts(
+    gateway: Gateway,
+    call: OpenCall,
+    now: Seconds,
+    code: ResultCode,
+    server: Server,
+) -> Effects:
+    """End a request that is not sent again after an attempt."""
+    if code == ResultCode.shed_by_server and _is_busy(gateway, server, now):
+        # It makes sense to come back once the server has worked off its queue.
+        candidate = build_candidate(gateway, server, now)
+        return refuse(gateway, call, now, code, find_wait(call, candidate))
+    return end_call(gateway, call, now, code)
+
+
 def _handle_caller_left(
     gateway: Gateway, now: Seconds, name: CallId
 ) -> Effects:
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -67,7 +67,8 @@
     unknown_code: ResultCode | None = None
     # Last complete answer of a server if it reported a failure.
     failed: FailedAnswer | None = None
-    parked: bool = False
+    # Time at which the request began to wait for an owner of its key.
+    parked_at: Seconds = Seconds(0)
 
     @property
     def idempotent(self) -> bool:
