Send full updates as fast as the machine and its link bear

Ruled out: elections (a tenth of a call each) and the reads of linked gateways (none).

Their number follows the size of an update, the link and the processor: 28 in a tenth of a second on a machine of 2.15 cores with 255 entries, 15 with 465, 5 on 0.43 cores (8 before). test_full_updates_follow_the_machine is red before.

--- a/tests/test_gatewayupdates.py
+++ b/tests/test_gatewayupdates.py
@@ -48,6 +48,40 @@
     ]
 
 
+# Speed of the controller in cores, link in Mbit/s, entries of a full update, and
+# the full updates in a tenth of a second.
+_PACES = (
+    (0.43, 10, 255, 5),
+    (0.43, 1000, 255, 5),
+    (2.15, 200, 255, 28),
+    (2.15, 200, 465, 15),
+    (2.15, 10, 465, 3),
+)
+
+
+# Guards against hundreds of gateways that read the store again while they wait
+# for a fast controller.
+@pytest.mark.parametrize(('speed', 'link_rate', 'entries', 'most'), _PACES)
+def test_full_updates_follow_the_machine(
+    speed: float, link_rate: float, entries: int, most: int
+) -> None:
+    """Send as many full updates as the link and the processor bear."""
+    world = build_scene()
+    gateway = _find_leader(world)
+    gateway.options = replace(gateway.options, speed=speed, link_rate=link_rate)
+    address = gateway.own_address()
+    listed = entries - len(gateway.registry.servers)
+    gateway.link.known = {
+        NodeId(f'known-{number}'): address for number in range(listed)
+    }
+    gateway.link.awaiting_update = [
+        NodeId(f'new-{number}') for number in range(60)
+    ]
+    gateway.link.full_update_at = world.now
+    effects = reduce(gateway, world.now, TimerExpired(TimerKind.review))
+    assert len(_list_recipients(effects)) == most
+
+
 @pytest.mark.parametrize(
     ('link_rate', 'within'),
     [(10, 1.4), (100, 1.2), (1000, 1.2)],
--- a/trefoilsaddle/gateway/updates.py
+++ b/trefoilsaddle/gateway/updates.py
@@ -34,11 +34,14 @@
 _FULL_UPDATE_INTERVAL = Seconds(0.1)
 # Fraction of this machine's link that full updates may use.
 _FULL_UPDATE_LINK_FRACTION = 0.5
-# Size of a compressed full update for 165 servers and 90 gateways, in Mbit.
-_FULL_UPDATE_SIZE = 0.07
-# Each full update takes 0.7 ms of a core: this many take at most a tenth of the
-# interval on half a core.
-_MAX_FULL_UPDATES = 8
+# Size of one server's or gateway's entry in a compressed full update, in Mbit,
+# and the processor time to send it at full speed.
+_ENTRY_SIZE = 0.00027
+_ENTRY_TIME = Seconds(0.000003)
+# Entries that are assumed at least, as many servers may register at once.
+_MIN_ENTRIES = 255
+# Fraction of this machine's processor that full updates may use.
+_FULL_UPDATE_CORE_FRACTION = 0.1
 # Number of standbys; as many gateways may be lost with the controller before
 # slower ones join the election.
 _STANDBYS = 4
@@ -67,18 +70,24 @@
     if not link.awaiting_update or now < link.full_update_at:
         return []
     link.full_update_at = Seconds(now + _FULL_UPDATE_INTERVAL)
-    room = (
-        gateway.options.link_rate
-        * _FULL_UPDATE_LINK_FRACTION
-        * _FULL_UPDATE_INTERVAL
-    )
-    most = max(int(room / _FULL_UPDATE_SIZE), 1)
-    sent = link.awaiting_update[: min(most, _MAX_FULL_UPDATES)]
-    link.awaiting_update = link.awaiting_update[len(sent) :]
+    most = _count_full_updates(gateway)
+    sent = link.awaiting_update[:most]
+    link.awaiting_update = link.awaiting_update[most:]
     news = _build_full_news(gateway, now)
     return [SendNews(news, node) for node in sent]
 
 
+def _count_full_updates(gateway: Gateway) -> int:
+    """Return how many full updates may be sent in one interval."""
+    options = gateway.options
+    listed = len(gateway.registry.servers) + len(gateway.link.known)
+    entries = max(listed, _MIN_ENTRIES)
+    by_link = options.link_rate * _FULL_UPDATE_LINK_FRACTION / _ENTRY_SIZE
+    by_core = options.speed * _FULL_UPDATE_CORE_FRACTION / _ENTRY_TIME
+    each_second = min(by_link, by_core) / entries
+    return max(int(each_second * _FULL_UPDATE_INTERVAL), 1)
+
+
 def _build_full_news(gateway: Gateway, now: Seconds) -> News:
     servers = tuple(_list_confirmed_servers(gateway).values())
     owners = tuple(
