--- a/measure/gatewayload.py
+++ b/measure/gatewayload.py
@@ -16,7 +16,7 @@
 from measure.gatewayworld import World, build_world
 from measure.report import write_row
 from trefoilsaddle.core.units import CallId, Rank, Seconds, ServiceName, Version
-from trefoilsaddle.gateway import balance, controller, forwarding
+from trefoilsaddle.gateway import balance, controller, placing
 from trefoilsaddle.gateway.configuration import (
     CallerLimits,
     Configuration,
@@ -123,7 +123,7 @@
         'six ranges a server': Variant(balance, '_MAX_RANGES', 6),
         'servers in use for 0.45 give': Variant(balance, '_MIN_BUSY_USE', 0.45),
         'no moves': Variant(controller, 'choose_moves', _move_nothing),
-        'nothing refused (FIFO)': Variant(forwarding, 'has_room', _admit_all),
+        'nothing refused (FIFO)': Variant(placing, 'has_room', _admit_all),
     }
 )
 
--- a/tests/test_gatewayforwarding.py
+++ b/tests/test_gatewayforwarding.py
@@ -29,9 +29,9 @@
     RequestHead,
     StopRequested,
 )
-from trefoilsaddle.gateway.forwarding import retry_parked
 from trefoilsaddle.gateway.keys import Key
 from trefoilsaddle.gateway.options import RetryBudget
+from trefoilsaddle.gateway.placing import retry_parked
 from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.table import OwnerMap
--- a/tests/test_gatewayloads.py
+++ b/tests/test_gatewayloads.py
@@ -14,7 +14,7 @@
 from measure.gatewayworld import CallResult, World
 from tests.gatewayscenes import CATALOGUE, GATEWAYS, build_scene
 from trefoilsaddle.core.units import CallId, NodeId, Seconds
-from trefoilsaddle.gateway import balance, controller, forwarding
+from trefoilsaddle.gateway import balance, controller, placing
 from trefoilsaddle.gateway.statedump import describe_gateway
 from trefoilsaddle.results import ResultCode
 
@@ -113,7 +113,7 @@
         115, _spread, _add_two, controller, 'choose_moves', _choose_no_moves
     ),
     'overload': _Pattern(
-        220, _spread, _change_nothing, forwarding, 'has_room', lambda *_: True
+        220, _spread, _change_nothing, placing, 'has_room', lambda *_: True
     ),
 }
 
--- /dev/null
+++ b/trefoilsaddle/gateway/placing.py
@@ -0,0 +1,178 @@
+"""Place requests: send each to a server, have it wait, or refuse it.
+
+A request for keys that change hands waits for a short time; one that no server
+would answer in time is refused at once.
+"""
+
+from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.gateway.choosing import (
+    Candidate,
+    build_candidate,
+    choose_server,
+    has_room,
+)
+from trefoilsaddle.gateway.effects import CountMetric, Effects, SendAttempt
+from trefoilsaddle.gateway.ending import (
+    end_call,
+    find_owners_offset,
+    refuse,
+    refuse_busy,
+    refuse_full,
+)
+from trefoilsaddle.gateway.loglines import log_request
+from trefoilsaddle.gateway.servers import Server
+from trefoilsaddle.gateway.state import Gateway, OpenCall
+from trefoilsaddle.gateway.table import OwnerEntry
+from trefoilsaddle.results import ResultCode
+
+# Longest time for which a request waits for keys that change hands; a release
+# takes about as long as one request.
+_MAX_PARKED_TIME = Seconds(0.5)
+# Fraction of a request's time that it may be parked.
+_MAX_PARKED_FRACTION = 0.3
+# A request with less time left is not worth sending.
+MIN_REMAINING = Seconds(0.03)
+# Requests per slot from which a server that sheds, or resets connections, is
+# considered full.
+FULL_SERVER_DEPTH = 2
+# Retry times given to callers whose key has no owner, or whose owner is being
+# replaced: by then lost, or released, keys are served again.
+_OWNER_RETRY_AFTER = Seconds(1.5)
+_CHANGE_RETRY_AFTER = Seconds(0.6)
+
+
+def retry_parked(gateway: Gateway, now: Seconds) -> Effects:
+    """Try to send parked requests again, or refuse them."""
+    effects: Effects = []
+    for call in list(gateway.parked.values()):
+        effects.extend(place(gateway, call, now))
+    return effects
+
+
+def place(gateway: Gateway, call: OpenCall, now: Seconds) -> Effects:
+    """Send a request to a server, park it or refuse it."""
+    configuration = gateway.configuration
+    if configuration is None:
+        return []
+    rules = configuration.services.get(call.service)
+    if rules is not None and rules.keyed:
+        return _place_keyed(gateway, call, now)
+    candidate = choose_server(gateway, call, now)
+    if candidate is None:
+        return refuse_full(gateway, call, now)
+    return _send(gateway, call, candidate, now)
+
+
+def _place_keyed(gateway: Gateway, call: OpenCall, now: Seconds) -> Effects:
+    if call.head.key is None:
+        return end_call(gateway, call, now, ResultCode.key_missing)
+    server = _find_owner(gateway, call)
+    if server is None or not gateway.registry.may_serve(server, now):
+        return _park(gateway, call, now, _find_owner_code(gateway, call))
+    candidate = build_candidate(gateway, server, now)
+    if now < candidate.pool.blocked_until:
+        return _park(gateway, call, now, ResultCode.owner_changing)
+    full = now < candidate.pool.full_until
+    if full or not has_room(call, candidate):
+        return refuse_busy(gateway, call, candidate, now)
+    return _send(gateway, call, candidate, now)
+
+
+def _find_owner(gateway: Gateway, call: OpenCall) -> Server | None:
+    entry = _find_entry(gateway, call)
+    if entry is None or not entry.serving:
+        return None
+    return gateway.registry.by_tag.get(entry.tag)
+
+
+def _find_entry(gateway: Gateway, call: OpenCall) -> OwnerEntry | None:
+    owners = gateway.owners.get(call.service)
+    if owners is None or call.head.key is None:
+        return None
+    return owners.owners.find(call.head.key)
+
+
+def _find_owner_code(gateway: Gateway, call: OpenCall) -> ResultCode:
+    """Return whether the key of a request is released or has no owner."""
+    entry = _find_entry(gateway, call)
+    if entry is None or entry.tag not in gateway.registry.by_tag:
+        return ResultCode.owner_unknown
+    return ResultCode.owner_changing
+
+
+def _park(
+    gateway: Gateway,
+    call: OpenCall,
+    now: Seconds,
+    code: ResultCode,
+) -> Effects:
+    if call.call not in gateway.parked:
+        # A request that comes back from a server has its time to wait as well.
+        call.parked_at = now
+    whole = call.expires - call.arrived
+    longest = min(_MAX_PARKED_TIME, whole * _MAX_PARKED_FRACTION)
+    late = now >= call.parked_at + longest
+    if late or call.expires - now < MIN_REMAINING:
+        pause = _OWNER_RETRY_AFTER
+        if code == ResultCode.owner_changing:
+            pause = _CHANGE_RETRY_AFTER
+        return refuse(gateway, call, now, code, pause)
+    if call.call in gateway.parked:
+        return []
+    gateway.parked[call.call] = call
+    return [
+        log_request(
+            call.head.request_id,
+            'waits for an owner of its key',
+            service=call.service,
+            code=code.name,
+            offset=find_owners_offset(gateway, call),
+        ),
+    ]
+
+
+def _send(
+    gateway: Gateway,
+    call: OpenCall,
+    candidate: Candidate,
+    now: Seconds,
+) -> Effects:
+    gateway.parked.pop(call.call, None)
+    call.attempts += 1
+    call.server = candidate.server
+    call.sent_at = now
+    call.uncontended = candidate.busy + 1 <= candidate.server.slots
+    candidate.pool.start_request(now)
+    remaining = Seconds(call.expires - now)
+    line = log_request(
+        call.head.request_id,
+        'sent',
+        route=call.route.name,
+        service=call.service,
+        server=candidate.server.life.server,
+        attempt=call.attempts,
+        busy=round(candidate.busy, 1),
+        told_age=_find_load_age(gateway, now),
+        version=gateway.version,
+        owners=find_owners_offset(gateway, call),
+    )
+    send = SendAttempt(
+        call.call,
+        call.attempts,
+        candidate.server,
+        call.head.key,
+        remaining,
+        call.idempotent,
+        settle=gateway.pools.has_recent_reset(call.service, now),
+        keep=candidate.busy < candidate.server.slots * FULL_SERVER_DEPTH,
+    )
+    return [line, CountMetric('sent'), send]
+
+
+def _find_load_age(gateway: Gateway, now: Seconds) -> float:
+    age = now - gateway.pools.updated_at
+    return round(age, 2) if age < _MAX_LOAD_AGE else -1
+
+
+# Ages above this are logged as unknown.
+_MAX_LOAD_AGE = Seconds(60)
--- a/trefoilsaddle/gateway/reducer.py
+++ b/trefoilsaddle/gateway/reducer.py
@@ -21,6 +21,7 @@
 )
 from trefoilsaddle.gateway.effects import Effects
 from trefoilsaddle.gateway.events import Event
+from trefoilsaddle.gateway.placing import retry_parked
 from trefoilsaddle.gateway.state import Gateway
 
 _EventStep = Callable[[Gateway, Seconds, Event], Effects]
@@ -46,5 +47,5 @@
         effects.extend(step(gateway, now, event))
     if gateway.owners_changed:
         gateway.owners_changed = False
-        effects.extend(forwarding.retry_parked(gateway, now))
+        effects.extend(retry_parked(gateway, now))
     return effects
--- a/trefoilsaddle/programs/gatewaycalls.py
+++ b/trefoilsaddle/programs/gatewaycalls.py
@@ -27,7 +27,7 @@
     RequestArrived,
     RequestHead,
 )
-from trefoilsaddle.gateway.forwarding import FULL_SERVER_DEPTH
+from trefoilsaddle.gateway.placing import FULL_SERVER_DEPTH
 from trefoilsaddle.gateway.servers import ServerIncarnation
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.http.budget import AnswerBudget
