--- /dev/null
+++ b/tests/callerservice.py
@@ -0,0 +1,35 @@
+"""Serve one connection of a caller with a service of a test."""
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+import trio
+
+from trefoilsaddle.http.callers import CallerConnection
+from trefoilsaddle.http.pipeline import CallerService
+
+_HOST = '127.0.0.1'
+_LIVENESS_BOUND = 20
+
+_Use = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+def serve_caller(service: CallerService, use: _Use) -> None:
+    """Let a test use a connection to the service."""
+    trio.run(_run, service, use)
+
+
+async def _run(service: CallerService, use: _Use) -> None:
+    listeners = await trio.open_tcp_listeners(0, host=_HOST)
+    port = listeners[0].socket.getsockname()[1]
+    async with trio.open_nursery() as nursery:
+        serve = partial(_serve, service)
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        with trio.fail_after(_LIVENESS_BOUND):
+            stream = await trio.open_tcp_stream(_HOST, port)
+            await use(stream)
+        nursery.cancel_scope.cancel()
+
+
+async def _serve(service: CallerService, stream: trio.SocketStream) -> None:
+    await CallerConnection(service, stream).serve()
--- a/tests/test_gatewaycallers.py
+++ b/tests/test_gatewaycallers.py
@@ -1,15 +1,14 @@
 """Test how a gateway handles valid and invalid requests of callers."""
 
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 
 import pytest
 import trio
 
+from tests.callerservice import serve_caller
 from tests.gatewayscenes import LIMITS
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.configuration import CallerLimits
-from trefoilsaddle.http.callers import CallerConnection
 from trefoilsaddle.http.messages import HttpAnswer, HttpRequest
 from trefoilsaddle.http.pipeline import CallerService
 from trefoilsaddle.http.requests import BadInput
@@ -71,27 +70,6 @@
         return HttpAnswer(bad.status, (), bad.code.name.encode())
 
 
-def _serve(
-    service: _Service,
-    use: Callable[[trio.SocketStream], Awaitable[None]],
-) -> None:
-    async def run() -> None:
-        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-        port = listeners[0].socket.getsockname()[1]
-
-        async def serve(stream: trio.SocketStream) -> None:
-            await CallerConnection(service, stream).serve()
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(trio.serve_listeners, serve, listeners)
-            with trio.fail_after(20):
-                stream = await trio.open_tcp_stream('127.0.0.1', port)
-                await use(stream)
-            nursery.cancel_scope.cancel()
-
-    trio.run(run)
-
-
 async def _read_all(stream: trio.SocketStream) -> bytes:
     received = bytearray()
     async for part in stream:
@@ -144,7 +122,7 @@
         assert answer.endswith(bad.name)
         assert b'connection: close' in answer.lower()
 
-    _serve(service, use)
+    serve_caller(service, use)
     assert not service.requests
 
 
@@ -159,7 +137,7 @@
         answer = await _read_all(stream)
         assert answer.count(b'echo body') == 2
 
-    _serve(service, use)
+    serve_caller(service, use)
 
 
 def test_idle_connection_is_closed() -> None:
@@ -168,7 +146,7 @@
     async def use(stream: trio.SocketStream) -> None:
         assert await _read_all(stream) == b''
 
-    _serve(_Service(limits=_SMALL), use)
+    serve_caller(_Service(limits=_SMALL), use)
 
 
 def test_closing_service_says_so() -> None:
@@ -180,7 +158,7 @@
         assert b'connection: close' in answer.lower()
         assert answer.endswith(b'echo ')
 
-    _serve(_Service(closing=True), use)
+    serve_caller(_Service(closing=True), use)
 
 
 def test_caller_that_leaves_ends_its_request() -> None:
@@ -195,5 +173,5 @@
         while not service.left:
             await trio.sleep(0.01)
 
-    _serve(service, use)
+    serve_caller(service, use)
     assert service.left == 1
--- a/tests/test_gatewaypipelining.py
+++ b/tests/test_gatewaypipelining.py
@@ -1,16 +1,15 @@
 """Test requests that callers send before the answers to earlier ones."""
 
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from random import Random
 
 import pytest
 import trio
 
+from tests.callerservice import serve_caller
 from tests.gatewayscenes import LIMITS
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.configuration import CallerLimits
-from trefoilsaddle.http.callers import CallerConnection
 from trefoilsaddle.http.messages import HttpAnswer, HttpRequest
 from trefoilsaddle.http.pipeline import CallerService
 from trefoilsaddle.http.requests import BadInput
@@ -77,27 +76,6 @@
     return f'{head}content-length: 4\r\n\r\nbody'.encode()
 
 
-def _serve(
-    service: _Service,
-    use: Callable[[trio.SocketStream], Awaitable[None]],
-) -> None:
-    async def run() -> None:
-        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-        port = listeners[0].socket.getsockname()[1]
-
-        async def serve(stream: trio.SocketStream) -> None:
-            await CallerConnection(service, stream).serve()
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(trio.serve_listeners, serve, listeners)
-            with trio.fail_after(20):
-                stream = await trio.open_tcp_stream('127.0.0.1', port)
-                await use(stream)
-            nursery.cancel_scope.cancel()
-
-    trio.run(run)
-
-
 async def _read_bodies(stream: trio.SocketStream, count: int) -> list[str]:
     """Read whole answers until there are as many, or the connection ends."""
     received = b''
@@ -168,7 +146,7 @@
         answers = await _read_bodies(stream, len(case.answers))
         assert answers == list(case.answers)
 
-    _serve(service, use)
+    serve_caller(service, use)
     assert service.most == case.together
     assert len(service.started) == len(set(service.started))
 
@@ -199,7 +177,7 @@
         while service.running:
             await trio.sleep(0.01)
 
-    _serve(service, use)
+    serve_caller(service, use)
     assert sorted(service.left) == sorted(service.started)
 
 
@@ -213,7 +191,7 @@
         await stream.send_all(_get('a', _SLOW) + _get('b') + _post('c'))
         assert await _read_bodies(stream, 3) == ['a']
 
-    _serve(service, use)
+    serve_caller(service, use)
     assert service.started == [b'a']
 
 
@@ -231,7 +209,7 @@
         assert await _read_bodies(stream, 4) == ['a', 'b', 'c']
         assert await stream.receive_some() == b''
 
-    _serve(service, use)
+    serve_caller(service, use)
     assert service.left == []
 
 
@@ -245,7 +223,7 @@
         await stream.send_all(sent)
         assert await _read_bodies(stream, len(names)) == names
 
-    _serve(service, use)
+    serve_caller(service, use)
     assert service.most == _MAX_UNANSWERED
 
 
@@ -262,7 +240,7 @@
                 await stream.send_all(batch)
         assert scope.cancelled_caught
 
-    _serve(service, use)
+    serve_caller(service, use)
     assert len(service.started) == _MAX_UNANSWERED
 
 
@@ -274,7 +252,7 @@
         await stream.send_all(_post('a', _SLOW) + _post('b'))
         await _read_bodies(stream, 2)
 
-    _serve(service, use)
+    serve_caller(service, use)
     assert service.waits[b'a'] < _SLOW / 2
     assert service.waits[b'b'] >= _SLOW
 
@@ -290,7 +268,7 @@
         assert await _read_bodies(stream, 2) == ['b']
         assert await stream.receive_some() == b''
 
-    _serve(service, use)
+    serve_caller(service, use)
 
 
 @pytest.mark.parametrize('seed', range(12))
@@ -318,4 +296,4 @@
             nursery.start_soon(send, stream)
             assert await _read_bodies(stream, len(names)) == names
 
-    _serve(service, use)
+    serve_caller(service, use)
