Watch new connections only for unrepeatable requests to busy servers

Causes: idle connections to busy servers were closed, so that more requests needed new ones, which are what a server with a long queue resets; every request to such a service waited a round trip (50 ms between regions); and a reset over the cap was taken as a full server, which refused reads for 0.1 s and filled servers to three requests per slot. Ruled out: idle connections as what fills the cap (fewer of them, more resets).

Idle connections are kept as before. Only unrepeatable requests wait, and only at a server whose slots are all busy.

--- a/trefoilsaddle/gateway/attempts.py
+++ b/trefoilsaddle/gateway/attempts.py
@@ -53,6 +53,7 @@
             if _is_busy(gateway, server, now):
                 # A server that sheds requests at low load is faulty, not full:
                 # a retry may succeed.
+                gateway.pools.record_shed(server.service)
                 pool.full_until = Seconds(now + _SHED_DELAY)
             return _try_again(
                 gateway, call, now, ResultCode.shed_by_server, server
@@ -103,7 +104,10 @@
     # The request may have run all the same, but the server is not at fault: it
     # gets less work for a moment and keeps its good name.
     quick = _is_quick_reset(call, now, event)
-    return quick and _is_busy(gateway, server, now)
+    if not quick or server.service in gateway.pools.shedding:
+        # Servers that shed reset only connections over their cap.
+        return False
+    return _is_busy(gateway, server, now)
 
 
 def _is_quick_reset(call: OpenCall, now: Seconds, event: AttemptEnded) -> bool:
--- a/trefoilsaddle/gateway/effects.py
+++ b/trefoilsaddle/gateway/effects.py
@@ -141,8 +141,6 @@
     idempotent: bool
     # True to see first whether the server keeps a new connection open.
     settle: bool = False
-    # True to keep the connection for later requests.
-    keep: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/placing.py
+++ b/trefoilsaddle/gateway/placing.py
@@ -163,12 +163,21 @@
         call.head.key,
         remaining,
         call.idempotent,
-        settle=gateway.pools.has_recent_reset(call.service, now),
-        keep=candidate.busy < candidate.server.slots * FULL_SERVER_DEPTH,
+        settle=_may_be_refused(gateway, call, candidate, now),
     )
     return [line, CountMetric('sent'), send]
 
 
+def _may_be_refused(
+    gateway: Gateway, call: OpenCall, candidate: Candidate, now: Seconds
+) -> bool:
+    # A wait for the refusal of a connection delays each request; it is worth
+    # that where the outcome would be unknown.
+    busy = candidate.busy >= candidate.server.slots
+    reset = gateway.pools.has_recent_reset(call.service, now)
+    return not call.idempotent and busy and reset
+
+
 def _find_load_age(gateway: Gateway, now: Seconds) -> float:
     age = now - gateway.pools.updated_at
     return round(age, 2) if age < _MAX_LOAD_AGE else -1
--- a/trefoilsaddle/gateway/pools.py
+++ b/trefoilsaddle/gateway/pools.py
@@ -136,11 +136,18 @@
     # Time of the last update; values that it omits have not changed.
     updated_at: Seconds = Seconds(float('-inf'))
     by_incarnation: dict[ServerIncarnation, Pool] = field(default_factory=dict)
-    # Services whose servers reset connections when they are full.
+    # Services whose servers reset connections when they are full, and those
+    # whose servers say so instead.
     resetting: set[ServiceName] = field(default_factory=set)
+    shedding: set[ServiceName] = field(default_factory=set)
     # Time of the last request of a service whose connection was reset at once.
     reset_at: dict[ServiceName, Seconds] = field(default_factory=dict)
 
+    def record_shed(self, service: ServiceName) -> None:
+        """Record that a full server has said that it is full."""
+        self.shedding.add(service)
+        self.resetting.discard(service)
+
     def record_reset(self, service: ServiceName, now: Seconds) -> None:
         """Record that a server reset a connection soon after a request."""
         self.reset_at[service] = now
--- a/trefoilsaddle/http/pool.py
+++ b/trefoilsaddle/http/pool.py
@@ -115,11 +115,6 @@
         self._return_to_pool(stream, ended)
         return ended.answer
 
-    def trim(self) -> None:
-        """Close the idle connections above their limit."""
-        while len(self.idle) > self.max_idle_connections:
-            sockets.close(self.idle.pop(0).stream)
-
     def sweep(self) -> None:
         """Close idle connections that can no longer be reused."""
         idle = self.idle
@@ -161,7 +156,8 @@
         now = trio.current_time()
         idle = _IdleConnection(stream, now, now + _read_keep_alive(answer))
         self.idle.append(idle)
-        self.trim()
+        if len(self.idle) > self.max_idle_connections:
+            sockets.close(self.idle.pop(0).stream)
 
 
 def _is_fresh(idle: _IdleConnection, max_idle_time: Seconds) -> bool:
--- a/trefoilsaddle/programs/gatewaycalls.py
+++ b/trefoilsaddle/programs/gatewaycalls.py
@@ -27,7 +27,6 @@
     RequestArrived,
     RequestHead,
 )
-from trefoilsaddle.gateway.placing import FULL_SERVER_DEPTH
 from trefoilsaddle.gateway.servers import ServerIncarnation
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.http.budget import AnswerBudget
@@ -52,9 +51,6 @@
 # long: the server may be closing one that was idle for longer.
 _MAX_IDLE_NOT_IDEMPOTENT = Seconds(1)
 _MAX_IDLE_IDEMPOTENT = Seconds(3)
-# Interval at which idle connections to busy servers are looked for; the load is
-# told about as often.
-_TRIM_INTERVAL = Seconds(0.5)
 # Shorter waits behind another request of the connection are ignored.
 _MIN_WAIT = Seconds(0.001)
 # Fraction of a server's connection limit that all gateways together may keep
@@ -127,28 +123,8 @@
         pool.max_idle_connections = self._count_idle(effect)
         return pool
 
-    async def trim_busy(self) -> None:
-        """Close the idle connections to servers that are busy, regularly."""
-        while True:
-            await trio.sleep(_TRIM_INTERVAL)
-            for incarnation, pool in self.pools.items():
-                if self._is_busy(incarnation):
-                    pool.max_idle_connections = 0
-                    pool.trim()
-
-    def _is_busy(self, incarnation: ServerIncarnation) -> bool:
-        server = self.gateway.registry.find_incarnation(incarnation)
-        known = self.gateway.pools.by_incarnation.get(incarnation)
-        if server is None or known is None:
-            return False
-        return known.fleet_busy >= server.slots * FULL_SERVER_DEPTH
-
     def _count_idle(self, effect: SendAttempt) -> int:
         configuration = self.gateway.configuration
-        if not effect.keep:
-            # A busy server accepts fewer connections: those that are idle here
-            # would be missing elsewhere.
-            return 0
         if configuration is None:
             return 1
         rules = configuration.services.get(effect.server.service)
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -132,7 +132,6 @@
         pools = self.calls.servers.pools
         self._nursery.start_soon(sweep_pools, pools.values)
         self._nursery.start_soon(sweep_pools, self._list_order_pools)
-        self._nursery.start_soon(self.calls.servers.trim_busy)
         while True:
             self._timer_set = trio.Event()
             due = min(self._timers.values(), default=inf)
