--- a/tests/test_gatewaycommand.py
+++ b/tests/test_gatewaycommand.py
@@ -10,7 +10,7 @@
 from typer.testing import CliRunner
 
 from trefoilsaddle.programs import gatewaystart
-from trefoilsaddle.programs.gateway import app
+from trefoilsaddle.programs.gatewaycommand import app
 from trefoilsaddle.version import VERSION
 
 _PROJECT = Path(__file__).parent.parent / 'pyproject.toml'
@@ -54,12 +54,20 @@
     gc.enable()
 
 
+# The arguments, and the module that is loaded for them.
+_STARTS = (
+    ((), 'trefoilsaddle.programs.gateway'),
+    (('--version',), 'trefoilsaddle.programs.gatewaycommand'),
+)
+
+
 # Guards against a fleet that is slow to serve again after a loss of power.
 @pytest.mark.usefixtures('collector')
+@pytest.mark.parametrize(('arguments', 'module'), _STARTS)
 def test_start_keeps_modules_out_of_collections(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, arguments: tuple[str, ...], module: str
 ) -> None:
-    """Load the program without collections, and run it with few."""
+    """Load what is needed without collections, and run it with few."""
     seen: list[tuple[str, bool, int]] = []
 
     def note(step: str) -> None:
@@ -67,12 +75,32 @@
 
     def load(name: str) -> SimpleNamespace:
         note(name)
-        return SimpleNamespace(app=lambda: note('run'))
+        return SimpleNamespace(
+            app=lambda: note('run'), run_gateway=lambda path: note('run')
+        )
 
     monkeypatch.setattr(gatewaystart, 'import_module', load)
+    monkeypatch.setattr('sys.argv', ['gateway', *arguments])
+    monkeypatch.setenv('TREFOILSADDLE_CONFIG', 'settings.toml')
     gatewaystart.start_gateway()
     loaded, run = seen
-    assert loaded[:2] == ('trefoilsaddle.programs.gateway', False)
+    assert loaded[:2] == (module, False)
     assert run[:2] == ('run', True)
     assert run[2] > loaded[2]
     assert gc.get_threshold()[0] > 700
+
+
+@pytest.mark.usefixtures('collector')
+def test_start_with_bad_settings_ends_with_their_code(
+    monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Exit as the command does if the platform's settings are invalid."""
+    path = tmp_path / 'none.toml'
+    monkeypatch.setattr('sys.argv', ['gateway'])
+    monkeypatch.setenv('TREFOILSADDLE_CONFIG', str(path))
+    with pytest.raises(SystemExit) as ended:
+        gatewaystart.start_gateway()
+    assert ended.value.code == 40
+    assert 'settings_invalid' in capsys.readouterr().err
--- a/tests/test_gatewaypace.py
+++ b/tests/test_gatewaypace.py
@@ -56,8 +56,7 @@
 )
 
 
-# Guards against a look at all partitions for each of hundreds of renewals a
-# second, which took a third of the controller's time.
+# Guards against a look at all partitions at the end of each renewal.
 @pytest.mark.parametrize(('serving', 'verdict', 'looks'), _ENDED)
 def test_renewal_looks_at_its_own_partition(
     monkeypatch: pytest.MonkeyPatch,
--- a/trefoilsaddle/gateway/attempts.py
+++ b/trefoilsaddle/gateway/attempts.py
@@ -102,7 +102,7 @@
     event: AttemptEnded,
 ) -> bool:
     # The request may have run all the same, but the server is not at fault: it
-    # gets less work for a moment and keeps its good name.
+    # gets less work for a moment and no failure is counted.
     quick = _is_quick_reset(call, now, event)
     if not quick or server.service in gateway.pools.shedding:
         # Servers that shed reset only connections over their cap.
--- a/trefoilsaddle/programs/commandline.py
+++ b/trefoilsaddle/programs/commandline.py
@@ -31,9 +31,14 @@
 
 def end_command(failure: Failure) -> NoReturn:
     """Print a failure in one line on standard error and exit with its code."""
+    raise Exit(report_failure(failure))
+
+
+def report_failure(failure: Failure) -> int:
+    """Print a failure in one line on standard error; return the exit code."""
     name = failure.code.name
     echo(f'{name}: {failure.reason}', err=True)
-    raise Exit(find_exit_code(failure.code))
+    return find_exit_code(failure.code)
 
 
 def find_exit_code(code: ResultCode) -> int:
--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -4,10 +4,8 @@
 from pathlib import Path
 from random import SystemRandom
 from signal import SIGHUP, SIGTERM, SIGUSR1
-from typing import Annotated
 
 import trio
-from typer import Exit, Option, echo
 
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.decisionlog import start_decision_log
@@ -28,62 +26,23 @@
     GatewaySettings,
     read_settings,
 )
-from trefoilsaddle.programs.commandline import build_app, end_command
 from trefoilsaddle.programs.gatewayshell import GatewayShell, ReadinessService
 from trefoilsaddle.results import ResultCode
-from trefoilsaddle.version import VERSION
 
-app = build_app()
-
-_SETTINGS_VARIABLE = 'TREFOILSADDLE_CONFIG'
 _RUN_BITS = 48
 
-SettingsFile = Annotated[
-    Path,
-    Option(
-        '--settings',
-        '-s',
-        envvar=_SETTINGS_VARIABLE,
-        help="The platform's settings file.",
-    ),
-]
-
-
-def _show_version(*, wanted: bool) -> None:
-    if wanted:
-        echo(f'trefoil-gateway {VERSION}')
-        raise Exit
-
-
-VersionFlag = Annotated[
-    bool,
-    Option(
-        '--version',
-        callback=_show_version,
-        is_eager=True,
-        help='Show the version and end.',
-    ),
-]
-
-
-@app.command()
-def run_gateway(
-    settings: SettingsFile,
-    *,
-    version: VersionFlag = False,
-) -> None:
+
+def run_gateway(path: Path) -> Failure | None:
     """Run a gateway until SIGTERM, which cuts no request in flight.
 
     SIGHUP reads the settings again, SIGUSR1 writes a dump of the state to
-    the log.
+    the log. Fails with settings_invalid.
     """
     run = SystemRandom().getrandbits(_RUN_BITS)
-    loaded = read_settings(settings, run)
+    loaded = read_settings(path, run)
     if isinstance(loaded, Failure):
-        end_command(loaded)
-    failure = trio.run(serve_gateway, loaded, settings)
-    if isinstance(failure, Failure):
-        end_command(failure)
+        return loaded
+    return trio.run(serve_gateway, loaded, path)
 
 
 async def serve_gateway(
@@ -161,7 +120,3 @@
     shell.write(
         log_event(Component.lifecycle, 'settings read again', outcome=outcome)
     )
-
-
-if __name__ == '__main__':
-    app()
