Bound the partitions by what a successor can grant again

Trace: 155 partitions at 2 s, 645 at 17 s, 933 at 30 s for 85 servers, as a fast controller may renew 961; its successor had to grant all of them at once: 474 grants not confirmed in 34 to 38 s, a third of them without a connection after 0.25 s, 46 of 85 servers suspected, keys left to lapse. Ruled out: the successor's own loop (it was late six times, all on other machines).

At most three partitions for each server are added by cuts, or 240 in all.

--- a/trefoilsaddle/gateway/pacing.py
+++ b/trefoilsaddle/gateway/pacing.py
@@ -23,6 +23,12 @@
 # Partitions that are allowed for each server in any case, so that a hot one can
 # still be split.
 _RANGES_PER_SERVER = 1.5
+# Partitions above which no more are added for each server, however fast the
+# controller is: its successor has to grant all of them again at once, while
+# servers may be far or slow. A small fleet may have as many in all as its
+# servers may hold.
+_MAX_RANGES_PER_SERVER = 3
+_FREE_RANGES = 240
 # Each move takes a release and a grant.
 _ORDERS_PER_MOVE = 2
 # Fractions of the servers that one round of moves may affect, and that may be
@@ -137,7 +143,8 @@
 def bound_moves(gateway: Gateway, servers: int) -> MoveBounds:
     """Return the limits of one round of moves, from the capacity for orders."""
     borne = _MAX_RENEWAL_INTERVAL * _find_renewal_rate(gateway)
-    ranges = max(borne, servers * _RANGES_PER_SERVER)
+    most = max(_FREE_RANGES, servers * _MAX_RANGES_PER_SERVER)
+    ranges = max(min(borne, most), servers * _RANGES_PER_SERVER)
     return MoveBounds(
         moves=_scale_by_servers(gateway, servers, _MOVING_FRACTION, _MIN_MOVES),
         cuts=int(ranges) - _count_ranges(gateway),
