Tell the controller which servers were read to be leaving or gone

A report names the servers that its gateway has read to be leaving or gone in the last 3 s; the controller treats them as draining, until its own read says otherwise, and its updates say so to all. test_departure_is_told_to_gateways_without_the_store.

--- a/tests/test_gatewayrelay.py
+++ b/tests/test_gatewayrelay.py
@@ -272,6 +272,40 @@
     assert _LEAVING not in registry.servers
 
 
+# Guards against a server that had left and got requests from gateways which the
+# store turned away together with the controller, while others could read it.
+@pytest.mark.parametrize('drains', [True, False])
+def test_departure_is_told_to_gateways_without_the_store(
+    *, drains: bool
+) -> None:
+    """Have the controller pass on what a gateway has read."""
+    world = build_scene()
+    reader, leader = _find_member(world), _find_leader(world)
+    server = reader.gateway.registry.servers[_LEAVING]
+    entry = (
+        replace(server, draining=True) if drains else ServerRemoved(_LEAVING)
+    )
+    world.faults.store_down = True
+    world.feed(
+        reader,
+        TopicRead(
+            Topic.servers,
+            ReadVerdict.records,
+            whole=False,
+            next_offset=Offset(99),
+            entries=(entry,),
+            asked_at=world.now,
+        ),
+    )
+    world.run(0.6)
+    for process in world.processes.values():
+        if process is not reader:
+            assert process.gateway.registry.servers[_LEAVING].draining
+    assert leader.gateway.control.leading
+    world.run(4)
+    assert not reader.gateway.departed
+
+
 def test_fresh_news_saves_reads_of_the_store() -> None:
     """Leave reads of the configuration to the controller, if recent."""
     world = build_scene()
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -1,5 +1,7 @@
 """Run the controller: review partitions, balance load, send updates."""
 
+from dataclasses import replace
+
 from trefoilsaddle.core.units import NodeId, Seconds, ServiceName
 from trefoilsaddle.gateway import updates
 from trefoilsaddle.gateway.assigning import (
@@ -264,6 +266,11 @@
             sample = UseSample(use, report.elapsed)
             loads = find_loads(gateway, server.service)
             loads.add_report(server, node, sample, now)
+    for tag in report.departed:
+        server = gateway.registry.by_tag.get(tag)
+        if server is not None and not server.draining:
+            # This gateway's next own read of the entry decides.
+            gateway.registry.put(replace(server, draining=True), now)
     for counts in report.keys:
         keyed = control.keyed.get(counts.service)
         if keyed is not None:
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -301,6 +301,7 @@
     changes: Effects = []
     gateway.registry.record_read(event.asked_at)
     known = set(gateway.registry.servers)
+    usable = gateway.registry.list_usable()
     for entry in event.entries:
         if isinstance(entry, (Server, ServerRemoved)):
             changes.extend(_apply_server(gateway, now, entry))
@@ -317,7 +318,10 @@
         ]
         for name in gateway.registry.keep_only(present, now):
             effects.append(_log_server('server gone', name))
-    return [*effects, *_expire_removals(gateway, now)]
+    expired = _expire_removals(gateway, now)
+    for tag in usable.difference(gateway.registry.list_usable()):
+        gateway.departed[tag] = now
+    return [*effects, *expired]
 
 
 def _expire_removals(gateway: Gateway, now: Seconds) -> Effects:
--- a/trefoilsaddle/gateway/peermessages.py
+++ b/trefoilsaddle/gateway/peermessages.py
@@ -57,6 +57,8 @@
     keys: tuple[KeyCounts, ...]
     # Cores of the gateway, each scaled by its own speed.
     speed: float = 1
+    # Servers that the gateway has lately read to be leaving or gone.
+    departed: tuple[ServerTag, ...] = ()
 
 
 # Not frozen, as each update creates hundreds.
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -30,7 +30,7 @@
 )
 from trefoilsaddle.gateway.pools import Pool
 from trefoilsaddle.gateway.rounding import round_load, round_time
-from trefoilsaddle.gateway.servers import Server
+from trefoilsaddle.gateway.servers import Server, ServerTag
 from trefoilsaddle.gateway.state import Gateway, ServiceOwners
 from trefoilsaddle.gateway.table import GatewayAddress, OwnerMap
 
@@ -38,6 +38,9 @@
 # the store: copies of 65 KB for 45 gateways take 0.8 s on a link of 30 Mbit/s
 # between regions, and a version has to be in force within 2.5 s.
 _COPY_TIMEOUT = Seconds(0.8)
+# Time for which reports name a server that was read to be leaving or gone: long
+# enough to reach the next controller as well.
+_DEPARTED_TIME = Seconds(3)
 # Maximum number of servers whose changes are logged one by one.
 _MAX_LINES = 4
 # The link counts as lost without an update for this time; updates arrive twice
@@ -108,9 +111,19 @@
         seen,
         keys,
         gateway.options.speed,
+        _list_departed(gateway, now),
     )
 
 
+def _list_departed(gateway: Gateway, now: Seconds) -> tuple[ServerTag, ...]:
+    gateway.departed = {
+        tag: read_at
+        for tag, read_at in gateway.departed.items()
+        if now - read_at <= _DEPARTED_TIME
+    }
+    return tuple(gateway.departed)
+
+
 def _build_server_use(
     pool: Pool, now: Seconds, elapsed: Seconds
 ) -> ServerUse | None:
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -134,6 +134,12 @@
         """Yield the servers of a service."""
         yield from self.by_service.get(service, {}).values()
 
+    def list_usable(self) -> set[ServerTag]:
+        """Return the tags of the servers that are not draining."""
+        return {
+            tag for tag, server in self.by_tag.items() if not server.draining
+        }
+
     def put(self, server: Server, now: Seconds) -> bool:
         """Store an entry; return whether it changed in a way that matters."""
         known = self.servers.get(server.life.server)
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -19,7 +19,7 @@
 from trefoilsaddle.gateway.keys import Key
 from trefoilsaddle.gateway.options import GatewayOptions
 from trefoilsaddle.gateway.pools import Pools
-from trefoilsaddle.gateway.servers import Server, ServerRegistry
+from trefoilsaddle.gateway.servers import Server, ServerRegistry, ServerTag
 from trefoilsaddle.gateway.table import GatewayAddress, OwnerMap, StoredTable
 from trefoilsaddle.results import ResultCode
 
@@ -143,6 +143,9 @@
     turns: dict[str, dict[ServiceName, float]] = field(default_factory=dict)
     key_counts: dict[ServiceName, dict[Key, int]] = field(default_factory=dict)
     reported_at: Seconds = Seconds(0)
+    # Servers that this gateway has read to be leaving or gone, and when; it tells
+    # the controller, which may be unable to read the store.
+    departed: dict[ServerTag, Seconds] = field(default_factory=dict)
     # Departures of servers that are handled here; see `ServerRegistry`.
     departures_handled: int = 0
     ready: bool = False
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -88,6 +88,7 @@
   uses @2 :ServerUses;
   keys @3 :List(KeyCounts);
   speed @4 :Float32;
+  departed @5 :List(UInt32);
 }
 
 struct OwnerNews {
