--- a/tests/test_gatewayrelay.py
+++ b/tests/test_gatewayrelay.py
@@ -306,6 +306,27 @@
     assert not reader.gateway.departed
 
 
+# Bound of the large site: a server gets no requests this long after the store has
+# taken its leaving.
+_DRAIN = Seconds(4)
+
+
+# Guards against requests to a server that left just before an outage, as seen on
+# kb-gateway-large, trouble-1 (DRAIN).
+def test_server_that_left_before_an_outage_is_not_kept() -> None:
+    """Keep entries that may have lapsed, but none that was removed before."""
+    world = build_scene()
+    gateway = _find_leader(world).gateway
+    world.run(1)
+    world.store.remove_server(_LEAVING)
+    left_at = world.now
+    world.faults.store_down = True
+    world.run(3.2)
+    world.faults.store_down = False
+    world.run(left_at + _DRAIN - world.now)
+    assert _LEAVING not in gateway.registry.servers
+
+
 def test_fresh_news_saves_reads_of_the_store() -> None:
     """Leave reads of the configuration to the controller, if recent."""
     world = build_scene()
