--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -40,12 +40,6 @@
 # A round trip between regions takes 40 ms; the rest covers delays of this
 # machine.
 CONNECT_TIMEOUT = Seconds(0.25)
-# Interval between reads of the servers' entries; servers that drain have to be
-# known within 2.5 s (`drain`).
-SERVERS_INTERVAL = Seconds(0.6)
-# Longest wait of a read for the next configuration, which has to be in force
-# within 2.5 s even after a connection was cut silently.
-CONFIGURATION_WAIT = Seconds(1)
 # Longest hold that servers accept on the users' sites; each site configures its
 # own limit.
 MAX_HOLD = Seconds(10)
@@ -99,10 +93,12 @@
     # A hot range has to be found within one or two seconds; a request takes
     # 0.16 s.
     report_interval: Seconds = Seconds(0.2)
-    # Interval between reads of the servers' entries.
-    servers_interval: Seconds = SERVERS_INTERVAL
-    # Longest wait of a read for the next configuration.
-    configuration_wait: Seconds = CONFIGURATION_WAIT
+    # Interval between reads of the servers' entries; servers that drain have to
+    # be known within 2.5 s (`drain`).
+    servers_interval: Seconds = Seconds(0.6)
+    # Longest wait of a read for the next configuration, which has to be in
+    # force within 2.5 s even after a connection was cut silently.
+    configuration_wait: Seconds = Seconds(1)
     # Two report intervals, so that the effect of one move is measured before
     # the next is chosen.
     balance_interval: Seconds = Seconds(0.4)
--- a/trefoilsaddle/platform/settings.py
+++ b/trefoilsaddle/platform/settings.py
@@ -9,9 +9,7 @@
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.units import NodeId, RegionName, Seconds, ZoneName
 from trefoilsaddle.gateway.options import (
-    CONFIGURATION_WAIT,
     DEFAULT_HOLD,
-    SERVERS_INTERVAL,
     GatewayOptions,
     RetryBudget,
 )
@@ -25,12 +23,6 @@
 _ORDER_PROCESSOR_TIME = 0.0028
 
 
-# The shortest bounds on the users' sites, for which the intervals of the reads of
-# servers and configuration are chosen, and the longest by which they grow.
-_USUAL_BOUND = 2.5
-_MAX_STRETCH = 2
-
-
 class _WireListen(WireModel):
     # Address for callers.
     front: str
@@ -46,10 +38,6 @@
     hold_max: Duration = Field(alias='holdMax')
     # Time from SIGTERM to SIGKILL.
     grace: Duration
-    # Time after which a draining server gets no work, and after which a
-    # configuration is in force.
-    drain: Duration = _USUAL_BOUND
-    config: Duration = _USUAL_BOUND
 
 
 class _WirePlatform(WireModel):
@@ -163,8 +151,6 @@
         hold=Seconds(min(DEFAULT_HOLD, bounds.hold_max)),
         max_hold=Seconds(bounds.hold_max),
         stop_timeout=Seconds(bounds.grace),
-        servers_interval=_stretch(SERVERS_INTERVAL, bounds.drain),
-        configuration_wait=_stretch(CONFIGURATION_WAIT, bounds.config),
         heartbeat=Seconds(wire.heartbeat),
         link_rate=wire.limits.link_rate,
         speed=speed,
@@ -172,12 +158,6 @@
     )
 
 
-def _stretch(interval: Seconds, bound: float) -> Seconds:
-    """Return an interval in proportion to the bound that it serves."""
-    factor = min(max(bound / _USUAL_BOUND, 1), _MAX_STRETCH)
-    return Seconds(interval * factor)
-
-
 def _read_address(text: str) -> Address:
     host, _, port = text.rpartition(':')
     return Address(host, int(port))
