--- a/trefoilsaddle/gateway/pacing.py
+++ b/trefoilsaddle/gateway/pacing.py
@@ -27,7 +27,7 @@
 # controller is: its successor has to grant all of them again at once, while
 # servers may be far or slow. A small fleet may have as many in all as its
 # servers may hold.
-_MAX_RANGES_PER_SERVER = 3
+_MAX_RANGES_PER_SERVER = 6
 _FREE_RANGES = 240
 # Each move takes a release and a grant.
 _ORDERS_PER_MOVE = 2
