End the wait for a predecessor only at a report of this term

What callers would see: two servers owned the same keys (OWNER). The report of a gateway that was written before it became the controller, or by an earlier incarnation of it, and was read after a later takeover, ended its successor's wait for it. The successor then gave keys away that the predecessor, cut off together with their server, still renewed.

Cause: a report named only its sender, so it said nothing about when it was written; any report of a predecessor's node counted as proof that it had stepped down. Reports have been read seconds late from links that were full.

Evidence: tests/test_gatewayownership.py::test_old_report_does_not_end_the_wait was seen failing on the code before (OwnerError: guide-0 still holds keys 0 to 16383 at 115.712 and, with the sender restarted, at 116.712).

Why this works: each update states how often this incarnation of the controller has become the controller, and a report names the incarnation and term of the last update that its sender has received, as long as none of the sender's own grants is in flight. A gateway writes no report while it is the controller. A report that names the present term was therefore written after this controller had read the tables, by a sender that had given up what those tables gave it. A report without a term, as earlier versions and the greeting of a connection send it, ends no wait.

Ruled out as proof: the position of the newest table that the sender knows, which may fall when the store is restored; the incarnation of the sender alone, which does not change between two terms.

--- a/tests/test_gatewaycodec.py
+++ b/tests/test_gatewaycodec.py
@@ -64,6 +64,7 @@
             ServerLoad(ServerTag(number), 0.5, Seconds(0.25))
             for number in range(loads)
         ),
+        term=3,
     )
 
 
@@ -82,6 +83,8 @@
             ),
         ),
         1.5,
+        controller_run=7,
+        controller_term=2,
     )
 
 
--- a/tests/test_gatewayownership.py
+++ b/tests/test_gatewayownership.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from measure.gatewayworld import World, build_world
+from measure.gatewayworld import Process, World, build_world
 from measure.worldservers import OwnerError, WorldServer, check_grant
 from tests.gatewayscenes import (
     CATALOGUE,
@@ -23,15 +23,18 @@
 )
 from trefoilsaddle.core.units import NodeId, Seconds, ServiceName
 from trefoilsaddle.gateway import partitions
+from trefoilsaddle.gateway.controller import handle_report
 from trefoilsaddle.gateway.events import (
     OrderEnded,
     OrderVerdict,
+    ReportReceived,
     StopRequested,
     Topic,
 )
 from trefoilsaddle.gateway.granting import handle_order_ended
 from trefoilsaddle.gateway.keys import ALL_KEYS
 from trefoilsaddle.gateway.options import GatewayOptions
+from trefoilsaddle.gateway.peers import build_report
 from trefoilsaddle.gateway.table import StoredTable
 from trefoilsaddle.gateway.takeover import take_over_service
 
@@ -505,6 +508,89 @@
     assert list_unowned(world) == []
 
 
+def _elect_first(world: World) -> None:
+    """Have the store elect the first gateway again, and let it take over."""
+    world.store.leave(f'{GATEWAYS[2]}-3')
+    _wait_for_controller(world, GATEWAYS[0])
+    world.run(0.5)
+
+
+def _cut_with_a_server(world: World, process: Process) -> None:
+    """Cut a gateway and one server off from the store and all others."""
+    names = [server.entry.life.server for server in world.servers]
+    lost = names.pop(0)
+    process.store_cut = True
+    process.peers_cut = True
+    process.unreachable.update(names)
+    for other in world.processes.values():
+        if other is not process:
+            other.unreachable.add(lost)
+
+
+# Guards against two owners when a report of a gateway is read after that has
+# been the controller, and still renews grants.
+@pytest.mark.parametrize('restarted', [False, True])
+def test_old_report_does_not_end_the_wait(*, restarted: bool) -> None:
+    """Wait for a predecessor whose earlier report is read late.
+
+    Pattern: an availability zone is cut off with the second controller and a
+    server, and the first one is elected again.
+    """
+    world = build_scene()
+    first = world.processes[NodeId(GATEWAYS[0])]
+    second = world.processes[NodeId(GATEWAYS[1])]
+    late = ReportReceived(build_report(second.gateway, world.now))
+    if restarted:
+        second = world.start_gateway(GATEWAYS[1])
+        world.run(1)
+    first.store_cut = True
+    _wait_for_controller(world, GATEWAYS[1])
+    world.run(2)
+    _cut_with_a_server(world, second)
+    first.store_cut = False
+    _elect_first(world)
+    world.feed(first, late)
+    world.run(7)
+    assert second.gateway.control.leading
+    world.run(14)
+    assert list_unowned(world) == []
+
+
+# Guards against reports that do not prove that their sender has resigned.
+@pytest.mark.parametrize(
+    ('run', 'term', 'in_flight', 'resigned'),
+    [
+        (2, 1, 0, True),
+        (2, 0, 0, False),
+        (1, 1, 0, False),
+        # Gateways of earlier versions name no term.
+        (0, 0, 0, False),
+        # A grant of the sender's own term may still be sent.
+        (2, 1, 1, False),
+    ],
+)
+def test_report_ends_the_wait_only_with_the_present_term(
+    run: int,
+    term: int,
+    in_flight: int,
+    *,
+    resigned: bool,
+) -> None:
+    """Forget a predecessor when its report names this controller's term."""
+    world = build_scene()
+    sender = world.processes[NodeId(GATEWAYS[0])].gateway
+    _cut_controller_from_all(world)
+    _wait_for_controller(world, GATEWAYS[1])
+    gateway = world.processes[NodeId(GATEWAYS[1])].gateway
+    sender.control.grants.in_flight = in_flight
+    sender.link.address = replace(gateway.own_address(), run=run)
+    sender.link.term = term
+    report = build_report(sender, world.now)
+    handle_report(gateway, world.now, report)
+    keyed = gateway.control.keyed[ServiceName(CATALOGUE)]
+    assert (keyed.predecessors == ()) == resigned
+
+
 # Guards against ending own grants at the end of the predecessor's grants.
 def test_end_of_the_predecessor_does_not_end_own_grants() -> None:
     """Wait until an own unanswered grant has lapsed if that is later."""
--- a/trefoilsaddle/gateway/control.py
+++ b/trefoilsaddle/gateway/control.py
@@ -100,6 +100,8 @@
     # True once this gateway has read the newest tables and acts as the
     # controller.
     leading: bool = False
+    # Number of times that this gateway has become the controller.
+    term: int = 0
     # Earliest time of the next read of all tables, while not leading.
     read_after: Seconds = Seconds(0)
     # Time at which the last call that confirmed the election was sent.
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -259,7 +259,7 @@
     control.reporters[node] = now
     gateway.link.known[node] = report.gateway
     gateway.link.speeds[node] = report.speed
-    record_resigned(gateway, report.gateway, now)
+    record_resigned(gateway, report, now)
     for use in report.uses:
         server = gateway.registry.by_tag.get(use.tag)
         if server is not None:
--- a/trefoilsaddle/gateway/peermessages.py
+++ b/trefoilsaddle/gateway/peermessages.py
@@ -59,6 +59,10 @@
     speed: float = 1
     # Servers that the gateway has lately read to be leaving or gone.
     departed: tuple[ServerTag, ...] = ()
+    # Incarnation and term of the controller whose update the gateway has
+    # received; zero while a call of an own earlier term is in flight.
+    controller_run: int = 0
+    controller_term: int = 0
 
 
 # Not frozen, as each update creates hundreds.
@@ -110,6 +114,8 @@
     doubted: tuple[str, ...] = ()
     # Gateways that should remain group members; empty if unchanged.
     standbys: tuple[str, ...] = ()
+    # Counts the terms of this incarnation as the controller, from one.
+    term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -74,6 +74,7 @@
         return []
     link.address = address
     link.news_at = None
+    link.term = 0
     link.servers_read_at = None
     link.complete = False
     if address == gateway.own_address():
@@ -112,9 +113,17 @@
         keys,
         gateway.options.speed,
         _list_departed(gateway, now),
+        *_find_controller_term(gateway),
     )
 
 
+def _find_controller_term(gateway: Gateway) -> tuple[int, int]:
+    address = gateway.link.address
+    if address is None or gateway.control.grants.in_flight:
+        return 0, 0
+    return address.run, gateway.link.term
+
+
 def _list_departed(gateway: Gateway, now: Seconds) -> tuple[ServerTag, ...]:
     gateway.departed = {
         tag: read_at
@@ -173,6 +182,7 @@
         effects.append(
             log_event(Component.peers, 'linked', controller=address.node)
         )
+    gateway.link.term = news.term
     effects.extend(_apply_servers(gateway, now, news))
     effects.extend(apply_news(gateway, now, news))
     age = news.configuration_age
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -90,6 +90,8 @@
 
     address: GatewayAddress | None = None
     news_at: Seconds | None = None
+    # Term that the controller stated in its last update; zero before the first.
+    term: int = 0
     # Time at which the controller had read the servers' entries it sent.
     servers_read_at: Seconds | None = None
     # Time at which the controller had read the configuration.
--- a/trefoilsaddle/gateway/takeover.py
+++ b/trefoilsaddle/gateway/takeover.py
@@ -21,6 +21,7 @@
     PartitionState,
     find_grant_end,
 )
+from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.table import Assignment, GatewayAddress, StoredTable
 
@@ -33,6 +34,7 @@
         return []
     control.leading = True
     control.leading_since = now
+    control.term += 1
     control.sent_servers.clear()
     control.sent_revisions.clear()
     control.sent_loads.clear()
@@ -80,16 +82,21 @@
 
 def record_resigned(
     gateway: Gateway,
-    address: GatewayAddress,
+    report: Report,
     now: Seconds,
 ) -> None:
     """Record that a gateway reports here and so renews no grants any more.
 
     A controller reports to another one only after it has stepped down, and a
-    restarted gateway has lost its state.
+    restarted gateway has lost its state. Only a report that names the present
+    term was written after the tables were read here.
     """
-    for keyed in gateway.control.keyed.values():
-        left = _drop_node(keyed.predecessors, address.node)
+    control = gateway.control
+    named = (report.controller_run, report.controller_term)
+    if named != (gateway.options.run, control.term):
+        return
+    for keyed in control.keyed.values():
+        left = _drop_node(keyed.predecessors, report.gateway.node)
         if left == keyed.predecessors:
             continue
         keyed.predecessors = left
--- a/trefoilsaddle/gateway/updates.py
+++ b/trefoilsaddle/gateway/updates.py
@@ -254,6 +254,7 @@
         loads=_list_loads(gateway, now) if whole else (),
         doubted=tuple(gateway.registry.deferred_removals) if whole else (),
         standbys=_list_standbys(gateway, now, whole=whole),
+        term=gateway.control.term,
     )
 
 
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -89,6 +89,8 @@
   keys @3 :List(KeyCounts);
   speed @4 :Float32;
   departed @5 :List(UInt32);
+  controllerRun @6 :Int64;
+  controllerTerm @7 :UInt32;
 }
 
 struct OwnerNews {
@@ -111,6 +113,7 @@
   loads @10 :ServerLoads;
   doubted @11 :List(Text);
   standbys @12 :List(Text);
+  term @13 :UInt32;
 }
 
 struct ConfigurationRead {
