--- a/measure/worldservers.py
+++ b/measure/worldservers.py
@@ -1,7 +1,7 @@
 """Simulated servers of the platform: held keys, slots and queues."""
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from trefoilsaddle.core.units import CallId, Seconds
 from trefoilsaddle.gateway.events import OrderVerdict
@@ -20,6 +20,8 @@
     keys: KeyRange
     fence: int
     until: Seconds
+    # Arrival of the grant.
+    arrived: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,18 +70,24 @@
         hold: Seconds,
         arrived: Seconds,
     ) -> OrderVerdict:
-        """Apply a grant, whose hold time counts from its arrival."""
+        """Apply a grant, whose hold time counts from its arrival.
+
+        A late one is also applied after newer grants that arrived after it.
+        """
         if hold > MAX_HOLD:
             return OrderVerdict.rejected
         if any(
-            seen.fence > fence and seen.keys.overlaps(keys)
+            seen.fence > fence
+            and seen.arrived <= arrived
+            and seen.keys.overlaps(keys)
             for seen in self.fences
         ):
             return OrderVerdict.fenced
         until = Seconds(arrived + hold * _SLOW_CLOCK_FACTOR)
         self._remove_keys(keys)
-        self.holdings.append(Holding(keys, fence, until))
-        self.fences.append(Holding(keys, fence, until))
+        holding = Holding(keys, fence, until, arrived)
+        self.holdings.append(holding)
+        self.fences.append(holding)
         return OrderVerdict.done
 
     def release(self, keys: KeyRange) -> None:
@@ -101,7 +109,7 @@
                 kept.append(holding)
                 continue
             kept.extend(
-                Holding(rest, holding.fence, holding.until)
+                replace(holding, keys=rest)
                 for rest in cut_range(holding.keys, keys)
                 if rest.first <= rest.last
             )
