List grants that arrive after the wait for them as known red

What callers would see: two servers own the same keys (OWNER) if a grant reaches its server later than 2.6 s after its call was given up.

Cause: a connection that is reset discards the bytes that this machine has not sent, not those in a queue between the regions, and no rule of the platform bounds that queue.

Evidence: the test fails with delays of up to 8 s (OwnerError).

Ruled out as a remedy: a newer fencing token at the same server, which needs an answer of the server that does not answer, and where it does answer on the same path the older bytes have passed; the bytes that the kernel reports as acknowledged, which say nothing of those that are not; an answer awaited without limit, as the last transmission may be queued as long.

--- a/tests/test_gatewayownership.py
+++ b/tests/test_gatewayownership.py
@@ -628,6 +628,18 @@
     _assert_recovers(world, 10)
 
 
+# Guards against a grant that arrives later than the controller waits for it.
+def test_grants_that_arrive_after_the_wait_are_harmless() -> None:
+    """Keep one owner per key whatever the delay of a call that was given up."""
+    world = build_scene()
+    world.faults.queued_orders = 1
+    world.faults.max_queue_delay = Seconds(8)
+    world.run(0.6)
+    world.faults.queued_orders = 0
+    world.servers[0].cut = True
+    _assert_recovers(world, 16)
+
+
 # Guards against two owners when the last grant of a predecessor that resigned
 # reaches a server after that has released the keys to the successor.
 @pytest.mark.parametrize(('late', 'freed'), [(-0.01, False), (0.01, True)])
