Order tables and fencing tokens by the store's era

Cause: a number that must only rise was taken from a position that may fall. The store came back from a copy, its offsets went back and were given out again. (1) The controller repeated its append at a position that the shorter log did not have, for ever, as the check after a conflict got 410 and called that unknown. (2) The fencing token is the table's offset plus one, so two tables had one token. (3) A successor waited for the holders that the copy's table names, not for those that the lost tables had given the keys to.

Change: each answer of the store states its era. An offset is valid in its era only, so every topic is read anew after the return, and answers of an earlier era are discarded. Positions and fencing tokens are ordered by the era first. The controller stores its table again, as it knows what the store has lost, also when the restored group names another member. It gives no key away before each holder has confirmed its grant once more with the token that it has: one that another controller had taken over would refuse.

Tried and given up: a controller that goes on without confirmation.

--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -16,6 +16,7 @@
 from measure.worldstore import WorldStore
 from measure.worldworker import Order, OrderWorker, Reply, build_unanswered
 from trefoilsaddle.core.units import (
+    NO_ERA,
     CallId,
     NodeId,
     Offset,
@@ -23,6 +24,7 @@
     Seconds,
     ServerId,
     ServiceName,
+    StoreEra,
     ZoneName,
 )
 from trefoilsaddle.gateway.configuration import Configuration
@@ -373,6 +375,9 @@
     ) -> None:
         log = self.store.records[effect.topic]
         whole = effect.offset is None
+        if not whole and effect.era != self.store.era:
+            self._expire_read(process, effect, requested_at)
+            return
         if whole:
             entries = self.store.read_newest(effect.topic)
         else:
@@ -390,14 +395,32 @@
             next_offset=self.store.find_end(effect.topic),
             entries=entries,
             asked_at=requested_at,
+            era=self.store.era,
+        )
+        self.feed(process, read)
+
+    def _expire_read(
+        self,
+        process: Process,
+        effect: ReadTopic,
+        requested_at: Seconds,
+    ) -> None:
+        read = TopicRead(
+            effect.topic,
+            ReadVerdict.expired,
+            whole=False,
+            next_offset=effect.offset or Offset(0),
+            entries=(),
+            asked_at=requested_at,
+            era=self.store.era,
         )
         self.feed(process, read)
 
     def _append(self, process: Process, effect: AppendTable) -> None:
         table = effect.table
 
-        def answer(verdict: AppendVerdict) -> None:
-            ended = AppendEnded(table.service, table.sequence, verdict)
+        def answer(verdict: AppendVerdict, era: StoreEra = NO_ERA) -> None:
+            ended = AppendEnded(table.service, table.sequence, verdict, era)
             self.feed(process, ended)
 
         def store() -> None:
@@ -408,7 +431,8 @@
             if self.random.random() < self.faults.lost_appends:
                 self.after(_CALL_TIMEOUT, lambda: answer(AppendVerdict.unknown))
                 return
-            self.after(_LATENCY, lambda: answer(verdict))
+            era = self.store.era
+            self.after(_LATENCY, lambda: answer(verdict, era))
 
         if self._is_store_unreachable(process):
             self.after(_CALL_TIMEOUT, lambda: answer(AppendVerdict.unknown))
@@ -428,6 +452,7 @@
                 generation=self.store.generation,
                 leads=leads,
                 asked_at=requested_at,
+                era=NO_ERA if away else self.store.era,
             )
             self.feed(process, ended)
 
--- a/measure/worldstore.py
+++ b/measure/worldstore.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from trefoilsaddle.core.units import Offset, Seconds, ServerId
+from trefoilsaddle.core.units import Offset, Seconds, ServerId, StoreEra
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import AppendTable
 from trefoilsaddle.gateway.events import (
@@ -22,6 +22,16 @@
     lease: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Contents of the store at some time."""
+
+    records: dict[Topic, list[TopicEntry]]
+    members: dict[str, Membership]
+    leader: str
+    generation: int
+
+
 @dataclass(slots=True)
 class WorldStore:
     """Topics and group membership, which survive gateways and servers."""
@@ -32,6 +42,31 @@
     members: dict[str, Membership] = field(default_factory=dict)
     leader: str = ''
     generation: int = 0
+    era: StoreEra = StoreEra(1)
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of the contents."""
+        return StoreCopy(
+            {topic: list(log) for topic, log in self.records.items()},
+            dict(self.members),
+            self.leader,
+            self.generation,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy, which begins the next era.
+
+        The operator and the servers write again what they wrote since.
+        """
+        lost = self.records
+        self.records = {topic: list(log) for topic, log in copy.records.items()}
+        self.members = dict(copy.members)
+        self.leader = copy.leader
+        self.generation = copy.generation
+        self.era = StoreEra(self.era + 1)
+        for topic in (Topic.configuration, Topic.servers):
+            kept = len(self.records[topic])
+            self.records[topic].extend(lost[topic][kept:])
 
     def write_configuration(self, configuration: Configuration) -> None:
         """Write a configuration, as an operator would."""
@@ -51,7 +86,7 @@
         if len(log) == effect.expected:
             log.append(StoredTable(effect.expected, effect.table))
             return AppendVerdict.stored
-        found = log[effect.expected]
+        found = log[effect.expected] if effect.expected < len(log) else None
         if isinstance(found, StoredTable) and found.table == effect.table:
             return AppendVerdict.stored
         return AppendVerdict.conflict
--- /dev/null
+++ b/tests/test_gatewayrestore.py
@@ -0,0 +1,301 @@
+"""Test that keys have one owner when the store comes back from a copy.
+
+The copy is some seconds old: tables that the store has acknowledged since are
+lost, and their offsets are given out again.  The simulation raises as soon as
+two servers hold a key or a fencing token does not rise.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+
+import pytest
+
+from measure.gatewayworld import Process, World
+from measure.worldservers import OwnerError
+from measure.worldstore import Membership, StoreCopy
+from tests.gatewayscenes import GATEWAYS, build_scene, list_unowned
+from trefoilsaddle.core.units import NodeId, Offset, Seconds, StoreEra
+from trefoilsaddle.gateway.assigning import find_fence
+from trefoilsaddle.gateway.events import StopRequested, Topic
+from trefoilsaddle.gateway.table import TablePosition
+
+_Trouble = Callable[[World], None]
+
+# Longest time until keys are owned again whose holders were unknown: the time
+# for which a controller may renew without the store, a late call, the longest
+# hold and a new division.
+_MAX_UNOWNED_TIME = 28
+_LOAD_TIME = Seconds(32)
+
+
+@dataclass(frozen=True, slots=True)
+class _Restore:
+    """Describe an outage of the store that ends with an old copy."""
+
+    # Age of the copy when the store goes away.
+    age: float = 4
+    outage: float = 2
+
+
+def _find_controller(world: World) -> Process:
+    process = world.find_controller()
+    assert process is not None
+    return process
+
+
+def _send_load(world: World, random: Random) -> None:
+    """Send requests for few keys, others each second, so that ranges move."""
+
+    end = world.now + _LOAD_TIME
+
+    def send() -> None:
+        living = [
+            name for name in GATEWAYS if world.processes[NodeId(name)].alive
+        ]
+        if living:
+            first = int(world.now) * 7919 % 65_000
+            key = first + random.randrange(300)
+            world.call(random.choice(living), '/reads/x', key)
+        if world.now < end:
+            world.after(0.02, send)
+
+    world.after(0.02, send)
+
+
+def _restore(world: World, restore: _Restore) -> None:
+    """Let the store go away and come back from a copy."""
+    copy = world.store.copy()
+    world.run(restore.age)
+    world.faults.store_down = True
+    world.after(restore.outage, partial(_bring_back, world, copy))
+
+
+def _bring_back(world: World, copy: StoreCopy) -> None:
+    world.store.restore(copy)
+    world.faults.store_down = False
+
+
+def _kill_controller(world: World) -> None:
+    process = world.find_controller()
+    if process is None:
+        return
+    name = process.gateway.options.node
+    world.kill_gateway(name)
+    world.after(0.7, partial(_start, world, name))
+
+
+def _lose_controller(world: World) -> None:
+    process = world.find_controller()
+    if process is not None:
+        world.kill_gateway(process.gateway.options.node)
+
+
+def _cut_controller(world: World) -> None:
+    process = world.find_controller()
+    if process is None:
+        return
+    process.store_cut = True
+    process.peers_cut = True
+    world.after(20, partial(_reconnect, process))
+
+
+def _reconnect(process: Process) -> None:
+    process.store_cut = False
+    process.peers_cut = False
+
+
+def _stop_controller(world: World) -> None:
+    process = world.find_controller()
+    if process is not None:
+        world.feed(process, StopRequested())
+
+
+def _kill_all(world: World) -> None:
+    for name in GATEWAYS:
+        world.kill_gateway(name)
+        world.after(0.5, partial(_start, world, name))
+
+
+def _start(world: World, name: str) -> None:
+    world.start_gateway(name)
+
+
+def _choose_another_member(world: World) -> None:
+    old = world.find_controller()
+    other = next(
+        process
+        for process in world.processes.values()
+        if process.alive and process is not old
+    )
+    options = other.gateway.options
+    world.store.leader = f'{options.node}-{options.run}'
+    lease = Membership(world.now, Seconds(5))
+    world.store.members[world.store.leader] = lease
+
+
+def _do_nothing(world: World) -> None:
+    """Add no trouble."""
+
+
+_TROUBLES: dict[str, _Trouble] = {
+    'none': _do_nothing,
+    'controller-killed': _kill_controller,
+    'controller-lost': _lose_controller,
+    'controller-cut': _cut_controller,
+    'controller-stopped': _stop_controller,
+    'all-killed': _kill_all,
+    'another-chosen': _choose_another_member,
+}
+
+
+# Guards against two owners after the store lost the newest tables.
+@pytest.mark.parametrize('trouble', _TROUBLES.values(), ids=_TROUBLES)
+@pytest.mark.parametrize('after', [-3, -1, 0.01, 0.2, 0.8])
+@pytest.mark.parametrize('seed', [1, 2])
+def test_keys_are_owned_once_when_the_store_returns_from_a_copy(
+    trouble: _Trouble,
+    after: float,
+    seed: int,
+) -> None:
+    """Keep one owner per key through a trouble around the return."""
+    world = _play(trouble, after, seed)
+    world.run(8)
+    assert list_unowned(world) == []
+
+
+def _play(trouble: _Trouble, after: float, seed: int) -> World:
+    world = build_scene(seed)
+    restore = _Restore()
+    _send_load(world, Random(seed))
+    world.run(1)
+    world.after(restore.age + restore.outage + after, partial(trouble, world))
+    _restore(world, restore)
+    world.run(_MAX_UNOWNED_TIME)
+    return world
+
+
+def _ignore_era(position: TablePosition) -> int:
+    return position.offset + 1
+
+
+def _trust_copy(*arguments: object) -> bool:
+    return False
+
+
+@pytest.mark.parametrize(
+    ('guard', 'instead', 'trouble'),
+    [
+        ('assigning.find_fence', _ignore_era, _do_nothing),
+        ('takeover.is_outdated', _trust_copy, _cut_controller),
+    ],
+    ids=['fences-of-the-era', 'unknown-holders'],
+)
+def test_disabled_guard_is_detected(
+    guard: str,
+    instead: Callable[..., object],
+    trouble: _Trouble,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """See two owners within some seeds once a guard is disabled."""
+    monkeypatch.setattr(f'trefoilsaddle.gateway.{guard}', instead)
+    with pytest.raises(OwnerError):
+        for seed in range(20):
+            _play(trouble, 0.01, seed)
+
+
+# Guards against a controller that repeats an append for ever, as the store's
+# log has become shorter than the position it expects.
+def test_controller_moves_keys_after_the_return() -> None:
+    """Store tables and move keys again within two seconds of the return."""
+    world = build_scene()
+    _send_load(world, Random(1))
+    world.run(2)
+    _restore(world, _Restore())
+    world.run(2.5)
+    ended = world.store.find_end(Topic.ownership)
+    assert list_unowned(world) == []
+    world.crash_server(world.servers[0])
+    world.run(5)
+    assert list_unowned(world) == []
+    assert world.store.find_end(Topic.ownership) > ended
+
+
+# Guards against a wait for unknown holders where the last controller lives.
+def test_deposed_controller_stores_its_table_before_it_steps_down() -> None:
+    """Serve all keys although the copy's group names another controller."""
+    world = build_scene()
+    _send_load(world, Random(1))
+    world.run(2)
+    old = _find_controller(world)
+    _restore(world, _Restore())
+    world.after(2.0001, partial(_choose_another_member, world))
+    world.run(2)
+    world.run(4)
+    assert _find_controller(world) is not old
+    assert list_unowned(world) == []
+
+
+@pytest.mark.parametrize(
+    ('earlier', 'later'),
+    [
+        ((1, 50), (1, 51)),
+        ((1, 50), (2, 20)),
+        ((1, 50), (2, 0)),
+        ((-1, 50), (0, 51)),
+        ((-1, 50), (1, 0)),
+    ],
+)
+def test_fences_rise_with_the_era(
+    earlier: tuple[int, int],
+    later: tuple[int, int],
+) -> None:
+    """Order fencing tokens by the era first, and then by the offset."""
+    fences = [
+        find_fence(TablePosition(StoreEra(era), Offset(offset)))
+        for era, offset in (earlier, later)
+    ]
+    assert fences[0] < fences[1]
+
+
+# Guards against a controller that was replaced in tables that are lost.
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('cut_from_servers', [False, True])
+def test_replaced_controller_does_not_continue_after_the_return(
+    seed: int,
+    *,
+    cut_from_servers: bool,
+) -> None:
+    """Keep one owner per key if a cut controller is chosen by the copy."""
+    world = build_scene(seed)
+    _send_load(world, Random(seed))
+    world.run(1)
+    old = _find_controller(world)
+    copy = world.store.copy()
+    old.store_cut = True
+    old.peers_cut = True
+    if cut_from_servers:
+        old.unreachable = {server.entry.life.server for server in world.servers}
+    world.run(7)
+    world.faults.store_down = True
+    world.run(2)
+    _bring_back(world, copy)
+    _reconnect(old)
+    old.unreachable = set()
+    world.run(_MAX_UNOWNED_TIME)
+    world.run(8)
+    assert list_unowned(world) == []
+
+
+# Guards against keys that stay unserved for the whole outage tolerance although
+# every gateway is known to renew no grants.
+def test_reports_shorten_the_wait_for_unknown_holders() -> None:
+    """Serve keys again once all gateways have reported to the successor."""
+    world = build_scene()
+    _send_load(world, Random(1))
+    world.run(2)
+    world.after(5, partial(_kill_controller, world))
+    _restore(world, _Restore())
+    world.run(2 + 12)
+    assert list_unowned(world) == []
--- a/trefoilsaddle/core/units.py
+++ b/trefoilsaddle/core/units.py
@@ -8,6 +8,9 @@
 
 Seconds = NewType('Seconds', float)
 Offset = NewType('Offset', int)
+# Number of the store's incarnation: it rises when the store comes back from a
+# copy that lacks its newest records.
+StoreEra = NewType('StoreEra', int)
 Version = NewType('Version', int)
 RecordId = NewType('RecordId', str)
 
@@ -30,6 +33,8 @@
 AttemptId = NewType('AttemptId', int)
 
 NO_OFFSET = Offset(-1)
+# Era of answers and tables that state none.
+NO_ERA = StoreEra(-1)
 FOREVER = Seconds(float('inf'))
 
 
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -35,12 +35,14 @@
     join_free,
 )
 from trefoilsaddle.gateway.peers import dial
+from trefoilsaddle.gateway.restoring import end_wait
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.table import (
     GatewayAddress,
     OwnershipTable,
     StoredTable,
+    TablePosition,
 )
 from trefoilsaddle.gateway.watching import describe_spread
 
@@ -64,8 +66,11 @@
     now: Seconds,
 ) -> Effects:
     """Assign free partitions to servers by the next table."""
+    end_wait(keyed, now)
     if keyed.pending is not None or now < keyed.append_after:
         return []
+    if keyed.table_due:
+        return append_table(gateway, keyed)
     if _choose_holders(gateway, keyed, now) or _has_assigning(keyed):
         return append_table(gateway, keyed)
     return []
@@ -186,7 +191,7 @@
     keyed: KeyedControl,
     now: Seconds,
 ) -> bool:
-    if not _list_free(keyed):
+    if not _list_free(keyed, now):
         return False
     capacities = list_capacities(gateway, keyed, now)
     if not capacities:
@@ -215,7 +220,7 @@
     now: Seconds,
 ) -> bool:
     keyed.partitions.ordered = join_free(keyed.partitions.ordered)
-    free = _list_free(keyed)
+    free = _list_free(keyed, now)
     due = [partition for partition in free if _is_batch_due(partition, now)]
     if not due:
         return False
@@ -238,7 +243,9 @@
         for server in gateway.registry.list_service(keyed.service)
     )
     load = KeyLoad(keyed.rates.read(now))
-    freed = min(partition.free_since or now for partition in _list_free(keyed))
+    freed = min(
+        partition.free_since or now for partition in _list_free(keyed, now)
+    )
     wait_for_suspected = now - freed < _SUSPECTED_SERVER_WAIT
     division = Division(capacities, load, servers, wait_for_suspected)
     division.count(keyed.partitions.ordered)
@@ -318,11 +325,12 @@
         keyed.partitions.ordered.append(partition)
 
 
-def _list_free(keyed: KeyedControl) -> list[Partition]:
+def _list_free(keyed: KeyedControl, now: Seconds) -> list[Partition]:
     return [
         partition
         for partition in keyed.partitions.ordered
         if partition.state == PartitionState.free
+        and partition.held_until <= now
     ]
 
 
@@ -346,7 +354,7 @@
     keyed: KeyedControl,
     end: Offset,
 ) -> OwnershipTable:
-    fence = find_fence(end)
+    fence = find_fence(TablePosition(gateway.era, end))
     for partition in keyed.partitions.ordered:
         if partition.state == PartitionState.assigning:
             partition.fence = fence
@@ -354,13 +362,20 @@
         service=keyed.service,
         controller=gateway.own_address(),
         sequence=keyed.sequence,
-        resigned=gateway.stopping_since is not None,
+        resigned=_is_resigning(gateway),
         assignments=keyed.partitions.list_assignments(fence),
         hold=bound_hold(gateway, keyed),
         predecessors=_list_predecessors(keyed),
+        era=gateway.era,
+        incomplete=keyed.unknown_until is not None,
     )
 
 
+def _is_resigning(gateway: Gateway) -> bool:
+    stopping = gateway.stopping_since is not None
+    return stopping or not gateway.control.elected
+
+
 def _list_predecessors(keyed: KeyedControl) -> tuple[GatewayAddress, ...]:
     # Servers that accepted a grant refuse all controllers before it.
     if any(partition.inherited for partition in keyed.partitions.ordered):
@@ -368,10 +383,17 @@
     return ()
 
 
-def find_fence(position: Offset) -> int:
+def find_fence(position: TablePosition) -> int:
     """Return the fencing token of the grants of a stored table."""
-    # Positions start at zero, tokens at one.
-    return position + 1
+    # Offsets start at zero, tokens at one; offsets are given out again in the
+    # next era.
+    era = max(position.era, 0)
+    return era * _FENCES_PER_ERA + position.offset + 1
+
+
+# More than the tables of one era.  Tokens of 8,000 eras are below 2**53, which
+# any JSON parser reads exactly.
+_FENCES_PER_ERA = 2**40
 
 
 def _accept_table(
@@ -381,14 +403,15 @@
     now: Seconds,
 ) -> Effects:
     keyed.pending = None
-    keyed.offset = pending.expected
+    keyed.table_due = False
+    keyed.position = TablePosition(pending.table.era, pending.expected)
     keyed.hold = pending.table.hold
     gateway.control.end = Offset(pending.expected + 1)
     gateway.tables[keyed.service] = StoredTable(
         pending.expected,
         pending.table,
     )
-    fence = find_fence(pending.expected)
+    fence = find_fence(keyed.position)
     for partition in keyed.partitions.ordered:
         if (
             partition.state == PartitionState.assigning
@@ -401,11 +424,15 @@
         Component.ownership,
         'table stored',
         service=keyed.service,
+        era=pending.table.era,
         offset=pending.expected,
         ranges=len(pending.table.assignments),
         **describe_spread(pending.table),
     )
-    return [line, *dial(gateway, pending.table.controller)]
+    effects: Effects = [line, *dial(gateway, pending.table.controller)]
+    if not gateway.control.elected and keyed.unknown_until is None:
+        effects.extend(step_down(gateway, 'the store chose another member'))
+    return effects
 
 
 def _undo_assignment(keyed: KeyedControl, now: Seconds) -> None:
--- a/trefoilsaddle/gateway/control.py
+++ b/trefoilsaddle/gateway/control.py
@@ -14,7 +14,12 @@
 from trefoilsaddle.gateway.peermessages import ServerLoad
 from trefoilsaddle.gateway.servers import Server, ServerIncarnation, ServerTag
 from trefoilsaddle.gateway.suspicion import Suspicions
-from trefoilsaddle.gateway.table import GatewayAddress, OwnershipTable
+from trefoilsaddle.gateway.table import (
+    NO_POSITION,
+    GatewayAddress,
+    OwnershipTable,
+    TablePosition,
+)
 
 
 @dataclass(slots=True)
@@ -44,9 +49,15 @@
     # Longest hold that the table of the previous controller allowed.
     inherited_hold: Seconds = Seconds(0)
     # Position of the last accepted table.
-    offset: Offset = Offset(-1)
+    position: TablePosition = NO_POSITION
     # Earlier controllers that may still renew grants.
     predecessors: tuple[GatewayAddress, ...] = ()
+    # True while the store lacks this controller's table, as it came back from a
+    # copy.
+    table_due: bool = False
+    # Time until which servers may hold keys by tables that are lost; None if
+    # every holder is known.
+    unknown_until: Seconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +117,8 @@
     read_after: Seconds = Seconds(0)
     # Time at which the last call that confirmed the election was sent.
     confirmed_at: Seconds = Seconds(0)
+    # Since when the newest tables in the store are those of an earlier era.
+    outdated_since: Seconds | None = None
     # Expected position of the store's next record.
     end: Offset | None = None
     keyed: dict[ServiceName, KeyedControl] = field(default_factory=dict)
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -49,6 +49,7 @@
 from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.pacing import bound_moves, count_changing
 from trefoilsaddle.gateway.peermessages import Report
+from trefoilsaddle.gateway.restoring import is_outdated
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.takeover import (
     record_resigned,
@@ -61,6 +62,9 @@
 _REPORT_TIMEOUT = Seconds(3)
 # Age of the store's last answer up to which it is considered reachable.
 _MAX_STORE_AGE = Seconds(0.8)
+# Time within which a controller stores its tables again once the store is back
+# from a copy: two tries to read, 0.3 s apart, and a grant of each partition.
+_RESTORE_TIME = Seconds(1.5)
 
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
@@ -121,14 +125,37 @@
     control = gateway.control
     if not event.whole or event.verdict != ReadVerdict.records:
         return []
-    if not control.elected or control.leading:
+    if gateway.is_outdated(event.era):
         return []
-    if gateway.topics[Topic.servers].next_offset is None:
+    if control.leading and control.end is None:
+        # The store came back from a copy and has no table of a successor.
+        control.end = event.next_offset
+        return _update(gateway, now)
+    if not _may_take_over(gateway) or _awaits_predecessor(gateway, now):
         return []
     control.end = event.next_offset
     return take_over(gateway, now)
 
 
+def _may_take_over(gateway: Gateway) -> bool:
+    control = gateway.control
+    servers = gateway.topics[Topic.servers]
+    waiting = control.elected and not control.leading
+    return waiting and servers.next_offset is not None
+
+
+def _awaits_predecessor(gateway: Gateway, now: Seconds) -> bool:
+    """Return whether the last controller may still store its tables again."""
+    control = gateway.control
+    if not any(
+        is_outdated(gateway, stored) for stored in gateway.tables.values()
+    ):
+        return False
+    if control.outdated_since is None:
+        control.outdated_since = now
+    return now - control.outdated_since < _RESTORE_TIME
+
+
 def _resign(gateway: Gateway) -> Effects:
     control = gateway.control
     effects: Effects = []
@@ -144,6 +171,8 @@
     if not control.leading:
         return _retry_read(gateway, now)
     effects = _add_services(gateway, now)
+    if control.end is None:
+        effects.extend(_retry_read(gateway, now))
     _remove_silent(control.reporters, now)
     _record_addresses(gateway)
     for keyed in list(control.keyed.values()):
@@ -163,7 +192,8 @@
     # The store may have been unreachable at the first read, or the
     # configuration or the servers not yet known.
     control = gateway.control
-    if not control.elected or now < control.read_after:
+    wanted = control.elected or control.leading
+    if not wanted or now < control.read_after:
         return []
     control.read_after = Seconds(now + gateway.options.retry_interval)
     return [read_tables()]
@@ -209,7 +239,7 @@
     keyed.rates.decay(now)
     partitions = keyed.partitions.ordered
     changing = sum(not partition.granted for partition in partitions)
-    if keyed.pending is not None:
+    if keyed.pending is not None or keyed.unknown_until is not None:
         return []
     capacities = list_capacities(gateway, keyed, now)
     if changing > count_changing(gateway, len(capacities)):
--- a/trefoilsaddle/gateway/effects.py
+++ b/trefoilsaddle/gateway/effects.py
@@ -4,11 +4,13 @@
 from enum import Enum, unique
 
 from trefoilsaddle.core.units import (
+    NO_ERA,
     CallId,
     NodeId,
     Offset,
     Seconds,
     ServiceName,
+    StoreEra,
     Version,
 )
 from trefoilsaddle.gateway.events import TimerKind, Topic
@@ -80,6 +82,8 @@
     offset: Offset | None
     # Longest time that the store waits for the next record.
     wait: Seconds
+    # Era in which the offset was given out.
+    era: StoreEra = NO_ERA
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/election.py
+++ b/trefoilsaddle/gateway/election.py
@@ -73,6 +73,7 @@
     control.leading = False
     control.elected = False
     control.end = None
+    control.outdated_since = None
     control.keyed.clear()
     gateway.link.awaiting_update.clear()
     return [
@@ -87,6 +88,15 @@
     return control.leading and age <= gateway.options.outage_tolerance
 
 
+def is_restoring(gateway: Gateway) -> bool:
+    """Return whether the store may lack tables that only this gateway has."""
+    return gateway.control.leading and any(
+        (keyed.table_due or keyed.unknown_until is not None)
+        and any(partition.granted for partition in keyed.partitions.ordered)
+        for keyed in gateway.control.keyed.values()
+    )
+
+
 def _join(gateway: Gateway, now: Seconds) -> Effects:
     control = gateway.control
     options = gateway.options
@@ -150,22 +160,34 @@
         # The next call of an elected member is already scheduled.
         pause = _find_join_interval(gateway, now)
         effects.append(SetTimer(TimerKind.join_group, pause))
-    if not event.answered:
-        if control.leading and not may_renew(gateway, now):
-            effects.extend(step_down(gateway, 'store unreachable for too long'))
-        return effects
+    if not event.answered or gateway.is_outdated(event.era):
+        return [*effects, *_check_renewing(gateway, now)]
     control.generation = event.generation
     if gateway.stopping_since is not None:
         return effects
     if not event.leads:
-        effects.extend(step_down(gateway, 'the store chose another member'))
-        return effects
+        return [*effects, *_handle_deposed(gateway, now)]
     control.confirmed_at = event.asked_at
     if control.elected:
         return effects
     return [*effects, *_handle_elected(gateway, now, event.generation)]
 
 
+def _check_renewing(gateway: Gateway, now: Seconds) -> Effects:
+    if gateway.control.leading and not may_renew(gateway, now):
+        return step_down(gateway, 'store unreachable for too long')
+    return []
+
+
+def _handle_deposed(gateway: Gateway, now: Seconds) -> Effects:
+    if is_restoring(gateway) and may_renew(gateway, now):
+        # Only this gateway knows the tables that the store has lost: it stores
+        # them before it steps down.
+        gateway.control.elected = False
+        return []
+    return step_down(gateway, 'the store chose another member')
+
+
 def _handle_elected(gateway: Gateway, now: Seconds, generation: int) -> Effects:
     options = gateway.options
     gateway.control.elected = True
--- a/trefoilsaddle/gateway/ending.py
+++ b/trefoilsaddle/gateway/ending.py
@@ -167,4 +167,4 @@
 def find_owners_offset(gateway: Gateway, call: OpenCall) -> int:
     """Return the position of the known ownership table, or -1."""
     owners = gateway.owners.get(call.service)
-    return -1 if owners is None else owners.offset
+    return -1 if owners is None else owners.position.offset
--- /dev/null
+++ b/trefoilsaddle/gateway/eras.py
@@ -0,0 +1,60 @@
+"""Detect that the store came back from a copy of itself.
+
+Such a store lacks its newest records and gives their offsets out again.  Its
+era rises, and each of its answers states it.  An offset is valid only in the
+era in which it was given out, so that every topic is read anew; an answer of an
+earlier era tells nothing about the present contents.
+"""
+
+from trefoilsaddle.core.units import NO_ERA, Seconds, StoreEra
+from trefoilsaddle.gateway.effects import Component, Effects
+from trefoilsaddle.gateway.election import read_tables, step_down
+from trefoilsaddle.gateway.events import (
+    AppendEnded,
+    Event,
+    JoinEnded,
+    TopicRead,
+)
+from trefoilsaddle.gateway.loglines import log_event
+from trefoilsaddle.gateway.restoring import begin_wait
+from trefoilsaddle.gateway.state import Gateway
+
+
+def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
+    """Record the era of each answer of the store."""
+    if isinstance(event, (TopicRead, JoinEnded, AppendEnded)):
+        return _record_era(gateway, now, event.era)
+    return []
+
+
+def _record_era(gateway: Gateway, now: Seconds, era: StoreEra) -> Effects:
+    known = gateway.era
+    if era <= known:
+        return []
+    gateway.era = era
+    if known == NO_ERA:
+        return []
+    line = log_event(
+        Component.store, 'store came back from a copy', known=known, era=era
+    )
+    for topic in gateway.topics.values():
+        topic.next_offset = None
+    if not gateway.control.leading:
+        return [line]
+    return [line, *_restore_tables(gateway, now)]
+
+
+def _restore_tables(gateway: Gateway, now: Seconds) -> Effects:
+    """Begin to store the tables again that the store may have lost."""
+    control = gateway.control
+    control.end = None
+    # Only later reports show that their gateways renew no grants.
+    control.term += 1
+    for keyed in control.keyed.values():
+        stored = gateway.tables.get(keyed.service)
+        if stored is None or stored.table.controller != gateway.own_address():
+            # A controller before this one may have stored tables as well.
+            reason = 'the store came back before the takeover'
+            return [*step_down(gateway, reason), read_tables()]
+        begin_wait(gateway, keyed, stored, now)
+    return [read_tables()]
--- a/trefoilsaddle/gateway/events.py
+++ b/trefoilsaddle/gateway/events.py
@@ -4,11 +4,13 @@
 from enum import Enum, unique
 
 from trefoilsaddle.core.units import (
+    NO_ERA,
     CallId,
     NodeId,
     Offset,
     Seconds,
     ServiceName,
+    StoreEra,
 )
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.keys import Key, KeyRange
@@ -65,7 +67,8 @@
     """List the results of a read of the store."""
 
     records = 'records'
-    # The offset is older than the first record that the store still has.
+    # The store has no record at the offset: the record has expired, or the
+    # offset is from an earlier era.
     expired = 'expired'
     unavailable = 'unavailable'
 
@@ -86,6 +89,8 @@
     entries: tuple[TopicEntry, ...] = field(repr=False)
     # Time at which the read was sent.
     asked_at: Seconds
+    # Era of the store that answered.
+    era: StoreEra = NO_ERA
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +102,8 @@
     # True if the store has elected this member as the controller.
     leads: bool
     asked_at: Seconds
+    # Era of the store that answered.
+    era: StoreEra = NO_ERA
 
 
 @unique
@@ -119,6 +126,8 @@
     service: ServiceName
     sequence: int
     verdict: AppendVerdict
+    # Era of the store that answered.
+    era: StoreEra = NO_ERA
 
 
 @unique
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 from types import MappingProxyType
 
-from trefoilsaddle.core.units import NO_OFFSET, Seconds, ServerId
+from trefoilsaddle.core.units import Seconds, ServerId
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import (
     Component,
@@ -44,7 +44,11 @@
     ServerRemoved,
 )
 from trefoilsaddle.gateway.state import Gateway, ServiceOwners, TopicState
-from trefoilsaddle.gateway.table import StoredTable, map_table
+from trefoilsaddle.gateway.table import (
+    NO_POSITION,
+    StoredTable,
+    map_table,
+)
 
 _NO_WAIT = Seconds(0)
 # Wait of a read for the first configuration; callers arrive seconds later.
@@ -118,7 +122,7 @@
     wait = _NO_WAIT
     if state.next_offset is not None:
         wait = _find_wait(gateway, topic)
-    return ReadTopic(topic, state.next_offset, wait)
+    return ReadTopic(topic, state.next_offset, wait, gateway.era)
 
 
 def _find_wait(gateway: Gateway, topic: Topic) -> Seconds:
@@ -193,6 +197,10 @@
     state.reading = False
     if event.verdict == ReadVerdict.unavailable:
         return _handle_unavailable(gateway, state, event)
+    if gateway.is_outdated(event.era):
+        # The read began before the store came back from a copy.
+        pause = _find_retry_delay(gateway)
+        return [SetTimer(_TIMERS[event.topic], pause)]
     effects: Effects = []
     if state.unreachable:
         effects.append(_handle_store_back(gateway, state, now, event))
@@ -389,16 +397,16 @@
 ) -> Effects:
     table = stored.table
     known = gateway.tables.get(table.service)
-    if known is not None and stored.offset <= known.offset:
+    if known is not None and stored.position <= known.position:
         return []
     gateway.tables[table.service] = stored
     gateway.link.controller_seen_at = now
     owners = gateway.owners.get(table.service)
-    offset = NO_OFFSET if owners is None else owners.offset
+    position = NO_POSITION if owners is None else owners.position
     own = table.controller == gateway.own_address()
-    if stored.offset > offset and not own:
+    if stored.position > position and not own:
         gateway.owners[table.service] = ServiceOwners(
-            map_table(table), stored.offset
+            map_table(table), stored.position
         )
         gateway.owners_changed = True
     effects: Effects = []
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -396,6 +396,7 @@
 ) -> Effects:
     line = _describe_grant(partition, now, 'keys are free', reason)
     partition.set_free(now, handover)
+    partition.inherited_until = keyed.unknown_until or Seconds(0)
     keyed.partitions.revision += 1
     return [line]
 
--- a/trefoilsaddle/gateway/partitions.py
+++ b/trefoilsaddle/gateway/partitions.py
@@ -286,12 +286,16 @@
         left.state == right.state == PartitionState.free
         and left.target == right.target
         and left.handover == right.handover
+        and left.inherited_until == right.inherited_until
     )
 
 
 def _can_join(left: Partition, right: Partition) -> bool:
     if left.failing_since is not None or right.failing_since is not None:
         return False
+    if left.inherited or right.inherited:
+        # The holder has to confirm the token that it has.
+        return False
     return (
         left.state == right.state == PartitionState.held
         and left.unanswered_until == right.unanswered_until
--- a/trefoilsaddle/gateway/peermessages.py
+++ b/trefoilsaddle/gateway/peermessages.py
@@ -3,9 +3,11 @@
 from dataclasses import dataclass, field
 
 from trefoilsaddle.core.units import (
+    NO_ERA,
     Offset,
     Seconds,
     ServiceName,
+    StoreEra,
     Version,
 )
 from trefoilsaddle.gateway.keys import Key
@@ -14,6 +16,7 @@
     GatewayAddress,
     OwnerEntry,
     OwnershipTable,
+    TablePosition,
 )
 
 
@@ -84,6 +87,13 @@
     # Position of the ownership table in the store.
     offset: Offset
     entries: tuple[OwnerEntry, ...]
+    # Era of the store in which the table was written.
+    era: StoreEra = NO_ERA
+
+    @property
+    def position(self) -> TablePosition:
+        """Return the position among the tables of all eras."""
+        return TablePosition(self.era, self.offset)
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -290,11 +290,11 @@
 
 def _apply_owners(gateway: Gateway, owners: OwnerNews) -> None:
     known = gateway.owners.get(owners.service)
-    if known is not None and owners.offset < known.offset:
+    if known is not None and owners.position < known.position:
         return
     gateway.owners[owners.service] = ServiceOwners(
         OwnerMap(owners.entries),
-        owners.offset,
+        owners.position,
     )
     gateway.owners_changed = True
 
--- a/trefoilsaddle/gateway/reducer.py
+++ b/trefoilsaddle/gateway/reducer.py
@@ -12,6 +12,7 @@
 from trefoilsaddle.gateway import (
     controller,
     election,
+    eras,
     following,
     forwarding,
     lifecycle,
@@ -29,6 +30,7 @@
 # The order matters: a step may rely on the state that earlier steps have
 # updated.
 _STEPS: tuple[_EventStep, ...] = (
+    eras.handle_event,
     lifecycle.handle_event,
     following.handle_event,
     peers.handle_event,
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -4,12 +4,14 @@
 from random import Random
 
 from trefoilsaddle.core.units import (
+    NO_ERA,
     CallId,
     NodeId,
     Offset,
     Seconds,
     ServerId,
     ServiceName,
+    StoreEra,
     Version,
 )
 from trefoilsaddle.gateway.budget import ServiceBudget
@@ -20,7 +22,12 @@
 from trefoilsaddle.gateway.options import GatewayOptions
 from trefoilsaddle.gateway.pools import Pools
 from trefoilsaddle.gateway.servers import Server, ServerRegistry, ServerTag
-from trefoilsaddle.gateway.table import GatewayAddress, OwnerMap, StoredTable
+from trefoilsaddle.gateway.table import (
+    GatewayAddress,
+    OwnerMap,
+    StoredTable,
+    TablePosition,
+)
 from trefoilsaddle.results import ResultCode
 
 
@@ -81,7 +88,7 @@
     """Hold the owners of a service's keys, as last known."""
 
     owners: OwnerMap
-    offset: Offset
+    position: TablePosition
 
 
 @dataclass(slots=True)
@@ -134,6 +141,8 @@
     )
     tables: dict[ServiceName, StoredTable] = field(default_factory=dict)
     owners: dict[ServiceName, ServiceOwners] = field(default_factory=dict)
+    # Newest era of the store that was seen in an answer.
+    era: StoreEra = NO_ERA
     # True until parked requests have been tried with the new owners.
     owners_changed: bool = False
     link: LinkState = field(default_factory=LinkState)
@@ -167,6 +176,10 @@
             options.node, options.run, options.host, options.port
         )
 
+    def is_outdated(self, era: StoreEra) -> bool:
+        """Return whether an answer or a table is of an earlier era."""
+        return NO_ERA < era < self.era
+
     def count_gateways(self) -> int:
         """Return the number of gateways that share limits."""
         return max(self.link.gateways, 1)
--- a/trefoilsaddle/gateway/statedump.py
+++ b/trefoilsaddle/gateway/statedump.py
@@ -105,7 +105,7 @@
 
 def _describe_owners(owners: ServiceOwners) -> _Described:
     return {
-        'offset': owners.offset,
+        'offset': owners.position.offset,
         'ranges': [
             [entry.first, entry.last, entry.tag, entry.serving]
             for entry in owners.owners.entries
--- a/trefoilsaddle/gateway/table.py
+++ b/trefoilsaddle/gateway/table.py
@@ -2,18 +2,38 @@
 
 The store keeps one table for each key-divided service. A controller appends a
 table on the condition that no other record was appended before it, so the
-tables have one order, and the position of a table in the store is the fencing
-token of the grants that it assigns.
+tables of one era of the store have one order.  When the store comes back from a
+copy, it gives offsets out again and its era rises: positions, and the fencing
+tokens made from them, are ordered by the era first.
 """
 
 from bisect import bisect_right
 from dataclasses import dataclass
 
-from trefoilsaddle.core.units import NodeId, Offset, Seconds, ServiceName
+from trefoilsaddle.core.units import (
+    NO_ERA,
+    NO_OFFSET,
+    NodeId,
+    Offset,
+    Seconds,
+    ServiceName,
+    StoreEra,
+)
 from trefoilsaddle.gateway.keys import Key, KeyRange
 from trefoilsaddle.gateway.servers import ServerIncarnation, ServerTag
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class TablePosition:
+    """Locate a table in the store; later tables have greater positions."""
+
+    era: StoreEra
+    offset: Offset
+
+
+NO_POSITION = TablePosition(NO_ERA, NO_OFFSET)
+
+
 @dataclass(frozen=True, slots=True)
 class GatewayAddress:
     """Identify one incarnation of a gateway and its address for peers."""
@@ -52,6 +72,12 @@
     # Earlier controllers that may still renew grants at servers which have not
     # yet accepted a grant of this controller.
     predecessors: tuple[GatewayAddress, ...] = ()
+    # Era in which the table was written; `NO_ERA` in records that do not state
+    # it.
+    era: StoreEra = NO_ERA
+    # True while servers that the table does not name may hold keys, as the
+    # tables that named them are lost.
+    incomplete: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +87,11 @@
     offset: Offset
     table: OwnershipTable
 
+    @property
+    def position(self) -> TablePosition:
+        """Return the position among the tables of all eras."""
+        return TablePosition(self.table.era, self.offset)
+
 
 # Not frozen, as each update creates hundreds.
 @dataclass(slots=True)
--- a/trefoilsaddle/gateway/takeover.py
+++ b/trefoilsaddle/gateway/takeover.py
@@ -4,6 +4,10 @@
 token. A server that accepts it refuses the calls of every earlier controller
 from then on. A server that does not answer may hold its keys for as long as the
 earlier controller may renew their grants, plus one hold.
+
+A table of an earlier era names the holders of a time before the store came back
+from a copy.  The tables since then are lost, and any server may hold keys by one
+of them: no key is granted until all such grants have lapsed.
 """
 
 from collections.abc import Iterable
@@ -14,16 +18,20 @@
 from trefoilsaddle.gateway.effects import Component, Effects
 from trefoilsaddle.gateway.keys import ALL_KEYS
 from trefoilsaddle.gateway.loglines import log_event
-from trefoilsaddle.gateway.options import CONNECT_TIMEOUT
-from trefoilsaddle.gateway.partitions import (
-    MAX_CALL_DELAY,
-    Partition,
-    PartitionState,
-    find_grant_end,
-)
+from trefoilsaddle.gateway.partitions import Partition, PartitionState
 from trefoilsaddle.gateway.peermessages import Report
+from trefoilsaddle.gateway.restoring import (
+    begin_wait,
+    find_latest_end,
+    is_outdated,
+    shorten_waits,
+)
 from trefoilsaddle.gateway.state import Gateway
-from trefoilsaddle.gateway.table import Assignment, GatewayAddress, StoredTable
+from trefoilsaddle.gateway.table import (
+    Assignment,
+    GatewayAddress,
+    StoredTable,
+)
 
 
 def take_over(gateway: Gateway, now: Seconds) -> Effects:
@@ -35,6 +43,7 @@
     control.leading = True
     control.leading_since = now
     control.term += 1
+    control.outdated_since = None
     control.sent_servers.clear()
     control.sent_revisions.clear()
     control.sent_loads.clear()
@@ -54,6 +63,8 @@
     keyed = KeyedControl(service)
     gateway.control.keyed[service] = keyed
     stored = gateway.tables.get(service)
+    if stored is not None and is_outdated(gateway, stored):
+        return _await_unknown_holders(gateway, keyed, stored, now)
     if stored is None:
         keyed.partitions.ordered = [Partition(ALL_KEYS, since=now)]
         first = log_event(
@@ -67,6 +78,7 @@
         Component.ownership,
         'taking over',
         service=service,
+        era=stored.table.era,
         offset=stored.offset,
         predecessor=stored.table.controller.node,
     )
@@ -80,6 +92,31 @@
     return [line]
 
 
+def _await_unknown_holders(
+    gateway: Gateway,
+    keyed: KeyedControl,
+    stored: StoredTable,
+    now: Seconds,
+) -> Effects:
+    keyed.position = stored.position
+    partitions = [
+        Partition(row.keys, target=row.life.server, since=now, free_since=now)
+        for row in stored.table.assignments
+    ]
+    keyed.partitions.ordered = fill_gaps(partitions)
+    begin_wait(gateway, keyed, stored, now)
+    line = log_event(
+        Component.ownership,
+        'holders are unknown',
+        service=keyed.service,
+        table_era=stored.table.era,
+        offset=stored.offset,
+        era=gateway.era,
+        predecessor=stored.table.controller.node,
+    )
+    return [line, *append_table(gateway, keyed)]
+
+
 def record_resigned(
     gateway: Gateway,
     report: Report,
@@ -101,9 +138,7 @@
             continue
         keyed.predecessors = left
         if not left:
-            until = _find_latest_end(gateway, keyed, now)
-            for partition in _list_partitions(keyed):
-                partition.shorten_inherited(until)
+            shorten_waits(gateway, keyed, now)
 
 
 def _drop_node(
@@ -126,7 +161,7 @@
     options = gateway.options
     table = stored.table
     keyed.inherited_hold = table.hold or options.max_hold
-    held_until = _find_latest_end(gateway, keyed, now)
+    held_until = find_latest_end(gateway, keyed, now)
     # Earlier controllers may still renew grants without the store.
     renewing = table.predecessors
     if not table.resigned:
@@ -134,7 +169,7 @@
     keyed.predecessors = _drop_node(renewing, options.node)
     if keyed.predecessors:
         held_until = Seconds(held_until + options.outage_tolerance)
-    keyed.offset = stored.offset
+    keyed.position = stored.position
     partitions = [
         _import_partition(gateway, row, held_until, now)
         for row in table.assignments
@@ -142,17 +177,6 @@
     keyed.partitions.ordered = fill_gaps(partitions)
 
 
-def _find_latest_end(
-    gateway: Gateway,
-    keyed: KeyedControl,
-    ended: Seconds,
-) -> Seconds:
-    # A call that was sent as its controller stopped may still be in flight.
-    call = gateway.options.grant_timeout + CONNECT_TIMEOUT
-    arrival = Seconds(ended + call + MAX_CALL_DELAY)
-    return find_grant_end(keyed.inherited_hold, arrival)
-
-
 def _import_partition(
     gateway: Gateway,
     row: Assignment,
--- a/trefoilsaddle/gateway/updates.py
+++ b/trefoilsaddle/gateway/updates.py
@@ -226,8 +226,9 @@
     partitions = keyed.partitions
     return OwnerNews(
         keyed.service,
-        keyed.offset,
+        keyed.position.offset,
         partitions.list_entries(),
+        keyed.position.era,
     )
 
 
--- a/trefoilsaddle/platform/headers.py
+++ b/trefoilsaddle/platform/headers.py
@@ -16,6 +16,10 @@
 # Handover token that the former owner of the keys leaves for the next one.
 HANDOVER = b'x-handover'
 
+# Number of the store's incarnation; it rises when the store comes back from a
+# copy.
+STORE_ERA = b'store-era'
+
 HOST = b'host'
 LENGTH = b'content-length'
 TYPE = b'content-type'
--- a/trefoilsaddle/platform/store.py
+++ b/trefoilsaddle/platform/store.py
@@ -1,6 +1,7 @@
 """Read and write the topics of the platform's metadata store."""
 
 import json
+import re
 from base64 import b64decode
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -14,7 +15,13 @@
 
 from trefoilsaddle.clock import Clock
 from trefoilsaddle.core.errors import Failure
-from trefoilsaddle.core.units import Offset, Seconds, ServerId
+from trefoilsaddle.core.units import (
+    NO_ERA,
+    Offset,
+    Seconds,
+    ServerId,
+    StoreEra,
+)
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import AppendTable, JoinGroup, ReadTopic
 from trefoilsaddle.gateway.events import (
@@ -34,7 +41,12 @@
 from trefoilsaddle.platform.configuration import decode_configuration
 from trefoilsaddle.platform.durations import write_duration
 from trefoilsaddle.platform.entries import decode_entry
-from trefoilsaddle.platform.headers import HOST, JSON_TYPE, LENGTH
+from trefoilsaddle.platform.headers import (
+    HOST,
+    JSON_TYPE,
+    LENGTH,
+    STORE_ERA,
+)
 from trefoilsaddle.platform.models import WireModel
 from trefoilsaddle.platform.records import (
     KeyedRecord,
@@ -71,6 +83,7 @@
 # A page holds 1 MB of records, which base64 makes a third larger, and 500 keys.
 _MAX_ANSWER_BYTES = 4_194_304
 _MILLISECONDS = 1000
+_ERA_FORMAT = re.compile(rb'[0-9]{1,9}')
 
 
 class _WireJoined(WireModel):
@@ -106,6 +119,7 @@
     records: tuple[KeyedRecord, ...]
     more: bool
     end: Offset
+    era: StoreEra
 
 
 class PlatformStore(Store):
@@ -146,9 +160,10 @@
         }
         answer = await self._call(b'POST', _APPEND, query, body)
         verdict = _evaluate_append(answer)
-        if verdict == AppendVerdict.conflict:
+        era = _find_era(answer)
+        if verdict == AppendVerdict.conflict and era == table.era:
             verdict = await self._check_stored(effect, encoded)
-        return AppendEnded(table.service, table.sequence, verdict)
+        return AppendEnded(table.service, table.sequence, verdict, era)
 
     async def join(self, effect: JoinGroup) -> JoinEnded:
         """Join the group of gateways, or renew the membership."""
@@ -176,6 +191,7 @@
             generation=joined.generation,
             leads=self._controller_partition in partitions,
             asked_at=asked_at,
+            era=_find_era(answer),
         )
 
     async def leave(self) -> None:
@@ -205,13 +221,16 @@
             query['waitMs'] = int(effect.wait * _MILLISECONDS)
         timeout = Seconds(effect.wait + _CALL_TIMEOUT)
         answer = await self._call(b'GET', _READ, query, b'', timeout)
-        if isinstance(answer, HttpAnswer) and answer.status == HTTPStatus.GONE:
-            return _fail_read(effect, ReadVerdict.expired, asked_at)
+        if isinstance(answer, Fault):
+            return _fail_read(effect, ReadVerdict.unavailable, asked_at)
+        era = _find_era(answer)
+        if answer.status == HTTPStatus.GONE or era not in {effect.era, NO_ERA}:
+            return _fail_read(effect, ReadVerdict.expired, asked_at, era)
         page = None
-        if isinstance(answer, HttpAnswer) and answer.status == HTTPStatus.OK:
+        if answer.status == HTTPStatus.OK:
             page = decode_page(answer.body, offset)
         if page is None:
-            return _fail_read(effect, ReadVerdict.unavailable, asked_at)
+            return _fail_read(effect, ReadVerdict.unavailable, asked_at, era)
         return TopicRead(
             effect.topic,
             ReadVerdict.records,
@@ -219,6 +238,7 @@
             next_offset=Offset(offset + len(page)),
             entries=_decode_all(effect.topic, page),
             asked_at=asked_at,
+            era=era,
         )
 
     async def _read_newest(
@@ -226,17 +246,17 @@
         effect: ReadTopic,
         asked_at: Seconds,
     ) -> TopicRead:
-        end: Offset | None = None
+        first: _Newest | None = None
         records: list[KeyedRecord] = []
         after = ''
         more = True
         while more:
             page = await self._read_newest_page(effect.topic, after)
-            if page is None:
-                return _fail_read(effect, ReadVerdict.unavailable, asked_at)
             # The pages are not one snapshot: continue from the end of the
             # first page, so that no later record is missed.
-            end = page.end if end is None else end
+            first = first or page
+            if page is None or first is None or page.era != first.era:
+                return _fail_read(effect, ReadVerdict.unavailable, asked_at)
             records.extend(page.records)
             more = page.more and bool(page.records)
             if more:
@@ -245,9 +265,10 @@
             effect.topic,
             ReadVerdict.records,
             whole=True,
-            next_offset=Offset(end or 0),
+            next_offset=Offset(0) if first is None else first.end,
             entries=_decode_all(effect.topic, records),
             asked_at=asked_at,
+            era=NO_ERA if first is None else first.era,
         )
 
     async def _read_newest_page(
@@ -269,7 +290,7 @@
             KeyedRecord(Offset(entry.offset), entry.key, entry.body)
             for entry in page.records
         )
-        return _Newest(records, page.more, Offset(page.end))
+        return _Newest(records, page.more, Offset(page.end), _find_era(answer))
 
     async def _check_stored(
         self,
@@ -324,6 +345,13 @@
     return AppendVerdict.refused
 
 
+def _find_era(answer: HttpAnswer | Fault) -> StoreEra:
+    if isinstance(answer, Fault):
+        return NO_ERA
+    stated = answer.find_header(STORE_ERA) or b''
+    return StoreEra(int(stated)) if _ERA_FORMAT.fullmatch(stated) else NO_ERA
+
+
 def _read_body(
     answer: HttpAnswer | Fault,
     model: type[_Body],
@@ -340,6 +368,7 @@
     effect: ReadTopic,
     verdict: ReadVerdict,
     asked_at: Seconds,
+    era: StoreEra = NO_ERA,
 ) -> TopicRead:
     return TopicRead(
         effect.topic,
@@ -348,6 +377,7 @@
         next_offset=effect.offset or Offset(0),
         entries=(),
         asked_at=asked_at,
+        era=era,
     )
 
 
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -46,6 +46,9 @@
   assignments @4 :List(Assignment);
   hold @5 :Float64;
   predecessors @6 :List(GatewayAddress);
+  # Minus one: not stated.
+  era @7 :Int64 = -1;
+  incomplete @8 :Bool;
 }
 
 # The four structs below hold lists of a data class by column.
@@ -97,6 +100,7 @@
   service @0 :Text;
   offset @1 :Int64;
   entries @2 :OwnerEntries;
+  era @3 :Int64 = -1;
 }
 
 struct News {
