Let releases after a takeover count at once again

The case that it covered does not occur: a server checks the fencing token of a grant when it applies it, also when it does so late, so it refuses a predecessor's grant once it has accepted one of the successor. Moves need not wait for a hold after each takeover.

--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -248,10 +248,7 @@
     effects: Effects = []
     bounds = bound_moves(gateway, len(capacities))
     for move in choose_moves(partitions, load, capacities, bounds):
-        # No release counts while a grant of an earlier controller may still
-        # take effect.
-        if now >= move.partition.inherited_until:
-            effects.extend(_begin_move(gateway, keyed, move, now))
+        effects.extend(_begin_move(gateway, keyed, move, now))
     return effects
 
 
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -358,9 +358,10 @@
         PartitionState.lapsing,
     }:
         return []
-    # A grant of an earlier controller may still take effect.
-    inherited = now < partition.inherited_until
-    settled = not inherited and not partition.has_unanswered_grant(now)
+    # A renewal of an earlier controller may still be in flight.
+    unfenced = partition.inherited or partition.restarted
+    renewable = unfenced and now < partition.inherited_until
+    settled = not renewable and not partition.has_unanswered_grant(now)
     if event.verdict == OrderVerdict.done and settled:
         handover = '' if partition.restarted else event.handover
         return _set_free(keyed, partition, now, 'released', handover)
