Read no tables while a new controller may still answer

Cause: the 46 gateways of the far region learned of the new controller at 19.6 s and were connected to it by 20.8 s; meanwhile each read the tables, and then each table that the new controller stored (51 KB, 9 a second). 31 of these reads were lost, and no update arrived for 3 s.

Change: for 1 s after a controller's address is learned its first update is awaited, and no tables are read. A gateway whose link is lost reads at once, as before.

Test: test_tables_are_not_read_while_a_new_controller_may_answer, seen failing without the change (a read 0.5 s after the announcement).

--- a/tests/test_gatewaystorecalls.py
+++ b/tests/test_gatewaystorecalls.py
@@ -137,3 +137,23 @@
     reduce(gateway, world.now, NewsReceived(news))
     effects = reduce(gateway, world.now, TimerExpired(TimerKind.review))
     assert (SetReady(ready=True) in effects) == whole
+
+
+# Guards against a link between regions that is congested when all gateways read
+# the tables of a new controller while they connect to it: its updates came 4 s
+# late.
+@pytest.mark.parametrize(('elapsed', 'reads'), [(0.5, False), (1.1, True)])
+def test_tables_are_not_read_while_a_new_controller_may_answer(
+    elapsed: float,
+    *,
+    reads: bool,
+) -> None:
+    """Give a new controller time for its first update."""
+    world = build_scene()
+    gateway = world.processes[NodeId('gate-2')].gateway
+    gateway.topics[Topic.ownership].reading = False
+    stored = StoredTable(Offset(99), _TABLE)
+    reduce(gateway, world.now, TableAnnounced(stored))
+    now = Seconds(world.now + elapsed)
+    checked = reduce(gateway, now, TimerExpired(TimerKind.read_ownership))
+    assert any(isinstance(kind, ReadTopic) for kind in checked) == reads
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -429,7 +429,7 @@
         ranges=len(pending.table.assignments),
         **describe_spread(pending.table),
     )
-    effects: Effects = [line, *dial(gateway, pending.table.controller)]
+    effects: Effects = [line, *dial(gateway, now, pending.table.controller)]
     if not gateway.control.elected and keyed.unknown_until is None:
         effects.extend(step_down(gateway, 'the store chose another member'))
     return effects
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -34,6 +34,7 @@
 from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.peers import (
     dial,
+    is_connecting,
     is_copy_overdue,
     is_linked,
     log_server_change,
@@ -190,7 +191,8 @@
         return []
     if gateway.configuration is None:
         return []
-    if gateway.control.leading or is_linked(gateway, now):
+    told = is_linked(gateway, now) or is_connecting(gateway, now)
+    if gateway.control.leading or told:
         return [SetTimer(TimerKind.read_ownership, _LINK_CHECK_INTERVAL)]
     return [_read_tables(gateway, now)]
 
@@ -430,4 +432,4 @@
         if table.controller == gateway.own_address():
             return []
         effects.extend(step_down(gateway, 'another controller has a table'))
-    return [*effects, *dial(gateway, table.controller)]
+    return [*effects, *dial(gateway, now, table.controller)]
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -43,6 +43,8 @@
 _DEPARTED_TIME = Seconds(3)
 # Maximum number of servers whose changes are logged one by one.
 _MAX_LINES = 4
+# Time in which a new controller sends its first update, in groups of gateways.
+_LINK_TIME = Seconds(1)
 # The link counts as lost without an update for this time; updates arrive twice
 # a second.
 _MAX_NEWS_AGE = Seconds(1.4)
@@ -67,12 +69,21 @@
     return received_at is not None and now - received_at <= _MAX_NEWS_AGE
 
 
-def dial(gateway: Gateway, address: GatewayAddress) -> Effects:
+def is_connecting(gateway: Gateway, now: Seconds) -> bool:
+    """Return whether a new controller may still answer the connection to it."""
+    link = gateway.link
+    if link.address == gateway.own_address():
+        return False
+    return link.dialed_at is not None and now - link.dialed_at < _LINK_TIME
+
+
+def dial(gateway: Gateway, now: Seconds, address: GatewayAddress) -> Effects:
     """Connect to the controller named by the newest table."""
     link = gateway.link
     if link.address == address:
         return []
     link.address = address
+    link.dialed_at = now
     link.news_at = None
     link.term = 0
     link.servers_read_at = None
@@ -303,6 +314,7 @@
     if gateway.link.news_at is None:
         return []
     gateway.link.controller_seen_at = now
+    gateway.link.dialed_at = None
     gateway.link.news_at = None
     gateway.link.servers_read_at = None
     gateway.link.complete = False
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -98,6 +98,8 @@
     """Hold the connection to the controller and what it last sent."""
 
     address: GatewayAddress | None = None
+    # Time at which that address was learned.
+    dialed_at: Seconds | None = None
     news_at: Seconds | None = None
     # Term that the controller stated in its last update; zero before the first.
     term: int = 0
