Look for outages of the store in reads that the controller tells as well

Cause: the gap between two reads was looked for only when a gateway's own read succeeded again. A new controller had told these gateways of its read 0.1 s before, which counts as a read of the entries, so their own first read after 14.9 s found no gap, and removed whatever had lapsed.

Each read is now checked, own or told. A full update that follows a gap shows whether entries lapsed (missing and doubted ones count), and what the controller has removed is removed at once: it has deferred that itself if need be, and a second deferral would keep a server that had left.

Tests, seen failing on the code before: test_removal_is_deferred_after_news_of_the_ return, test_removal_by_the_controller_is_not_deferred_again. The guard of test_gatewayguards.py only follows the changed signature.

--- a/tests/test_gatewayguards.py
+++ b/tests/test_gatewayguards.py
@@ -33,9 +33,7 @@
 _RECOVERY = Seconds(15)
 
 
-def _defer_all(
-    registry: ServerRegistry, now: Seconds, heartbeat: Seconds
-) -> None:
+def _defer_all(registry: ServerRegistry, now: Seconds) -> None:
     registry.removals_deferred_until = Seconds(now + _LONG)
 
 
--- a/tests/test_gatewayrelay.py
+++ b/tests/test_gatewayrelay.py
@@ -67,6 +67,11 @@
     raise AssertionError('every gateway leads')
 
 
+def _build_member() -> tuple[World, Gateway]:
+    world = build_scene()
+    return world, _find_member(world).gateway
+
+
 def _find_leader(world: World) -> Process:
     process = world.find_controller()
     assert process is not None
@@ -236,8 +241,7 @@
     kept: bool,
 ) -> None:
     """Defer removals after an outage in which entries have lapsed."""
-    world = build_scene()
-    gateway = _find_member(world).gateway
+    world, gateway = _build_member()
     if relayed:
         looked = Seconds(world.now + _AWAY - 1)
         news = replace(_build_news(world, 1).news, servers_age=Seconds(0))
@@ -282,6 +286,44 @@
     assert len(gateway.registry.servers) == len(servers) + known
 
 
+# Guards against servers that are lost although their entries only lapsed: a gateway
+# heard from a new controller that the store was back, and then read it itself.
+def test_removal_is_deferred_after_news_of_the_return() -> None:
+    """Keep what may have lapsed, no matter who read the store first."""
+    world, gateway = _build_member()
+    known = gateway.registry.servers
+    lapsed = set(known) - {_STAYING}
+    world.now = Seconds(world.now + _AWAY)
+    news = replace(
+        _build_news(world, 1).news,
+        servers_whole=True,
+        servers=(known[_STAYING],),
+        doubted=tuple(lapsed),
+    )
+    reduce(gateway, world.now, NewsReceived(news))
+    read = TopicRead(
+        Topic.servers,
+        ReadVerdict.records,
+        whole=True,
+        next_offset=Offset(99),
+        entries=(known[_STAYING],),
+        asked_at=world.now,
+    )
+    reduce(gateway, world.now, read)
+    assert known.keys() > lapsed
+
+
+# Guards against requests to a server that had left: the controller had decided on
+# its removal, and another gateway deferred it again.
+def test_removal_by_the_controller_is_not_deferred_again() -> None:
+    """Remove at once what the controller has removed."""
+    world, gateway = _build_member()
+    gateway.registry.defer_removals(world.now)
+    news = replace(_build_news(world, 1).news, removed=(_LEAVING,))
+    reduce(gateway, world.now, NewsReceived(news))
+    assert _LEAVING not in gateway.registry.servers
+
+
 # Guards against a server that had left and got requests for seconds: its removal
 # was deferred by a gateway that then relied on the controller, as seen on
 # qurum-drawers-grown, trouble-1 (DRAIN).
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -220,7 +220,7 @@
         return [SetTimer(_TIMERS[event.topic], pause)]
     effects: Effects = []
     if state.unreachable:
-        effects.append(_handle_store_back(gateway, state, now, event))
+        effects.append(_handle_store_back(state, event))
     state.read_at = event.asked_at
     state.answered_at = now
     if event.verdict == ReadVerdict.expired:
@@ -232,6 +232,9 @@
         )
         return [*effects, _read(gateway, event.topic)]
     state.next_offset = event.next_offset
+    if event.topic == Topic.servers:
+        heartbeat = gateway.options.heartbeat
+        gateway.registry.record_read(event.asked_at, now, heartbeat)
     effects.extend(_apply_entries(gateway, now, event))
     return [*effects, _schedule_read(gateway, event.topic)]
 
@@ -260,15 +263,8 @@
     return Seconds(pause * (1 + spread))
 
 
-def _handle_store_back(
-    gateway: Gateway,
-    state: TopicState,
-    now: Seconds,
-    event: TopicRead,
-) -> WriteDecision:
+def _handle_store_back(state: TopicState, event: TopicRead) -> WriteDecision:
     state.unreachable = False
-    if event.topic == Topic.servers:
-        gateway.registry.defer_removals(now, gateway.options.heartbeat)
     return log_event(Component.store, 'store back', topic=event.topic.value)
 
 
@@ -325,7 +321,6 @@
     event: TopicRead,
 ) -> Effects:
     changes: Effects = []
-    gateway.registry.record_read(event.asked_at)
     present = [
         entry.life.server
         for entry in event.entries
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -110,20 +110,27 @@
     # Incremented whenever an incarnation is replaced or removed.
     departures: int = 0
 
-    def record_read(self, read_at: Seconds) -> None:
+    def record_read(
+        self,
+        asked_at: Seconds,
+        answered_at: Seconds,
+        heartbeat: Seconds,
+    ) -> None:
         """Record a read of the entries by any gateway."""
-        self.read_at = Seconds(max(read_at, self.read_at or 0))
-
-    def defer_removals(self, now: Seconds, heartbeat: Seconds) -> None:
-        """Defer removals after an outage in which entries may have lapsed."""
-        if self.read_at is None:
+        last = self.read_at
+        self.read_at = Seconds(max(asked_at, last or 0))
+        if last is None:
             return
         # The last heartbeat came up to one interval before the last read, and
         # an entry lapses after three: nothing lapses while other gateways can
         # still read the store.
-        if now - self.read_at >= _MIN_LAPSE_HEARTBEATS * heartbeat:
-            self.removals_deferred_until = Seconds(now + LAPSE_GRACE)
-            self.lapse_undecided = True
+        if answered_at - last >= _MIN_LAPSE_HEARTBEATS * heartbeat:
+            self.defer_removals(answered_at)
+
+    def defer_removals(self, now: Seconds) -> None:
+        """Defer removals after an outage in which entries may have lapsed."""
+        self.removals_deferred_until = Seconds(now + LAPSE_GRACE)
+        self.lapse_undecided = True
 
     def review_missing(self, missing: Collection[ServerId]) -> None:
         """Defer no removals if few entries are missing after an outage."""
@@ -190,6 +197,13 @@
                 server, self.removals_deferred_until
             )
             return False
+        return self.discard(server)
+
+    def discard(self, server: ServerId) -> bool:
+        """Remove an entry at once; return whether it was known."""
+        known = self.servers.get(server)
+        if known is None:
+            return False
         self._drop(known)
         return True
 
