Move the deferral of removals to a module of its own

Behaviour is unchanged: the registry keeps entries, LapseWindow decides whether a missing one may only have lapsed. Tests follow the new names.

--- a/tests/test_gatewayguards.py
+++ b/tests/test_gatewayguards.py
@@ -23,7 +23,7 @@
 from trefoilsaddle.gateway.configuration import Route
 from trefoilsaddle.gateway.effects import Effects, EndCall
 from trefoilsaddle.gateway.events import JoinEnded, RequestArrived
-from trefoilsaddle.gateway.servers import ServerRegistry
+from trefoilsaddle.gateway.lapses import LapseWindow
 from trefoilsaddle.gateway.state import Gateway, OpenCall
 from trefoilsaddle.platform import dialect, headers
 from trefoilsaddle.results import ResultCode
@@ -33,8 +33,8 @@
 _RECOVERY = Seconds(15)
 
 
-def _defer_all(registry: ServerRegistry, now: Seconds) -> None:
-    registry.removals_deferred_until = Seconds(now + _LONG)
+def _defer_all(lapses: LapseWindow, now: Seconds) -> None:
+    lapses.deferred_until = Seconds(now + _LONG)
 
 
 def _reject_early(
@@ -198,7 +198,7 @@
         ),
     ),
     'DRAIN-of-a-removed-server': _Guard(
-        ServerRegistry,
+        LapseWindow,
         'defer_removals',
         _defer_all,
         partial(
--- a/tests/test_gatewayrelay.py
+++ b/tests/test_gatewayrelay.py
@@ -39,10 +39,10 @@
     Topic,
     TopicRead,
 )
+from trefoilsaddle.gateway.lapses import LAPSE_GRACE
 from trefoilsaddle.gateway.peermessages import News
 from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.servers import (
-    LAPSE_GRACE,
     ServerChange,
     ServerIncarnation,
     ServerRemoved,
@@ -318,7 +318,7 @@
 def test_removal_by_the_controller_is_not_deferred_again() -> None:
     """Remove at once what the controller has removed."""
     world, gateway = _build_member()
-    gateway.registry.defer_removals(world.now)
+    gateway.registry.lapses.defer_removals(world.now)
     news = replace(_build_news(world, 1).news, removed=(_LEAVING,))
     reduce(gateway, world.now, NewsReceived(news))
     assert _LEAVING not in gateway.registry.servers
@@ -332,7 +332,7 @@
     world = build_scene()
     process = _find_member(world)
     registry = process.gateway.registry
-    registry.removals_deferred_until = Seconds(world.now + LAPSE_GRACE)
+    registry.lapses.deferred_until = Seconds(world.now + LAPSE_GRACE)
     assert not registry.remove(_LEAVING, world.now)
     world.faults.store_down = True
     world.run(LAPSE_GRACE + 0.2)
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -234,7 +234,7 @@
     state.next_offset = event.next_offset
     if event.topic == Topic.servers:
         heartbeat = gateway.options.heartbeat
-        gateway.registry.record_read(event.asked_at, now, heartbeat)
+        gateway.registry.lapses.record_read(event.asked_at, now, heartbeat)
     effects.extend(_apply_entries(gateway, now, event))
     return [*effects, _schedule_read(gateway, event.topic)]
 
@@ -326,7 +326,7 @@
         for entry in event.entries
         if isinstance(entry, Server)
     ]
-    gateway.registry.review_missing(_list_missing(gateway, event, present))
+    _review_missing(gateway, event, present)
     known = set(gateway.registry.servers)
     usable = gateway.registry.list_usable()
     for entry in event.entries:
@@ -346,18 +346,20 @@
     return [*effects, *expired]
 
 
-def _list_missing(
+def _review_missing(
     gateway: Gateway,
     event: TopicRead,
     present: list[ServerId],
-) -> list[ServerId]:
-    if event.whole:
-        return list(gateway.registry.servers.keys() - set(present))
-    return [
+) -> None:
+    known = gateway.registry.servers
+    missing = {
         entry.server
         for entry in event.entries
         if isinstance(entry, ServerRemoved)
-    ]
+    }
+    if event.whole:
+        missing = known.keys() - set(present)
+    gateway.registry.lapses.review_missing(known, missing)
 
 
 def _expire_removals(gateway: Gateway, now: Seconds) -> Effects:
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -248,7 +248,7 @@
     if link.complete:
         # Changes do not replace a read of all entries.
         link.servers_read_at = read_at
-    registry.record_read(read_at, read_at, gateway.options.heartbeat)
+    registry.lapses.record_read(read_at, read_at, gateway.options.heartbeat)
     changed = [server for server in news.servers if registry.put(server, now)]
     # The controller has deferred the removal if necessary.
     removed = [ServerId(name) for name in news.removed]
@@ -273,7 +273,8 @@
     news: News,
 ) -> list[ServerId]:
     present = {entry.life.server for entry in news.servers}
-    registry.review_missing(registry.servers.keys() - present)
+    missing = registry.servers.keys() - present
+    registry.lapses.review_missing(registry.servers, missing)
     deferred = {ServerId(entry) for entry in news.doubted}
     return registry.keep_only(present | deferred, now)
 
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -1,31 +1,17 @@
 """Keep the registered servers, and detect when one is gone.
 
-An entry that is removed just after the store was unreachable may have lapsed
-only for that reason: it stays in use for `LAPSE_GRACE` after the store is back,
-unless it appears again in that time.  Live servers write equally often, so an
-outage in which entries lapse removes many: if few are missing afterwards, their
-servers have left.
+The removal of an entry is deferred while it may have lapsed only with the
+store; see `LapseWindow`.
 """
 
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from functools import lru_cache
 from typing import NewType
 from zlib import crc32
 
 from trefoilsaddle.core.units import Seconds, ServerId, ServiceName, ZoneName
-
-# Entries that lapsed while the store was unreachable are back within two
-# seconds (stated by the users).
-LAPSE_GRACE = Seconds(2.2)
-
-# Heartbeat intervals from the last read of the entries until an entry can
-# lapse.
-_MIN_LAPSE_HEARTBEATS = 2
-# Minimum fraction of the entries that is missing after an outage in which
-# entries lapsed.  If fewer have lapsed, the other servers suffice until they
-# are back within a heartbeat.
-_MIN_LAPSED_FRACTION = 0.25
+from trefoilsaddle.gateway.lapses import LapseWindow
 
 # A draining server gets no new work 2.5 s after it has said so (`drain`), which
 # this gateway knows up to a second later.
@@ -101,46 +87,10 @@
     draining_since: dict[ServerIncarnation, Seconds] = field(
         default_factory=dict
     )
-    # Time until which removals are deferred.
-    removals_deferred_until: Seconds = Seconds(0)
-    # True until the first entries after an outage show whether any have lapsed.
-    lapse_undecided: bool = False
-    # Time of the newest known read of the entries.
-    read_at: Seconds | None = None
+    lapses: LapseWindow = field(default_factory=LapseWindow)
     # Incremented whenever an incarnation is replaced or removed.
     departures: int = 0
 
-    def record_read(
-        self,
-        asked_at: Seconds,
-        answered_at: Seconds,
-        heartbeat: Seconds,
-    ) -> None:
-        """Record a read of the entries by any gateway."""
-        last = self.read_at
-        self.read_at = Seconds(max(asked_at, last or 0))
-        if last is None:
-            return
-        # The last heartbeat came up to one interval before the last read, and
-        # an entry lapses after three: nothing lapses while other gateways can
-        # still read the store.
-        if answered_at - last >= _MIN_LAPSE_HEARTBEATS * heartbeat:
-            self.defer_removals(answered_at)
-
-    def defer_removals(self, now: Seconds) -> None:
-        """Defer removals after an outage in which entries may have lapsed."""
-        self.removals_deferred_until = Seconds(now + LAPSE_GRACE)
-        self.lapse_undecided = True
-
-    def review_missing(self, missing: Collection[ServerId]) -> None:
-        """Defer no removals if few entries are missing after an outage."""
-        if not self.lapse_undecided:
-            return
-        self.lapse_undecided = False
-        lapsed = self.servers.keys() & set(missing)
-        if len(lapsed) < _MIN_LAPSED_FRACTION * len(self.servers):
-            self.removals_deferred_until = Seconds(0)
-
     def find_incarnation(self, incarnation: ServerIncarnation) -> Server | None:
         """Return the entry of a server if its incarnation is still the same."""
         server = self.servers.get(incarnation.server)
@@ -192,10 +142,9 @@
         known = self.servers.get(server)
         if known is None:
             return False
-        if now < self.removals_deferred_until and not known.draining:
-            self.deferred_removals.setdefault(
-                server, self.removals_deferred_until
-            )
+        until = self.lapses.deferred_until
+        if now < until and not known.draining:
+            self.deferred_removals.setdefault(server, until)
             return False
         return self.discard(server)
 
