Let no older entry of a server replace a newer one of the same incarnation

Callers would see requests at a server past `drain`: a store that came back from a copy lists a draining server as ready again, and the registry took any entry of the same incarnation, in whatever order.

Entries keep the `seq` of the server's write, which rises within an incarnation; an entry with a lower one changes nothing, so `draining` is final. It is no part of the equality of servers: a heartbeat would count as a change. Updates carry it, so gateways that are told judge alike. A controller that holds a server for draining only by another gateway's report still lets its own read decide, as the seq is the same then. An entry whose seq is negative or has more than 63 bits names no server.

--- a/tests/test_platformadapter.py
+++ b/tests/test_platformadapter.py
@@ -70,6 +70,8 @@
     'no-port': {'address': '10.0.0.1'},
     'warm-up-as-number': {'warmupLeft': 3},
     'no-service': {'service': ''},
+    'sequence-negative': {'seq': -1},
+    'sequence-of-65-bits': {'seq': 2**64},
 }
 
 
@@ -80,6 +82,7 @@
 def test_entry_is_decoded() -> None:
     """Decode every field of a server's entry."""
     server = decode_entry('i-1', _encode({'state': 'draining', 'new': 1}))
+    assert server is not None
     assert server == Server(
         ServerIncarnation(ServerId('i-1'), 1_700_000_000_000),
         ServiceName('guide'),
@@ -90,6 +93,7 @@
         draining=True,
         warm_up_left=Seconds(0),
     )
+    assert server.sequence == _ENTRY['seq']
 
 
 @pytest.mark.parametrize('changed', _FOREIGN.values(), ids=_FOREIGN)
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -1,7 +1,8 @@
 """Keep the registered servers, and detect when one is gone.
 
 The removal of an entry is deferred while it may have lapsed only with the
-store; see `LapseWindow`.
+store; see `LapseWindow`.  A store that came back from a copy of itself lists
+older entries again: an older entry replaces no newer one.
 """
 
 from collections.abc import Iterable, Iterator
@@ -17,6 +18,9 @@
 # this gateway knows up to a second later.
 MAX_DRAINING_USE = Seconds(1.2)
 
+# Sequence number of entries that state none.
+NO_SEQUENCE = -1
+
 # Short identifier of a server incarnation in messages between gateways.
 ServerTag = NewType('ServerTag', int)
 # Cache size; fewer incarnations are known at a time.
@@ -55,6 +59,15 @@
     draining: bool
     # Remaining warm-up time, in which the server works slower.
     warm_up_left: Seconds
+    # Number of the server's write, which rises within an incarnation.  The store
+    # adds no record for a write that changes nothing else.
+    sequence: int = field(default=NO_SEQUENCE, compare=False)
+
+    def is_older(self, other: 'Server') -> bool:
+        """Return whether this entry was written before another one."""
+        if self.life != other.life:
+            return self.life.born < other.life.born
+        return self.sequence < other.sequence
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,21 +130,17 @@
 
     def put(self, server: Server, now: Seconds) -> bool:
         """Store an entry; return whether it changed in a way that matters."""
-        known = self.servers.get(server.life.server)
-        self.deferred_removals.pop(server.life.server, None)
-        if known == server:
-            return False
-        if known is not None and known.life.born > server.life.born:
+        name = server.life.server
+        known = self.servers.get(name)
+        if known is not None and server.is_older(known):
             return False
-        if known is not None and known.service != server.service:
-            self._drop(known)
+        self.deferred_removals.pop(name, None)
         if known is not None:
-            self.by_tag.pop(known.life.tag, None)
-            self.departures += known.life != server.life
-        self.servers[server.life.server] = server
+            self._replace(known, server)
+        self.servers[name] = server
         self.by_tag[server.life.tag] = server
         group = self.by_service.setdefault(server.service, {})
-        group[server.life.server] = server
+        group[name] = server
         self.first_seen_at.setdefault(server.life, now)
         if server.draining:
             self.draining_since.setdefault(server.life, now)
@@ -179,6 +188,12 @@
         absent = set(self.servers).difference(present)
         return [name for name in sorted(absent) if self.remove(name, now)]
 
+    def _replace(self, known: Server, server: Server) -> None:
+        if known.service != server.service:
+            self._drop(known)
+        self.by_tag.pop(known.life.tag, None)
+        self.departures += known.life != server.life
+
     def _drop(self, server: Server) -> None:
         name = server.life.server
         self.departures += 1
--- a/trefoilsaddle/platform/entries.py
+++ b/trefoilsaddle/platform/entries.py
@@ -10,6 +10,8 @@
 from trefoilsaddle.platform.models import WireModel
 
 _DRAINING = 'draining'
+# Messages between gateways carry sequence numbers in 64 bits, signed.
+_SEQUENCE_END = 2**63
 
 
 class _WireEntry(WireModel):
@@ -23,7 +25,7 @@
     warmup_left: Duration = Field(alias='warmupLeft')
     # Sequence number of the server's own writes; restarts with each
     # incarnation.
-    seq: int
+    seq: int = Field(ge=0, lt=_SEQUENCE_END)
     # Start of this incarnation, in milliseconds of Unix time.
     born: int
 
@@ -46,4 +48,5 @@
         slots=wire.slots,
         draining=wire.state == _DRAINING,
         warm_up_left=Seconds(wire.warmup_left),
+        sequence=wire.seq,
     )
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -23,6 +23,8 @@
   slots @5 :Int64;
   draining @6 :Bool;
   warmUpLeft @7 :Float64;
+  # Minus one: not stated.
+  sequence @8 :Int64 = -1;
 }
 
 struct GatewayAddress {
