Let the controller ask gateways for a newer configuration

Callers would see: after the store came back from a copy, requests at gateways that were started then are answered by a version older than one that the operator has had confirmed (404 on a new route, or the old service), for as long as the operator has not written it again.

Cause: versions only rise within one process. A gateway that starts reads what the store has, here the version of the copy, and learns of a newer one from the controller's updates only. Where the controller itself has read the copy, its neighbours' newer version reached nobody: the exchange of configurations ran one way. The class is the one of the ownership tables: what the store has acknowledged was taken for the newest that exists.

Fix: a report states the version in force at its gateway (field at the end of the message; older gateways state none and are never asked). A controller that knows only an older one requests a copy on the existing link, from one gateway at a time and again after 0.8 s, so that at most one copy of 65 KB is under way to it. Its updates then state that version, and the gateways that lack it ask as before.

Not covered: all gateways restarted, or no controller: then only the operator's record tells.

--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -12,6 +12,8 @@
 from random import Random
 from typing import Any
 
+from measure.worldcopies import address_copy
+from measure.worldoptions import ZONE, build_options
 from measure.worldservers import Work, WorldServer, check_grant
 from measure.worldstore import WorldStore
 from measure.worldworker import Order, OrderWorker, Reply, build_unanswered
@@ -20,12 +22,10 @@
     CallId,
     NodeId,
     Offset,
-    RegionName,
     Seconds,
     ServerId,
     ServiceName,
     StoreEra,
-    ZoneName,
 )
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import (
@@ -72,7 +72,7 @@
     TopicRead,
 )
 from trefoilsaddle.gateway.keys import Key, KeyRange
-from trefoilsaddle.gateway.options import GatewayOptions, RetryBudget
+from trefoilsaddle.gateway.options import GatewayOptions
 from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.servers import Server, ServerIncarnation
@@ -83,8 +83,6 @@
 _LATENCY = Seconds(0.004)
 _CALL_TIMEOUT = Seconds(0.9)
 _OK = 200
-_ZONE = ZoneName('east-1')
-_REGION = RegionName('east')
 _Action = Callable[[], None]
 _Adjust = Callable[[GatewayOptions], GatewayOptions]
 
@@ -192,20 +190,7 @@
         node = NodeId(name)
         if node in self.processes:
             self.kill_gateway(name)
-        options = GatewayOptions(
-            node=node,
-            run=self._runs,
-            zone=_ZONE,
-            region=_REGION,
-            regions={_ZONE: _REGION},
-            host=name,
-            port=1,
-            seed=self._runs,
-            retry_budget=RetryBudget(0.2, 64, Seconds(10)),
-            stop_timeout=Seconds(6),
-            heartbeat=Seconds(0.87),
-            speed=speed,
-        )
+        options = build_options(name, self._runs, speed)
         worker = OrderWorker(self.order_turn)
         gateway = build_gateway(self.adjust(options))
         process = Process(gateway, worker=worker)
@@ -250,7 +235,7 @@
             ServiceName(service),
             name,
             80,
-            _ZONE,
+            ZONE,
             slots=3,
             draining=False,
             warm_up_left=Seconds(0),
@@ -332,6 +317,9 @@
         action = actions.get(type(effect))
         if action is not None:
             action(process, effect)
+        copy = address_copy(process.gateway, effect, process.linked)
+        if copy is not None:
+            self._send_peer(process, *copy)
 
     def _set_timer(self, process: Process, effect: SetTimer) -> None:
         token = process.timers.get(effect.kind, 0) + 1
@@ -710,6 +698,17 @@
             event = TableAnnounced(effect.stored)
             self.after(_LATENCY, lambda: self.feed(peer, event))
 
+    def _send_peer(
+        self,
+        process: Process,
+        node: NodeId,
+        event: Event,
+    ) -> None:
+        peer = self.processes.get(node)
+        if peer is None or process.peers_cut or peer.peers_cut:
+            return
+        self.after(_LATENCY, partial(self.feed, peer, event))
+
     # Requests.
 
     def _send_attempt(self, process: Process, effect: SendAttempt) -> None:
--- a/measure/worldstore.py
+++ b/measure/worldstore.py
@@ -13,6 +13,8 @@
 from trefoilsaddle.gateway.servers import Server, ServerRemoved
 from trefoilsaddle.gateway.table import StoredTable
 
+Records = dict[Topic, list[TopicEntry]]
+
 
 @dataclass(slots=True)
 class Membership:
@@ -26,7 +28,7 @@
 class StoreCopy:
     """Contents of the store at some time."""
 
-    records: dict[Topic, list[TopicEntry]]
+    records: Records
     members: dict[str, Membership]
     leader: str
     generation: int
@@ -36,7 +38,7 @@
 class WorldStore:
     """Topics and group membership, which survive gateways and servers."""
 
-    records: dict[Topic, list[TopicEntry]] = field(
+    records: Records = field(
         default_factory=lambda: {topic: [] for topic in Topic},
     )
     members: dict[str, Membership] = field(default_factory=dict)
@@ -54,19 +56,27 @@
         )
 
     def restore(self, copy: StoreCopy) -> None:
-        """Come back from a copy, which begins the next era.
-
-        The operator and the servers write again what they wrote since.
-        """
-        lost = self.records
+        """Come back from a copy; what was written since is written again."""
+        lost = self.roll_back(copy)
+        for topic in (Topic.configuration, Topic.servers):
+            self.write_again(topic, lost)
+
+    def roll_back(self, copy: StoreCopy) -> Records:
+        """Come back from a copy, and return the records that are lost."""
+        lost = {
+            topic: log[len(copy.records[topic]) :]
+            for topic, log in self.records.items()
+        }
         self.records = {topic: list(log) for topic, log in copy.records.items()}
         self.members = dict(copy.members)
         self.leader = copy.leader
         self.generation = copy.generation
         self.era = StoreEra(self.era + 1)
-        for topic in (Topic.configuration, Topic.servers):
-            kept = len(self.records[topic])
-            self.records[topic].extend(lost[topic][kept:])
+        return lost
+
+    def write_again(self, topic: Topic, lost: Records) -> None:
+        """Write lost records of a topic again, as their writers do."""
+        self.records[topic].extend(lost[topic])
 
     def write_configuration(self, configuration: Configuration) -> None:
         """Write a configuration, as an operator would."""
--- a/tests/test_gatewaycodec.py
+++ b/tests/test_gatewaycodec.py
@@ -1,6 +1,7 @@
 """Test the encoding of messages between gateways."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from math import nan
 from pathlib import Path
 from typing import Any
@@ -35,9 +36,9 @@
     encode_peer_message,
 )
 
-_SCHEMA: Any = capnp.load(
-    str(Path(trefoilsaddle.__file__).parent / 'wire' / 'gateway.capnp')
-)
+_SCHEMA_PATH = Path(trefoilsaddle.__file__).parent / 'wire' / 'gateway.capnp'
+_SCHEMA: Any = capnp.load(str(_SCHEMA_PATH))
+_STATED_VERSION = '  configuration @8 :Int64;\n'
 _CATALOGUE = ServiceName('catalogue')
 _ADDRESS = GatewayAddress(NodeId('gate-1'), 7, '10.0.0.1', 7540)
 
@@ -85,6 +86,7 @@
         1.5,
         controller_run=7,
         controller_term=2,
+        configuration=Version(4),
     )
 
 
@@ -102,6 +104,20 @@
     assert decode_peer_message(encode_peer_message(message)) == message
 
 
+def test_report_without_a_version_is_read(tmp_path: Path) -> None:
+    """Decode the report of a gateway that does not state its version."""
+    path = tmp_path / 'earlier.capnp'
+    path.write_text(_SCHEMA_PATH.read_text().replace(_STATED_VERSION, ''))
+    earlier = capnp.SchemaParser().load(str(path)).PeerMessage
+    report = _build_report(1, 1)
+    message = _SCHEMA.PeerMessage.from_bytes_packed(encode_peer_message(report))
+    fields = message.to_dict()
+    assert fields['report'].pop('configuration') == report.configuration
+    encoded = earlier.new_message(**fields).to_bytes_packed()
+    unstated = replace(report, configuration=Version(0))
+    assert decode_peer_message(encoded) == unstated
+
+
 def _write_short_column(builder: Any) -> None:
     loads = builder.init('news').init('loads')
     loads.tag = [1, 2]
--- a/tests/test_gatewaylinks.py
+++ b/tests/test_gatewaylinks.py
@@ -2,24 +2,35 @@
 
 from functools import partial
 
+import pytest
 import trio
 
 from tests.gatewayscenes import build_configuration
 from trefoilsaddle.core.errors import Failure
-from trefoilsaddle.core.units import NodeId, Seconds
+from trefoilsaddle.core.units import NodeId, Seconds, Version
 from trefoilsaddle.gateway.configuration import Configuration
-from trefoilsaddle.gateway.effects import DialController, SendConfiguration
+from trefoilsaddle.gateway.effects import (
+    AskConfiguration,
+    DialController,
+    SendConfiguration,
+)
 from trefoilsaddle.gateway.events import (
     ConfigurationCopied,
+    ConfigurationWanted,
     Event,
     PeerLinked,
 )
 from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.table import GatewayAddress
-from trefoilsaddle.programs.gatewaylinks import ControllerLink, ControllerServer
+from trefoilsaddle.programs.gatewaylinks import (
+    ConfigurationExchange,
+    ControllerLink,
+    ControllerServer,
+)
 from trefoilsaddle.results import ResultCode
 
 _HOST = '127.0.0.1'
+_NODE = NodeId('gate-2')
 # About the size of a configuration with some thousand routes.
 _WRITTEN = b'{"route": "/reads/"}' * 20_000
 _TEST_TIMEOUT = Seconds(20)
@@ -31,23 +42,26 @@
     return build_configuration(7)
 
 
-def test_a_large_configuration_is_passed_on_whole() -> None:
-    """Deliver a large configuration to a gateway byte for byte."""
-    assert trio.run(_pass_on) == ConfigurationCopied(build_configuration(7))
+@pytest.mark.parametrize('asked', [None, _NODE], ids=['controller', 'gateway'])
+def test_a_large_configuration_is_passed_on_whole(asked: NodeId | None) -> None:
+    """Deliver a large configuration byte for byte from the end that is asked."""
+    copied = ConfigurationCopied(build_configuration(7))
+    assert trio.run(_pass_on, asked) == copied
 
 
-async def _pass_on() -> Event:
+async def _pass_on(asked: NodeId | None) -> Event:
     send, receive = trio.open_memory_channel[Event](9)
-    server = ControllerServer(send.send_nowait)
+    server = ControllerServer(send.send_nowait, _decode)
     listeners = await trio.open_tcp_listeners(0, host=_HOST)
     port = listeners[0].socket.getsockname()[1]
-    own = GatewayAddress(NodeId('gate-2'), 2, _HOST, 1)
+    own = GatewayAddress(_NODE, 2, _HOST, 1)
     link = ControllerLink(
         send.send_nowait, Report(own, Seconds(0), (), ()), _decode
     )
     link.dial(
         DialController(GatewayAddress(NodeId('gate-1'), 1, _HOST, port)),
     )
+    copies = ConfigurationExchange(server, link)
     copied: Event | None = None
     with trio.fail_after(_TEST_TIMEOUT):
         async with trio.open_nursery() as nursery:
@@ -57,8 +71,8 @@
             while not isinstance(copied, ConfigurationCopied):
                 copied = await receive.receive()
                 if isinstance(copied, PeerLinked):
-                    server.send_configuration(
-                        SendConfiguration(NodeId('gate-2'), _WRITTEN)
-                    )
+                    copies.request(AskConfiguration(Version(1), asked))
+                elif isinstance(copied, ConfigurationWanted):
+                    copies.send(SendConfiguration(copied.node, _WRITTEN))
             nursery.cancel_scope.cancel()
     return copied
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -49,6 +49,7 @@
 from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.pacing import bound_moves, count_changing
 from trefoilsaddle.gateway.peermessages import Report
+from trefoilsaddle.gateway.peers import request_configuration
 from trefoilsaddle.gateway.restoring import is_outdated
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.takeover import (
@@ -305,7 +306,7 @@
         keyed = control.keyed.get(counts.service)
         if keyed is not None:
             keyed.rates.add(counts.counts, now)
-    return []
+    return request_configuration(gateway, now, report)
 
 
 def _remove_silent(reporters: dict[NodeId, Seconds], now: Seconds) -> None:
--- a/trefoilsaddle/gateway/effects.py
+++ b/trefoilsaddle/gateway/effects.py
@@ -197,16 +197,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AskConfiguration:
-    """Request the configuration from the controller."""
+    """Request the configuration from a gateway, or from the controller."""
 
     known: Version
+    node: NodeId | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class SendConfiguration:
-    """Send the configuration to a gateway."""
+    """Send the configuration to a gateway, or to the controller."""
 
-    node: NodeId
+    node: NodeId | None
     encoded: bytes = field(repr=False)
 
 
--- a/trefoilsaddle/gateway/events.py
+++ b/trefoilsaddle/gateway/events.py
@@ -284,14 +284,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationWanted:
-    """Report that a gateway has requested the configuration."""
+    """Report that a gateway, or the controller, requested the configuration."""
 
-    node: NodeId
+    node: NodeId | None
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationCopied:
-    """Report a configuration received from the controller."""
+    """Report a configuration received from another gateway."""
 
     configuration: Configuration
 
--- a/trefoilsaddle/gateway/peermessages.py
+++ b/trefoilsaddle/gateway/peermessages.py
@@ -66,6 +66,8 @@
     # received; zero while a call of an own earlier term is in flight.
     controller_run: int = 0
     controller_term: int = 0
+    # Version in force; zero if not stated.
+    configuration: Version = Version(0)
 
 
 # Not frozen, as each update creates hundreds.
@@ -130,7 +132,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationRead:
-    """Request a newer configuration from the controller."""
+    """Request a newer configuration from the other end of the connection."""
 
     known: Version
 
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -125,6 +125,7 @@
         gateway.options.speed,
         _list_departed(gateway, now),
         *_find_controller_term(gateway),
+        configuration=gateway.version,
     )
 
 
@@ -225,6 +226,31 @@
     return [read, *_ask_configuration(gateway, now, version)]
 
 
+def request_configuration(
+    gateway: Gateway,
+    now: Seconds,
+    report: Report,
+) -> Effects:
+    """Request the configuration of a gateway that reports a newer one.
+
+    The store may have had that version and lost it.
+    """
+    version = report.configuration
+    if version <= gateway.version:
+        return []
+    if now - gateway.link.asked_at < _COPY_TIMEOUT:
+        return []
+    gateway.link.asked_at = now
+    line = log_event(
+        Component.peers,
+        'asking a gateway for the configuration',
+        node=report.gateway.node,
+        known=gateway.version,
+        wanted=version,
+    )
+    return [line, AskConfiguration(gateway.version, report.gateway.node)]
+
+
 def _ask_configuration(
     gateway: Gateway,
     now: Seconds,
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -111,7 +111,7 @@
     complete: bool = False
     # Since when a newer configuration is known to exist.
     wanted_since: Seconds | None = None
-    # Time of the last request to the controller for that configuration.
+    # Time of the last request for a newer configuration.
     asked_at: Seconds = Seconds(0)
     gateways: int = 1
     # Addresses of the gateways that controllers have listed.
--- a/trefoilsaddle/gateway/updates.py
+++ b/trefoilsaddle/gateway/updates.py
@@ -170,8 +170,8 @@
     return [AnnounceTable(peer, tables[0]) for peer in absent if tables]
 
 
-def send_configuration(gateway: Gateway, node: NodeId) -> Effects:
-    """Send the configuration to a gateway that requested it."""
+def send_configuration(gateway: Gateway, node: NodeId | None) -> Effects:
+    """Send the configuration to the gateway that requested it."""
     configuration = gateway.configuration
     if configuration is None:
         return []
--- a/trefoilsaddle/programs/gatewaylinks.py
+++ b/trefoilsaddle/programs/gatewaylinks.py
@@ -7,7 +7,7 @@
 import trio
 
 from trefoilsaddle.core.errors import Failure
-from trefoilsaddle.core.units import NodeId, Seconds
+from trefoilsaddle.core.units import NodeId, Seconds, Version
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import (
     AnnounceTable,
@@ -55,6 +55,7 @@
 _MAX_QUEUED = 64
 
 Feed = Callable[[Event], None]
+_Decode = Callable[[bytes], Configuration | Failure]
 _Outbox = trio.MemorySendChannel[bytes]
 
 
@@ -90,6 +91,7 @@
     """Serve the connections of gateways to the controller."""
 
     feed: Feed
+    decode_configuration: _Decode
     outboxes: dict[NodeId, _Outbox] = field(default_factory=dict)
     # The last configuration sent and its encoded message.
     _last_configuration: bytes = b''
@@ -105,17 +107,20 @@
         for name in names:
             self._push(name, message)
 
-    def send_configuration(self, effect: SendConfiguration) -> None:
+    def send_configuration(self, node: NodeId, encoded: bytes) -> None:
         """Send the configuration to a gateway."""
-        if effect.encoded != self._last_configuration:
+        if encoded != self._last_configuration:
             # Encoded once, as all gateways request a new version within a
             # second.
-            self._last_configuration = effect.encoded
-            deflated = Deflater().deflate(effect.encoded)
+            self._last_configuration = encoded
             self._configuration_message = encode_peer_message(
-                ConfigurationCopy(deflated)
+                _build_copy(encoded)
             )
-        self._push(effect.node, self._configuration_message)
+        self._push(node, self._configuration_message)
+
+    def request_configuration(self, node: NodeId, known: Version) -> None:
+        """Request the configuration of a gateway."""
+        self._push(node, encode_peer_message(ConfigurationRead(known)))
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Receive the messages of one gateway and send it those queued."""
@@ -156,6 +161,8 @@
             self.feed(TableAnnounced(stored))
         elif isinstance(message, ConfigurationRead) and node is not None:
             self.feed(ConfigurationWanted(node))
+        elif isinstance(message, ConfigurationCopy):
+            _feed_copy(message, self.decode_configuration, self.feed)
 
     def _handle_report(
         self,
@@ -189,7 +196,7 @@
 
     feed: Feed
     greeting: Report
-    decode_configuration: Callable[[bytes], Configuration | Failure]
+    decode_configuration: _Decode
     address: GatewayAddress | None = None
     address_changed: trio.Event = field(default_factory=trio.Event)
     outbox: _Outbox | None = None
@@ -204,10 +211,6 @@
         """Send a report, or drop it without a connection."""
         self.push(effect.report)
 
-    def request_configuration(self, effect: AskConfiguration) -> None:
-        """Request the configuration from the controller."""
-        self.push(ConfigurationRead(effect.known))
-
     def push(self, message: PeerMessage) -> None:
         """Queue a message, or drop it without a connection."""
         if self.outbox is None:
@@ -267,19 +270,35 @@
         while True:
             message = await messages.receive()
             if isinstance(message, ConfigurationCopy):
-                self._handle_copy(message)
+                _feed_copy(message, self.decode_configuration, self.feed)
+            elif isinstance(message, ConfigurationRead):
+                self.feed(ConfigurationWanted(None))
             elif isinstance(message, News):
                 self.feed(NewsReceived(message))
             else:
                 return
 
-    def _handle_copy(self, message: ConfigurationCopy) -> None:
-        encoded = Inflater(_MAX_FRAME_BYTES).inflate(message.deflated)
-        if isinstance(encoded, Failure):
-            return
-        configuration = self.decode_configuration(encoded)
-        if not isinstance(configuration, Failure):
-            self.feed(ConfigurationCopied(configuration))
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationExchange:
+    """Request and send configurations, as the controller or as a gateway."""
+
+    server: ControllerServer
+    link: ControllerLink
+
+    def request(self, effect: AskConfiguration) -> None:
+        """Request the configuration of a gateway or the controller."""
+        if effect.node is None:
+            self.link.push(ConfigurationRead(effect.known))
+        else:
+            self.server.request_configuration(effect.node, effect.known)
+
+    def send(self, effect: SendConfiguration) -> None:
+        """Send the configuration to a gateway or the controller."""
+        if effect.node is None:
+            self.link.push(_build_copy(effect.encoded))
+        else:
+            self.server.send_configuration(effect.node, effect.encoded)
 
 
 async def announce_table(effect: AnnounceTable) -> None:
@@ -298,6 +317,23 @@
             await MessageStream(stream).send(encoded)
 
 
+def _build_copy(encoded: bytes) -> ConfigurationCopy:
+    return ConfigurationCopy(Deflater().deflate(encoded))
+
+
+def _feed_copy(
+    message: ConfigurationCopy,
+    decode: _Decode,
+    feed: Feed,
+) -> None:
+    encoded = Inflater(_MAX_FRAME_BYTES).inflate(message.deflated)
+    if isinstance(encoded, Failure):
+        return
+    configuration = decode(encoded)
+    if not isinstance(configuration, Failure):
+        feed(ConfigurationCopied(configuration))
+
+
 async def _write_messages(
     messages: MessageStream,
     inbox: trio.MemoryReceiveChannel[bytes],
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -58,6 +58,7 @@
 from trefoilsaddle.programs.containment import Containment
 from trefoilsaddle.programs.gatewaycalls import GatewayCalls
 from trefoilsaddle.programs.gatewaylinks import (
+    ConfigurationExchange,
     ControllerLink,
     ControllerServer,
     announce_table,
@@ -114,14 +115,15 @@
         self.calls = GatewayCalls(
             gateway, PlatformDialect(), self.feed, nursery, self.containment
         )
-        self.controller = ControllerServer(self.feed)
+        decode_configuration = self._store.decode_configuration
+        self.controller = ControllerServer(self.feed, decode_configuration)
         greeting = Report(
             gateway.own_address(), Seconds(0), (), (), options.speed
         )
         self._link = ControllerLink(
             self.feed,
             greeting,
-            self._store.decode_configuration,
+            decode_configuration,
         )
         self._actions = self._list_actions()
 
@@ -163,6 +165,7 @@
 
     def _list_actions(self) -> dict[type[Effect], _Perform]:
         calls = self.calls
+        copies = ConfigurationExchange(self.controller, self._link)
         return {
             WriteDecision: self.write,
             SetTimer: self._set_timer,
@@ -180,8 +183,8 @@
             DialController: self._link.dial,
             SendReport: self._link.send,
             SendNews: self.controller.send,
-            SendConfiguration: self.controller.send_configuration,
-            AskConfiguration: self._link.request_configuration,
+            SendConfiguration: copies.send,
+            AskConfiguration: copies.request,
             AnnounceTable: partial(
                 self._nursery.start_soon,
                 self.containment.run,
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -96,6 +96,7 @@
   departed @5 :List(UInt32);
   controllerRun @6 :Int64;
   controllerTerm @7 :UInt32;
+  configuration @8 :Int64;
 }
 
 struct OwnerNews {
