Treat only the store's answers to reads as signs of another era

Callers would see nothing of it by itself; it costs a gateway time and calls while the store returns.

Cause, in the adapter's reading of `Store-Era`: a read that the store refused (503, 429) in another era counted as `expired`, which means that the store answers again: the entries' grace after an outage began before there was an answer, and a read of all records was added to a store that was refusing calls. Pages of the newest records from two eras counted as `unavailable`, so that the topic was logged as lost, and the next read came after the retry delay.

Fix: a read is expired by 410, or by records of another era; so are pages of two eras, and the rest of them is not asked for.

--- a/trefoilsaddle/platform/store.py
+++ b/trefoilsaddle/platform/store.py
@@ -1,7 +1,6 @@
 """Read and write the topics of the platform's metadata store."""
 
 import json
-import re
 from base64 import b64decode
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -36,7 +35,12 @@
 from trefoilsaddle.gateway.servers import ServerRemoved
 from trefoilsaddle.gateway.table import StoredTable
 from trefoilsaddle.http.budget import AnswerBudget
-from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
+from trefoilsaddle.http.messages import (
+    Fault,
+    HttpAnswer,
+    HttpRequest,
+    parse_number,
+)
 from trefoilsaddle.http.pool import ConnectionPool
 from trefoilsaddle.platform.configuration import decode_configuration
 from trefoilsaddle.platform.durations import write_duration
@@ -83,7 +87,6 @@
 # A page holds 1 MB of records, which base64 makes a third larger, and 500 keys.
 _MAX_ANSWER_BYTES = 4_194_304
 _MILLISECONDS = 1000
-_ERA_FORMAT = re.compile(rb'[0-9]{1,9}')
 
 
 class _WireJoined(WireModel):
@@ -221,13 +224,11 @@
             query['waitMs'] = int(effect.wait * _MILLISECONDS)
         timeout = Seconds(effect.wait + _CALL_TIMEOUT)
         answer = await self._call(b'GET', _READ, query, b'', timeout)
-        if isinstance(answer, Fault):
-            return _fail_read(effect, ReadVerdict.unavailable, asked_at)
         era = _find_era(answer)
-        if answer.status == HTTPStatus.GONE or era not in {effect.era, NO_ERA}:
+        if _is_expired(effect, answer):
             return _fail_read(effect, ReadVerdict.expired, asked_at, era)
         page = None
-        if answer.status == HTTPStatus.OK:
+        if isinstance(answer, HttpAnswer) and answer.status == HTTPStatus.OK:
             page = decode_page(answer.body, offset)
         if page is None:
             return _fail_read(effect, ReadVerdict.unavailable, asked_at, era)
@@ -246,31 +247,42 @@
         effect: ReadTopic,
         asked_at: Seconds,
     ) -> TopicRead:
-        first: _Newest | None = None
-        records: list[KeyedRecord] = []
-        after = ''
-        more = True
-        while more:
-            page = await self._read_newest_page(effect.topic, after)
-            # The pages are not one snapshot: continue from the end of the
-            # first page, so that no later record is missed.
-            first = first or page
-            if page is None or first is None or page.era != first.era:
-                return _fail_read(effect, ReadVerdict.unavailable, asked_at)
-            records.extend(page.records)
-            more = page.more and bool(page.records)
-            if more:
-                after = page.records[-1].name
+        pages = await self._read_pages(effect.topic)
+        if pages is None:
+            return _fail_read(effect, ReadVerdict.unavailable, asked_at)
+        first, last = pages[0], pages[-1]
+        if last.era != first.era:
+            # The store came back from a copy between two pages.
+            return _fail_read(effect, ReadVerdict.expired, asked_at, last.era)
+        records = [record for page in pages for record in page.records]
         return TopicRead(
             effect.topic,
             ReadVerdict.records,
             whole=True,
-            next_offset=Offset(0) if first is None else first.end,
+            # The pages are not one snapshot: continue from the end of the
+            # first page, so that no later record is missed.
+            next_offset=first.end,
             entries=_decode_all(effect.topic, records),
             asked_at=asked_at,
-            era=NO_ERA if first is None else first.era,
+            era=first.era,
         )
 
+    async def _read_pages(self, topic: Topic) -> list[_Newest] | None:
+        """Read pages up to the last one, or the first one of another era."""
+        pages: list[_Newest] = []
+        after = ''
+        more = True
+        while more:
+            page = await self._read_newest_page(topic, after)
+            if page is None:
+                return None
+            pages.append(page)
+            more = page.more and bool(page.records)
+            more = more and page.era == pages[0].era
+            if more:
+                after = page.records[-1].name
+        return pages
+
     async def _read_newest_page(
         self,
         topic: Topic,
@@ -345,11 +357,22 @@
     return AppendVerdict.refused
 
 
+def _is_expired(effect: ReadTopic, answer: HttpAnswer | Fault) -> bool:
+    """Return whether the store does not have the offset that is read from."""
+    if isinstance(answer, Fault):
+        return False
+    if answer.status == HTTPStatus.GONE:
+        return True
+    # The offset may be in use again for another record.
+    era = _find_era(answer)
+    return answer.status == HTTPStatus.OK and era not in {effect.era, NO_ERA}
+
+
 def _find_era(answer: HttpAnswer | Fault) -> StoreEra:
     if isinstance(answer, Fault):
         return NO_ERA
-    stated = answer.find_header(STORE_ERA) or b''
-    return StoreEra(int(stated)) if _ERA_FORMAT.fullmatch(stated) else NO_ERA
+    stated = parse_number(answer.find_header(STORE_ERA) or b'')
+    return NO_ERA if stated is None else StoreEra(stated)
 
 
 def _read_body(
