Count no age of entries from a read that returned none

Callers would see: a gateway relies for up to a second longer than it should on entries of servers, or on a configuration, that its controller has not read.

Cause: a read that the store answers with 410, or whose offset is of an earlier era, set the time of the topic's last read, though it returned no record; the read of all records that follows may be refused. The controller states that age in its updates. The store's return from a copy makes this common, as every topic expires at once.

Evidence: the added table fails for the verdict `expired` on each of the three topics without the change; reads that fail or return records are as before.

--- a/tests/test_gatewaystorecalls.py
+++ b/tests/test_gatewaystorecalls.py
@@ -157,3 +157,38 @@
     now = Seconds(world.now + elapsed)
     checked = reduce(gateway, now, TimerExpired(TimerKind.read_ownership))
     assert any(isinstance(kind, ReadTopic) for kind in checked) == reads
+
+
+# Guards against entries that a controller states to be recent although its last
+# read has returned none.
+@pytest.mark.parametrize('topic', list(Topic))
+@pytest.mark.parametrize(
+    ('verdict', 'counts'),
+    [
+        (ReadVerdict.records, True),
+        (ReadVerdict.expired, False),
+        (ReadVerdict.unavailable, False),
+    ],
+)
+def test_only_a_read_that_returns_records_is_recent(
+    topic: Topic,
+    verdict: ReadVerdict,
+    *,
+    counts: bool,
+) -> None:
+    """Count the age of what is known from the last read that succeeded."""
+    world = build_scene()
+    gateway = world.processes[NodeId('gate-1')].gateway
+    before = gateway.topics[topic].read_at
+    read = TopicRead(
+        topic,
+        verdict,
+        whole=False,
+        next_offset=Offset(9),
+        entries=(),
+        asked_at=world.now,
+        era=gateway.era,
+    )
+    reduce(gateway, world.now, read)
+    expected = world.now if counts else before
+    assert gateway.topics[topic].read_at == expected
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -221,7 +221,6 @@
     effects: Effects = []
     if state.unreachable:
         effects.append(_handle_store_back(state, event))
-    state.read_at = event.asked_at
     state.answered_at = now
     if event.verdict == ReadVerdict.expired:
         state.next_offset = None
@@ -231,6 +230,7 @@
             )
         )
         return [*effects, _read(gateway, event.topic)]
+    state.read_at = event.asked_at
     state.next_offset = event.next_offset
     if event.topic == Topic.servers:
         heartbeat = gateway.options.heartbeat
