Let the stand-in of the store come back from a copy

It states `Store-Era` in all its answers, can be copied, and comes back from a copy: offsets go back, a read beyond the end gets 410, records appended since are gone and so is the group's state since; the operator's and the servers' records are written again.

Three tests of the stand-in now state the era of their offset or table, as the gateway does: without one, an offset does not count in an era that the store states.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,7 +7,7 @@
 import json
 from base64 import b64encode
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from urllib.parse import parse_qs
 
 import trio
@@ -23,6 +23,8 @@
 _LENGTH_BYTES = 4
 _NUMBER_BYTES = 8
 _JSON = (b'content-type', b'application/json')
+# Topics whose lost records their writers write again.
+_WRITTEN_BY_OTHERS = ('keyed.op', 'keyed.servers')
 
 
 class _StandInService(CallerService):
@@ -63,6 +65,16 @@
     return HttpAnswer(status, (_JSON,), json.dumps(body).encode())
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Hold the contents of the store at some time."""
+
+    topics: dict[str, list[bytes]]
+    members: list[str]
+    holders: dict[int, str]
+    generation: int
+
+
 @dataclass(slots=True)
 class StoreStandIn(_StandInService):
     """Store with single-partition topics and one consumer group."""
@@ -78,6 +90,8 @@
     # Number of future appends that are stored but not answered.
     lost_answers: int = 0
     refusing: bool = False
+    # Number that each answer states; it rises with each return from a copy.
+    era: int = 1
     changed: trio.Event = field(default_factory=trio.Event)
 
     def put(self, topic: str, key: str, encoded: bytes) -> None:
@@ -85,9 +99,39 @@
         name = key.encode()
         self._store_record(topic, bytes((len(name),)) + name + encoded)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the contents."""
+        topics = {name: list(log) for name, log in self.topics.items()}
+        return StoreCopy(
+            topics, list(self.members), dict(self.holders), self.generation
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy; only operator and servers write again."""
+        lost = {
+            name: self.topics.get(name, [])[len(copy.topics.get(name, [])) :]
+            for name in _WRITTEN_BY_OTHERS
+        }
+        self.topics = {name: list(log) for name, log in copy.topics.items()}
+        self.members = list(copy.members)
+        self.holders = dict(copy.holders)
+        self.generation = copy.generation
+        self.era += 1
+        for name, records in lost.items():
+            for record in records:
+                self._store_record(name, record)
+
     async def answer(
         self, request: HttpRequest, waited: Seconds
     ) -> HttpAnswer | None:
+        """Answer a request and state the era."""
+        answer = await self._dispatch(request)
+        if answer is None:
+            return None
+        stated = (b'store-era', b'%d' % self.era)
+        return replace(answer, headers=(*answer.headers, stated))
+
+    async def _dispatch(self, request: HttpRequest) -> HttpAnswer | None:
         """Dispatch by the last part of the path."""
         if self.refusing:
             return HttpAnswer(503, ())
@@ -130,7 +174,7 @@
         topic = fields['topic']
         start = int(fields['from'])
         first = self.first_offsets.get(topic, 0)
-        if start < first:
+        if start < first or start > len(self.topics.get(topic, [])):
             return _write_json(410, {'first': first})
         if start >= len(self.topics.get(topic, [])):
             with trio.move_on_after(int(fields.get('waitMs', 0)) / 1000):
--- a/tests/test_platformstandins.py
+++ b/tests/test_platformstandins.py
@@ -3,6 +3,7 @@
 import json
 import logging
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -16,6 +17,7 @@
     Seconds,
     ServerId,
     ServiceName,
+    StoreEra,
     ZoneName,
 )
 from trefoilsaddle.decisionlog import DecisionLog
@@ -63,6 +65,7 @@
 _HOST = '127.0.0.1'
 _LIFE = ServerIncarnation(ServerId('i-1'), 5)
 _ADDRESS = GatewayAddress(NodeId('edge-a-1'), 1, _HOST, 7540)
+_ERA = StoreEra(1)
 _TABLE = OwnershipTable(
     ServiceName('guide'),
     _ADDRESS,
@@ -71,6 +74,7 @@
     assignments=(Assignment(ALL_KEYS, _LIFE, 1),),
     hold=Seconds(2.5),
     predecessors=(_ADDRESS,),
+    era=_ERA,
 )
 _NO_WAIT = Seconds(0)
 _Use = Callable[[StoreStandIn, PlatformStore], Awaitable[None]]
@@ -106,6 +110,7 @@
                     sequence=2,
                     resigned=True,
                     assignments=(),
+                    era=_ERA,
                 ),
             ),
         )
@@ -150,7 +155,7 @@
         assert names == ['i-1', 'i-2', 'i-3', 'i-4']
         stand_in.put('keyed.servers', 'i-2', b'')
         more = await store.read(
-            ReadTopic(Topic.servers, whole.next_offset, _NO_WAIT)
+            ReadTopic(Topic.servers, whole.next_offset, _NO_WAIT, whole.era)
         )
         assert more.entries == (ServerRemoved(ServerId('i-2')),)
         assert not more.whole
@@ -221,7 +226,7 @@
     """Return from a waiting read as soon as a record is written."""
 
     async def use(stand_in: StoreStandIn, store: PlatformStore) -> None:
-        effect = ReadTopic(Topic.servers, Offset(0), Seconds(5))
+        effect = ReadTopic(Topic.servers, Offset(0), Seconds(5), _ERA)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_put_soon, stand_in)
             with trio.fail_after(3):
@@ -489,6 +494,70 @@
     return settings
 
 
+def test_lost_records_are_not_taken_for_the_present_ones() -> None:
+    """Read all records again, and store a table again, after a return."""
+
+    async def use(stand_in: StoreStandIn, store: PlatformStore) -> None:
+        copy = stand_in.copy()
+        stand_in.put('keyed.servers', 'i-7', b'')
+        await store.append(AppendTable(Offset(0), _TABLE))
+        stand_in.restore(copy)
+        table = await store.read(
+            ReadTopic(Topic.ownership, Offset(1), _NO_WAIT, _ERA)
+        )
+        entry = await store.read(
+            ReadTopic(Topic.servers, Offset(0), _NO_WAIT, _ERA)
+        )
+        later = replace(_TABLE, era=table.era)
+        verdicts = [
+            (await store.append(AppendTable(Offset(position), later))).verdict
+            for position in (1, 0)
+        ]
+        assert table.era == entry.era == _ERA + 1
+        assert table.verdict == entry.verdict == ReadVerdict.expired
+        assert verdicts == [AppendVerdict.unknown, AppendVerdict.stored]
+
+    _use_store(use)
+
+
+# Guards against a gateway that serves no key, or moves none, once the store has
+# lost the newest tables.
+def test_gateway_serves_after_the_store_returns_from_a_copy(
+    tmp_path: Path,
+) -> None:
+    """Store the table again in the new era, and serve as before."""
+
+    async def run() -> None:
+        store = StoreStandIn()
+        server = ServerStandIn('i-1')
+        async with trio.open_nursery() as nursery:
+            store_port = await nursery.start(store.serve)
+            server_port = await nursery.start(server.serve)
+            store.put('keyed.op', 'config', json.dumps(_CONFIGURATION).encode())
+            copy = store.copy()
+            store.put(
+                'keyed.servers', 'i-1', _write_entry('guide', server_port)
+            )
+            ports = await _find_ports(3)
+            settings = _write_settings(tmp_path, ports, store_port)
+            nursery.start_soon(_run_gateway, settings, tmp_path)
+            with trio.fail_after(20):
+                await _wait_until_ready(ports[1])
+                before = await _ask_until_served(ports[0], b'/reads/1')
+                store.restore(copy)
+                while not store.topics.get('keyed.owners'):
+                    await trio.sleep(0.05)
+                after = await _ask_until_served(ports[0], b'/reads/2')
+            nursery.cancel_scope.cancel()
+        assert (before.status, after.status) == (200, 200)
+        assert [request.target for request in server.requests] == [
+            b'/reads/1',
+            b'/reads/2',
+        ]
+
+    trio.run(run)
+
+
 # Guards against a gateway that handles no event after one that failed.
 def test_event_that_fails_is_logged_and_left(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
