Wait for the holders of keys that lapsed before the store's return

What callers would see: two owners (OWNER) 0.1 s after the return, where a controller was cut off with some servers, replaced for the others in tables that are lost, and named again by the restored group.

Cause, found by the reviewer: every holder counted as known once all partitions with a holder had confirmed. Keys of a server that did not answer had lapsed and had no holder any more, so that they needed no confirmation. Only a release shows that nobody holds keys; all others have to be confirmed, or waited for.

The bound of 5 s on holds is taken back: a controller of 0.4 cores needs 9.5 s for 1,000 ranges (test_holds_grow_with_the_ranges, red with the bound). A successor that knows no holder waits for the longest hold that servers accept.

--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -397,7 +397,10 @@
 ) -> Effects:
     line = _describe_grant(partition, now, 'keys are free', reason)
     partition.set_free(now, handover)
-    partition.inherited_until = keyed.unknown_until or Seconds(0)
+    if keyed.unknown_until is not None:
+        # Only a release shows that no later holder is named by a lost table.
+        partition.inherited = not handover
+        partition.inherited_until = keyed.unknown_until
     keyed.partitions.revision += 1
     return [line]
 
--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -73,9 +73,6 @@
     server_defaults: ServerDefaults = ServerDefaults()
     hold: Seconds = DEFAULT_HOLD
     max_hold: Seconds = MAX_HOLD
-    # Longest hold that a controller grants; the successor of one whose tables
-    # are lost waits for it.
-    longest_hold: Seconds = Seconds(5)
     # A quarter of the hold: three calls may fail before a grant lapses.
     renewal_interval: Seconds = Seconds(0.5)
     # Processing time of an order on this machine; the default is for 0.4 cores.
--- a/trefoilsaddle/gateway/pacing.py
+++ b/trefoilsaddle/gateway/pacing.py
@@ -77,8 +77,7 @@
     # before the first of them lapses.
     takeover = excess * options.order_time
     sized = options.hold + interval - options.renewal_interval + takeover
-    longest = min(options.max_hold, options.longest_hold)
-    most = max(longest - _HOLD_MARGIN, options.hold)
+    most = max(options.max_hold - _HOLD_MARGIN, options.hold)
     return Seconds(min(sized, most))
 
 
--- a/trefoilsaddle/gateway/restoring.py
+++ b/trefoilsaddle/gateway/restoring.py
@@ -34,8 +34,8 @@
 ) -> None:
     """Give no keys away before the grants of lost tables have lapsed."""
     options = gateway.options
-    longest = max(stored.table.hold, options.hold, options.longest_hold)
-    keyed.inherited_hold = Seconds(longest)
+    # A lost table may have stated a longer hold than the known one.
+    keyed.inherited_hold = options.max_hold
     keyed.predecessors = _list_possible_controllers(gateway, stored)
     renewed_until = Seconds(now + options.outage_tolerance)
     keyed.unknown_until = find_latest_end(gateway, keyed, renewed_until)
@@ -54,6 +54,8 @@
     keyed.table_due = True
     for partition in keyed.partitions.ordered:
         partition.inherited_until = Seconds(0)
+        if partition.state == PartitionState.free:
+            partition.inherited = False
 
 
 def shorten_waits(
@@ -86,6 +88,9 @@
         incarnation = partition.incarnation
         partition.set_free(now, partition.handover)
         partition.target = None if incarnation is None else incarnation.server
+    if not partition.handover:
+        # Released keys belong to nobody; any others have to be confirmed.
+        partition.inherited = True
     if partition.granted:
         partition.inherited = True
         partition.next_call = now
