Follow an incomplete or resigned table by a true one

What callers would see: keys unserved for 3.4 s to 25 s at a later change of the controller, as its last table still said `incomplete`; with two key-divided services, all keys unserved after each return of the store.

Causes, found by the reviewer. (1) Holders confirmed while the incomplete table was being stored; its acceptance then cleared the mark that a complete one was due. (2) A controller that was deposed, and chosen again while its table was on the way, led on under a table that says `resigned`, for which no successor waits. (3) All services append to one topic at one expected end, so that the second of two appends was a conflict. (4) A table with unknown holders stated no predecessors. (5) The check of an append after a conflict could read another era.

(4) and (5) are read from the code.

--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -16,7 +16,7 @@
 from trefoilsaddle.gateway.control import KeyedControl, PendingAppend
 from trefoilsaddle.gateway.division import Division
 from trefoilsaddle.gateway.effects import AppendTable, Component, Effects
-from trefoilsaddle.gateway.election import step_down
+from trefoilsaddle.gateway.election import is_restoring, step_down
 from trefoilsaddle.gateway.events import AppendEnded, AppendVerdict
 from trefoilsaddle.gateway.keys import (
     ALL_KEYS,
@@ -79,7 +79,8 @@
 def append_table(gateway: Gateway, keyed: KeyedControl) -> Effects:
     """Append the next table to the store."""
     end = gateway.control.end
-    if end is None or keyed.pending is not None:
+    services = gateway.control.keyed.values()
+    if end is None or any(other.pending is not None for other in services):
         return []
     keyed.sequence += 1
     table = _build_table(gateway, keyed, end)
@@ -378,7 +379,9 @@
 
 def _list_predecessors(keyed: KeyedControl) -> tuple[GatewayAddress, ...]:
     # Servers that accepted a grant refuse all controllers before it.
-    if any(partition.inherited for partition in keyed.partitions.ordered):
+    unknown = keyed.unknown_until is not None
+    partitions = keyed.partitions.ordered
+    if unknown or any(partition.inherited for partition in partitions):
         return keyed.predecessors
     return ()
 
@@ -403,7 +406,7 @@
     now: Seconds,
 ) -> Effects:
     keyed.pending = None
-    keyed.table_due = False
+    keyed.table_due = _has_to_follow(gateway, keyed, pending.table)
     keyed.position = TablePosition(pending.table.era, pending.expected)
     keyed.hold = pending.table.hold
     gateway.control.end = Offset(pending.expected + 1)
@@ -430,11 +433,21 @@
         **describe_spread(pending.table),
     )
     effects: Effects = [line, *dial(gateway, now, pending.table.controller)]
-    if not gateway.control.elected and keyed.unknown_until is None:
+    if not gateway.control.elected and not is_restoring(gateway):
         effects.extend(step_down(gateway, 'the store chose another member'))
     return effects
 
 
+def _has_to_follow(
+    gateway: Gateway,
+    keyed: KeyedControl,
+    table: OwnershipTable,
+) -> bool:
+    """Return whether an accepted table has become untrue meanwhile."""
+    known = table.incomplete and keyed.unknown_until is None
+    return known or (table.resigned and not _is_resigning(gateway))
+
+
 def _undo_assignment(keyed: KeyedControl, now: Seconds) -> None:
     for partition in keyed.partitions.ordered:
         if partition.state != PartitionState.assigning:
--- a/trefoilsaddle/platform/store.py
+++ b/trefoilsaddle/platform/store.py
@@ -318,6 +318,8 @@
         answer = await self._call(b'GET', _READ, query, b'')
         if isinstance(answer, Fault) or answer.status != HTTPStatus.OK:
             return AppendVerdict.unknown
+        if _find_era(answer) != effect.table.era:
+            return AppendVerdict.unknown
         page = decode_page(answer.body, effect.expected)
         if page and page[0].body == encoded:
             return AppendVerdict.stored
