Take a departed server in again only once it has written

Callers would see requests at a server that had left, or at its address in use by another: a store that came back from a copy lists its entry again, and every gateway that read it, or was told by one that did, took it for a new server.

The registry remembers the last entry of up to 1,024 removed servers. An entry of the same incarnation with no higher seq, or of an older one, is withheld. A removal, read or told, discards what is withheld. Nothing of it depends on noticing the era, so gateways that never read the store are covered.

--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -363,10 +363,16 @@
 
 
 def _expire_removals(gateway: Gateway, now: Seconds) -> Effects:
-    return [
+    registry = gateway.registry
+    gone = [
         _log_server('server did not come back', name)
-        for name in gateway.registry.expire(now)
+        for name in registry.expire(now)
+    ]
+    admitted = [
+        log_server_change(Component.store, server)
+        for server in registry.admit_withheld(now)
     ]
+    return [*gone, *admitted]
 
 
 def _log_servers_read(
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -2,7 +2,8 @@
 
 The removal of an entry is deferred while it may have lapsed only with the
 store; see `LapseWindow`.  A store that came back from a copy of itself lists
-older entries again: an older entry replaces no newer one.
+older entries again: an older entry replaces no newer one, and a departed server
+is taken in again only once it has written a newer entry.
 """
 
 from collections.abc import Iterable, Iterator
@@ -18,6 +19,12 @@
 # this gateway knows up to a second later.
 MAX_DRAINING_USE = Seconds(1.2)
 
+# Time after which the store no longer lists a silent server: three heartbeats of
+# up to 1.5 s, and the interval of reads.
+_WITHHOLDING_TIME = Seconds(5)
+# Maximum number of departed servers that are remembered.
+_MAX_DEPARTED = 1024
+
 # Sequence number of entries that state none.
 NO_SEQUENCE = -1
 
@@ -80,6 +87,59 @@
 ServerChange = Server | ServerRemoved
 
 
+@dataclass(frozen=True, slots=True)
+class _WithheldServer:
+    server: Server
+    until: Seconds
+
+
+@dataclass(slots=True)
+class DepartedServers:
+    """Remember servers that were removed, so that no old entry adds them."""
+
+    # Last entries of the servers.
+    newest: dict[ServerId, Server] = field(default_factory=dict)
+    # Entries that were not written since; the store may list them only because
+    # it came back from a copy.
+    withheld: dict[ServerId, _WithheldServer] = field(default_factory=dict)
+
+    def record(self, server: Server) -> None:
+        """Record the removal of a server."""
+        name = server.life.server
+        self.newest.pop(name, None)
+        self.newest[name] = server
+        if len(self.newest) > _MAX_DEPARTED:
+            self.newest.pop(next(iter(self.newest)))
+
+    def withhold(self, server: Server, now: Seconds) -> bool:
+        """Withhold the entry of a departed server unless it is a newer one."""
+        name = server.life.server
+        last = self.newest.get(name)
+        if last is None or last.is_older(server):
+            return False
+        if server.life == last.life and server.sequence == NO_SEQUENCE:
+            return False
+        until = Seconds(now + _WITHHOLDING_TIME)
+        self.withheld.setdefault(name, _WithheldServer(server, until))
+        return True
+
+    def discard_withheld(self, name: ServerId) -> None:
+        """Discard the withheld entry of a server, if any."""
+        self.withheld.pop(name, None)
+
+    def pop_due(self, now: Seconds) -> list[Server]:
+        """Return the entries that the store has kept, and forget them."""
+        due = [
+            entry.server
+            for entry in self.withheld.values()
+            if entry.until <= now
+        ]
+        for server in due:
+            self.withheld.pop(server.life.server)
+            self.newest.pop(server.life.server, None)
+        return due
+
+
 @dataclass(slots=True)
 class ServerRegistry:
     """Hold the newest entry of each server."""
@@ -101,6 +161,7 @@
         default_factory=dict
     )
     lapses: LapseWindow = field(default_factory=LapseWindow)
+    departed: DepartedServers = field(default_factory=DepartedServers)
     # Incremented whenever an incarnation is replaced or removed.
     departures: int = 0
 
@@ -132,9 +193,13 @@
         """Store an entry; return whether it changed in a way that matters."""
         name = server.life.server
         known = self.servers.get(name)
-        if known is not None and server.is_older(known):
+        if known is None:
+            if self.departed.withhold(server, now):
+                return False
+        elif server.is_older(known):
             return False
         self.deferred_removals.pop(name, None)
+        self.departed.discard_withheld(name)
         if known is not None:
             self._replace(known, server)
         self.servers[name] = server
@@ -146,8 +211,14 @@
             self.draining_since.setdefault(server.life, now)
         return known is None or _is_significant(known, server)
 
+    def admit_withheld(self, now: Seconds) -> list[Server]:
+        """Take in the withheld entries that the store has kept; return them."""
+        due = self.departed.pop_due(now)
+        return [server for server in due if self.put(server, now)]
+
     def remove(self, server: ServerId, now: Seconds) -> bool:
         """Remove an entry or defer its removal; return whether it is gone."""
+        self.departed.discard_withheld(server)
         known = self.servers.get(server)
         if known is None:
             return False
@@ -159,6 +230,7 @@
 
     def discard(self, server: ServerId) -> bool:
         """Remove an entry at once; return whether it was known."""
+        self.departed.discard_withheld(server)
         known = self.servers.get(server)
         if known is None:
             return False
@@ -185,7 +257,9 @@
         now: Seconds,
     ) -> list[ServerId]:
         """Remove the entries that a complete listing lacks; return them."""
-        absent = set(self.servers).difference(present)
+        absent = (
+            self.servers.keys() | self.departed.withheld.keys()
+        ).difference(present)
         return [name for name in sorted(absent) if self.remove(name, now)]
 
     def _replace(self, known: Server, server: Server) -> None:
@@ -197,6 +271,7 @@
     def _drop(self, server: Server) -> None:
         name = server.life.server
         self.departures += 1
+        self.departed.record(server)
         self.servers.pop(name, None)
         self.deferred_removals.pop(name, None)
         self.by_tag.pop(server.life.tag, None)
