Keep recently added servers when the store came back from a copy

Callers would see servers drop out for up to a heartbeat: a copy lacks the servers that were added after it was made, and a short outage, or one after which few entries are missing, defers no removal.

An entry that is back ends the deferral as before. The call belongs to the reducer's step that notices the era, which is not here.

Tests: test_recent_server_is_kept_after_a_restore, test_recent_server_that_writes_ again_stays, test_added_server_outlives_a_restore: seen failing with the window taken out of record_restore.

--- a/tests/test_gatewayservers.py
+++ b/tests/test_gatewayservers.py
@@ -22,6 +22,7 @@
     Topic,
     TopicRead,
 )
+from trefoilsaddle.gateway.lapses import LAPSE_GRACE
 from trefoilsaddle.gateway.peermessages import News
 from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.servers import (
@@ -53,6 +54,7 @@
     warm_up_left=Seconds(0),
     sequence=_SEQUENCE,
 )
+_OTHER = replace(_KNOWN, life=ServerIncarnation(ServerId('guide-10'), _BORN))
 
 
 def _build_entry(born: int, sequence: int, *, draining: bool = False) -> Server:
@@ -153,6 +155,39 @@
     assert name in registry.departed.newest
 
 
+# Guards against servers that drop out: the store came back from a copy that was made
+# before they were added.
+@pytest.mark.parametrize(
+    ('age', 'restored', 'kept'),
+    [(5, True, True), (60, True, False), (5, False, False)],
+)
+def test_recent_server_is_kept_after_a_restore(
+    age: float,
+    *,
+    restored: bool,
+    kept: bool,
+) -> None:
+    """Keep entries that the copy may lack, until the server writes again."""
+    registry = _build_registry(_KNOWN)
+    now = Seconds(_NOW + age)
+    if restored:
+        registry.lapses.record_restore(now)
+    registry.keep_only((), now)
+    assert (_NAME in registry.servers) == kept
+    registry.expire(Seconds(now + LAPSE_GRACE))
+    assert _NAME not in registry.servers
+
+
+def test_recent_server_that_writes_again_stays() -> None:
+    """End the deferral of a removal once the entry is back."""
+    registry = _build_registry(_KNOWN)
+    registry.lapses.record_restore(_NOW)
+    registry.keep_only((), _NOW)
+    registry.put(_KNOWN, _NOW)
+    assert registry.expire(Seconds(_NOW + LAPSE_GRACE)) == []
+    assert _NAME in registry.servers
+
+
 def _build_gateway() -> tuple[Gateway, Seconds]:
     world = build_scene()
     gateway = next(
@@ -235,3 +270,20 @@
     assert _NAME not in known
     reduce(gateway, Seconds(now + _LONG), TimerExpired(TimerKind.review))
     assert _NAME in known
+
+
+def test_added_server_outlives_a_restore() -> None:
+    """Keep a server that the copy lacks until it has written again."""
+    gateway, now = _build_gateway()
+    known = gateway.registry.servers
+    present = tuple(known.values())
+    added = _build_read(_KNOWN, _OTHER, now=now, whole=False)
+    reduce(gateway, now, added)
+    gateway.registry.lapses.record_restore(now)
+    reduce(gateway, now, _build_read(*present, now=now, whole=True))
+    assert {_NAME, _OTHER.life.server} <= known.keys()
+    reduce(gateway, now, _build_read(_KNOWN, now=now, whole=False))
+    later = Seconds(now + LAPSE_GRACE)
+    reduce(gateway, later, TimerExpired(TimerKind.review))
+    assert _NAME in known
+    assert _OTHER.life.server not in known
--- a/trefoilsaddle/gateway/lapses.py
+++ b/trefoilsaddle/gateway/lapses.py
@@ -5,6 +5,9 @@
 unless it appears again in that time.  Live servers write equally often, so an
 outage in which entries lapse removes many: if few are missing afterwards, their
 servers have left.
+
+A store that came back from a copy of itself lacks the entries that were added
+after the copy was made, until their servers write again.
 """
 
 from collections.abc import Collection
@@ -23,6 +26,8 @@
 # entries lapsed.  If fewer have lapsed, the other servers suffice until they
 # are back within a heartbeat.
 _MIN_LAPSED_FRACTION = 0.25
+# Maximum age of a copy from which the store comes back.
+_MAX_COPY_AGE = Seconds(15)
 
 
 @dataclass(slots=True)
@@ -33,6 +38,10 @@
     deferred_until: Seconds = Seconds(0)
     # True until the first entries after an outage show whether any have lapsed.
     undecided: bool = False
+    # The same for entries that were added shortly before the store came back
+    # from a copy, and the time since which they were added.
+    restored_until: Seconds = Seconds(0)
+    copied_after: Seconds = Seconds(0)
     # Time of the newest known read of the entries.
     read_at: Seconds | None = None
 
@@ -70,3 +79,14 @@
         lapsed = set(known).intersection(missing)
         if len(lapsed) < _MIN_LAPSED_FRACTION * len(known):
             self.deferred_until = Seconds(0)
+
+    def record_restore(self, now: Seconds) -> None:
+        """Record that the store came back from a copy of itself."""
+        self.restored_until = Seconds(now + LAPSE_GRACE)
+        self.copied_after = Seconds(now - _MAX_COPY_AGE)
+
+    def find_end(self, added_at: Seconds) -> Seconds:
+        """Return the time until which a missing entry is kept."""
+        if added_at < self.copied_after:
+            return self.deferred_until
+        return Seconds(max(self.deferred_until, self.restored_until))
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -222,7 +222,7 @@
         known = self.servers.get(server)
         if known is None:
             return False
-        until = self.lapses.deferred_until
+        until = self.lapses.find_end(self.first_seen_at[known.life])
         if now < until and not known.draining:
             self.deferred_removals.setdefault(server, until)
             return False
