Judge an outage of the store by reads that are newer than it only

Cause: the old controller told them of its read at 19.19 s, which opened the deferral; the next controller, which had never read the entries, then told a list 28.6 s old with all 42 in it. As nothing was missing there, it ended the deferral, and the gateways' own first read found no gap. What is read before the outage now decides nothing about it.

Test: test_removal_is_deferred_after_news_of_the_return[True], seen failing with the condition taken out.

--- a/tests/test_gatewayrelay.py
+++ b/tests/test_gatewayrelay.py
@@ -287,18 +287,24 @@
 
 
 # Guards against servers that are lost although their entries only lapsed: a gateway
-# heard from a new controller that the store was back, and then read it itself.
-def test_removal_is_deferred_after_news_of_the_return() -> None:
+# heard from a controller that the store was back, and then read it itself.  Later,
+# the same although it was told an older list by the next controller in between.
+@pytest.mark.parametrize('outdated', [True, False])
+def test_removal_is_deferred_after_news_of_the_return(
+    *, outdated: bool
+) -> None:
     """Keep what may have lapsed, no matter who read the store first."""
     world, gateway = _build_member()
     known = gateway.registry.servers
     lapsed = set(known) - {_STAYING}
     world.now = Seconds(world.now + _AWAY)
+    reduce(gateway, world.now, _build_news(world, 1))
     news = replace(
         _build_news(world, 1).news,
         servers_whole=True,
-        servers=(known[_STAYING],),
-        doubted=tuple(lapsed),
+        servers=tuple(known.values()) if outdated else (known[_STAYING],),
+        doubted=() if outdated else tuple(lapsed),
+        servers_age=Seconds(2 * _AWAY if outdated else 0),
     )
     reduce(gateway, world.now, NewsReceived(news))
     read = TopicRead(
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -359,7 +359,8 @@
     }
     if event.whole:
         missing = known.keys() - set(present)
-    gateway.registry.lapses.review_missing(known, missing)
+    lapses = gateway.registry.lapses
+    lapses.review_missing(known, missing, event.asked_at)
 
 
 def _expire_removals(gateway: Gateway, now: Seconds) -> Effects:
--- a/trefoilsaddle/gateway/lapses.py
+++ b/trefoilsaddle/gateway/lapses.py
@@ -38,6 +38,8 @@
     deferred_until: Seconds = Seconds(0)
     # True until the first entries after an outage show whether any have lapsed.
     undecided: bool = False
+    # Time of the last known read before the outage.
+    outage_after: Seconds = Seconds(0)
     # The same for entries that were added shortly before the store came back
     # from a copy, and the time since which they were added.
     restored_until: Seconds = Seconds(0)
@@ -60,6 +62,7 @@
         # an entry lapses after three: nothing lapses while other gateways can
         # still read the store.
         if answered_at - last >= _MIN_LAPSE_HEARTBEATS * heartbeat:
+            self.outage_after = last
             self.defer_removals(answered_at)
 
     def defer_removals(self, now: Seconds) -> None:
@@ -71,9 +74,10 @@
         self,
         known: Collection[ServerId],
         missing: Collection[ServerId],
+        asked_at: Seconds,
     ) -> None:
         """Defer no removals if few entries are missing after an outage."""
-        if not self.undecided:
+        if not self.undecided or asked_at <= self.outage_after:
             return
         self.undecided = False
         lapsed = set(known).intersection(missing)
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -300,7 +300,8 @@
 ) -> list[ServerId]:
     present = {entry.life.server for entry in news.servers}
     missing = registry.servers.keys() - present
-    registry.lapses.review_missing(registry.servers, missing)
+    read_at = Seconds(now - news.servers_age)
+    registry.lapses.review_missing(registry.servers, missing, read_at)
     deferred = {ServerId(entry) for entry in news.doubted}
     return registry.keep_only(present | deferred, now)
 
