Keep added servers when the store's era rises

What callers would see: a server that was added within the age of the copy gets no requests until its next heartbeat, and its keys are given away.

Cause: the registry offers `record_restore` for entries that a copy lacks; no event called it yet. The step that records the store's era does.

Test: test_era_defers_the_removal_of_added_servers, seen failing without the call.

--- a/tests/test_gatewayrestore.py
+++ b/tests/test_gatewayrestore.py
@@ -236,6 +236,17 @@
     assert world.store.find_end(Topic.ownership) > ended
 
 
+# Guards against servers that drop out, as the copy lacks their entries.
+def test_era_defers_the_removal_of_added_servers() -> None:
+    """Keep entries that may only be missing in the copy."""
+    world = build_scene()
+    gateway = _find_controller(world).gateway
+    assert gateway.registry.lapses.restored_until <= world.now
+    _restore(world, _Restore())
+    world.run(2.4)
+    assert gateway.registry.lapses.restored_until > world.now
+
+
 # Guards against a wait for unknown holders where the last controller lives.
 def test_deposed_controller_stores_its_table_before_it_steps_down() -> None:
     """Serve all keys although the copy's group names another controller."""
--- a/trefoilsaddle/gateway/eras.py
+++ b/trefoilsaddle/gateway/eras.py
@@ -39,6 +39,7 @@
     )
     for topic in gateway.topics.values():
         topic.next_offset = None
+    gateway.registry.lapses.record_restore(now)
     if not gateway.control.leading:
         return [line]
     return [line, *_restore_tables(gateway, now)]
