Count entries that are back as lapsed when an outage is judged

The store adds a record for an unchanged entry only if it was gone, and its seq is then higher: such entries now count with the missing ones.

Test: test_entries_that_are_back_show_that_others_lapsed[True], seen failing with the counting taken out.

--- a/tests/test_gatewayservers.py
+++ b/tests/test_gatewayservers.py
@@ -287,3 +287,22 @@
     reduce(gateway, later, TimerExpired(TimerKind.review))
     assert _NAME in known
     assert _OTHER.life.server not in known
+
+
+# Guards against servers that drop out: an outage was over, and most of the servers
+# whose entries had lapsed had written again before the first read.
+@pytest.mark.parametrize('lapsed', [True, False])
+def test_entries_that_are_back_show_that_others_lapsed(
+    *,
+    lapsed: bool,
+) -> None:
+    """Count entries that were written again as missing after an outage."""
+    gateway, now = _build_gateway()
+    known = gateway.registry.servers
+    present = tuple(known.values())
+    reduce(gateway, now, _build_read(_KNOWN, now=now, whole=False))
+    if lapsed:
+        present = tuple(replace(server, sequence=9) for server in present)
+    later = Seconds(now + 5)
+    reduce(gateway, later, _build_read(*present, now=later, whole=True))
+    assert (_NAME in known) == lapsed
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -321,12 +321,7 @@
     event: TopicRead,
 ) -> Effects:
     changes: Effects = []
-    present = [
-        entry.life.server
-        for entry in event.entries
-        if isinstance(entry, Server)
-    ]
-    _review_missing(gateway, event, present)
+    _review_missing(gateway, event)
     known = set(gateway.registry.servers)
     usable = gateway.registry.list_usable()
     for entry in event.entries:
@@ -338,6 +333,7 @@
     effects = [*changes, *_log_registered(gateway, added)]
     if event.whole:
         effects = [_log_servers_read(event, now, len(changes) + len(added))]
+        present = {server.life.server for server in _list_servers(event)}
         for name in gateway.registry.keep_only(present, now):
             effects.append(_log_server('server gone', name))
     expired = _expire_removals(gateway, now)
@@ -346,19 +342,21 @@
     return [*effects, *expired]
 
 
-def _review_missing(
-    gateway: Gateway,
-    event: TopicRead,
-    present: list[ServerId],
-) -> None:
+def _list_servers(event: TopicRead) -> list[Server]:
+    return [entry for entry in event.entries if isinstance(entry, Server)]
+
+
+def _review_missing(gateway: Gateway, event: TopicRead) -> None:
     known = gateway.registry.servers
+    entries = _list_servers(event)
     missing = {
         entry.server
         for entry in event.entries
         if isinstance(entry, ServerRemoved)
     }
     if event.whole:
-        missing = known.keys() - set(present)
+        missing = known.keys() - {entry.life.server for entry in entries}
+    missing |= gateway.registry.list_rewritten(entries)
     lapses = gateway.registry.lapses
     lapses.review_missing(known, missing, event.asked_at)
 
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -275,6 +275,8 @@
         # Changes do not replace a read of all entries.
         link.servers_read_at = read_at
     registry.lapses.record_read(read_at, read_at, gateway.options.heartbeat)
+    if news.servers_whole:
+        _review_missing(registry, news, read_at)
     changed = [server for server in news.servers if registry.put(server, now)]
     # The controller has deferred the removal if necessary.
     removed = [ServerId(name) for name in news.removed]
@@ -293,15 +295,23 @@
     return [line]
 
 
+def _review_missing(
+    registry: ServerRegistry,
+    news: News,
+    read_at: Seconds,
+) -> None:
+    known = registry.servers
+    missing = known.keys() - {entry.life.server for entry in news.servers}
+    missing |= registry.list_rewritten(news.servers)
+    registry.lapses.review_missing(known, missing, read_at)
+
+
 def _remove_absent(
     registry: ServerRegistry,
     now: Seconds,
     news: News,
 ) -> list[ServerId]:
     present = {entry.life.server for entry in news.servers}
-    missing = registry.servers.keys() - present
-    read_at = Seconds(now - news.servers_age)
-    registry.lapses.review_missing(registry.servers, missing, read_at)
     deferred = {ServerId(entry) for entry in news.doubted}
     return registry.keep_only(present | deferred, now)
 
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -262,6 +262,18 @@
         ).difference(present)
         return [name for name in sorted(absent) if self.remove(name, now)]
 
+    def list_rewritten(self, entries: Iterable[Server]) -> set[ServerId]:
+        """List known servers whose unchanged entries have a new record.
+
+        The store adds such a record only if the entry was gone.
+        """
+        return {
+            entry.life.server
+            for entry in entries
+            if self.servers.get(entry.life.server) == entry
+            and self.servers[entry.life.server].is_older(entry)
+        }
+
     def _replace(self, known: Server, server: Server) -> None:
         if known.service != server.service:
             self._drop(known)
