Reserve ports in blocks, so that test runs side by side share none

Cause: a run picks ports that nobody listens on, from a start that follows its process id, long before its processes listen. Two runs at once picked the same ports: one process did not start, or callers of one run reached the other.

Change: a process takes blocks of 500 ports, each reserved by listening on its first port.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -11,9 +11,12 @@
 
 # Below the ephemeral ports that the system assigns to outgoing connections.
 _FIRST_PORT = 10_000
-_PORT_COUNT = 20_000
-# Spreads the start ports of runs with adjacent process ids.
-_STRIDE = 211
+# Each process takes whole blocks, so that runs side by side share no port.
+_BLOCK_COUNT = 40
+_BLOCK_SIZE = 500
+
+# Held until the process ends.
+_reservations: dict[int, socket.socket] = {}
 
 
 def pick_ports(count: int) -> list[int]:
@@ -32,11 +35,27 @@
 
 
 def _list_ports() -> Iterator[int]:
-    start = os.getpid() * _STRIDE % _PORT_COUNT
-    for step in cycle(range(_PORT_COUNT)):
-        port = _FIRST_PORT + (start + step) % _PORT_COUNT
-        if _is_free(port):
-            yield port
+    start = os.getpid() % _BLOCK_COUNT
+    for step in cycle(range(_BLOCK_COUNT)):
+        block = (start + step) % _BLOCK_COUNT
+        first = _FIRST_PORT + block * _BLOCK_SIZE
+        if _reserve(first):
+            yield from filter(_is_free, range(first + 1, first + _BLOCK_SIZE))
+
+
+def _reserve(port: int) -> bool:
+    """Reserve a block by its first port; False if another process has it."""
+    if port in _reservations:
+        return True
+    reservation = socket.socket()
+    try:
+        reservation.bind((LOOPBACK, port))
+    except OSError:
+        reservation.close()
+        return False
+    reservation.listen()
+    _reservations[port] = reservation
+    return True
 
 
 def _is_free(port: int) -> bool:
