Compute the listed servers of an update once, and build failed reads in one place

The model built the result of a read without records twice. Two conditions that set the same flag in `restoring` are one. Comments of `table_due`, `term` and `restored_until` said less than the fields hold by now.

--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -341,14 +341,8 @@
     def _read_topic(self, process: Process, effect: ReadTopic) -> None:
         requested_at = self.now
         if self._is_store_unreachable(process):
-            read = TopicRead(
-                effect.topic,
-                ReadVerdict.unavailable,
-                whole=False,
-                next_offset=effect.offset or Offset(0),
-                entries=(),
-                asked_at=requested_at,
-            )
+            verdict = ReadVerdict.unavailable
+            read = _build_empty_read(effect, verdict, requested_at, NO_ERA)
             self.after(_CALL_TIMEOUT, lambda: self.feed(process, read))
             return
         self.after(
@@ -364,7 +358,10 @@
         log = self.store.records[effect.topic]
         whole = effect.offset is None
         if not whole and effect.era != self.store.era:
-            self._expire_read(process, effect, requested_at)
+            verdict = ReadVerdict.expired
+            era = self.store.era
+            read = _build_empty_read(effect, verdict, requested_at, era)
+            self.feed(process, read)
             return
         if whole:
             entries = self.store.read_newest(effect.topic)
@@ -387,23 +384,6 @@
         )
         self.feed(process, read)
 
-    def _expire_read(
-        self,
-        process: Process,
-        effect: ReadTopic,
-        requested_at: Seconds,
-    ) -> None:
-        read = TopicRead(
-            effect.topic,
-            ReadVerdict.expired,
-            whole=False,
-            next_offset=effect.offset or Offset(0),
-            entries=(),
-            asked_at=requested_at,
-            era=self.store.era,
-        )
-        self.feed(process, read)
-
     def _append(self, process: Process, effect: AppendTable) -> None:
         table = effect.table
 
@@ -800,6 +780,23 @@
             self.store.remove_server(name)
 
 
+def _build_empty_read(
+    effect: ReadTopic,
+    verdict: ReadVerdict,
+    requested_at: Seconds,
+    era: StoreEra,
+) -> TopicRead:
+    return TopicRead(
+        effect.topic,
+        verdict,
+        whole=False,
+        next_offset=effect.offset or Offset(0),
+        entries=(),
+        asked_at=requested_at,
+        era=era,
+    )
+
+
 def build_world(
     configuration: Configuration,
     gateways: Iterable[str],
--- a/trefoilsaddle/gateway/control.py
+++ b/trefoilsaddle/gateway/control.py
@@ -52,8 +52,8 @@
     position: TablePosition = NO_POSITION
     # Earlier controllers that may still renew grants.
     predecessors: tuple[GatewayAddress, ...] = ()
-    # True while the store lacks this controller's table, as it came back from a
-    # copy.
+    # True while the store lacks a table that is true of this controller: it came
+    # back from a copy, or its table is still incomplete or resigned.
     table_due: bool = False
     # Time until which servers may hold keys by tables that are lost; None if
     # every holder is known.
@@ -111,7 +111,8 @@
     # True once this gateway has read the newest tables and acts as the
     # controller.
     leading: bool = False
-    # Number of times that this gateway has become the controller.
+    # Incremented whenever this gateway becomes the controller, and when the store
+    # came back from a copy meanwhile.
     term: int = 0
     # Earliest time of the next read of all tables, while not leading.
     read_after: Seconds = Seconds(0)
--- a/trefoilsaddle/gateway/lapses.py
+++ b/trefoilsaddle/gateway/lapses.py
@@ -40,8 +40,8 @@
     undecided: bool = False
     # Time of the last known read before the outage.
     outage_after: Seconds = Seconds(0)
-    # The same for entries that were added shortly before the store came back
-    # from a copy, and the time since which they were added.
+    # Time until which the removal of recently added entries is deferred, as the
+    # store came back from a copy, and the time since which they were added.
     restored_until: Seconds = Seconds(0)
     copied_after: Seconds = Seconds(0)
     # Time of the newest known read of the entries.
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -30,7 +30,7 @@
 )
 from trefoilsaddle.gateway.pools import Pool
 from trefoilsaddle.gateway.rounding import round_load, round_time
-from trefoilsaddle.gateway.servers import Server, ServerRegistry, ServerTag
+from trefoilsaddle.gateway.servers import Server, ServerTag
 from trefoilsaddle.gateway.state import Gateway, ServiceOwners
 from trefoilsaddle.gateway.table import GatewayAddress, OwnerMap
 
@@ -275,15 +275,19 @@
         # Changes do not replace a read of all entries.
         link.servers_read_at = read_at
     registry.lapses.record_read(read_at, read_at, gateway.options.heartbeat)
+    present = {entry.life.server for entry in news.servers}
     if news.servers_whole:
-        _review_missing(registry, news, read_at)
+        missing = registry.servers.keys() - present
+        missing |= registry.list_rewritten(news.servers)
+        registry.lapses.review_missing(registry.servers, missing, read_at)
     changed = [server for server in news.servers if registry.put(server, now)]
     # The controller has deferred the removal if necessary.
     removed = [ServerId(name) for name in news.removed]
     gone = [name for name in removed if registry.discard(name)]
     if not news.servers_whole:
         return _log_changes(changed, gone)
-    gone.extend(_remove_absent(registry, now, news))
+    deferred = {ServerId(entry) for entry in news.doubted}
+    gone.extend(registry.keep_only(present | deferred, now))
     line = log_event(
         Component.peers,
         'servers told',
@@ -295,27 +299,6 @@
     return [line]
 
 
-def _review_missing(
-    registry: ServerRegistry,
-    news: News,
-    read_at: Seconds,
-) -> None:
-    known = registry.servers
-    missing = known.keys() - {entry.life.server for entry in news.servers}
-    missing |= registry.list_rewritten(news.servers)
-    registry.lapses.review_missing(known, missing, read_at)
-
-
-def _remove_absent(
-    registry: ServerRegistry,
-    now: Seconds,
-    news: News,
-) -> list[ServerId]:
-    present = {entry.life.server for entry in news.servers}
-    deferred = {ServerId(entry) for entry in news.doubted}
-    return registry.keep_only(present | deferred, now)
-
-
 def _log_changes(changed: list[Server], gone: list[ServerId]) -> Effects:
     """Log each change, or one summary if there are many."""
     total = len(changed) + len(gone)
--- a/trefoilsaddle/gateway/restoring.py
+++ b/trefoilsaddle/gateway/restoring.py
@@ -88,12 +88,11 @@
         incarnation = partition.incarnation
         partition.set_free(now, partition.handover)
         partition.target = None if incarnation is None else incarnation.server
-    if not partition.handover:
-        # Released keys belong to nobody; any others have to be confirmed.
-        partition.inherited = True
     if partition.granted:
-        partition.inherited = True
         partition.next_call = now
+    # Released keys belong to nobody; any others have to be confirmed.
+    if partition.granted or not partition.handover:
+        partition.inherited = True
     partition.inherited_until = until
 
 
