Let retries be earned, so that restarts do not spend the slack again

What callers saw: none of it; servers of the key-divided service got more repeats than the operator allows (BUDGET) when all gateways restarted.

Cause: a gateway that had just started took the whole slack of the fleet's budget, as it knew of no other gateway, until it was linked 1.3 s later.

Now a gateway earns retries: a ratio of its own requests, and its part of the slack only for the time in which a controller has counted it. What is earned lapses after 0.4 of the window, so that a restart, which forgets what was spent, cannot add more than is left: 1.4 x 0.7 of the limit.

--- a/trefoilsaddle/gateway/attempts.py
+++ b/trefoilsaddle/gateway/attempts.py
@@ -15,6 +15,7 @@
 )
 from trefoilsaddle.gateway.events import AttemptEnded, AttemptVerdict
 from trefoilsaddle.gateway.loglines import log_request
+from trefoilsaddle.gateway.peers import find_slack_share
 from trefoilsaddle.gateway.placing import FULL_SERVER_DEPTH, place
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import FailedAnswer, Gateway, OpenCall
@@ -163,7 +164,8 @@
     if call.attempts >= call.route.attempts:
         return _end_attempts(gateway, call, now, code, server)
     budget = gateway.find_budget(call.service)
-    if arrived and not budget.spend_retry(now, gateway.count_gateways()):
+    share = find_slack_share(gateway, now)
+    if arrived and not budget.spend_retry(now, share):
         return _end_attempts(gateway, call, now, code, server)
     line = log_request(
         call.head.request_id,
@@ -171,6 +173,9 @@
         code=code.name,
         server=server.life.server,
         attempt=call.attempts,
+        gateways=share.gateways,
+        counted_for=round(share.counted_for, 2),
+        retries=len(budget.retries),
     )
     again = CountMetric('tried_again', code.name)
     return [line, again, *place(gateway, call, now)]
--- a/trefoilsaddle/gateway/budget.py
+++ b/trefoilsaddle/gateway/budget.py
@@ -1,10 +1,13 @@
 """Limit retries to a service so that the fleet stays within its budget.
 
 In any window, all gateways together may make `ratio` x requests + `slack`
-retries. No call is made to share this limit: each gateway uses `ratio` of its
-own requests and an equal share of the slack. A gateway that has just started
-has not seen the requests that its predecessor counted, so it begins with its
-share of the slack only.
+retries.  No call is made to share this limit: each gateway earns `ratio` of its
+own requests, and an equal share of the slack for the time in which the
+controller counts it.
+
+What a gateway earns lapses after a part of the window.  A gateway that starts
+has earned nothing and cannot know what its predecessor spent; as that had not
+saved up more either, both together stay within the limit.
 """
 
 from collections import deque
@@ -13,11 +16,23 @@
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.options import RetryBudget
 
-# Fraction of the limit that is used; the rest covers restarted gateways and
-# windows that begin between two requests.
+# Part of the window after which an unused right to retry lapses.
+_SAVED_FRACTION = 0.4
+# Fraction of the limit that is earned.  A window holds what is earned in it and
+# what was saved before it, so that this times `1 + _SAVED_FRACTION` is below 1.
 _USED_FRACTION = 0.7
 
 
+@dataclass(frozen=True, slots=True)
+class SlackShare:
+    """Describe a gateway's share of the slack."""
+
+    # Number of gateways that share it.
+    gateways: int
+    # Time for which the controller has counted this gateway without a break.
+    counted_for: Seconds
+
+
 @dataclass(slots=True)
 class ServiceBudget:
     """Count the requests and the retries of a service."""
@@ -29,20 +44,24 @@
     def count_request(self, now: Seconds) -> None:
         """Count a new request to the service."""
         self.requests.append(now)
-        _remove_before(self.requests, now - self.rules.window)
+        _remove_before(self.requests, now - self._saving_time())
 
-    def spend_retry(self, now: Seconds, gateways: int) -> bool:
+    def spend_retry(self, now: Seconds, share: SlackShare) -> bool:
         """Spend one retry of the budget; return whether it had one left."""
-        since = now - self.rules.window
-        _remove_before(self.requests, since)
-        _remove_before(self.retries, since)
+        saving_time = self._saving_time()
+        _remove_before(self.requests, now - saving_time)
+        _remove_before(self.retries, now - saving_time)
+        counted = min(share.counted_for, saving_time) / self.rules.window
         earned = self.rules.ratio * len(self.requests)
-        shared = self.rules.slack / max(gateways, 1)
-        if len(self.retries) + 1 > (earned + shared) * _USED_FRACTION:
+        earned += self.rules.slack * counted / max(share.gateways, 1)
+        if len(self.retries) + 1 > earned * _USED_FRACTION:
             return False
         self.retries.append(now)
         return True
 
+    def _saving_time(self) -> Seconds:
+        return Seconds(self.rules.window * _SAVED_FRACTION)
+
 
 def _remove_before(moments: deque[Seconds], since: float) -> None:
     while moments and moments[0] < since:
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from trefoilsaddle.core.units import NodeId, Seconds, ServerId, Version
+from trefoilsaddle.gateway.budget import SlackShare
 from trefoilsaddle.gateway.effects import (
     AskConfiguration,
     Component,
@@ -69,6 +70,15 @@
     return received_at is not None and now - received_at <= _MAX_NEWS_AGE
 
 
+def find_slack_share(gateway: Gateway, now: Seconds) -> SlackShare:
+    """Return this gateway's share of what all gateways may spend."""
+    linked_at = gateway.link.linked_at
+    counted_for = Seconds(0)
+    if linked_at is not None and is_linked(gateway, now):
+        counted_for = Seconds(now - linked_at)
+    return SlackShare(gateway.count_gateways(), counted_for)
+
+
 def is_connecting(gateway: Gateway, now: Seconds) -> bool:
     """Return whether a new controller may still answer the connection to it."""
     link = gateway.link
@@ -169,6 +179,8 @@
 def apply_news(gateway: Gateway, now: Seconds, news: News) -> Effects:
     """Apply the loads, owners and gateways of an update."""
     link = gateway.link
+    if not is_linked(gateway, now):
+        link.linked_at = now
     link.news_at = now
     gateway.pools.updated_at = now
     link.gateways = news.reporting
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -101,6 +101,8 @@
     # Time at which that address was learned.
     dialed_at: Seconds | None = None
     news_at: Seconds | None = None
+    # Time of the first update since the connection was made.
+    linked_at: Seconds | None = None
     # Term that the controller stated in its last update; zero before the first.
     term: int = 0
     # Time at which the controller had read the servers' entries it sent.
