--- a/tests/test_platformadapter.py
+++ b/tests/test_platformadapter.py
@@ -63,6 +63,7 @@
     'seq': 4,
     'born': 1_700_000_000_000,
 }
+_DIGITS = '9' * 5000
 _FOREIGN = {
     'state-unknown': {'state': 'asleep'},
     'slots-as-text': {'slots': '3'},
@@ -73,6 +74,20 @@
     'no-service': {'service': ''},
     'sequence-negative': {'seq': -1},
     'sequence-of-65-bits': {'seq': 2**64},
+    'port-of-5000-digits': {'address': f'10.0.0.1:{_DIGITS}'},
+    'port-zero': {'address': '10.0.0.1:0'},
+    'port-above-16-bits': {'address': '10.0.0.1:70000'},
+    'port-negative': {'address': '10.0.0.1:-1'},
+    'port-in-other-digits': {'address': '10.0.0.1:٨٠'},
+    'host-a-name': {'address': 'elsewhere:80'},
+    'host-with-space': {'address': '10.0.0.1 :80'},
+    'host-with-line-break': {'address': '10.0.0.1\r\nx: y:80'},
+    'host-with-nul': {'address': '10.0.0.1\0:80'},
+    'born-of-71-bits': {'born': 2**70},
+    'born-negative': {'born': -1},
+    'slots-of-400-digits': {'slots': 10**400},
+    'slots-of-a-million': {'slots': 10**6},
+    'warm-up-of-400-digits': {'warmupLeft': f'{_DIGITS}s'},
 }
 
 
@@ -110,7 +125,12 @@
     assert decode_entry('i-1', json.dumps(rest).encode()) is None
 
 
-@pytest.mark.parametrize('junk', [b'', b'\xff\xfe', b'[]', b'{'])
+_NESTED = b'[' * 100_000 + b']' * 100_000
+
+
+@pytest.mark.parametrize(
+    'junk', [b'', b'\xff\xfe', b'[]', b'{', _NESTED], ids=len
+)
 def test_unreadable_entry_is_ignored(junk: bytes) -> None:
     """Ignore bytes that cannot be decoded."""
     assert decode_entry('i-1', junk) is None
