Take no earlier refusal for the answer to a request

What callers saw (a report of other operators): a faulty server wrote an earlier refusal once more on a kept connection. Callers were told that a request had not run which was running, or it ran at a second server.

It could happen here in two ways. An answer without a request ID matched any request. And a request that goes to the same server again, on the same connection, has the ID of its first try, so that the copy of the refusal of the first was taken as the answer to the second.

And a request is sent to a server again on a new connection only, on which no earlier answer can arrive; other requests on the idle connection have other IDs.

Ruled out: copies with the ID of another request were skipped before.

Evidence, red before: tests/test_gatewayexchange.py:: test_request_is_sent_again_on_a_new_connection, two of four cases of tests/test_platformadapter.py::test_answer_names_its_request, and tests/test_gatewayforwarding.py:: test_second_try_at_a_server_gets_a_new_connection.

--- a/tests/scriptedserver.py
+++ b/tests/scriptedserver.py
@@ -18,6 +18,8 @@
     """Define how a server reacts to one request."""
 
     reply: bytes = b''
+    # An earlier answer, written once more on a kept connection first.
+    copied: bytes = b''
     close: bool = False
     # Bytes that are sent repeatedly until the client closes.
     endless: bytes = b''
@@ -66,11 +68,13 @@
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         self.connections += 1
         async with stream:
-            going_on = True
-            while going_on:
-                going_on = await self._serve_request(stream)
+            used = False
+            while await self._serve_request(stream, used=used):
+                used = True
 
-    async def _serve_request(self, stream: trio.SocketStream) -> bool:
+    async def _serve_request(
+        self, stream: trio.SocketStream, *, used: bool
+    ) -> bool:
         request = await self._read_request(stream)
         if request is None:
             self.closed.set()
@@ -78,6 +82,8 @@
         self.requests.append(request)
         step = self.script.pop(0)
         self.request_received.set()
+        if used and step.copied:
+            await stream.send_all(step.copied)
         if step.reply:
             await stream.send_all(step.reply)
         if step.endless:
--- a/tests/test_gatewayexchange.py
+++ b/tests/test_gatewayexchange.py
@@ -6,7 +6,7 @@
 import trio
 from trio.testing import wait_all_tasks_blocked
 
-from tests.scriptedserver import ScriptedServer, Step, whole
+from tests.scriptedserver import ScriptedServer, Step, serve_script, whole
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.http import sockets
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
@@ -146,6 +146,32 @@
     trio.run(run)
 
 
+_REFUSAL = whole(b'', _ID, b'x-not-executed: 1', status=b'421 Misdirected')
+
+
+# Guards against a refusal of the first try, written once more, that is taken for
+# the answer to the second try, which runs.
+def test_request_is_sent_again_on_a_new_connection() -> None:
+    """Return the answer of the second try, and keep the idle connection."""
+
+    async def run() -> None:
+        script = [Step(_REFUSAL), Step(_OWN, copied=_REFUSAL)]
+        server = ScriptedServer(script)
+        async with serve_script(server):
+            pool = ConnectionPool('127.0.0.1', server.port, Seconds(5))
+            statuses = []
+            for again in (False, True):
+                answer = await pool.exchange(
+                    _build_request(), Seconds(3), _matches, new=again
+                )
+                assert isinstance(answer, HttpAnswer)
+                statuses.append(answer.status)
+        assert statuses == [421, 200]
+        assert pool.opened == 2
+
+    trio.run(run)
+
+
 def test_cancelled_exchange_closes_the_connection() -> None:
     """Close the connection at once, so that the server drops the work."""
 
--- a/tests/test_gatewayforwarding.py
+++ b/tests/test_gatewayforwarding.py
@@ -163,6 +163,21 @@
     assert status == case.status
 
 
+# Guards against a request that has its earlier refusal read as its answer.
+def test_second_try_at_a_server_gets_a_new_connection() -> None:
+    """Ask for a new connection only for the server that had the request."""
+    world = build_scene()
+    effects = _reduce(world, _arrive(_READ))
+    first = _find(effects, SendAttempt)[0]
+    assert isinstance(first, SendAttempt)
+    assert not first.new_connection
+    effects = _reduce(world, AttemptEnded(_CALL, 1, _MOVED, 0))
+    second = _find(_send_parked(world, effects), SendAttempt)[0]
+    assert isinstance(second, SendAttempt)
+    assert second.server == first.server
+    assert second.new_connection
+
+
 def test_failure_that_is_delivered_late_keeps_its_status() -> None:
     """Log the status of the failure that is delivered."""
     world = build_scene()
--- a/tests/test_platformadapter.py
+++ b/tests/test_platformadapter.py
@@ -20,7 +20,7 @@
 from trefoilsaddle.gateway.events import AttemptVerdict
 from trefoilsaddle.gateway.servers import Server, ServerIncarnation
 from trefoilsaddle.gateway.statements import ServerStatement
-from trefoilsaddle.http.messages import HttpAnswer, HttpRequest
+from trefoilsaddle.http.messages import Headers, HttpAnswer, HttpRequest
 from trefoilsaddle.http.requests import BadInput
 from trefoilsaddle.platform.configuration import decode_configuration
 from trefoilsaddle.platform.dialect import PlatformDialect
@@ -265,6 +265,22 @@
     assert PlatformDialect().evaluate_answer(answer, 'mine') == case.verdict
 
 
+# Guards against the copy of an earlier refusal that names no request.
+@pytest.mark.parametrize(
+    ('headers', 'own'),
+    [
+        ((_ECHO,), True),
+        (((b'x-attempt-id', b'theirs'),), False),
+        ((_NOT_RUN,), False),
+        ((), False),
+    ],
+)
+def test_answer_names_its_request(headers: Headers, *, own: bool) -> None:
+    """Take only an answer that echoes the ID of the request."""
+    answer = HttpAnswer(503, headers)
+    assert PlatformDialect().matches(answer, 'mine') == own
+
+
 # Guards against numbers that are none, or that no float holds.
 @pytest.mark.parametrize(
     ('text', 'limit'),
--- a/trefoilsaddle/gateway/effects.py
+++ b/trefoilsaddle/gateway/effects.py
@@ -145,6 +145,9 @@
     idempotent: bool
     # True to see first whether the server keeps a new connection open.
     settle: bool = False
+    # True if an answer to an earlier attempt may still arrive on a connection
+    # that is open.
+    new_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/placing.py
+++ b/trefoilsaddle/gateway/placing.py
@@ -143,18 +143,21 @@
 ) -> Effects:
     gateway.parked.pop(call.call, None)
     call.attempts += 1
+    incarnation = candidate.server.life
+    again = incarnation in call.tried
+    call.tried = (*call.tried, incarnation)
     call.server = candidate.server
     call.sent_at = now
     call.uncontended = candidate.busy + 1 <= candidate.server.slots
     candidate.pool.start_request(now)
-    gateway.limits.spend(candidate.server.life)
+    gateway.limits.spend(incarnation)
     remaining = Seconds(call.expires - now)
     line = log_request(
         call.head.request_id,
         'sent',
         route=call.route.name,
         service=call.service,
-        server=candidate.server.life.server,
+        server=incarnation.server,
         attempt=call.attempts,
         busy=round(candidate.busy, 1),
         told_age=_find_load_age(gateway, now),
@@ -169,6 +172,7 @@
         remaining,
         call.idempotent,
         settle=_may_be_refused(gateway, call, candidate, now),
+        new_connection=again,
     )
     return [line, CountMetric('sent'), send]
 
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -22,7 +22,12 @@
 from trefoilsaddle.gateway.limits import RateLimits
 from trefoilsaddle.gateway.options import GatewayOptions
 from trefoilsaddle.gateway.pools import Pools
-from trefoilsaddle.gateway.servers import Server, ServerRegistry, ServerTag
+from trefoilsaddle.gateway.servers import (
+    Server,
+    ServerIncarnation,
+    ServerRegistry,
+    ServerTag,
+)
 from trefoilsaddle.gateway.table import (
     GatewayAddress,
     OwnerMap,
@@ -66,6 +71,8 @@
     # Deadline for the final answer.
     expires: Seconds
     attempts: int = 0
+    # Servers to which the request was sent.
+    tried: tuple[ServerIncarnation, ...] = ()
     # Server that is processing the request now.
     server: Server | None = None
     sent_at: Seconds = Seconds(0)
--- a/trefoilsaddle/http/pool.py
+++ b/trefoilsaddle/http/pool.py
@@ -59,15 +59,17 @@
         progress: Progress | None = None,
         *,
         settle: bool = False,
+        new: bool = False,
     ) -> HttpAnswer | Fault:
         """Send a request once, without a timeout of its own.
 
         With `settle` it is sent on a new connection only if the server has not
-        closed that by the time at which a refusal would have arrived.
+        closed that by the time at which a refusal would have arrived; with
+        `new` no idle connection is used.
         """
         opened = self.opened
         started = trio.current_time()
-        stream = await self.open(max_idle_time)
+        stream = await self.open(max_idle_time, new=new)
         if stream is None:
             return Fault.unsent
         if settle and self.opened > opened:
@@ -80,9 +82,11 @@
     async def open(
         self,
         max_idle_time: Seconds = _MAX_IDLE_TIME,
+        *,
+        new: bool = False,
     ) -> trio.SocketStream | None:
         """Return an idle or new connection, or None if connecting fails."""
-        stream = self._pop_idle(max_idle_time)
+        stream = None if new else self._pop_idle(max_idle_time)
         if stream is None:
             stream = await sockets.open_stream(
                 self.host, self.port, self.connect_timeout
--- a/trefoilsaddle/platform/dialect.py
+++ b/trefoilsaddle/platform/dialect.py
@@ -90,9 +90,9 @@
         )
 
     def matches(self, answer: HttpAnswer, request_id: str) -> bool:
-        """Return whether an answer echoes the request ID, if it has any."""
+        """Return whether an answer echoes the request ID."""
         echoed = answer.find_header(names.REQUEST_ID)
-        return echoed is None or echoed.decode(_ENCODING) == request_id
+        return echoed is not None and echoed.decode(_ENCODING) == request_id
 
     def evaluate_answer(
         self, answer: HttpAnswer, request_id: str
--- a/trefoilsaddle/ports.py
+++ b/trefoilsaddle/ports.py
@@ -96,7 +96,7 @@
 
     @abstractmethod
     def matches(self, answer: HttpAnswer, request_id: str) -> bool:
-        """Return whether an answer echoes the request ID, if it has any."""
+        """Return whether an answer echoes the request ID."""
 
     @abstractmethod
     def evaluate_answer(
--- a/trefoilsaddle/programs/gatewaycalls.py
+++ b/trefoilsaddle/programs/gatewaycalls.py
@@ -111,7 +111,12 @@
         )
         pool = self.find_pool(effect)
         return await pool.exchange(
-            request, idle, matches, progress, settle=effect.settle
+            request,
+            idle,
+            matches,
+            progress,
+            settle=effect.settle,
+            new=effect.new_connection,
         )
 
     def find_pool(self, effect: SendAttempt) -> ConnectionPool:
