Test that an answer whose head was cut off is lost

A report of other operators: a server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole.

It was not found here. The head is cut at every byte, with a length (last and first), in chunks, without framing, empty and behind an informational answer: each is lost.

--- a/tests/test_gatewayexchange.py
+++ b/tests/test_gatewayexchange.py
@@ -110,6 +110,38 @@
     trio.run(run)
 
 
+_HEAD_LINES = (b'HTTP/1.1 200 OK', _ID, b'x-upstream-seal: 3e1b.07')
+_HEADS = {
+    'length': (*_HEAD_LINES, b'content-length: 4'),
+    'length-first': (_HEAD_LINES[0], b'content-length: 4', *_HEAD_LINES[1:]),
+    'chunked': (*_HEAD_LINES, b'transfer-encoding: chunked'),
+    'unframed': _HEAD_LINES,
+    'empty': (*_HEAD_LINES, b'content-length: 0'),
+    'informational': (b'HTTP/1.1 103 Early Hints', b'', *_HEAD_LINES),
+}
+
+
+# Guards against an answer whose head was cut off and that passes as a whole one
+# with an empty or short body.
+@pytest.mark.parametrize('lines', _HEADS.values(), ids=_HEADS)
+def test_answer_with_a_cut_head_is_lost(lines: tuple[bytes, ...]) -> None:
+    """Cut the head at every byte, and close the connection."""
+    head = b'\r\n'.join((*lines, b'', b''))
+
+    async def run() -> None:
+        script = [Step(head[:end], close=True) for end in range(len(head))]
+        server = ScriptedServer(script)
+        async with serve_script(server):
+            pool = ConnectionPool('127.0.0.1', server.port, Seconds(5))
+            answers = [
+                await pool.exchange(_build_request(), Seconds(3), _matches)
+                for _ in range(len(head))
+            ]
+        assert set(answers) == {Fault.lost}
+
+    trio.run(run)
+
+
 def test_refused_connection_is_unsent() -> None:
     """Report that nothing was sent if the connection is refused."""
 
