Send nothing new to a server that says it leaves

The registry keeps incarnations that have said it, apart from their entries: an entry that says ready, older or newer, does not bring one back, nor does an entry that lapsed and appears again; a new incarnation is ready. Gateways tell the controller in each report for as long as the server is registered, so that a new controller hears of it too; it moves the server's keys and tells all others, as with an entry that is draining. (`departed` is not used for this: there the controller's next own read of the entry decides.)

--- a/tests/test_gatewaycodec.py
+++ b/tests/test_gatewaycodec.py
@@ -43,6 +43,7 @@
 _ADDED_FIELDS = (
     '  configuration @8 :Int64;\n',
     '  limits @9 :ServerLimits;\n',
+    '  leaving @10 :List(UInt32);\n',
 )
 _CATALOGUE = ServiceName('catalogue')
 _ADDRESS = GatewayAddress(NodeId('gate-1'), 7, '10.0.0.1', 7540)
@@ -94,6 +95,7 @@
         controller_term=2,
         configuration=Version(4),
         limits=(ServerLimit(ServerTag(1), 2.5),),
+        leaving=(ServerTag(2),),
     )
 
 
@@ -124,8 +126,9 @@
     fields = message.to_dict()
     assert fields['report'].pop('configuration') == report.configuration
     assert fields['report'].pop('limits')['tag'] == [1]
+    assert fields['report'].pop('leaving') == [2]
     encoded = earlier.new_message(**fields).to_bytes_packed()
-    unstated = replace(report, configuration=Version(0), limits=())
+    unstated = replace(report, configuration=Version(0), limits=(), leaving=())
     assert decode_peer_message(encoded) == unstated
 
 
--- a/tests/test_gatewayguards.py
+++ b/tests/test_gatewayguards.py
@@ -12,6 +12,7 @@
 
 from measure.gatewayworld import World
 from tests import test_gatewayforwarding as forwardingtests
+from tests import test_gatewayleaving as leavingtests
 from tests import test_gatewaylimits as limittests
 from tests import test_gatewayrelay as relaytests
 from tests import test_platformadapter as adaptertests
@@ -165,6 +166,16 @@
         lambda budget, now, share: True,
         partial(forwardingtests.test_retries_stay_within_the_shared_budget, 3),
     ),
+    'DRAIN-of-a-leaving-server': _Guard(
+        servermodule.ServerRegistry,
+        'record_leaving',
+        lambda registry, incarnation, now: False,
+        partial(
+            leavingtests.test_leaving_server_gets_no_late_request,
+            '/pay/1',
+            store_down=False,
+        ),
+    ),
     'LIMIT': _Guard(
         RateLimits,
         'find_wait',
--- a/tests/test_platformadapter.py
+++ b/tests/test_platformadapter.py
@@ -311,6 +311,16 @@
     assert statement == ServerStatement(unlimited=True)
 
 
+@pytest.mark.parametrize(
+    ('text', 'leaving'), [(b'1', True), (b'0', False), (b'yes', False)]
+)
+def test_leaving_is_read(text: bytes, *, leaving: bool) -> None:
+    """Read whether a server is about to leave."""
+    answer = HttpAnswer(200, ((b'server-leaving', text),))
+    statement = PlatformDialect().read_statement(answer)
+    assert statement.leaving == leaving
+
+
 _HEADERS = (
     (b'host', b'H.example:80'),
     (b'x-attempt-id', b'mine'),
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -297,11 +297,7 @@
             sample = UseSample(use, report.elapsed)
             loads = find_loads(gateway, server.service)
             loads.add_report(server, node, sample, now)
-    for tag in report.departed:
-        server = gateway.registry.by_tag.get(tag)
-        if server is not None and not server.draining:
-            # This gateway's next own read of the entry decides.
-            gateway.registry.put(replace(server, draining=True), now)
+    _record_departures(gateway, report, now)
     hear_limits(gateway, now, report.limits)
     for counts in report.keys:
         keyed = control.keyed.get(counts.service)
@@ -310,6 +306,19 @@
     return request_configuration(gateway, now, report)
 
 
+def _record_departures(gateway: Gateway, report: Report, now: Seconds) -> None:
+    registry = gateway.registry
+    for tag in report.departed:
+        server = registry.by_tag.get(tag)
+        if server is not None and not server.draining:
+            # This gateway's next own read of the entry decides.
+            registry.put(replace(server, draining=True), now)
+    for left in report.leaving:
+        server = registry.by_tag.get(left)
+        if server is not None:
+            registry.record_leaving(server.life, now)
+
+
 def _remove_silent(reporters: dict[NodeId, Seconds], now: Seconds) -> None:
     silent = [
         node
--- a/trefoilsaddle/gateway/notices.py
+++ b/trefoilsaddle/gateway/notices.py
@@ -10,6 +10,7 @@
 from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.servers import ServerIncarnation
 from trefoilsaddle.gateway.state import Gateway
+from trefoilsaddle.gateway.statements import ServerStatement
 
 # Results of requests that the server itself has accepted or shed: such an answer
 # names the limit if there is one.
@@ -27,20 +28,44 @@
     statement = event.statement
     if statement is None:
         return []
-    if statement.limit is not None:
-        return _record_limit(gateway, incarnation, statement.limit, now)
+    effects = _record_leaving(gateway, incarnation, statement, now)
     own = event.verdict in _OWN_ANSWERS
-    if own and statement.unlimited:
-        return _end_limit(gateway, incarnation, sent_at, now)
-    return []
+    if statement.limit is not None:
+        limit = statement.limit
+        effects.extend(_record_limit(gateway, incarnation, limit, now))
+    elif own and statement.unlimited:
+        effects.extend(_end_limit(gateway, incarnation, sent_at, now))
+    return effects
 
 
 def record_order(gateway: Gateway, now: Seconds, event: OrderEnded) -> Effects:
     """Record what the answer to a grant or a release states."""
     statement = event.statement
-    if statement is None or statement.limit is None:
+    if statement is None:
         return []
-    return _record_limit(gateway, event.incarnation, statement.limit, now)
+    effects = _record_leaving(gateway, event.incarnation, statement, now)
+    if statement.limit is not None:
+        limit = statement.limit
+        effects.extend(_record_limit(gateway, event.incarnation, limit, now))
+    return effects
+
+
+def _record_leaving(
+    gateway: Gateway,
+    incarnation: ServerIncarnation,
+    statement: ServerStatement,
+    now: Seconds,
+) -> Effects:
+    if not statement.leaving:
+        return []
+    if not gateway.registry.record_leaving(incarnation, now):
+        return []
+    line = log_event(
+        Component.forwarding,
+        'server says that it leaves',
+        server=incarnation.server,
+    )
+    return [line]
 
 
 def _record_limit(
--- a/trefoilsaddle/gateway/peermessages.py
+++ b/trefoilsaddle/gateway/peermessages.py
@@ -79,6 +79,8 @@
     configuration: Version = Version(0)
     # Limits that servers have named, or ended, since the last report.
     limits: tuple[ServerLimit, ...] = ()
+    # Servers that have said in an answer that they leave.
+    leaving: tuple[ServerTag, ...] = ()
 
 
 # Not frozen, as each update creates hundreds.
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -129,6 +129,7 @@
         *_find_controller_term(gateway),
         configuration=gateway.version,
         limits=gateway.limits.list_heard(now, since),
+        leaving=gateway.registry.list_leaving(),
     )
 
 
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import lru_cache
 from typing import NewType
 from zlib import crc32
@@ -22,7 +22,7 @@
 # Time after which the store no longer lists a silent server: three heartbeats of
 # up to 1.5 s, and the interval of reads.
 _WITHHOLDING_TIME = Seconds(5)
-# Maximum number of departed servers that are remembered.
+# Maximum number of departed servers, and of leaving ones, that are remembered.
 _MAX_DEPARTED = 1024
 
 # Sequence number of entries that state none.
@@ -162,6 +162,9 @@
     )
     lapses: LapseWindow = field(default_factory=LapseWindow)
     departed: DepartedServers = field(default_factory=DepartedServers)
+    # Incarnations that have said in an answer that they leave, the latest last;
+    # their entries may say that they are ready.
+    leaving: dict[ServerIncarnation, None] = field(default_factory=dict)
     # Incremented whenever an incarnation is replaced or removed.
     departures: int = 0
 
@@ -189,8 +192,32 @@
             tag for tag, server in self.by_tag.items() if not server.draining
         }
 
+    def record_leaving(
+        self, incarnation: ServerIncarnation, now: Seconds
+    ) -> bool:
+        """Record that a server says it leaves; return whether that is new."""
+        if incarnation in self.leaving:
+            return False
+        self.leaving[incarnation] = None
+        if len(self.leaving) > _MAX_DEPARTED:
+            self.leaving.pop(next(iter(self.leaving)))
+        known = self.find_incarnation(incarnation)
+        if known is not None:
+            self.put(known, now)
+        return True
+
+    def list_leaving(self) -> tuple[ServerTag, ...]:
+        """Return the registered servers that have said that they leave."""
+        return tuple(
+            incarnation.tag
+            for incarnation in self.leaving
+            if incarnation.tag in self.by_tag
+        )
+
     def put(self, server: Server, now: Seconds) -> bool:
         """Store an entry; return whether it changed in a way that matters."""
+        if server.life in self.leaving and not server.draining:
+            server = replace(server, draining=True)
         name = server.life.server
         known = self.servers.get(name)
         if known is None:
--- a/trefoilsaddle/gateway/statements.py
+++ b/trefoilsaddle/gateway/statements.py
@@ -13,3 +13,5 @@
     # True if the answer shows that the server has no limit: it could have named
     # one, and did not.
     unlimited: bool = False
+    # True if the server is about to leave.
+    leaving: bool = False
--- a/trefoilsaddle/platform/headers.py
+++ b/trefoilsaddle/platform/headers.py
@@ -14,6 +14,8 @@
 RETRY_AFTER = b'retry-after'
 # Requests per second that the server takes from all callers together.
 LIMIT = b'server-limit'
+# `1` if the server is about to leave.
+LEAVING = b'server-leaving'
 KEY = b'x-shard-key'
 # Handover token that the former owner of the keys leaves for the next one.
 HANDOVER = b'x-handover'
--- a/trefoilsaddle/platform/statements.py
+++ b/trefoilsaddle/platform/statements.py
@@ -6,6 +6,7 @@
 from trefoilsaddle.http.messages import HttpAnswer
 from trefoilsaddle.platform import headers as names
 
+_YES = b'1'
 # Plain decimals of up to 18 digits; anything else states nothing.
 _DECIMAL = re.compile(rb'\d{1,18}(\.\d{0,18})?')
 
@@ -16,6 +17,7 @@
     return ServerStatement(
         limit=None if limit is None else _read_decimal(limit),
         unlimited=limit is None,
+        leaving=answer.find_header(names.LEAVING) == _YES,
     )
 
 
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -103,6 +103,7 @@
   controllerTerm @7 :UInt32;
   configuration @8 :Int64;
   limits @9 :ServerLimits;
+  leaving @10 :List(UInt32);
 }
 
 struct OwnerNews {
