Leave a server alone for the time that it asks for with a 503

The time is now kept for the server's incarnation at the gateway that was told: requests go to other servers, those for its keys and those that wait are refused at once with the time that is left, and so is a request whose answer it was if it is not sent again. Fractions are read; what is no plain decimal asks for nothing.

Evidence: tests/test_gatewaypauses.py (red with the pause taken out: guard BUDGET-of-a-pause), tests/test_platformadapter.py::test_pause_is_read.

--- a/tests/test_gatewayguards.py
+++ b/tests/test_gatewayguards.py
@@ -14,16 +14,28 @@
 from tests import test_gatewayforwarding as forwardingtests
 from tests import test_gatewayleaving as leavingtests
 from tests import test_gatewaylimits as limittests
+from tests import test_gatewaypauses as pausetests
 from tests import test_gatewayrelay as relaytests
 from tests import test_platformadapter as adaptertests
 from tests.gatewayscenes import GATEWAYS, build_scene, list_unowned
 from trefoilsaddle.core.units import NodeId, Seconds, ServiceName
-from trefoilsaddle.gateway import controller, forwarding, lifecycle, peers
+from trefoilsaddle.gateway import (
+    controller,
+    forwarding,
+    lifecycle,
+    notices,
+    peers,
+)
 from trefoilsaddle.gateway import servers as servermodule
 from trefoilsaddle.gateway.budget import ServiceBudget
 from trefoilsaddle.gateway.choosing import choose_service
 from trefoilsaddle.gateway.configuration import Route
-from trefoilsaddle.gateway.effects import Effects, EndCall
+from trefoilsaddle.gateway.effects import (
+    Component,
+    Effects,
+    EndCall,
+    WriteDecision,
+)
 from trefoilsaddle.gateway.events import JoinEnded, RequestArrived
 from trefoilsaddle.gateway.lapses import LapseWindow
 from trefoilsaddle.gateway.limits import RateLimits
@@ -103,6 +115,10 @@
     assert list_unowned(world) == []
 
 
+def _ignore_pause(*arguments: object) -> WriteDecision:
+    return WriteDecision(Component.forwarding, 'ignored')
+
+
 def _skip_retry(gateway: Gateway, now: Seconds) -> Effects:
     return []
 
@@ -176,6 +192,12 @@
             store_down=False,
         ),
     ),
+    'BUDGET-of-a-pause': _Guard(
+        notices,
+        '_pause_server',
+        _ignore_pause,
+        partial(pausetests.test_server_is_left_alone_for_the_pause, '/reads/1'),
+    ),
     'LIMIT': _Guard(
         RateLimits,
         'find_wait',
--- a/tests/test_platformadapter.py
+++ b/tests/test_platformadapter.py
@@ -311,6 +311,26 @@
     assert statement == ServerStatement(unlimited=True)
 
 
+@pytest.mark.parametrize(
+    ('status', 'text', 'pause'),
+    [
+        (503, b'2', 2),
+        (503, b'0.75', 0.75),
+        (503, b'100000000000000000', 1e17),
+        (503, b'-2', 0),
+        (503, b'soon', 0),
+        (503, b'Fri, 31 Dec 1999 23:59:59 GMT', 0),
+        (503, b'9' * 5000, 0),
+        (429, b'2', 0),
+        (200, b'2', 0),
+    ],
+)
+def test_pause_is_read(status: int, text: bytes, pause: float) -> None:
+    """Read the time of a 503 in seconds; anything else asks for none."""
+    answer = HttpAnswer(status, ((b'retry-after', text),))
+    assert PlatformDialect().read_statement(answer).pause == pause
+
+
 @pytest.mark.parametrize(
     ('text', 'leaving'), [(b'1', True), (b'0', False), (b'yes', False)]
 )
--- a/trefoilsaddle/gateway/attempts.py
+++ b/trefoilsaddle/gateway/attempts.py
@@ -18,7 +18,7 @@
 from trefoilsaddle.gateway.notices import record_answer
 from trefoilsaddle.gateway.placing import FULL_SERVER_DEPTH, place
 from trefoilsaddle.gateway.servers import Server
-from trefoilsaddle.gateway.sharing import find_slack_share
+from trefoilsaddle.gateway.sharing import find_slack_share, find_wait_for_server
 from trefoilsaddle.gateway.state import FailedAnswer, Gateway, OpenCall
 from trefoilsaddle.results import ResultCode
 
@@ -201,6 +201,9 @@
     server: Server,
 ) -> Effects:
     """End a request that is not sent again after an attempt."""
+    stated = find_wait_for_server(gateway, call, server.life, now)
+    if code == ResultCode.shed_by_server and stated:
+        return refuse(gateway, call, now, code, stated)
     if code == ResultCode.shed_by_server and _is_busy(gateway, server, now):
         # It makes sense to come back once the server has worked off its queue.
         candidate = build_candidate(gateway, server, now)
--- a/trefoilsaddle/gateway/choosing.py
+++ b/trefoilsaddle/gateway/choosing.py
@@ -7,7 +7,7 @@
 from trefoilsaddle.gateway.configuration import Route
 from trefoilsaddle.gateway.pools import Pool
 from trefoilsaddle.gateway.servers import Server
-from trefoilsaddle.gateway.sharing import find_limit_wait
+from trefoilsaddle.gateway.sharing import find_wait_for_server
 from trefoilsaddle.gateway.state import Gateway, OpenCall
 
 # Cost of a server in another zone, as a time that is added to its own.
@@ -105,7 +105,7 @@
         pool = gateway.pools.find(server.life)
         if now < max(pool.blocked_until, pool.full_until):
             continue
-        if not find_limit_wait(gateway, call, server.life, now):
+        if not find_wait_for_server(gateway, call, server.life, now):
             yield server
 
 
--- a/trefoilsaddle/gateway/ending.py
+++ b/trefoilsaddle/gateway/ending.py
@@ -19,7 +19,7 @@
 )
 from trefoilsaddle.gateway.events import RequestArrived
 from trefoilsaddle.gateway.loglines import log_request
-from trefoilsaddle.gateway.sharing import find_limit_wait
+from trefoilsaddle.gateway.sharing import find_wait_for_server
 from trefoilsaddle.gateway.state import Gateway, OpenCall
 from trefoilsaddle.results import ResultCode
 
@@ -108,7 +108,7 @@
     gateway: Gateway, call: OpenCall, now: Seconds
 ) -> Effects:
     waits = [
-        find_limit_wait(gateway, call, server.life, now)
+        find_wait_for_server(gateway, call, server.life, now)
         for server in gateway.registry.list_service(call.service)
         if not server.draining
     ]
--- a/trefoilsaddle/gateway/notices.py
+++ b/trefoilsaddle/gateway/notices.py
@@ -1,7 +1,11 @@
 """Act on what servers state about themselves in their answers."""
 
 from trefoilsaddle.core.units import Seconds
-from trefoilsaddle.gateway.effects import Component, Effects
+from trefoilsaddle.gateway.effects import (
+    Component,
+    Effects,
+    WriteDecision,
+)
 from trefoilsaddle.gateway.events import (
     AttemptEnded,
     AttemptVerdict,
@@ -29,6 +33,8 @@
     if statement is None:
         return []
     effects = _record_leaving(gateway, incarnation, statement, now)
+    if statement.pause:
+        effects.append(_pause_server(gateway, incarnation, statement, now))
     own = event.verdict in _OWN_ANSWERS
     if statement.limit is not None:
         limit = statement.limit
@@ -68,6 +74,23 @@
     return [line]
 
 
+def _pause_server(
+    gateway: Gateway,
+    incarnation: ServerIncarnation,
+    statement: ServerStatement,
+    now: Seconds,
+) -> WriteDecision:
+    pool = gateway.pools.find(incarnation)
+    until = now + statement.pause
+    pool.paused_until = Seconds(max(pool.paused_until, until))
+    return log_event(
+        Component.forwarding,
+        'server asks for a pause',
+        server=incarnation.server,
+        pause=statement.pause,
+    )
+
+
 def _record_limit(
     gateway: Gateway,
     incarnation: ServerIncarnation,
--- a/trefoilsaddle/gateway/placing.py
+++ b/trefoilsaddle/gateway/placing.py
@@ -21,7 +21,7 @@
 )
 from trefoilsaddle.gateway.loglines import log_request
 from trefoilsaddle.gateway.servers import Server
-from trefoilsaddle.gateway.sharing import find_limit_wait
+from trefoilsaddle.gateway.sharing import find_wait_for_server
 from trefoilsaddle.gateway.state import Gateway, OpenCall
 from trefoilsaddle.gateway.table import OwnerEntry
 from trefoilsaddle.results import ResultCode
@@ -73,7 +73,7 @@
     candidate = build_candidate(gateway, server, now)
     if now < candidate.pool.blocked_until:
         return _park(gateway, call, now, ResultCode.owner_changing)
-    wait = find_limit_wait(gateway, call, server.life, now)
+    wait = find_wait_for_server(gateway, call, server.life, now)
     if wait:
         return refuse(gateway, call, now, ResultCode.server_limited, wait)
     full = now < candidate.pool.full_until
--- a/trefoilsaddle/gateway/pools.py
+++ b/trefoilsaddle/gateway/pools.py
@@ -51,6 +51,8 @@
     # The server has reported that it is full; requests before this time are
     # refused at once.
     full_until: Seconds = Seconds(0)
+    # The server wants no requests before this time.
+    paused_until: Seconds = Seconds(0)
 
     def start_request(self, now: Seconds) -> None:
         """Record that a request was sent."""
--- a/trefoilsaddle/gateway/sharing.py
+++ b/trefoilsaddle/gateway/sharing.py
@@ -1,4 +1,4 @@
-"""Divide limits on the whole fleet among the gateways.
+"""Divide limits on the whole fleet among the gateways, and keep to them.
 
 A gateway has a part of a limit only while the controller counts it: gateways
 that cannot tell how many they are would together take more than there is.
@@ -31,19 +31,22 @@
     return SlackShare(gateway.count_gateways(), counted_for)
 
 
-def find_limit_wait(
+def find_wait_for_server(
     gateway: Gateway,
     call: OpenCall,
     incarnation: ServerIncarnation,
     now: Seconds,
 ) -> Seconds:
-    """Return the time until a server's limit allows a request."""
+    """Return the time until a server takes a request, as it has stated."""
+    paused_until = gateway.pools.find(incarnation).paused_until
+    pause = Seconds(max(paused_until - now, 0))
     rate = gateway.limits.find_rate(incarnation, now)
     if rate is None:
-        return Seconds(0)
+        return pause
     share = _find_rate_share(gateway, incarnation.tag, rate, now)
     rank = call.route.rank
-    return gateway.limits.find_wait(incarnation, share, rank, now)
+    wait = gateway.limits.find_wait(incarnation, share, rank, now)
+    return Seconds(max(wait, pause))
 
 
 def _find_rate_share(
--- a/trefoilsaddle/gateway/statements.py
+++ b/trefoilsaddle/gateway/statements.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from trefoilsaddle.core.units import Seconds
+
 
 @dataclass(frozen=True, slots=True)
 class ServerStatement:
@@ -15,3 +17,5 @@
     unlimited: bool = False
     # True if the server is about to leave.
     leaving: bool = False
+    # Time for which it wants no request from this gateway.
+    pause: Seconds = Seconds(0)
--- a/trefoilsaddle/platform/statements.py
+++ b/trefoilsaddle/platform/statements.py
@@ -1,7 +1,9 @@
 """Decode what a server states about itself in the head of an answer."""
 
 import re
+from http import HTTPStatus
 
+from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.statements import ServerStatement
 from trefoilsaddle.http.messages import HttpAnswer
 from trefoilsaddle.platform import headers as names
@@ -14,10 +16,14 @@
 def read_statement(answer: HttpAnswer) -> ServerStatement:
     """Read the statements in the head of an answer."""
     limit = answer.find_header(names.LIMIT)
+    pause = None
+    if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        pause = _read_decimal(answer.find_header(names.RETRY_AFTER) or b'')
     return ServerStatement(
         limit=None if limit is None else _read_decimal(limit),
         unlimited=limit is None,
         leaving=answer.find_header(names.LEAVING) == _YES,
+        pause=Seconds(pause or 0),
     )
 
 
