End an append whose history the store has forgotten

If the store had forgotten its history since, it answered 410, which counted as unknown: the append was sent again, without a pause and without an end, and no key was moved or assigned until another controller took over.

The newest record of a service is kept for ever, so that is compared instead: if it is this table at this position the append was stored, otherwise there is a newer table.

Evidence: three new cases of tests/test_platformeras.py:: test_append_states_the_era, red before (unknown, and one call less).

--- a/tests/test_platformeras.py
+++ b/tests/test_platformeras.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from base64 import b64encode
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import TypeVar
@@ -193,6 +194,13 @@
     assert calls == len(steps)
 
 
+def _write_newest(table: OwnershipTable, offset: int) -> Step:
+    body = b64encode(encode_table(table)).decode()
+    record = {'key': _NAME.decode(), 'value': body, 'offset': offset}
+    page = {'items': [record], 'more': False, 'end': offset + 1}
+    return _state(1, json.dumps(page).encode())
+
+
 _APPENDS = {
     'stored': ((_state(1, b'{}'),), AppendVerdict.stored, 1),
     'stored-in-a-later-era': ((_state(2, b'{}'),), AppendVerdict.stored, 2),
@@ -217,6 +225,34 @@
         AppendVerdict.unknown,
         1,
     ),
+    # The store has forgotten its history, but keeps the newest record of each key.
+    'history-forgotten-stored': (
+        (
+            _state(1, b'{}', _CONFLICT),
+            _state(1, b'{"first":9}', _GONE),
+            _write_newest(_TABLE, 7),
+        ),
+        AppendVerdict.stored,
+        1,
+    ),
+    'history-forgotten-conflict': (
+        (
+            _state(1, b'{}', _CONFLICT),
+            _state(1, b'{"first":9}', _GONE),
+            _write_newest(_TABLE, 8),
+        ),
+        AppendVerdict.conflict,
+        1,
+    ),
+    'history-forgotten-lost': (
+        (
+            _state(1, b'{}', _CONFLICT),
+            _state(1, b'{"first":9}', _GONE),
+            _LOST,
+        ),
+        AppendVerdict.unknown,
+        1,
+    ),
     'refused': ((_state(2, b'', _UNAVAILABLE),), AppendVerdict.refused, 2),
     'lost': ((_LOST,), AppendVerdict.unknown, NO_ERA),
 }
--- a/trefoilsaddle/platform/store.py
+++ b/trefoilsaddle/platform/store.py
@@ -316,15 +316,31 @@
             'from': effect.expected,
         }
         answer = await self._call(b'GET', _READ, query, b'')
-        if isinstance(answer, Fault) or answer.status != HTTPStatus.OK:
+        if isinstance(answer, Fault) or _find_era(answer) != effect.table.era:
             return AppendVerdict.unknown
-        if _find_era(answer) != effect.table.era:
+        if answer.status == HTTPStatus.GONE:
+            return await self._check_newest(effect, encoded)
+        if answer.status != HTTPStatus.OK:
             return AppendVerdict.unknown
         page = decode_page(answer.body, effect.expected)
         if page and page[0].body == encoded:
             return AppendVerdict.stored
         return AppendVerdict.conflict
 
+    async def _check_newest(
+        self,
+        effect: AppendTable,
+        encoded: bytes,
+    ) -> AppendVerdict:
+        """Check whether this table is the newest once the history is gone."""
+        page = await self._read_newest_page(Topic.ownership, '')
+        if page is None or page.era != effect.table.era:
+            return AppendVerdict.unknown
+        own = KeyedRecord(effect.expected, effect.table.service, encoded)
+        if own in page.records:
+            return AppendVerdict.stored
+        return AppendVerdict.conflict
+
     async def _call(
         self,
         method: bytes,
