Tell callers whose key nobody holds to come back when keys change hands

What callers saw: after a restart of all gateways, servers answer that they hold no keys, as their grants have lapsed. A request that was not sent again was refused with 0.1 s, so that callers used up their tries before a controller had granted the keys once more.

They are told the time in which keys change hands, 0.6 s and its jitter, as those whose owner is known to be changing.

Test red before: 0.11 s.

--- a/tests/test_gatewayforwarding.py
+++ b/tests/test_gatewayforwarding.py
@@ -427,6 +427,21 @@
     assert least <= end.retry_after <= most
 
 
+# Guards against callers that use up their tries while their key is held by
+# nobody, as after a restart of all gateways.
+def test_caller_whose_key_is_not_held_returns_later() -> None:
+    """Tell the time in which keys change hands if no try is left."""
+    world = build_scene()
+    effects = _reduce(world, _arrive(_READ))
+    for attempt in (1, 2):
+        ended = AttemptEnded(_CALL, attempt, _MOVED, 0)
+        effects = _send_parked(world, _reduce(world, ended))
+    end = _find(effects, EndCall)[0]
+    assert isinstance(end, EndCall)
+    assert end.not_run
+    assert 0.6 <= end.retry_after <= 0.9
+
+
 # Guards against a request that is refused at once when it comes back from a
 # server, as the time that it spent there counted as time without an owner.
 def test_request_from_a_queue_may_wait_for_an_owner() -> None:
--- a/trefoilsaddle/gateway/attempts.py
+++ b/trefoilsaddle/gateway/attempts.py
@@ -16,7 +16,11 @@
 from trefoilsaddle.gateway.events import AttemptEnded, AttemptVerdict
 from trefoilsaddle.gateway.loglines import log_request
 from trefoilsaddle.gateway.notices import record_answer
-from trefoilsaddle.gateway.placing import FULL_SERVER_DEPTH, place
+from trefoilsaddle.gateway.placing import (
+    CHANGE_RETRY_AFTER,
+    FULL_SERVER_DEPTH,
+    place,
+)
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.sharing import find_slack_share, find_wait_for_server
 from trefoilsaddle.gateway.state import FailedAnswer, Gateway, OpenCall
@@ -201,6 +205,8 @@
     server: Server,
 ) -> Effects:
     """End a request that is not sent again after an attempt."""
+    if code == ResultCode.not_holder:
+        return refuse(gateway, call, now, code, CHANGE_RETRY_AFTER)
     stated = find_wait_for_server(gateway, call, server.life, now)
     if code == ResultCode.shed_by_server and stated:
         return refuse(gateway, call, now, code, stated)
--- a/trefoilsaddle/gateway/placing.py
+++ b/trefoilsaddle/gateway/placing.py
@@ -39,7 +39,7 @@
 # Retry times given to callers whose key has no owner, or whose owner is being
 # replaced: by then lost, or released, keys are served again.
 _OWNER_RETRY_AFTER = Seconds(1.5)
-_CHANGE_RETRY_AFTER = Seconds(0.6)
+CHANGE_RETRY_AFTER = Seconds(0.6)
 
 
 def retry_parked(gateway: Gateway, now: Seconds) -> Effects:
@@ -119,7 +119,7 @@
     if late or call.expires - now < MIN_REMAINING:
         pause = _OWNER_RETRY_AFTER
         if code == ResultCode.owner_changing:
-            pause = _CHANGE_RETRY_AFTER
+            pause = CHANGE_RETRY_AFTER
         return refuse(gateway, call, now, code, pause)
     if call.call in gateway.parked:
         return []
--- a/trefoilsaddle/gateway/statedump.py
+++ b/trefoilsaddle/gateway/statedump.py
@@ -98,6 +98,8 @@
                 'busy': round(busy, 1),
                 'service_time': round(pool.service_time, 3),
                 'failure_rate': round(pool.failure_rate, 2),
+                'limit': gateway.limits.find_rate(server.life, now),
+                'paused_for': round(max(pool.paused_until - now, 0), 2),
             },
         )
     return described
