Keep the time since which a server is known to leave, without its entry

The time is kept with what the server said.

A request that is not sent again after it was shed is told the longer of the server's own pause and the time to work off its queue; before, the pause alone.

Test, red before: tests/test_gatewayleaving.py:: test_leaving_is_remembered_without_an_entry.

--- a/tests/test_gatewayleaving.py
+++ b/tests/test_gatewayleaving.py
@@ -122,5 +122,7 @@
     registry.put(entry, Seconds(1))
     registry.record_leaving(entry.life, Seconds(1))
     registry.discard(entry.life.server)
-    registry.put(replace(entry, sequence=7), Seconds(2))
-    assert registry.servers[entry.life.server].draining
+    registry.put(replace(entry, sequence=7), Seconds(3))
+    again = registry.servers[entry.life.server]
+    assert again.draining
+    assert not registry.may_serve(again, Seconds(3))
--- a/trefoilsaddle/gateway/attempts.py
+++ b/trefoilsaddle/gateway/attempts.py
@@ -207,11 +207,13 @@
     """End a request that is not sent again after an attempt."""
     if code == ResultCode.not_holder:
         return refuse(gateway, call, now, code, CHANGE_RETRY_AFTER)
-    stated = find_wait_for_server(gateway, call, server.life, now)
-    if code == ResultCode.shed_by_server and stated:
-        return refuse(gateway, call, now, code, stated)
-    if code == ResultCode.shed_by_server and _is_busy(gateway, server, now):
+    if code != ResultCode.shed_by_server:
+        return end_call(gateway, call, now, code)
+    wait: float = find_wait_for_server(gateway, call, server.life, now)
+    if _is_busy(gateway, server, now):
         # It makes sense to come back once the server has worked off its queue.
         candidate = build_candidate(gateway, server, now)
-        return refuse(gateway, call, now, code, find_wait(call, candidate))
-    return end_call(gateway, call, now, code)
+        wait = max(wait, find_wait(call, candidate))
+    if not wait:
+        return end_call(gateway, call, now, code)
+    return refuse(gateway, call, now, code, wait)
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -162,9 +162,9 @@
     )
     lapses: LapseWindow = field(default_factory=LapseWindow)
     departed: DepartedServers = field(default_factory=DepartedServers)
-    # Incarnations that have said in an answer that they leave, the latest last;
-    # their entries may say that they are ready.
-    leaving: dict[ServerIncarnation, None] = field(default_factory=dict)
+    # Incarnations that have said in an answer that they leave, and since when it
+    # is known; their entries may say that they are ready.
+    leaving: dict[ServerIncarnation, Seconds] = field(default_factory=dict)
     # Incremented whenever an incarnation is replaced or removed.
     departures: int = 0
 
@@ -198,7 +198,7 @@
         """Record that a server says it leaves; return whether that is new."""
         if incarnation in self.leaving:
             return False
-        self.leaving[incarnation] = None
+        self.leaving[incarnation] = now
         if len(self.leaving) > _MAX_DEPARTED:
             self.leaving.pop(next(iter(self.leaving)))
         known = self.find_incarnation(incarnation)
@@ -235,7 +235,8 @@
         group[name] = server
         self.first_seen_at.setdefault(server.life, now)
         if server.draining:
-            self.draining_since.setdefault(server.life, now)
+            since = self.leaving.get(server.life, now)
+            self.draining_since.setdefault(server.life, since)
         return known is None or _is_significant(known, server)
 
     def admit_withheld(self, now: Seconds) -> list[Server]:
