--- a/tests/test_gatewaybudget.py
+++ b/tests/test_gatewaybudget.py
@@ -5,15 +5,15 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import partial
-from random import Random
 
 import pytest
 
-from measure.gatewayworld import World, build_world
+from measure.gatewayworld import build_world
+from tests.fleetload import PLAIN_PATH, FleetLoad, name_gateways
 from tests.gatewayscenes import CATALOGUE, CHECKOUT, build_configuration
-from trefoilsaddle.core.units import CallId, NodeId, Seconds
+from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.options import GatewayOptions, RetryBudget
 
 _RULES = RetryBudget(ratio=0.2, slack=64, window=Seconds(10))
@@ -22,57 +22,31 @@
 _LOAD_TIME = Seconds(20)
 
 
-@dataclass(slots=True)
-class _Load:
-    """Send requests that every server sheds, to gateways in turn."""
-
-    world: World
-    names: tuple[str, ...]
-    # Requests per second.
-    rate: float
-    sent: list[CallId] = field(default_factory=list)
-
-    def begin(self) -> None:
-        """Send requests until the end of the load."""
-        self._send(self.world.now + _LOAD_TIME, Random(1))
-
-    def count_excess(self) -> float:
-        """Return by how much a window exceeds the limit at the most."""
-        ended = [self.world.results[call] for call in self.sent]
-        excess = -_RULES.slack
-        requests = 0
-        retries = 0
-        first = 0
-        for last in ended:
-            requests += 1
-            retries += max(last.attempts - 1, 0)
-            while ended[first].sent <= last.sent - _RULES.window:
-                requests -= 1
-                retries -= max(ended[first].attempts - 1, 0)
-                first += 1
-            limit = _RULES.ratio * requests + _RULES.slack
-            excess = max(excess, retries - limit)
-        return excess
-
-    def _send(self, end: float, random: Random) -> None:
-        living = [
-            name
-            for name in self.names
-            if self.world.processes[NodeId(name)].alive
-        ]
-        if living:
-            self.sent.append(self.world.call(random.choice(living), '/pay/1'))
-        if self.world.now < end:
-            again = partial(self._send, end, random)
-            self.world.after(1 / self.rate, again)
+def _count_excess(load: FleetLoad) -> float:
+    """Return by how much a window exceeds the limit at the most."""
+    ended = [load.world.results[call] for call in load.sent]
+    excess = -_RULES.slack
+    requests = 0
+    retries = 0
+    first = 0
+    for last in ended:
+        requests += 1
+        retries += max(last.attempts - 1, 0)
+        while ended[first].sent <= last.sent - _RULES.window:
+            requests -= 1
+            retries -= max(ended[first].attempts - 1, 0)
+            first += 1
+        limit = _RULES.ratio * requests + _RULES.slack
+        excess = max(excess, retries - limit)
+    return excess
 
 
 def _set_rules(options: GatewayOptions) -> GatewayOptions:
     return replace(options, retry_budget=_RULES)
 
 
-def _build_load(gateways: int, rate: float) -> _Load:
-    names = tuple(f'gate-{number}' for number in range(gateways))
+def _build_load(gateways: int, rate: float) -> FleetLoad:
+    names = name_gateways(gateways)
     world = build_world(build_configuration(), ())
     world.adjust = _set_rules
     for name in names:
@@ -84,41 +58,31 @@
         server.queue_limit = 0
     world.add_server('guide-0', CATALOGUE)
     world.run(_START_TIME)
-    return _Load(world, names, rate)
+    return FleetLoad(world, names, PLAIN_PATH, rate)
 
 
-def _restart(load: _Load, names: tuple[str, ...]) -> None:
-    for name in names:
-        load.world.start_gateway(name)
-
-
-def _restart_all_twice(load: _Load) -> None:
+def _restart_all_twice(load: FleetLoad) -> None:
     for moment in (6, 13):
-        load.world.after(moment, partial(_restart, load, load.names))
+        load.world.after(moment, partial(load.restart, load.names))
 
 
-def _restart_all_often(load: _Load) -> None:
+def _restart_all_often(load: FleetLoad) -> None:
     for moment in range(1, 20):
-        load.world.after(moment, partial(_restart, load, load.names))
+        load.world.after(moment, partial(load.restart, load.names))
 
 
-def _restart_in_turn(load: _Load) -> None:
+def _restart_in_turn(load: FleetLoad) -> None:
     for number, name in enumerate(load.names):
         moment = 2 + 18 * number / len(load.names)
-        load.world.after(moment, partial(_restart, load, (name,)))
-
-
-def _cut_half(load: _Load) -> None:
-    load.world.after(5, partial(_cut, load, cut=True))
-    load.world.after(18, partial(_cut, load, cut=False))
+        load.world.after(moment, partial(load.restart, (name,)))
 
 
-def _cut(load: _Load, *, cut: bool) -> None:
-    for name in load.names[::2]:
-        load.world.processes[NodeId(name)].peers_cut = cut
+def _cut_half(load: FleetLoad) -> None:
+    load.world.after(5, partial(load.cut_half, away=True))
+    load.world.after(18, partial(load.cut_half, away=False))
 
 
-def _lose_controller_and_store(load: _Load) -> None:
+def _lose_controller_and_store(load: FleetLoad) -> None:
     def lose() -> None:
         process = load.world.find_controller()
         assert process is not None
@@ -128,11 +92,11 @@
     load.world.after(5, lose)
 
 
-def _do_nothing(load: _Load) -> None:
+def _do_nothing(load: FleetLoad) -> None:
     """Add no trouble."""
 
 
-_TROUBLES: dict[str, Callable[[_Load], None]] = {
+_TROUBLES: dict[str, Callable[[FleetLoad], None]] = {
     'none': _do_nothing,
     'all restart twice': _restart_all_twice,
     'all restart often': _restart_all_often,
@@ -147,16 +111,16 @@
 @pytest.mark.parametrize('trouble', _TROUBLES.values(), ids=_TROUBLES)
 @pytest.mark.parametrize(('gateways', 'rate'), [(8, 100), (12, 40), (90, 100)])
 def test_retries_of_the_fleet_stay_within_the_budget(
-    trouble: Callable[[_Load], None],
+    trouble: Callable[[FleetLoad], None],
     gateways: int,
     rate: float,
 ) -> None:
     """Keep the retries of all gateways in any window below the limit."""
     load = _build_load(gateways, rate)
     trouble(load)
-    load.begin()
+    load.begin(_LOAD_TIME)
     load.world.run(_LOAD_TIME + 2)
-    assert load.count_excess() <= 0
+    assert _count_excess(load) <= 0
 
 
 # Guards against a budget that is kept by making hardly any retries.
@@ -166,7 +130,7 @@
 ) -> None:
     """Make at least half of the retries that the requests earn."""
     load = _build_load(gateways, rate)
-    load.begin()
+    load.begin(_LOAD_TIME)
     load.world.run(_LOAD_TIME + 2)
     earned = _RULES.ratio * rate * _RULES.window
-    assert load.count_excess() >= -earned / 2 - _RULES.slack
+    assert _count_excess(load) >= -earned / 2 - _RULES.slack
--- a/tests/test_gatewaylimits.py
+++ b/tests/test_gatewaylimits.py
@@ -3,16 +3,20 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import partial
-from random import Random
 
 import pytest
 
-from measure.gatewayworld import World, build_world
+from measure.gatewayworld import build_world
 from measure.worldservers import WorldServer
+from tests.fleetload import (
+    KEYED_PATH,
+    PLAIN_PATH,
+    FleetLoad,
+    name_gateways,
+)
 from tests.gatewayscenes import CATALOGUE, CHECKOUT, build_configuration
-from trefoilsaddle.core.units import NodeId, Rank, Seconds, ServerId
+from trefoilsaddle.core.units import Rank, Seconds, ServerId
 from trefoilsaddle.gateway.assigning import list_capacities
-from trefoilsaddle.gateway.keys import LAST_KEY
 from trefoilsaddle.gateway.limits import RateLimits
 from trefoilsaddle.gateway.servers import ServerIncarnation
 from trefoilsaddle.gateway.statements import ServerStatement
@@ -25,7 +29,6 @@
 _TOLD_DELAY = Seconds(0.5)
 _WINDOW = Seconds(4)
 _LOAD_TIME = Seconds(30)
-_KEYED_PATH = '/reads/1'
 _UNLIMITED = ServerStatement(unlimited=True)
 _LIFE = ServerIncarnation(ServerId('pay-0'), 1)
 
@@ -35,47 +38,18 @@
     return 1.5 * limit * _WINDOW + 5
 
 
-@dataclass(slots=True)
-class _Load:
-    """Send requests for random keys to random gateways."""
-
-    world: World
-    names: tuple[str, ...]
-    path: str
-    # Requests per second.
-    rate: float
-
-    def begin(self) -> None:
-        """Send requests until the end of the load."""
-        self._send(self.world.now + _LOAD_TIME, Random(1))
-
-    def _send(self, end: float, random: Random) -> None:
-        living = [
-            name
-            for name in self.names
-            if self.world.processes[NodeId(name)].alive
-        ]
-        if living:
-            drawn = random.randint(0, LAST_KEY)
-            key = drawn if self.path == _KEYED_PATH else None
-            self.world.call(random.choice(living), self.path, key)
-        if self.world.now < end:
-            again = partial(self._send, end, random)
-            self.world.after(1 / self.rate, again)
-
-
-def _build_load(gateways: int, path: str, rate: float = 60) -> _Load:
-    names = tuple(f'gate-{number}' for number in range(gateways))
+def _build_load(gateways: int, path: str, rate: float = 60) -> FleetLoad:
+    names = name_gateways(gateways)
     world = build_world(build_configuration(), names)
     for number in range(8):
         world.add_server(f'guide-{number}', CATALOGUE)
         world.add_server(f'pay-{number}', CHECKOUT)
     world.run(6)
-    return _Load(world, names, path, rate)
+    return FleetLoad(world, names, path, rate)
 
 
-def _list_limited(load: _Load) -> list[WorldServer]:
-    service = CATALOGUE if load.path == _KEYED_PATH else CHECKOUT
+def _list_limited(load: FleetLoad) -> list[WorldServer]:
+    service = CATALOGUE if load.path == KEYED_PATH else CHECKOUT
     return [
         server
         for server in load.world.servers
@@ -106,21 +80,21 @@
     )
 
 
-def _restart(load: _Load, names: tuple[str, ...]) -> None:
+def _restart(load: FleetLoad, names: tuple[str, ...]) -> None:
+    load.restart(names)
     for name in names:
-        load.world.start_gateway(name)
         for server in load.world.servers:
             # A restart excuses the gateway, which knows of nothing.
             server.told.pop(name, None)
 
 
-def _restart_in_turn(load: _Load) -> None:
+def _restart_in_turn(load: FleetLoad) -> None:
     for number, name in enumerate(load.names):
         moment = 4 + 20 * number / len(load.names)
         load.world.after(moment, partial(_restart, load, (name,)))
 
 
-def _restart_controller(load: _Load) -> None:
+def _restart_controller(load: FleetLoad) -> None:
     def restart() -> None:
         process = load.world.find_controller()
         assert process is not None
@@ -130,27 +104,23 @@
         load.world.after(moment, restart)
 
 
-def _cut_half(load: _Load) -> None:
-    def cut(*, away: bool) -> None:
-        for name in load.names[::2]:
-            load.world.processes[NodeId(name)].peers_cut = away
-
-    load.world.after(8, partial(cut, away=True))
-    load.world.after(18, partial(cut, away=False))
+def _cut_half(load: FleetLoad) -> None:
+    load.world.after(8, partial(load.cut_half, away=True))
+    load.world.after(18, partial(load.cut_half, away=False))
 
 
-def _lose_store(load: _Load) -> None:
+def _lose_store(load: FleetLoad) -> None:
     load.world.after(8, partial(setattr, load.world.faults, 'store_down', True))
     load.world.after(
         16, partial(setattr, load.world.faults, 'store_down', False)
     )
 
 
-def do_nothing(load: _Load) -> None:
+def do_nothing(load: FleetLoad) -> None:
     """Add no trouble."""
 
 
-_TROUBLES: dict[str, Callable[[_Load], None]] = {
+_TROUBLES: dict[str, Callable[[FleetLoad], None]] = {
     'none': do_nothing,
     'restart in turn': _restart_in_turn,
     'controller restarts': _restart_controller,
@@ -161,7 +131,7 @@
 
 # Guards against a server in need that gets far more requests than it asked for.
 @pytest.mark.parametrize('trouble', _TROUBLES.values(), ids=_TROUBLES)
-@pytest.mark.parametrize('path', [_KEYED_PATH, '/pay/1'])
+@pytest.mark.parametrize('path', [KEYED_PATH, PLAIN_PATH])
 @pytest.mark.parametrize(
     ('gateways', 'limit'), [(8, 0), (8, 1), (8, 3.4), (90, 1)]
 )
@@ -169,12 +139,12 @@
     gateways: int,
     limit: float,
     path: str,
-    trouble: Callable[[_Load], None],
+    trouble: Callable[[FleetLoad], None],
 ) -> None:
     """Count the requests of the gateways that know of the limit."""
     load = _build_load(gateways, path)
     limited = _list_limited(load)
-    load.begin()
+    load.begin(_LOAD_TIME)
     load.world.run(2)
     trouble(load)
     named_at = load.world.now
@@ -189,10 +159,10 @@
 @pytest.mark.parametrize(('gateways', 'rate'), [(8, 60), (90, 300)])
 def test_limited_server_is_used(gateways: int, rate: float) -> None:
     """Send about as many requests as the limit allows."""
-    load = _build_load(gateways, '/pay/1', rate)
+    load = _build_load(gateways, PLAIN_PATH, rate)
     limited = _list_limited(load)
     _name_limit(limited, 3)
-    load.begin()
+    load.begin(_LOAD_TIME)
     load.world.run(_LOAD_TIME)
     for server in limited:
         late = [
@@ -207,7 +177,7 @@
 # Nobody sends requests for the few keys that are left with the server.
 @pytest.mark.parametrize(
     ('gateways', 'path', 'within'),
-    [(8, '/pay/1', 12), (90, '/pay/1', 12), (8, _KEYED_PATH, 32)],
+    [(8, PLAIN_PATH, 12), (90, PLAIN_PATH, 12), (8, KEYED_PATH, 32)],
 )
 def test_limit_of_a_recovered_server_ends(
     gateways: int, path: str, within: float
@@ -216,7 +186,7 @@
     load = _build_load(gateways, path)
     limited = _list_limited(load)
     _name_limit(limited, 2)
-    load.begin()
+    load.begin(_LOAD_TIME)
     load.world.run(10)
     for server in limited:
         server.statement = _UNLIMITED
@@ -232,9 +202,9 @@
 # Guards against keys that stay with a server that cannot serve them.
 def test_controller_moves_keys_off_a_limited_server() -> None:
     """Count a limited server as one of that capacity."""
-    load = _build_load(8, _KEYED_PATH, rate=120)
+    load = _build_load(8, KEYED_PATH, rate=120)
     limited = _list_limited(load)
-    load.begin()
+    load.begin(_LOAD_TIME)
     load.world.run(5)
     _name_limit(limited, 2)
     load.world.run(12)
