Tell a forgotten offset from one beyond the end of the log

A log that ends before the position answers 410 as well; the append then ended as a conflict, and the controller stepped down, where its outcome is unknown.

The 410 names the first offset that the store still has, which is above a forgotten one only.

Test, red before: the case beyond-the-end of tests/test_platformeras.py:: test_append_states_the_era.

--- a/tests/test_platformeras.py
+++ b/tests/test_platformeras.py
@@ -253,6 +253,15 @@
         AppendVerdict.unknown,
         1,
     ),
+    # The log ends before the position that was expected.
+    'beyond-the-end': (
+        (
+            _state(1, b'{}', _CONFLICT),
+            _state(1, b'{"first":0}', _GONE),
+        ),
+        AppendVerdict.unknown,
+        1,
+    ),
     'refused': ((_state(2, b'', _UNAVAILABLE),), AppendVerdict.refused, 2),
     'lost': ((_LOST,), AppendVerdict.unknown, NO_ERA),
 }
--- a/trefoilsaddle/platform/store.py
+++ b/trefoilsaddle/platform/store.py
@@ -105,6 +105,11 @@
     offset: int
 
 
+class _WireGone(WireModel):
+    # First offset that the store still has.
+    first: int
+
+
 class _WireNewest(WireModel):
     # One page of the newest records by key.
     records: list[_WireItem] = Field(alias='items')
@@ -318,7 +323,7 @@
         answer = await self._call(b'GET', _READ, query, b'')
         if isinstance(answer, Fault) or _find_era(answer) != effect.table.era:
             return AppendVerdict.unknown
-        if answer.status == HTTPStatus.GONE:
+        if _is_forgotten(answer, effect.expected):
             return await self._check_newest(effect, encoded)
         if answer.status != HTTPStatus.OK:
             return AppendVerdict.unknown
@@ -386,6 +391,20 @@
     return answer.status == HTTPStatus.OK and era not in {effect.era, NO_ERA}
 
 
+def _is_forgotten(answer: HttpAnswer, offset: Offset) -> bool:
+    """Return whether the store has had an offset and forgotten its record.
+
+    It does not have an offset beyond its end either.
+    """
+    if answer.status != HTTPStatus.GONE:
+        return False
+    try:
+        gone = _WireGone.model_validate_json(answer.body)
+    except ValidationError:
+        return False
+    return gone.first > offset
+
+
 def _find_era(answer: HttpAnswer | Fault) -> StoreEra:
     if isinstance(answer, Fault):
         return NO_ERA
