--- a/tests/test_gatewayrestore.py
+++ b/tests/test_gatewayrestore.py
@@ -443,3 +443,31 @@
     _restore(world, _Restore())
     world.run(2 + 17)
     assert list_unowned(world) == []
+
+
+def _stop_and_start(world: World) -> None:
+    process = world.find_controller()
+    if process is None:
+        return
+    world.feed(process, StopRequested())
+    name = process.gateway.options.node
+    world.after(1.5, partial(_start, world, name))
+
+
+# Time in which keys have to be served again (`recovery`, stated by the users).
+_RECOVERY = 15
+
+
+# Guards against a keyed service that stays away, as each controller of a rolling
+# restart waits for unknown holders anew.
+@pytest.mark.parametrize('seed', [1, 2])
+def test_controllers_that_stop_in_turn_do_not_wait_anew(seed: int) -> None:
+    """Serve keys again in time if controllers stop soon after the return."""
+    world = build_scene(seed)
+    _send_load(world, Random(seed))
+    world.run(1)
+    _restore(world, _Restore(outage=0.3))
+    for moment in (0.1, 3, 6, 9):
+        world.after(0.3 + moment, partial(_stop_and_start, world))
+    world.run(0.3 + _RECOVERY)
+    assert list_unowned(world) == []
