--- a/trefoilsaddle/http/budget.py
+++ b/trefoilsaddle/http/budget.py
@@ -1,6 +1,8 @@
-"""Limit the memory used by answers."""
+"""Limit the memory used by answers, and count their bytes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from trefoilsaddle.traffic import ByteCount
 
 # Default limit on one answer, in bytes received: the embedded client also
 # accepts bodies of 16 MiB, and the framing adds little.
@@ -23,6 +25,8 @@
     # Limit on all answers together, in bytes.
     max_total: int = _MAX_HELD_BYTES
     held: int = 0
+    # Bytes of the requests and answers of all exchanges so far.
+    traffic: ByteCount = field(default_factory=ByteCount)
 
     def hold(self, count: int) -> 'AnswerReservation':
         """Count bytes already in memory until the block ends."""
@@ -54,6 +58,7 @@
         """Add received bytes; raise TooLargeError above a limit."""
         self.taken += count
         self.budget.held += count
+        self.budget.traffic.received += count
         if (
             self.taken > self.budget.max_answer
             or self.budget.held > self.budget.max_total
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -162,6 +162,7 @@
     except h11.LocalProtocolError:
         # The request is not valid HTTP, so no byte was sent.
         return ExchangeResult(Fault.unsent, reusable=True)
+    reader.reservation.budget.traffic.count_sent(len(encoded))
     try:
         return await _exchange_in_time(reader, encoded, matches, timeout)
     except TooLargeError:
--- a/trefoilsaddle/platform/orders.py
+++ b/trefoilsaddle/platform/orders.py
@@ -68,6 +68,7 @@
         self._grant_timeout = grant_timeout
         self._release_timeout = release_timeout
         self._budget = AnswerBudget(_MAX_ANSWER_BYTES, _MAX_HELD_BYTES)
+        self.traffic = self._budget.traffic
         self._pools: dict[str, ConnectionPool] = {}
 
     def list_pools(self) -> Iterable[ConnectionPool]:
--- a/trefoilsaddle/platform/store.py
+++ b/trefoilsaddle/platform/store.py
@@ -145,6 +145,7 @@
         self._controller_partition = partitions - 1
         self._clock = clock
         budget = AnswerBudget(_MAX_ANSWER_BYTES)
+        self.traffic = budget.traffic
         self._pool = ConnectionPool(host, port, _CONNECT_TIMEOUT, budget=budget)
         self._host = f'{host}:{port}'.encode()
         self._member = member
--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -26,7 +26,8 @@
     GatewaySettings,
     read_settings,
 )
-from trefoilsaddle.programs.gatewayshell import GatewayShell, ReadinessService
+from trefoilsaddle.programs.gatewayshell import GatewayShell
+from trefoilsaddle.programs.readiness import ReadinessService
 from trefoilsaddle.results import ResultCode
 
 _RUN_BITS = 48
--- a/trefoilsaddle/programs/gatewaylinks.py
+++ b/trefoilsaddle/programs/gatewaylinks.py
@@ -37,6 +37,7 @@
 )
 from trefoilsaddle.gateway.table import GatewayAddress, StoredTable
 from trefoilsaddle.http import sockets
+from trefoilsaddle.traffic import ByteCount
 from trefoilsaddle.wire.deflating import Deflater, Inflater
 from trefoilsaddle.wire.framing import FrameStream, pack_frame
 from trefoilsaddle.wire.gatewaycodec import (
@@ -62,8 +63,11 @@
 class MessageStream:
     """Send and receive messages on one compressed connection."""
 
-    def __init__(self, stream: trio.abc.Stream) -> None:
+    def __init__(
+        self, stream: trio.abc.Stream, traffic: ByteCount | None = None
+    ) -> None:
         """Start with an empty compression dictionary."""
+        self._traffic = traffic or ByteCount()
         self._frames = FrameStream(stream, _MAX_FRAME_BYTES)
         self._deflater = Deflater()
         self._inflater = Inflater(_MAX_FRAME_BYTES)
@@ -71,6 +75,7 @@
     async def send(self, encoded: bytes) -> Failure | None:
         """Send an encoded message (peer_unreachable)."""
         frame = pack_frame(self._deflater.deflate(encoded))
+        self._traffic.count_sent(len(frame))
         return await self._frames.send(frame)
 
     async def receive(self) -> PeerMessage | Failure | None:
@@ -79,6 +84,7 @@
             deflated = await self._frames.receive()
             if isinstance(deflated, Failure):
                 return deflated
+            self._traffic.received += len(deflated)
             encoded = self._inflater.inflate(deflated)
             if isinstance(encoded, Failure):
                 return encoded
@@ -92,6 +98,7 @@
 
     feed: Feed
     decode_configuration: _Decode
+    traffic: ByteCount = field(default_factory=ByteCount)
     outboxes: dict[NodeId, _Outbox] = field(default_factory=dict)
     # The last configuration sent and its encoded message.
     _last_configuration: bytes = b''
@@ -125,7 +132,7 @@
     async def serve(self, stream: trio.SocketStream) -> None:
         """Receive the messages of one gateway and send it those queued."""
         sockets.set_options(stream)
-        messages = MessageStream(stream)
+        messages = MessageStream(stream, self.traffic)
         outbox, inbox = trio.open_memory_channel[bytes](_MAX_QUEUED)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_write_messages, messages, inbox)
@@ -197,6 +204,7 @@
     feed: Feed
     greeting: Report
     decode_configuration: _Decode
+    traffic: ByteCount = field(default_factory=ByteCount)
     address: GatewayAddress | None = None
     address_changed: trio.Event = field(default_factory=trio.Event)
     outbox: _Outbox | None = None
@@ -258,7 +266,7 @@
         if stream is None:
             return
         outbox, inbox = trio.open_memory_channel[bytes](_MAX_QUEUED)
-        messages = MessageStream(stream)
+        messages = MessageStream(stream, self.traffic)
         self.outbox = outbox
         self.push(self.greeting)
         async with stream, trio.open_nursery() as nursery:
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -3,7 +3,6 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from functools import partial
-from http import HTTPStatus
 from math import inf
 from typing import Any
 
@@ -12,7 +11,6 @@
 from trefoilsaddle.clock import SystemClock
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.decisionlog import DecisionLog
-from trefoilsaddle.gateway.configuration import CallerLimits
 from trefoilsaddle.gateway.effects import (
     AnnounceTable,
     AppendTable,
@@ -48,9 +46,6 @@
 from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gatewaymetrics import GatewayMetrics
-from trefoilsaddle.http.messages import HttpAnswer, HttpRequest
-from trefoilsaddle.http.pipeline import CallerService
-from trefoilsaddle.http.requests import BadInput
 from trefoilsaddle.platform.dialect import PlatformDialect
 from trefoilsaddle.platform.orders import PlatformOrders
 from trefoilsaddle.platform.settings import GatewaySettings
@@ -66,10 +61,9 @@
 from trefoilsaddle.programs.gatewayorders import OrderRunner
 from trefoilsaddle.programs.looplag import LoopLag
 from trefoilsaddle.programs.sweeping import sweep_pools
+from trefoilsaddle.programs.trafficlog import TrafficLog
 
 _Perform = Callable[[Any], None]
-_METRICS_PATH = b'/metrics'
-_TEXT = (b'content-type', b'text/plain; version=0.0.4')
 
 
 class GatewayShell:
@@ -125,6 +119,14 @@
             greeting,
             decode_configuration,
         )
+        counts = {
+            'store': self._store.traffic,
+            'orders': orders.traffic,
+            'servers': self.calls.servers.budget.traffic,
+            'controller': self._link.traffic,
+            'gateways': self.controller.traffic,
+        }
+        self._traffic_log = TrafficLog(counts, self.metrics, self.write)
         self._actions = self._list_actions()
 
     async def run(self) -> None:
@@ -134,6 +136,7 @@
         pools = self.calls.servers.pools
         self._nursery.start_soon(sweep_pools, pools.values)
         self._nursery.start_soon(sweep_pools, self._list_order_pools)
+        self._nursery.start_soon(keep_running, 'traffic', self._traffic_log.run)
         while True:
             self._timer_set = trio.Event()
             due = min(self._timers.values(), default=inf)
@@ -239,52 +242,3 @@
 
     def _observe(self, effect: ObserveTime) -> None:
         self.metrics.observe_answer(effect.seconds)
-
-
-class ReadinessService(CallerService):
-    """Serve the readiness probe and the metrics to the platform."""
-
-    def __init__(self, shell: GatewayShell) -> None:
-        """Report the state of a gateway."""
-        self._shell = shell
-
-    def read_limits(self) -> CallerLimits:
-        """Return the same limits as for callers."""
-        return self._shell.calls.read_limits()
-
-    def is_closing(self) -> bool:
-        """Keep the platform's connections open."""
-        return False
-
-    def is_idempotent(self, request: HttpRequest) -> bool:
-        """Allow probes to be answered side by side."""
-        return True
-
-    async def answer(
-        self, request: HttpRequest, waited: Seconds
-    ) -> HttpAnswer | None:
-        """Answer a readiness probe or a request for metrics."""
-        shell = self._shell
-        if shell.calls.dialect.is_readiness_check(request):
-            status = HTTPStatus.SERVICE_UNAVAILABLE
-            if shell.ready:
-                status = HTTPStatus.OK
-            return HttpAnswer(status, ())
-        if request.target == _METRICS_PATH:
-            self._update_gauges()
-            text = shell.metrics.write_text()
-            return HttpAnswer(HTTPStatus.OK, (_TEXT,), text)
-        return HttpAnswer(HTTPStatus.NOT_FOUND, ())
-
-    def refuse(self, bad: BadInput) -> HttpAnswer:
-        """Build the answer to an invalid request, without a body."""
-        return HttpAnswer(bad.status, ())
-
-    def _update_gauges(self) -> None:
-        gateway = self._shell.gateway
-        metrics = self._shell.metrics
-        metrics.show_state('open_requests', len(gateway.calls))
-        metrics.show_state('parked_requests', len(gateway.parked))
-        metrics.show_state('configuration', gateway.version)
-        metrics.show_state('servers', len(gateway.registry.servers))
-        metrics.show_state('controller', int(gateway.control.leading))
