Give the model links between regions with a rate and a queue

Cause of the gap: what gateways, servers and the store exchange in the model takes 4 ms, whatever its size and whatever else is sent.

The change: one first-in-first-out link for each ordered pair of regions, with a rate, a delay of 20 ms and counts of bytes by purpose, is shared by reports, updates, copies, announcements, calls to the store, orders and requests, each with its real size and 70 bytes for each packet. Messages are encoded only if they leave their region. Calls to the store and orders that wait on a link end by their time limits, and a late grant still arrives. A gateway may need time for each message (`World.message_turn`), off by default.

The test that counted reads by a method of World counts them by the method that has replaced it.

--- a/measure/controllercost.py
+++ b/measure/controllercost.py
@@ -12,8 +12,9 @@
 from time import process_time
 
 from measure.gatewayload import SERVICE, build_configuration
-from measure.gatewayworld import Process, World
+from measure.gatewayworld import World
 from measure.report import write_row
+from measure.worldprocess import Process
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.events import Event
 from trefoilsaddle.gateway.keys import ALL_KEYS
--- a/measure/gatewayspread.py
+++ b/measure/gatewayspread.py
@@ -12,8 +12,9 @@
 from random import Random
 from types import MappingProxyType
 
-from measure.gatewayworld import CallResult, World, build_world
+from measure.gatewayworld import World, build_world
 from measure.report import write_row
+from measure.worldcalls import CallResult
 from trefoilsaddle.core.units import Rank, Seconds, ServiceName, Version
 from trefoilsaddle.gateway.configuration import (
     CallerLimits,
--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -12,28 +12,51 @@
 from random import Random
 from typing import Any
 
-from measure.worldcopies import address_copy
-from measure.worldoptions import ZONE, build_options
+from measure.worldcalls import CallResult
+from measure.worlddials import Dials
+from measure.worldfaults import Faults
+from measure.worldlinks import (
+    LOCAL_DELAY,
+    Action,
+    Purpose,
+    RegionLinks,
+    Route,
+    build_parcel,
+)
+from measure.worldoptions import (
+    ZONE,
+    Machine,
+    Regions,
+    build_options,
+    build_regions,
+)
+from measure.worldpeers import MESSAGE_EVENTS, Peers
+from measure.worldprocess import Process
 from measure.worldservers import Work, WorldServer, check_grant
+from measure.worldsizes import ANSWER_BYTES, ORDER_BYTES, REQUEST_BYTES
 from measure.worldstore import WorldStore
-from measure.worldworker import Order, OrderWorker, Reply, build_unanswered
+from measure.worldstorecalls import StoreCalls
+from measure.worldworker import (
+    Order,
+    OrderWorker,
+    Reply,
+    Worker,
+    build_unanswered,
+)
 from trefoilsaddle.core.units import (
-    NO_ERA,
     CallId,
     NodeId,
-    Offset,
+    RegionName,
     Seconds,
     ServerId,
     ServiceName,
-    StoreEra,
+    ZoneName,
 )
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import (
-    AnnounceTable,
     AppendTable,
     CancelAttempts,
     DeliverAnswer,
-    DialController,
     Effect,
     EndCall,
     ExitProcess,
@@ -43,47 +66,31 @@
     ReadTopic,
     ReleaseKeys,
     SendAttempt,
-    SendNews,
-    SendReport,
     SetCallTimer,
     SetTimer,
 )
 from trefoilsaddle.gateway.events import (
-    AppendEnded,
-    AppendVerdict,
     AttemptEnded,
     AttemptVerdict,
     CallExpired,
     Event,
-    JoinEnded,
-    LinkLost,
-    NewsReceived,
     OrderEnded,
     OrderVerdict,
-    PeerLinked,
-    ReadVerdict,
-    ReportReceived,
     RequestArrived,
     RequestHead,
     Started,
-    TableAnnounced,
     TimerExpired,
-    TimerKind,
-    TopicRead,
 )
 from trefoilsaddle.gateway.keys import Key, KeyRange
 from trefoilsaddle.gateway.options import GatewayOptions
-from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.servers import Server, ServerIncarnation
-from trefoilsaddle.gateway.state import Gateway, build_gateway
-from trefoilsaddle.gateway.table import GatewayAddress
-from trefoilsaddle.results import ResultCode
+from trefoilsaddle.gateway.state import build_gateway
 
-_LATENCY = Seconds(0.004)
-_CALL_TIMEOUT = Seconds(0.9)
 _OK = 200
-_Action = Callable[[], None]
+_ORDER = build_parcel(Purpose.orders, ORDER_BYTES)
+_REQUEST = build_parcel(Purpose.requests, REQUEST_BYTES)
+_ANSWER = build_parcel(Purpose.requests, ANSWER_BYTES)
 _Adjust = Callable[[GatewayOptions], GatewayOptions]
 
 
@@ -91,56 +98,7 @@
 class _ScheduledAction:
     at: Seconds
     sequence: int
-    act: _Action = field(compare=False)
-
-
-@dataclass(slots=True)
-class Process:
-    """One incarnation of a gateway, with its faults and links."""
-
-    gateway: Gateway
-    alive: bool = True
-    # True while the store, or the other gateways, are unreachable from it.
-    store_cut: bool = False
-    peers_cut: bool = False
-    # Servers that its grants and releases do not reach.
-    unreachable: set[ServerId] = field(default_factory=set)
-    timers: dict[TimerKind, int] = field(default_factory=dict)
-    dialed: GatewayAddress | None = None
-    linked: NodeId | None = None
-    worker: OrderWorker = field(default_factory=OrderWorker)
-
-
-@dataclass(slots=True)
-class CallResult:
-    """Result of a caller's request."""
-
-    sent: Seconds
-    rank: int = 0
-    ended: Seconds | None = None
-    served: bool = False
-    not_run: bool = False
-    code: ResultCode | None = None
-    retry_after: Seconds = Seconds(0)
-    attempts: int = 0
-
-
-@dataclass(slots=True)
-class Faults:
-    """Fractions of calls that fail, and the delays of late ones."""
-
-    # Grants that get no answer and are applied later.
-    late_orders: float = 0
-    max_late_delay: Seconds = Seconds(4)
-    # Grants that are queued on a busy link until after their calls have timed
-    # out, and their longest further delay.
-    queued_orders: float = 0
-    max_queue_delay: Seconds = Seconds(2.5)
-    # Appends that are stored but get no answer.
-    lost_appends: float = 0
-    # Appends that the store refuses, for example by its rate limit.
-    refused_appends: float = 0
-    store_down: bool = False
+    act: Action = field(compare=False)
 
 
 @dataclass(slots=True)
@@ -161,13 +119,29 @@
     open_connections: set[ServerIncarnation] = field(default_factory=set)
     # Processor time of a gateway to send an order, and the same for its answer.
     order_turn: Seconds = Seconds(0)
+    # Processor time of a gateway for each message received from another one, or
+    # sent to it.
+    message_turn: Seconds = Seconds(0)
+    # Region of each zone.
+    regions: Regions = field(default_factory=build_regions)
+    links: RegionLinks = field(init=False)
+    dials: Dials = field(init=False)
+    peers: Peers = field(init=False)
+    calls: StoreCalls = field(init=False)
     # Changes the options of gateways that are started later.
     adjust: _Adjust = lambda options: options
     _heap: list[_ScheduledAction] = field(default_factory=list)
     _sequence: int = 0
     _runs: int = 0
 
-    def after(self, delay: float, act: _Action) -> None:
+    def __post_init__(self) -> None:
+        """Connect the parts of the simulation."""
+        self.links = RegionLinks(self.after, lambda: self.now)
+        self.dials = Dials(self)
+        self.peers = Peers(self, self.dials)
+        self.calls = StoreCalls(self)
+
+    def after(self, delay: float, act: Action) -> None:
         """Schedule an action after a delay in seconds."""
         self._sequence += 1
         due = _ScheduledAction(Seconds(self.now + delay), self._sequence, act)
@@ -184,16 +158,25 @@
 
     # Gateways.
 
-    def start_gateway(self, name: str, speed: float = 2) -> Process:
-        """Start a gateway, or restart it with a new incarnation."""
+    def start_gateway(
+        self, name: str, speed: float = 2, machine: Machine | None = None
+    ) -> Process:
+        """Start a gateway, or restart it with a new incarnation.
+
+        One that is restarted without a machine stays in its zone.
+        """
         self._runs += 1
         node = NodeId(name)
         if node in self.processes:
             self.kill_gateway(name)
-        options = build_options(name, self._runs, speed)
-        worker = OrderWorker(self.order_turn)
-        gateway = build_gateway(self.adjust(options))
-        process = Process(gateway, worker=worker)
+        if machine is None:
+            machine = self._find_machine(node, speed)
+        options = build_options(name, self._runs, machine, self.regions)
+        process = Process(
+            build_gateway(self.adjust(options)),
+            worker=OrderWorker(self.order_turn),
+            inbox=Worker(self.message_turn),
+        )
         self.processes[node] = process
         self.feed(process, Started())
         return process
@@ -202,16 +185,17 @@
         """Kill a gateway; the others lose their links to it."""
         process = self.processes[NodeId(name)]
         process.alive = False
-        for other in self.processes.values():
-            if other.linked == NodeId(name):
-                self.after(_LATENCY, partial(self._lose_link, other))
+        self.dials.close_all(NodeId(name))
 
     def feed(self, process: Process, event: Event) -> None:
         """Reduce an event at a live gateway and carry out the effects."""
-        if not process.alive:
-            return
-        for effect in reduce(process.gateway, self.now, event):
-            self._perform(process, effect)
+        if isinstance(event, MESSAGE_EVENTS):
+            process.inbox.take_turn(self.now)
+        delay = process.inbox.find_wait(self.now)
+        if delay:
+            self.after(delay, partial(self._reduce, process, event))
+        else:
+            self._reduce(process, event)
 
     def find_controller(self) -> Process | None:
         """Return the gateway that acts as the controller, if any."""
@@ -228,6 +212,7 @@
         service: str,
         speed: float = 1,
         born: int = 1,
+        zone: ZoneName = ZONE,
     ) -> WorldServer:
         """Start a server and write its entry to the store."""
         entry = Server(
@@ -235,7 +220,7 @@
             ServiceName(service),
             name,
             80,
-            ZONE,
+            zone,
             slots=3,
             draining=False,
             warm_up_left=Seconds(0),
@@ -294,20 +279,30 @@
 
     # Effects.
 
+    def _find_machine(self, node: NodeId, speed: float) -> Machine:
+        earlier = self.processes.get(node)
+        if earlier is None:
+            return Machine(speed)
+        options = earlier.gateway.options
+        return Machine(speed, options.zone, options.link_rate)
+
+    def _reduce(self, process: Process, event: Event) -> None:
+        if not process.alive:
+            return
+        for effect in reduce(process.gateway, self.now, event):
+            self._perform(process, effect)
+
     def _perform(self, process: Process, effect: Effect) -> None:
         actions: dict[type, Callable[[Process, Any], None]] = {
+            **self.peers.list_actions(),
             SetTimer: self._set_timer,
             SetCallTimer: self._set_call_timer,
-            ReadTopic: self._read_topic,
-            AppendTable: self._append,
-            JoinGroup: self._join,
-            LeaveGroup: self._leave,
+            ReadTopic: self.calls.read,
+            AppendTable: self.calls.append,
+            JoinGroup: self.calls.join,
+            LeaveGroup: self.calls.leave,
             GrantKeys: self._queue_order,
             ReleaseKeys: self._queue_order,
-            DialController: self._dial,
-            SendReport: self._send_report,
-            SendNews: self._send_news,
-            AnnounceTable: self._announce,
             SendAttempt: self._send_attempt,
             CancelAttempts: self._cancel_attempts,
             DeliverAnswer: self._deliver,
@@ -317,9 +312,6 @@
         action = actions.get(type(effect))
         if action is not None:
             action(process, effect)
-        copy = address_copy(process.gateway, effect, process.linked)
-        if copy is not None:
-            self._send_peer(process, *copy)
 
     def _set_timer(self, process: Process, effect: SetTimer) -> None:
         token = process.timers.get(effect.kind, 0) + 1
@@ -335,103 +327,6 @@
         event = CallExpired(effect.call)
         self.after(effect.delay, lambda: self.feed(process, event))
 
-    def _is_store_unreachable(self, process: Process) -> bool:
-        return self.faults.store_down or process.store_cut
-
-    def _read_topic(self, process: Process, effect: ReadTopic) -> None:
-        requested_at = self.now
-        if self._is_store_unreachable(process):
-            verdict = ReadVerdict.unavailable
-            read = _build_empty_read(effect, verdict, requested_at, NO_ERA)
-            self.after(_CALL_TIMEOUT, lambda: self.feed(process, read))
-            return
-        self.after(
-            _LATENCY, lambda: self._answer_read(process, effect, requested_at)
-        )
-
-    def _answer_read(
-        self,
-        process: Process,
-        effect: ReadTopic,
-        requested_at: Seconds,
-    ) -> None:
-        log = self.store.records[effect.topic]
-        whole = effect.offset is None
-        if not whole and effect.era != self.store.era:
-            verdict = ReadVerdict.expired
-            era = self.store.era
-            read = _build_empty_read(effect, verdict, requested_at, era)
-            self.feed(process, read)
-            return
-        if whole:
-            entries = self.store.read_newest(effect.topic)
-        else:
-            entries = tuple(log[effect.offset :])
-        waited = self.now - requested_at
-        if not whole and not entries and waited < effect.wait:
-            self.after(
-                0.05, lambda: self._answer_read(process, effect, requested_at)
-            )
-            return
-        read = TopicRead(
-            effect.topic,
-            ReadVerdict.records,
-            whole=whole,
-            next_offset=self.store.find_end(effect.topic),
-            entries=entries,
-            asked_at=requested_at,
-            era=self.store.era,
-        )
-        self.feed(process, read)
-
-    def _append(self, process: Process, effect: AppendTable) -> None:
-        table = effect.table
-
-        def answer(verdict: AppendVerdict, era: StoreEra = NO_ERA) -> None:
-            ended = AppendEnded(table.service, table.sequence, verdict, era)
-            self.feed(process, ended)
-
-        def store() -> None:
-            if self.random.random() < self.faults.refused_appends:
-                self.after(_LATENCY, lambda: answer(AppendVerdict.refused))
-                return
-            verdict = self.store.append(effect)
-            if self.random.random() < self.faults.lost_appends:
-                self.after(_CALL_TIMEOUT, lambda: answer(AppendVerdict.unknown))
-                return
-            era = self.store.era
-            self.after(_LATENCY, lambda: answer(verdict, era))
-
-        if self._is_store_unreachable(process):
-            self.after(_CALL_TIMEOUT, lambda: answer(AppendVerdict.unknown))
-        else:
-            self.after(_LATENCY, store)
-
-    def _join(self, process: Process, effect: JoinGroup) -> None:
-        requested_at = self.now
-        options = process.gateway.options
-        member = f'{options.node}-{options.run}'
-
-        def answer() -> None:
-            away = self._is_store_unreachable(process)
-            leads = not away and self.store.join(member, effect.lease, self.now)
-            ended = JoinEnded(
-                answered=not away,
-                generation=self.store.generation,
-                leads=leads,
-                asked_at=requested_at,
-                era=NO_ERA if away else self.store.era,
-            )
-            self.feed(process, ended)
-
-        away = self._is_store_unreachable(process)
-        self.after(_CALL_TIMEOUT if away else _LATENCY, answer)
-
-    def _leave(self, process: Process, effect: LeaveGroup) -> None:
-        options = process.gateway.options
-        if not self._is_store_unreachable(process):
-            self.store.leave(f'{options.node}-{options.run}')
-
     def _queue_order(self, process: Process, order: Order) -> None:
         worker = process.worker
         number = worker.open_order()
@@ -439,7 +334,7 @@
         timeout = options.grant_timeout
         if isinstance(order, ReleaseKeys):
             timeout = options.release_timeout
-        if worker.turn:
+        if worker.turn or self._is_far(process, build_unanswered(order)):
             end = partial(self._time_out_order, process, number, order)
             self.after(timeout, end)
         send = partial(self._send_order, process, number, order)
@@ -455,9 +350,18 @@
         elif isinstance(order, GrantKeys):
             if self._is_connected(order.server.life):
                 process.worker.connected.add(number)
-            self._grant(order, reply)
+            self._grant(process.region, order, reply)
         else:
-            self._release(order, reply)
+            self._release(process.region, order, reply)
+
+    def _is_far(self, process: Process, ended: OrderEnded) -> bool:
+        server = self._find_server(ended.incarnation)
+        if server is None:
+            return False
+        return not self._find_route(process.region, server).is_local
+
+    def _find_route(self, region: RegionName, server: WorldServer) -> Route:
+        return Route(region, self.regions[server.entry.zone])
 
     def _is_connected(self, incarnation: ServerIncarnation) -> bool:
         server = self._find_server(incarnation)
@@ -486,7 +390,7 @@
                 process, partial(self._end_order, process, number, ended)
             )
 
-    def _take_turn(self, process: Process, act: _Action) -> None:
+    def _take_turn(self, process: Process, act: Action) -> None:
         delay = process.worker.take_turn(self.now)
         if delay:
             self.after(delay, act)
@@ -502,7 +406,9 @@
         if process.worker.close_order(number):
             self.feed(process, ended)
 
-    def _grant(self, effect: GrantKeys, reply: Reply) -> None:
+    def _grant(
+        self, sender: RegionName, effect: GrantKeys, reply: Reply
+    ) -> None:
         server = self._find_server(effect.server.life)
         ended = build_unanswered(effect)
         incarnation = effect.server.life
@@ -524,7 +430,7 @@
             self.after(0.3, lambda: reply(ended))
             return
         if self.random.random() < self.faults.late_orders:
-            arrived = Seconds(self.now + _LATENCY)
+            arrived = Seconds(self.now + LOCAL_DELAY)
             delay = self.random.uniform(0.5, self.faults.max_late_delay)
             self.after(
                 delay,
@@ -536,9 +442,10 @@
         def arrive() -> None:
             verdict = self._apply(server, effect, self.now)
             done = replace(ended, verdict=verdict)
-            self.after(_LATENCY, lambda: reply(done))
+            self.links.carry(route.reverse(), _ORDER, lambda: reply(done))
 
-        self.after(_LATENCY, arrive)
+        route = self._find_route(sender, server)
+        self.links.carry(route, _ORDER, arrive)
 
     def _lose_grant(
         self,
@@ -575,7 +482,9 @@
             )
         return verdict
 
-    def _release(self, effect: ReleaseKeys, reply: Reply) -> None:
+    def _release(
+        self, sender: RegionName, effect: ReleaseKeys, reply: Reply
+    ) -> None:
         server = self._find_server(effect.incarnation)
         ended = build_unanswered(effect)
         if server is None or server.cut or not server.up:
@@ -584,16 +493,25 @@
 
         def arrive() -> None:
             server.release(effect.keys)
-            self._answer_release(reply, server, effect.keys, ended)
+            answer = partial(
+                self.links.carry,
+                route.reverse(),
+                _ORDER,
+                partial(
+                    reply,
+                    replace(ended, verdict=OrderVerdict.done, handover='left'),
+                ),
+            )
+            self._answer_release(answer, server, effect.keys)
 
-        self.after(_LATENCY, arrive)
+        route = self._find_route(sender, server)
+        self.links.carry(route, _ORDER, arrive)
 
     def _answer_release(
         self,
-        reply: Reply,
+        answer: Action,
         server: WorldServer,
         keys: KeyRange,
-        ended: OrderEnded,
     ) -> None:
         busy = any(
             work.key is not None and keys.contains(work.key)
@@ -602,92 +520,10 @@
         if busy:
             self.after(
                 0.02,
-                lambda: self._answer_release(reply, server, keys, ended),
+                lambda: self._answer_release(answer, server, keys),
             )
             return
-        done = replace(ended, verdict=OrderVerdict.done, handover='left')
-        self.after(_LATENCY, lambda: reply(done))
-
-    # Messages between gateways.
-
-    def _dial(self, process: Process, effect: DialController) -> None:
-        process.dialed = effect.address
-        process.linked = None
-        if effect.address is not None:
-            self.after(_LATENCY, lambda: self._link(process, effect.address))
-
-    def _link(
-        self,
-        process: Process,
-        address: GatewayAddress | None,
-    ) -> None:
-        if address is None or process.dialed != address or not process.alive:
-            return
-        peer = self._find_peer(process, address)
-        if peer is None:
-            self.after(0.2, lambda: self._link(process, address))
-            return
-        process.linked = address.node
-        own = process.gateway.own_address()
-        speed = process.gateway.options.speed
-        greeting = Report(own, Seconds(0), (), (), speed)
-        self.feed(peer, PeerLinked(own.node))
-        self.feed(peer, ReportReceived(greeting))
-
-    def _find_peer(
-        self,
-        process: Process,
-        address: GatewayAddress,
-    ) -> Process | None:
-        peer = self.processes.get(address.node)
-        if peer is None or not peer.alive:
-            return None
-        if process.peers_cut or peer.peers_cut:
-            return None
-        return peer
-
-    def _lose_link(self, process: Process) -> None:
-        process.linked = None
-        self.feed(process, LinkLost())
-        address = process.dialed
-        self.after(0.2, lambda: self._link(process, address))
-
-    def _send_report(self, process: Process, effect: SendReport) -> None:
-        if process.linked is None:
-            return
-        peer = self.processes[process.linked]
-        if not peer.alive or process.peers_cut or peer.peers_cut:
-            self._lose_link(process)
-            return
-        event = ReportReceived(effect.report)
-        delay = _LATENCY + self.report_lag
-        self.after(delay, lambda: self.feed(peer, event))
-
-    def _send_news(self, process: Process, effect: SendNews) -> None:
-        name = process.gateway.options.node
-        for other in self.processes.values():
-            wanted = effect.node in {None, other.gateway.options.node}
-            cut = process.peers_cut or other.peers_cut
-            if wanted and other.linked == name and not cut:
-                event = NewsReceived(effect.news)
-                self.after(_LATENCY, partial(self.feed, other, event))
-
-    def _announce(self, process: Process, effect: AnnounceTable) -> None:
-        peer = self._find_peer(process, effect.address)
-        if peer is not None:
-            event = TableAnnounced(effect.stored)
-            self.after(_LATENCY, lambda: self.feed(peer, event))
-
-    def _send_peer(
-        self,
-        process: Process,
-        node: NodeId,
-        event: Event,
-    ) -> None:
-        peer = self.processes.get(node)
-        if peer is None or process.peers_cut or peer.peers_cut:
-            return
-        self.after(_LATENCY, partial(self.feed, peer, event))
+        answer()
 
     # Requests.
 
@@ -703,7 +539,9 @@
             effect.key,
             Seconds(self.work_time() / server.speed),
         )
-        self.after(_LATENCY, lambda: self._arrive(server, work))
+        route = self._find_route(process.region, server)
+        arrive = partial(self._arrive, server, work)
+        self.links.carry(route, _REQUEST, arrive)
 
     def _arrive(self, server: WorldServer, work: Work) -> None:
         server.record_arrival(work.sender, self.now)
@@ -736,7 +574,9 @@
         event = AttemptEnded(
             work.call, work.attempt, verdict, status, server.statement
         )
-        self.after(_LATENCY, lambda: self.feed(process, event))
+        route = self._find_route(process.region, server).reverse()
+        feed = partial(self.feed, process, event)
+        self.links.carry(route, _ANSWER, feed)
 
     def _cancel_attempts(
         self,
@@ -786,23 +626,6 @@
             self.store.remove_server(name)
 
 
-def _build_empty_read(
-    effect: ReadTopic,
-    verdict: ReadVerdict,
-    requested_at: Seconds,
-    era: StoreEra,
-) -> TopicRead:
-    return TopicRead(
-        effect.topic,
-        verdict,
-        whole=False,
-        next_offset=effect.offset or Offset(0),
-        entries=(),
-        asked_at=requested_at,
-        era=era,
-    )
-
-
 def build_world(
     configuration: Configuration,
     gateways: Iterable[str],
--- /dev/null
+++ b/measure/worlddials.py
@@ -0,0 +1,172 @@
+"""Simulate the connections between gateways.
+
+A gateway connects to at most one other, and any gateway may be connected to by
+others.  A connection to another region takes a round trip on its link.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import Protocol
+
+from measure.worldlinks import (
+    LOCAL_DELAY,
+    Parcel,
+    Purpose,
+    RegionLinks,
+    Route,
+    build_parcel,
+)
+from measure.worldprocess import Process
+from measure.worldsizes import HANDSHAKE_BYTES, Connection, measure_message
+from trefoilsaddle.core.units import NodeId, Seconds
+from trefoilsaddle.gateway.effects import DialController
+from trefoilsaddle.gateway.events import (
+    Event,
+    LinkLost,
+    PeerLinked,
+    ReportReceived,
+)
+from trefoilsaddle.gateway.peermessages import Report
+from trefoilsaddle.gateway.table import GatewayAddress
+from trefoilsaddle.wire.gatewaycodec import encode_peer_message
+
+_REDIAL_INTERVAL = Seconds(0.2)
+_CONNECT_TIMEOUT = Seconds(0.5)
+_HANDSHAKE = build_parcel(Purpose.reports, HANDSHAKE_BYTES)
+
+
+class Surroundings(Protocol):
+    """What the connections need of the simulation."""
+
+    now: Seconds
+    # Delay of reports at a busy controller.
+    report_lag: Seconds
+    processes: dict[NodeId, Process]
+    links: RegionLinks
+
+    def after(self, delay: float, act: Callable[[], None]) -> None:
+        """Schedule an action after a delay in seconds."""
+
+    def feed(self, process: Process, event: Event) -> None:
+        """Reduce an event at a live gateway."""
+
+
+@dataclass(slots=True)
+class Dials:
+    """Connect gateways to each other."""
+
+    world: Surroundings
+
+    def dial(self, process: Process, effect: DialController) -> None:
+        """Connect a gateway to another one, or close its connection."""
+        process.dialed = effect.address
+        process.linked = None
+        if effect.address is not None:
+            self._connect(process, effect.address)
+
+    def close_all(self, node: NodeId) -> None:
+        """Close the connections of the gateways that are linked to one."""
+        source = self.world.processes[node]
+        for other in self.world.processes.values():
+            if other.linked == node:
+                self._carry(
+                    source, other, _HANDSHAKE, partial(self.lose_link, other)
+                )
+
+    def lose_link(self, process: Process) -> None:
+        """End a gateway's connection, and connect again."""
+        process.linked = None
+        self.world.feed(process, LinkLost())
+        self._redial(process, process.dialed)
+
+    def _connect(
+        self, process: Process, address: GatewayAddress | None
+    ) -> None:
+        peer = None if address is None else self._find_node(address)
+        if peer is None or peer.region == process.region:
+            link = partial(self._link, process, address)
+            self.world.after(LOCAL_DELAY, link)
+        elif process.dialed == address and process.alive:
+            self._open(process, peer, address)
+
+    def _open(
+        self, process: Process, peer: Process, address: GatewayAddress | None
+    ) -> None:
+        """Open a connection to another region: a round trip, then a report."""
+        process.dials += 1
+        attempt = process.dials
+        greet = partial(self._greet, process, peer, attempt)
+        accept = partial(self._carry, peer, process, _HANDSHAKE, greet)
+        self._carry(process, peer, _HANDSHAKE, accept)
+        expire = partial(self._expire_dial, process, address, attempt)
+        self.world.after(_CONNECT_TIMEOUT, expire)
+
+    def _expire_dial(
+        self, process: Process, address: GatewayAddress | None, attempt: int
+    ) -> None:
+        if process.dials == attempt and process.linked is None:
+            # An answer that arrives later is not for an open attempt.
+            process.dials += 1
+            self._redial(process, address)
+
+    def _greet(self, process: Process, peer: Process, attempt: int) -> None:
+        if process.dials != attempt or not process.alive:
+            return
+        process.dials += 1
+        process.connection = Connection()
+        encoded = encode_peer_message(_build_greeting(process))
+        size = measure_message(encoded, process.connection.upward)
+        parcel = build_parcel(Purpose.reports, size)
+        link = partial(self._link, process, process.dialed)
+        self._carry(process, peer, parcel, link)
+
+    def _redial(self, process: Process, address: GatewayAddress | None) -> None:
+        peer = None if address is None else self._find_node(address)
+        far = peer is not None and peer.region != process.region
+        retry = self._connect if far else self._link
+        self.world.after(_REDIAL_INTERVAL, partial(retry, process, address))
+
+    def _link(self, process: Process, address: GatewayAddress | None) -> None:
+        if address is None or process.dialed != address or not process.alive:
+            return
+        peer = find_peer(self.world, process, address)
+        if peer is None:
+            self._redial(process, address)
+            return
+        process.linked = address.node
+        if peer.region == process.region:
+            process.connection = Connection()
+        self.world.feed(peer, PeerLinked(process.node))
+        self.world.feed(peer, ReportReceived(_build_greeting(process)))
+
+    def _find_node(self, address: GatewayAddress) -> Process | None:
+        return self.world.processes.get(address.node)
+
+    def _carry(
+        self,
+        source: Process,
+        target: Process,
+        parcel: Parcel,
+        act: Callable[[], None],
+    ) -> None:
+        route = Route(source.region, target.region)
+        self.world.links.carry(route, parcel, act)
+
+
+def find_peer(
+    world: Surroundings, process: Process, address: GatewayAddress
+) -> Process | None:
+    """Return the live gateway at an address, if it can be reached."""
+    peer = world.processes.get(address.node)
+    if peer is None or not peer.alive:
+        return None
+    if process.peers_cut or peer.peers_cut:
+        return None
+    return peer
+
+
+def _build_greeting(process: Process) -> Report:
+    own = process.gateway.own_address()
+    speed = process.gateway.options.speed
+    return Report(own, Seconds(0), (), (), speed)
--- a/measure/worldworker.py
+++ b/measure/worldworker.py
@@ -17,12 +17,27 @@
 
 
 @dataclass(slots=True)
-class OrderWorker:
-    """Open orders of a process, and the time until which it is busy."""
+class Worker:
+    """Process units of work sequentially."""
 
-    # Processor time to send an order, and the same to handle its answer.
+    # Processor time of one unit.
     turn: Seconds = Seconds(0)
     idle_at: Seconds = Seconds(0)
+
+    def take_turn(self, now: Seconds) -> Seconds:
+        """Reserve a turn and return the time until its end."""
+        self.idle_at = Seconds(max(self.idle_at, now) + self.turn)
+        return Seconds(self.idle_at - now)
+
+    def find_wait(self, now: Seconds) -> Seconds:
+        """Return the time until the end of the turns that are reserved."""
+        return Seconds(max(self.idle_at - now, 0))
+
+
+@dataclass(slots=True)
+class OrderWorker(Worker):
+    """Open orders of a process; a turn sends one or handles its answer."""
+
     # Numbers of the orders that have not ended.
     open: set[int] = field(default_factory=set)
     opened: int = 0
@@ -44,11 +59,6 @@
         self.open.discard(number)
         return closes
 
-    def take_turn(self, now: Seconds) -> Seconds:
-        """Reserve a turn and return the time until its end."""
-        self.idle_at = Seconds(max(self.idle_at, now) + self.turn)
-        return Seconds(self.idle_at - now)
-
 
 def build_unanswered(order: Order) -> OrderEnded:
     """Build the event for an order that got no answer."""
--- a/tests/test_gatewayleaving.py
+++ b/tests/test_gatewayleaving.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from measure.gatewayworld import Process, World
+from measure.gatewayworld import World
+from measure.worldprocess import Process
 from measure.worldservers import WorldServer
 from tests.gatewayscenes import CATALOGUE, CHECKOUT, GATEWAYS, build_scene
 from trefoilsaddle.core.units import NodeId, Seconds
--- a/tests/test_gatewayloads.py
+++ b/tests/test_gatewayloads.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from measure.gatewayworld import CallResult, World
+from measure.gatewayworld import World
+from measure.worldcalls import CallResult
 from tests.gatewayscenes import CATALOGUE, GATEWAYS, build_scene
 from trefoilsaddle.core.units import CallId, NodeId, Seconds
 from trefoilsaddle.gateway import balance, controller, placing
--- a/tests/test_gatewayownership.py
+++ b/tests/test_gatewayownership.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from measure.gatewayworld import Process, World, build_world
+from measure.gatewayworld import World, build_world
+from measure.worldprocess import Process
 from measure.worldservers import OwnerError, WorldServer, check_grant
 from tests.gatewayscenes import (
     CATALOGUE,
--- a/tests/test_gatewayrelay.py
+++ b/tests/test_gatewayrelay.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from measure.gatewayworld import Process, World
+from measure.gatewayworld import World
+from measure.worldprocess import Process
 from tests.gatewayscenes import (
     GATEWAYS,
     build_configuration,
--- a/tests/test_gatewayrestore.py
+++ b/tests/test_gatewayrestore.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from measure.gatewayworld import Process, World, build_world
+from measure.gatewayworld import World, build_world
+from measure.worldprocess import Process
 from measure.worldservers import OwnerError
 from measure.worldstore import Membership, StoreCopy
 from tests.gatewayscenes import (
--- a/tests/test_gatewaystorecalls.py
+++ b/tests/test_gatewaystorecalls.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from measure.gatewayworld import Process, World, build_world
+from measure.gatewayworld import World, build_world
+from measure.worldprocess import Process
+from measure.worldstorecalls import StoreCalls
 from tests.gatewayscenes import CATALOGUE, build_configuration, build_scene
 from trefoilsaddle.core.units import NodeId, Offset, Seconds, ServiceName
 from trefoilsaddle.gateway.effects import ReadTopic, SetReady, SetTimer
@@ -46,13 +48,13 @@
     Guards against three polls by each gateway while there is nothing to do.
     """
     reads: list[Topic] = []
-    perform = World._read_topic
+    perform = StoreCalls.read
 
-    def count(world: World, process: Process, effect: ReadTopic) -> None:
+    def count(calls: StoreCalls, process: Process, effect: ReadTopic) -> None:
         reads.append(effect.topic)
-        perform(world, process, effect)
+        perform(calls, process, effect)
 
-    monkeypatch.setattr(World, '_read_topic', count)
+    monkeypatch.setattr(StoreCalls, 'read', count)
     world = World(build_world(build_configuration(), ()).random)
     world.add_server('guide-0', CATALOGUE)
     process = world.start_gateway('gate-1')
--- a/tests/test_gatewayversions.py
+++ b/tests/test_gatewayversions.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from measure.gatewayworld import Process, World
+from measure.gatewayworld import World
+from measure.worldprocess import Process
 from tests.gatewayscenes import GATEWAYS, build_configuration, build_scene
 from trefoilsaddle.core.units import NodeId, Seconds, Version
 from trefoilsaddle.gateway.effects import (
