Close silent connections between regions in the model

What callers saw: after a change of controller gateways of the other region lost their links and read everything anew, over the same full link.

Cause of the gap: the program closes a connection that was silent for 1.4 s; in the model a connection lived on however late its messages came, and one that was closed still delivered what was on its way. Now a connection to another region is closed after the same time, its late messages are dropped, and `Dials.close` closes a connection from the end that was connected to. The silence of reports at that end is not modelled.

--- a/measure/worlddials.py
+++ b/measure/worlddials.py
@@ -33,6 +33,8 @@
 
 _REDIAL_INTERVAL = Seconds(0.2)
 _CONNECT_TIMEOUT = Seconds(0.5)
+# A connection without messages for longer is closed.
+_MAX_SILENCE = Seconds(1.4)
 _HANDSHAKE = build_parcel(Purpose.reports, HANDSHAKE_BYTES)
 
 
@@ -62,6 +64,7 @@
         """Connect a gateway to another one, or close its connection."""
         process.dialed = effect.address
         process.linked = None
+        process.connection = Connection()
         if effect.address is not None:
             self._connect(process, effect.address)
 
@@ -70,16 +73,44 @@
         source = self.world.processes[node]
         for other in self.world.processes.values():
             if other.linked == node:
-                self._carry(
-                    source, other, _HANDSHAKE, partial(self.lose_link, other)
-                )
+                self.close(source, other)
+
+    def close(self, source: Process, other: Process) -> None:
+        """Close the connection of a gateway that is linked to another one."""
+        end = partial(self._end, source, other, other.connection)
+        self._carry(source, other, _HANDSHAKE, end)
 
     def lose_link(self, process: Process) -> None:
         """End a gateway's connection, and connect again."""
         process.linked = None
+        process.connection = Connection()
         self.world.feed(process, LinkLost())
         self._redial(process, process.dialed)
 
+    def is_current(
+        self, source: Process, target: Process, connection: Connection
+    ) -> bool:
+        """Return whether what crossed on a connection is still received."""
+        near = source.region == target.region
+        return near or target.connection is connection
+
+    def _end(
+        self, source: Process, target: Process, connection: Connection
+    ) -> None:
+        if self.is_current(source, target, connection):
+            self.lose_link(target)
+
+    def _watch(self, process: Process, connection: Connection) -> None:
+        """Close a connection that has been silent for too long."""
+        if process.connection is not connection or not process.alive:
+            return
+        left = connection.heard_at + _MAX_SILENCE - self.world.now
+        if left > 0:
+            again = partial(self._watch, process, connection)
+            self.world.after(left, again)
+        else:
+            self.lose_link(process)
+
     def _connect(
         self, process: Process, address: GatewayAddress | None
     ) -> None:
@@ -114,7 +145,8 @@
         if process.dials != attempt or not process.alive:
             return
         process.dials += 1
-        process.connection = Connection()
+        process.connection = Connection(heard_at=self.world.now)
+        self._watch(process, process.connection)
         encoded = encode_peer_message(_build_greeting(process))
         size = measure_message(encoded, process.connection.upward)
         parcel = build_parcel(Purpose.reports, size)
--- a/measure/worldpeers.py
+++ b/measure/worldpeers.py
@@ -19,6 +19,7 @@
 from measure.worldprocess import Process
 from measure.worldsizes import (
     WANTED_BYTES,
+    Connection,
     Encoder,
     measure_copy,
     measure_message,
@@ -35,6 +36,7 @@
 from trefoilsaddle.gateway.events import (
     ConfigurationCopied,
     ConfigurationWanted,
+    Event,
     NewsReceived,
     ReportReceived,
     TableAnnounced,
@@ -100,7 +102,7 @@
                 deflater = other.connection.downward
                 parcel = self._pack(Purpose.updates, effect.news, deflater)
                 event = NewsReceived(effect.news)
-                receive = partial(self.world.feed, other, event)
+                receive = self._receive(process, other, event)
                 self._send(process, other, parcel, receive)
 
     def announce(self, process: Process, effect: AnnounceTable) -> None:
@@ -127,9 +129,30 @@
         if isinstance(event, ConfigurationCopied):
             size = measure_copy(event.configuration.encoded)
         parcel = build_parcel(Purpose.copies, size)
-        receive = partial(self.world.feed, peer, event)
+        if peer.linked == process.node:
+            receive = self._receive(process, peer, event)
+        else:
+            receive = partial(self.world.feed, peer, event)
         self._send(process, peer, parcel, receive)
 
+    def _receive(
+        self, source: Process, target: Process, event: Event
+    ) -> partial[None]:
+        """Return what delivers an event on the target's open connection."""
+        connection = target.connection
+        return partial(self._hear, source, target, connection, event)
+
+    def _hear(
+        self,
+        source: Process,
+        target: Process,
+        connection: Connection,
+        event: Event,
+    ) -> None:
+        if self.dials.is_current(source, target, connection):
+            connection.heard_at = self.world.now
+            self.world.feed(target, event)
+
     def _pack(
         self, purpose: Purpose, message: PeerMessage, deflater: Deflater
     ) -> Parcel:
--- a/measure/worldsizes.py
+++ b/measure/worldsizes.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from functools import lru_cache
 
+from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.events import TopicEntry
 from trefoilsaddle.gateway.peermessages import PeerMessage
@@ -40,10 +41,12 @@
 
 @dataclass(slots=True)
 class Connection:
-    """Compression of the two directions of a connection."""
+    """Compression of the two directions of a connection, and its silence."""
 
     upward: Deflater = field(default_factory=Deflater)
     downward: Deflater = field(default_factory=Deflater)
+    # Time at which the end that connected last received a message.
+    heard_at: Seconds = Seconds(0)
 
 
 def measure_message(encoded: bytes, deflater: Deflater) -> int:
--- a/tests/test_worldlinks.py
+++ b/tests/test_worldlinks.py
@@ -215,3 +215,42 @@
         for process in world.processes.values()
     ]
     assert (max(waits) > 0) == slower
+
+
+def _list_far(world: World) -> list[Process]:
+    """Return the gateways that are linked from the other region."""
+    region = _find_controller(world).region
+    return [
+        process
+        for process in world.processes.values()
+        if process.region != region
+    ]
+
+
+def test_silent_connection_is_closed_and_opened_again() -> None:
+    """Close a connection whose messages wait on the link for too long."""
+    world = _run_two_regions(_FAST)
+    source = _find_controller(world)
+    far = _list_far(world)
+    assert {process.linked for process in far} == {source.node}
+    block = build_parcel(Purpose.background, 2 * _FAST)
+    route = Route(source.region, far[0].region)
+    world.links.carry(route, block, lambda: None)
+    world.run(1.6)
+    assert {process.linked for process in far} == {None}
+    world.run(2)
+    assert {process.linked for process in far} == {source.node}
+
+
+def test_end_that_closes_a_connection_is_dialed_again() -> None:
+    """Tell a gateway that the other end has closed its connection."""
+    world = _run_two_regions(_FAST)
+    source = _find_controller(world)
+    far = _list_far(world)
+    world.dials.close(source, far[0])
+    world.run(2 * REGION_DELAY)
+    assert far[0].linked is None
+    assert far[0].gateway.link.news_at is None
+    assert far[1].linked == source.node
+    world.run(1)
+    assert far[0].linked == source.node
