--- a/measure/worldpeers.py
+++ b/measure/worldpeers.py
@@ -24,26 +24,33 @@
     measure_copy,
     measure_message,
 )
+from trefoilsaddle.core.units import NodeId
 from trefoilsaddle.gateway.effects import (
-    AnnounceTable,
+    AnnounceController,
+    AnswerClock,
     AskConfiguration,
     DialController,
+    DropPeers,
     Effect,
+    NameRelay,
     SendConfiguration,
     SendNews,
     SendReport,
 )
 from trefoilsaddle.gateway.events import (
+    ClockAnswered,
     ConfigurationCopied,
     ConfigurationWanted,
+    ControllerAnnounced,
     Event,
     NewsReceived,
+    PeerLinked,
+    RelayAssigned,
     ReportReceived,
-    TableAnnounced,
 )
 from trefoilsaddle.gateway.peermessages import (
     PeerMessage,
-    TableAnnouncement,
+    RelayNamed,
 )
 from trefoilsaddle.wire.deflating import Deflater
 
@@ -53,7 +60,7 @@
     ConfigurationWanted,
     NewsReceived,
     ReportReceived,
-    TableAnnounced,
+    ControllerAnnounced,
 )
 
 
@@ -71,7 +78,10 @@
             DialController: self.dials.dial,
             SendReport: self.send_report,
             SendNews: self.send_news,
-            AnnounceTable: self.announce,
+            AnswerClock: self.answer_clock,
+            NameRelay: self.name_relay,
+            DropPeers: self.drop_peers,
+            AnnounceController: self.announce,
             AskConfiguration: self.send_copy,
             SendConfiguration: self.send_copy,
         }
@@ -84,11 +94,15 @@
         if not peer.alive or process.peers_cut or peer.peers_cut:
             self.dials.lose_link(process)
             return
-        deflater = process.connection.upward
-        parcel = self._pack(Purpose.reports, effect.report, deflater)
+        connection = process.connection
+        parcel = self._pack(Purpose.reports, effect.report, connection.upward)
         event = ReportReceived(effect.report)
         receive = partial(self.world.feed, peer, event)
-        if self.world.report_lag:
+        if not connection.greeted:
+            connection.greeted = True
+            linked = PeerLinked(process.node, effect.report)
+            receive = partial(self._greet, peer, linked, event)
+        elif self.world.report_lag:
             lag = self.world.report_lag
             receive = partial(self.world.after, lag, receive)
         self._send(process, peer, parcel, receive)
@@ -102,18 +116,36 @@
                 deflater = other.connection.downward
                 parcel = self._pack(Purpose.updates, effect.news, deflater)
                 event = NewsReceived(effect.news)
-                receive = self._receive(process, other, event)
+                receive = self._receive(other, event)
                 self._send(process, other, parcel, receive)
 
-    def announce(self, process: Process, effect: AnnounceTable) -> None:
-        """Send a table on a connection of its own."""
+    def answer_clock(self, process: Process, effect: AnswerClock) -> None:
+        """Tell a linked gateway the time."""
+        event = ClockAnswered(effect.answer)
+        self._send_down(process, effect.node, effect.answer, event)
+
+    def name_relay(self, process: Process, effect: NameRelay) -> None:
+        """Tell a linked gateway to connect to a relay."""
+        event = RelayAssigned(effect.relay)
+        message = RelayNamed(effect.relay)
+        self._send_down(process, effect.node, message, event)
+
+    def drop_peers(self, process: Process, effect: DropPeers) -> None:
+        """Close the connection of one gateway, or those of all."""
+        for other in self.world.processes.values():
+            wanted = effect.node in {None, other.node}
+            if wanted and other.linked == process.node:
+                self.dials.close(process, other)
+
+    def announce(self, process: Process, effect: AnnounceController) -> None:
+        """Announce a controller on a connection of its own."""
         peer = find_peer(self.world, process, effect.address)
         if peer is None:
             return
-        stored = effect.stored
-        message = TableAnnouncement(stored.offset, stored.table)
+        message = effect.announcement
         parcel = self._pack(Purpose.announcements, message, Deflater())
-        receive = partial(self.world.feed, peer, TableAnnounced(stored))
+        event = ControllerAnnounced(message)
+        receive = partial(self.world.feed, peer, event)
         self._send(process, peer, parcel, receive)
 
     def send_copy(self, process: Process, effect: Effect) -> None:
@@ -130,26 +162,38 @@
             size = measure_copy(event.configuration.encoded)
         parcel = build_parcel(Purpose.copies, size)
         if peer.linked == process.node:
-            receive = self._receive(process, peer, event)
+            receive = self._receive(peer, event)
         else:
             receive = partial(self.world.feed, peer, event)
         self._send(process, peer, parcel, receive)
 
-    def _receive(
-        self, source: Process, target: Process, event: Event
-    ) -> partial[None]:
+    def _greet(
+        self, peer: Process, linked: PeerLinked, event: ReportReceived
+    ) -> None:
+        self.world.feed(peer, linked)
+        self.world.feed(peer, event)
+
+    def _send_down(
+        self, process: Process, node: NodeId, message: PeerMessage, event: Event
+    ) -> None:
+        """Send a message to a gateway that is linked to the sender."""
+        other = self.world.processes[node]
+        cut = process.peers_cut or other.peers_cut
+        if other.linked != process.node or cut:
+            return
+        deflater = other.connection.downward
+        parcel = self._pack(Purpose.updates, message, deflater)
+        receive = self._receive(other, event)
+        self._send(process, other, parcel, receive)
+
+    def _receive(self, target: Process, event: Event) -> partial[None]:
         """Return what delivers an event on the target's open connection."""
-        connection = target.connection
-        return partial(self._hear, source, target, connection, event)
+        return partial(self._hear, target, target.connection, event)
 
     def _hear(
-        self,
-        source: Process,
-        target: Process,
-        connection: Connection,
-        event: Event,
+        self, target: Process, connection: Connection, event: Event
     ) -> None:
-        if self.dials.is_current(source, target, connection):
+        if target.connection is connection:
             connection.heard_at = self.world.now
             self.world.feed(target, event)
 
--- a/measure/worldsizes.py
+++ b/measure/worldsizes.py
@@ -47,6 +47,8 @@
     downward: Deflater = field(default_factory=Deflater)
     # Time at which the end that connected last received a message.
     heard_at: Seconds = Seconds(0)
+    # True once its first report was sent.
+    greeted: bool = False
 
 
 def measure_message(encoded: bytes, deflater: Deflater) -> int:
--- a/tests/gatewayscenes.py
+++ b/tests/gatewayscenes.py
@@ -14,6 +14,8 @@
 CATALOGUE = 'catalogue'
 CHECKOUT = 'checkout'
 GATEWAYS = ('gate-1', 'gate-2', 'gate-3')
+# Interval between two looks at the owners.
+_SAMPLE_INTERVAL = Seconds(0.1)
 LIMITS = CallerLimits(16_384, 1_048_576, Seconds(3), Seconds(15))
 
 
@@ -73,3 +75,16 @@
     """Return sampled keys that no server holds."""
     keys = range(0, LAST_KEY + 1, 1024)
     return [key for key in keys if not world.find_holders(key, CATALOGUE)]
+
+
+def list_unserved(world: World, seconds: float) -> list[int]:
+    """Return sampled keys that no server holds for some seconds.
+
+    Keys that change hands are without an owner for a short time.
+    """
+    unserved = set(list_unowned(world))
+    end = world.now + seconds
+    while world.now < end:
+        world.run(_SAMPLE_INTERVAL)
+        unserved.intersection_update(list_unowned(world))
+    return sorted(unserved)
--- a/tests/test_gatewaycodec.py
+++ b/tests/test_gatewaycodec.py
@@ -44,6 +44,8 @@
     '  configuration @8 :Int64;\n',
     '  limits @9 :ServerLimits;\n',
     '  leaving @10 :List(UInt32);\n',
+    '  askedAt @11 :Float64;\n',
+    '  greeting @12 :Greeting;\n',
 )
 _CATALOGUE = ServiceName('catalogue')
 _ADDRESS = GatewayAddress(NodeId('gate-1'), 7, '10.0.0.1', 7540)
@@ -127,6 +129,8 @@
     assert fields['report'].pop('configuration') == report.configuration
     assert fields['report'].pop('limits')['tag'] == [1]
     assert fields['report'].pop('leaving') == [2]
+    for name in ('askedAt', 'greeting'):
+        fields['report'].pop(name, None)
     encoded = earlier.new_message(**fields).to_bytes_packed()
     unstated = replace(report, configuration=Version(0), limits=(), leaving=())
     assert decode_peer_message(encoded) == unstated
--- a/trefoilsaddle/gateway/control.py
+++ b/trefoilsaddle/gateway/control.py
@@ -5,14 +5,14 @@
 from trefoilsaddle.core.units import (
     NodeId,
     Offset,
+    RegionName,
     Seconds,
-    ServerId,
     ServiceName,
 )
 from trefoilsaddle.gateway.loads import KeyRates, ServerLoads
 from trefoilsaddle.gateway.partitions import Partition, Partitions
-from trefoilsaddle.gateway.peermessages import ServerLoad
-from trefoilsaddle.gateway.servers import Server, ServerIncarnation, ServerTag
+from trefoilsaddle.gateway.relays import RegionLinks
+from trefoilsaddle.gateway.servers import Server, ServerIncarnation
 from trefoilsaddle.gateway.suspicion import Suspicions
 from trefoilsaddle.gateway.table import (
     NO_POSITION,
@@ -137,13 +137,6 @@
     announce_at: Seconds = Seconds(0)
     # Time of the last report from each gateway.
     reporters: dict[NodeId, Seconds] = field(default_factory=dict)
-    # State that was last sent to the gateways, and when the next update is due
-    # even without a change.
-    sent_servers: dict[ServerId, Server] = field(default_factory=dict)
-    sent_gateways: set[NodeId] = field(default_factory=set)
-    sent_revisions: dict[ServiceName, int] = field(default_factory=dict)
-    sent_loads: dict[ServerTag, ServerLoad] = field(default_factory=dict)
-    update_due_at: Seconds = Seconds(0)
-    # Earliest time of the next update, so that changes are batched.
-    update_not_before: Seconds = Seconds(0)
+    # Links to gateways of other regions.
+    regions: dict[RegionName, RegionLinks] = field(default_factory=dict)
     monitor: ReviewMonitor = field(default_factory=ReviewMonitor)
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -27,10 +27,8 @@
 from trefoilsaddle.gateway.election import read_tables, step_down
 from trefoilsaddle.gateway.events import (
     AppendEnded,
-    ConfigurationWanted,
     Event,
     OrderEnded,
-    PeerLinked,
     ReadVerdict,
     ReportReceived,
     Started,
@@ -82,23 +80,11 @@
             return _handle_tables_read(gateway, now, event)
         case ReportReceived():
             return handle_report(gateway, now, event.report)
-        case PeerLinked() | ConfigurationWanted() | StopRequested():
-            return _handle_change(gateway, now, event)
+        case StopRequested():
+            return _resign(gateway)
     return []
 
 
-def _handle_change(
-    gateway: Gateway,
-    now: Seconds,
-    event: PeerLinked | ConfigurationWanted | StopRequested,
-) -> Effects:
-    if isinstance(event, ConfigurationWanted):
-        return updates.send_configuration(gateway, event.node)
-    if isinstance(event, PeerLinked):
-        return updates.queue_full_update(gateway, now, event.node)
-    return _resign(gateway)
-
-
 def _handle_ended(
     gateway: Gateway,
     now: Seconds,
@@ -186,7 +172,7 @@
         return effects
     effects.extend(updates.send_full_updates(gateway, now))
     effects.extend(updates.broadcast_changes(gateway, now))
-    return [*effects, *updates.announce_table(gateway, now)]
+    return [*effects, *updates.announce_controller(gateway, now)]
 
 
 def _retry_read(gateway: Gateway, now: Seconds) -> Effects:
--- a/trefoilsaddle/gateway/effects.py
+++ b/trefoilsaddle/gateway/effects.py
@@ -15,12 +15,16 @@
 )
 from trefoilsaddle.gateway.events import TimerKind, Topic
 from trefoilsaddle.gateway.keys import Key, KeyRange
-from trefoilsaddle.gateway.peermessages import News, Report
+from trefoilsaddle.gateway.peermessages import (
+    ClockAnswer,
+    ControllerAnnouncement,
+    News,
+    Report,
+)
 from trefoilsaddle.gateway.servers import Server, ServerIncarnation
 from trefoilsaddle.gateway.table import (
     GatewayAddress,
     OwnershipTable,
-    StoredTable,
 )
 from trefoilsaddle.results import ResultCode
 
@@ -178,11 +182,34 @@
 
 @dataclass(frozen=True, slots=True)
 class DialController:
-    """Keep a connection to a controller; None closes it."""
+    """Keep a connection to the controller or its relay; None closes it."""
 
     address: GatewayAddress | None
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerClock:
+    """Tell a connected gateway the time that it has asked for."""
+
+    node: NodeId
+    answer: ClockAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class NameRelay:
+    """Tell a connected gateway to connect to a relay instead."""
+
+    node: NodeId
+    relay: GatewayAddress
+
+
+@dataclass(frozen=True, slots=True)
+class DropPeers:
+    """Close the connection of one gateway to this one, or those of all."""
+
+    node: NodeId | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class SendReport:
     """Send a report to the controller."""
@@ -215,11 +242,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AnnounceTable:
-    """Send the newest table to a gateway that is not connected."""
+class AnnounceController:
+    """Announce this controller to a gateway that is not connected."""
 
     address: GatewayAddress
-    stored: StoredTable = field(repr=False)
+    announcement: ControllerAnnouncement
 
 
 @dataclass(frozen=True, slots=True)
@@ -258,11 +285,14 @@
 
 _PeerEffect = (
     DialController
+    | AnswerClock
+    | NameRelay
+    | DropPeers
     | SendReport
     | SendNews
     | AskConfiguration
     | SendConfiguration
-    | AnnounceTable
+    | AnnounceController
 )
 
 Effect = (
--- a/trefoilsaddle/gateway/election.py
+++ b/trefoilsaddle/gateway/election.py
@@ -33,7 +33,7 @@
     Topic,
 )
 from trefoilsaddle.gateway.loglines import log_event
-from trefoilsaddle.gateway.peers import is_linked
+from trefoilsaddle.gateway.peers import drop_peers, is_linked
 from trefoilsaddle.gateway.state import Gateway
 
 # A gateway with this speed, in cores, joins without delay.
@@ -70,15 +70,16 @@
     control = gateway.control
     if not control.leading and not control.elected:
         return []
+    dropped = drop_peers(gateway) if control.leading else []
     control.leading = False
     control.elected = False
     control.end = None
     control.outdated_since = None
     control.keyed.clear()
-    gateway.link.awaiting_update.clear()
-    return [
-        log_event(Component.ownership, 'controller part ended', reason=reason)
-    ]
+    line = log_event(
+        Component.ownership, 'controller part ended', reason=reason
+    )
+    return [line, *dropped]
 
 
 def may_renew(gateway: Gateway, now: Seconds) -> bool:
--- a/trefoilsaddle/gateway/events.py
+++ b/trefoilsaddle/gateway/events.py
@@ -14,10 +14,15 @@
 )
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.keys import Key, KeyRange
-from trefoilsaddle.gateway.peermessages import News, Report
+from trefoilsaddle.gateway.peermessages import (
+    ClockAnswer,
+    ControllerAnnouncement,
+    News,
+    Report,
+)
 from trefoilsaddle.gateway.servers import ServerChange, ServerIncarnation
 from trefoilsaddle.gateway.statements import ServerStatement
-from trefoilsaddle.gateway.table import StoredTable
+from trefoilsaddle.gateway.table import GatewayAddress, StoredTable
 
 
 @unique
@@ -285,6 +290,34 @@
     """Report that another gateway has connected to this one."""
 
     node: NodeId
+    # Its first report; None if it is not known.
+    report: Report | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLost:
+    """Report that the connection of another gateway to this one has ended."""
+
+    node: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class LinkOpened:
+    """Report that the connection to the controller or a relay was made."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClockAnswered:
+    """Report the time that this gateway has asked its peer for."""
+
+    answer: ClockAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAssigned:
+    """Report that the peer wants this gateway to connect to a relay."""
+
+    relay: GatewayAddress
 
 
 @dataclass(frozen=True, slots=True)
@@ -302,10 +335,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TableAnnounced:
-    """Report an ownership table announced by another gateway."""
+class ControllerAnnounced:
+    """Report that a new controller has announced itself."""
 
-    stored: StoredTable
+    announcement: ControllerAnnouncement
 
 
 @dataclass(frozen=True, slots=True)
@@ -313,24 +346,24 @@
     """Report that the connection to the controller was lost."""
 
 
-Event = (
-    Started
-    | StopRequested
-    | DumpRequested
-    | TimerExpired
-    | TopicRead
-    | JoinEnded
-    | AppendEnded
-    | OrderEnded
-    | RequestArrived
-    | CallerLeft
-    | AttemptEnded
-    | CallExpired
-    | ReportReceived
+_ProcessEvent = Started | StopRequested | DumpRequested | TimerExpired
+
+_StoreEvent = TopicRead | JoinEnded | AppendEnded
+
+_CallEvent = RequestArrived | CallerLeft | AttemptEnded | CallExpired
+
+_PeerEvent = (
+    ReportReceived
     | NewsReceived
     | PeerLinked
+    | PeerLost
+    | LinkOpened
+    | LinkLost
+    | ClockAnswered
+    | RelayAssigned
     | ConfigurationWanted
     | ConfigurationCopied
-    | TableAnnounced
-    | LinkLost
+    | ControllerAnnounced
 )
+
+Event = _ProcessEvent | _StoreEvent | _CallEvent | _PeerEvent | OrderEnded
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -22,21 +22,23 @@
 from trefoilsaddle.gateway.election import step_down
 from trefoilsaddle.gateway.events import (
     ConfigurationCopied,
+    ControllerAnnounced,
     Event,
     ReadVerdict,
     Started,
-    TableAnnounced,
     TimerExpired,
     TimerKind,
     Topic,
     TopicRead,
 )
 from trefoilsaddle.gateway.loglines import log_event
+from trefoilsaddle.gateway.peermessages import ControllerAnnouncement
 from trefoilsaddle.gateway.peers import (
     dial,
     is_connecting,
     is_copy_overdue,
     is_linked,
+    is_told,
     log_server_change,
 )
 from trefoilsaddle.gateway.servers import (
@@ -44,7 +46,7 @@
     ServerChange,
     ServerRemoved,
 )
-from trefoilsaddle.gateway.state import Gateway, ServiceOwners, TopicState
+from trefoilsaddle.gateway.state import Gateway, TopicState
 from trefoilsaddle.gateway.table import (
     NO_POSITION,
     StoredTable,
@@ -64,13 +66,17 @@
 # Time since the last read of the tables was answered up to which all tables
 # since are read.
 _MAX_TABLES_AGE = Seconds(0.5)
-# Maximum age of the controller's read of the configuration. The read takes up
-# to a second, and its age counts from its start.
-_MAX_RELAYED_AGE = Seconds(2.5)
-# Interval at which the age of the controller's read of the servers is checked;
-# with twice the interval of such reads it stays well below the 2.5 s after
-# which a draining server gets no work.
+# Maximum age of what was told of the configuration. A version has to be in force
+# within 2.5 s; the controller's read takes up to a second, and its age counts
+# from its start.
+_MAX_CONFIGURATION_AGE = Seconds(1.6)
+_CONFIGURATION_CHECK_INTERVAL = Seconds(0.2)
+# Maximum age of what was told of the servers: one that leaves gets no work after
+# 2.5 s, and a read that hangs takes 0.9 s.
+_MAX_SERVERS_AGE = Seconds(1.2)
 _SERVERS_CHECK_INTERVAL = Seconds(0.2)
+# A relay reads so much earlier that its members need not.
+_RELAY_LEAD = Seconds(0.3)
 # Interval of the checks whether the controller's updates still arrive.
 _LINK_CHECK_INTERVAL = Seconds(0.5)
 
@@ -92,8 +98,10 @@
             return _handle_timer(gateway, now, event.kind)
         case TopicRead():
             return _handle_read(gateway, now, event)
-        case ConfigurationCopied() | TableAnnounced():
-            return _handle_message(gateway, now, event)
+        case ConfigurationCopied():
+            return _apply_configuration(gateway, event.configuration)
+        case ControllerAnnounced():
+            return _handle_announcement(gateway, now, event.announcement)
     return []
 
 
@@ -110,14 +118,20 @@
     return []
 
 
-def _handle_message(
-    gateway: Gateway,
-    now: Seconds,
-    event: ConfigurationCopied | TableAnnounced,
+def _handle_announcement(
+    gateway: Gateway, now: Seconds, announcement: ControllerAnnouncement
 ) -> Effects:
-    if isinstance(event, ConfigurationCopied):
-        return _apply_configuration(gateway, event.configuration)
-    return _apply_table(gateway, now, event.stored)
+    """Connect to a controller whose table is newer than all known ones."""
+    link = gateway.link
+    positions = [stored.position for stored in gateway.tables.values()]
+    known = max(positions, default=NO_POSITION)
+    if announcement.position <= max(known, link.announced):
+        return []
+    link.announced = announcement.position
+    link.announced_at = now
+    link.controller_seen_at = now
+    stepped = step_down(gateway, 'another controller has announced itself')
+    return [*stepped, *dial(gateway, now, announcement.controller)]
 
 
 def _read(gateway: Gateway, topic: Topic) -> ReadTopic:
@@ -135,7 +149,11 @@
             return _NO_WAIT
         if gateway.configuration is None:
             return _FIRST_WAIT
-        return gateway.options.configuration_wait
+        wait = gateway.options.configuration_wait
+        if gateway.control.elected or gateway.is_relay():
+            # The others rely on this read, whose age counts from its start.
+            return Seconds(wait / 2)
+        return wait
     if topic == Topic.ownership:
         return _TABLE_WAIT
     # Every server writes at each heartbeat, so that a wait would end at once.
@@ -147,10 +165,10 @@
         return []
     if gateway.configuration is None:
         return []
-    read_at = gateway.link.servers_read_at
-    limit = 2 * gateway.options.servers_interval
-    relayed = read_at is not None and now - read_at <= limit
-    if relayed and _relies_on_controller(gateway, now):
+    limit = _MAX_SERVERS_AGE
+    if gateway.is_relay():
+        limit = Seconds(limit - _RELAY_LEAD)
+    if _is_recent(gateway, gateway.link.servers_read_at, now, limit):
         return [SetTimer(TimerKind.read_servers, _SERVERS_CHECK_INTERVAL)]
     return [_read_recent(gateway, now)]
 
@@ -174,16 +192,23 @@
 def _read_configuration(gateway: Gateway, now: Seconds) -> Effects:
     if gateway.topics[Topic.configuration].reading:
         return []
-    read_at = gateway.link.configuration_read_at
-    relayed = read_at is not None and now - read_at <= _MAX_RELAYED_AGE
-    overdue = is_copy_overdue(gateway, now)
-    if relayed and not overdue and _relies_on_controller(gateway, now):
-        return [SetTimer(TimerKind.read_configuration, _LINK_CHECK_INTERVAL)]
+    limit = _MAX_CONFIGURATION_AGE
+    if gateway.is_relay():
+        limit = Seconds(limit - _RELAY_LEAD)
+    told = _is_recent(gateway, gateway.link.configuration_read_at, now, limit)
+    if told and not is_copy_overdue(gateway, now):
+        pause = _CONFIGURATION_CHECK_INTERVAL
+        return [SetTimer(TimerKind.read_configuration, pause)]
     return [_read(gateway, Topic.configuration)]
 
 
-def _relies_on_controller(gateway: Gateway, now: Seconds) -> bool:
-    return is_linked(gateway, now) and not gateway.control.elected
+def _is_recent(
+    gateway: Gateway, read_at: Seconds | None, now: Seconds, limit: Seconds
+) -> bool:
+    """Return whether what was told is provably recent enough not to read."""
+    if read_at is None or gateway.control.elected:
+        return False
+    return now - read_at <= limit
 
 
 def _read_ownership(gateway: Gateway, now: Seconds) -> Effects:
@@ -192,6 +217,8 @@
     if gateway.configuration is None:
         return []
     told = is_linked(gateway, now) or is_connecting(gateway, now)
+    if gateway.link.relay is not None:
+        told = told or is_told(gateway, now)
     if gateway.control.leading or told:
         return [SetTimer(TimerKind.read_ownership, _LINK_CHECK_INTERVAL)]
     return [_read_tables(gateway, now)]
@@ -440,10 +467,7 @@
     position = NO_POSITION if owners is None else owners.position
     own = table.controller == gateway.own_address()
     if stored.position > position and not own:
-        gateway.owners[table.service] = ServiceOwners(
-            map_table(table), stored.position
-        )
-        gateway.owners_changed = True
+        gateway.replace_owners(table.service, map_table(table), stored.position)
     effects: Effects = []
     if gateway.control.leading:
         if table.controller == gateway.own_address():
--- a/trefoilsaddle/gateway/peermessages.py
+++ b/trefoilsaddle/gateway/peermessages.py
@@ -4,18 +4,21 @@
 
 from trefoilsaddle.core.units import (
     NO_ERA,
+    NO_OFFSET,
+    NodeId,
     Offset,
+    RegionName,
     Seconds,
     ServiceName,
     StoreEra,
     Version,
 )
+from trefoilsaddle.gateway.clocks import NO_STAMP
 from trefoilsaddle.gateway.keys import Key
 from trefoilsaddle.gateway.servers import Server, ServerTag
 from trefoilsaddle.gateway.table import (
     GatewayAddress,
     OwnerEntry,
-    OwnershipTable,
     TablePosition,
 )
 
@@ -59,6 +62,19 @@
     rate: float
 
 
+@dataclass(frozen=True, slots=True)
+class Greeting:
+    """Describe a gateway that has just connected."""
+
+    region: RegionName = RegionName('')
+    # Bandwidth of the machine's link in Mbit/s.
+    link_rate: float = 0
+    # Number of gateways that are connected to it as their relay.
+    members: int = 0
+    # Relay whose connection was lost just before; empty if none was.
+    lost_relay: NodeId = NodeId('')
+
+
 @dataclass(frozen=True, slots=True)
 class Report:
     """Report a gateway's requests since its last report to the controller."""
@@ -81,6 +97,11 @@
     limits: tuple[ServerLimit, ...] = ()
     # Servers that have said in an answer that they leave.
     leaving: tuple[ServerTag, ...] = ()
+    # Time by the gateway's clock, if it asks for that of the receiver.
+    asked_at: Seconds = NO_STAMP
+    # What the receiver chooses relays by; stated in the first report on a
+    # connection.
+    greeting: Greeting | None = None
 
 
 # Not frozen, as each update creates hundreds.
@@ -143,6 +164,33 @@
     term: int = 0
     # All limits that servers have named, and those that have ended lately.
     limits: tuple[ServerLimit, ...] = ()
+    # Time by the sender's clock at which the update was built.
+    stamp: Seconds = NO_STAMP
+    # The controller whose state this is, and the age of that state; the sender
+    # may be a relay.
+    controller: GatewayAddress | None = None
+    controller_age: Seconds = Seconds(0)
+    # Where reading goes on after the record of the configuration, and the era
+    # in which that offset was given out.
+    configuration_end: Offset = NO_OFFSET
+    era: StoreEra = NO_ERA
+
+
+@dataclass(frozen=True, slots=True)
+class ClockAnswer:
+    """Answer a report that asks for the time."""
+
+    # Time by the clock of the gateway that asked, as it has stated.
+    asked_at: Seconds
+    # Time by the clock of the one that answers.
+    stamp: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class RelayNamed:
+    """Tell a gateway to connect to a relay instead of the controller."""
+
+    relay: GatewayAddress
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,13 +208,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TableAnnouncement:
+class ControllerAnnouncement:
     """Announce a new controller to a gateway that may not reach the store."""
 
+    controller: GatewayAddress
+    # Position of its newest table.
     offset: Offset
-    table: OwnershipTable
+    era: StoreEra
+
+    @property
+    def position(self) -> TablePosition:
+        """Return the position among the tables of all eras."""
+        return TablePosition(self.era, self.offset)
 
 
 PeerMessage = (
-    Report | News | ConfigurationRead | ConfigurationCopy | TableAnnouncement
+    Report
+    | News
+    | ConfigurationRead
+    | ConfigurationCopy
+    | ControllerAnnouncement
+    | ClockAnswer
+    | RelayNamed
 )
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -1,4 +1,4 @@
-"""Exchange reports and updates with the controller."""
+"""Exchange reports and updates with the controller, or with a relay of it."""
 
 from dataclasses import replace
 
@@ -7,20 +7,26 @@
     AskConfiguration,
     Component,
     DialController,
+    DropPeers,
     Effects,
     SendReport,
     SetTimer,
     WriteDecision,
 )
 from trefoilsaddle.gateway.events import (
+    ClockAnswered,
     Event,
     LinkLost,
+    LinkOpened,
     NewsReceived,
+    RelayAssigned,
     Started,
     TimerKind,
+    Topic,
 )
 from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.peermessages import (
+    Greeting,
     KeyCount,
     KeyCounts,
     News,
@@ -32,12 +38,10 @@
 from trefoilsaddle.gateway.pools import Pool
 from trefoilsaddle.gateway.rounding import round_load, round_time
 from trefoilsaddle.gateway.servers import Server, ServerTag
-from trefoilsaddle.gateway.state import Gateway, ServiceOwners
+from trefoilsaddle.gateway.state import Gateway, LinkState
 from trefoilsaddle.gateway.table import GatewayAddress, OwnerMap
 
-# Time limit for the controller's copy of a configuration before it is read from
-# the store: copies of 65 KB for 45 gateways take 0.8 s on a link of 30 Mbit/s
-# between regions, and a version has to be in force within 2.5 s.
+# Time limit for a copy of a configuration before it is read from the store.
 _COPY_TIMEOUT = Seconds(0.8)
 # Time for which reports name a server that was read to be leaving or gone: long
 # enough to reach the next controller as well.
@@ -49,6 +53,11 @@
 # The link counts as lost without an update for this time; updates arrive twice
 # a second.
 _MAX_NEWS_AGE = Seconds(1.4)
+# Time within which a relay connects to a controller that has announced itself.
+_RELAY_CHANGE_TIME = Seconds(1.5)
+# Age from which a late update is logged, and the interval between two lines.
+_LATE_UPDATE = Seconds(0.5)
+_LATE_LINE_INTERVAL = Seconds(1)
 
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
@@ -59,19 +68,33 @@
             return [SetTimer(TimerKind.report, pause)]
         case NewsReceived():
             return _handle_news(gateway, now, event.news)
+        case LinkOpened():
+            return [SendReport(_build_greeting(gateway, now))]
+        case ClockAnswered():
+            answer = event.answer
+            clock = gateway.link.clock
+            clock.record_answer(answer.asked_at, answer.stamp, now)
+        case RelayAssigned():
+            return _handle_relay(gateway, now, event.relay)
         case LinkLost():
             return _handle_link_lost(gateway, now)
     return []
 
 
 def is_linked(gateway: Gateway, now: Seconds) -> bool:
-    """Return whether the last update of the controller is recent."""
-    received_at = gateway.link.news_at
-    return received_at is not None and now - received_at <= _MAX_NEWS_AGE
+    """Return whether what the controller last sent is recent."""
+    news_at = gateway.link.news_at
+    return news_at is not None and now - news_at <= _MAX_NEWS_AGE
+
+
+def is_told(gateway: Gateway, now: Seconds) -> bool:
+    """Return whether updates arrive, though maybe not from a controller."""
+    told_at = gateway.link.told_at
+    return told_at is not None and now - told_at <= _MAX_NEWS_AGE
 
 
 def is_connecting(gateway: Gateway, now: Seconds) -> bool:
-    """Return whether a new controller may still answer the connection to it."""
+    """Return whether the end that was dialed may still answer."""
     link = gateway.link
     if link.address == gateway.own_address():
         return False
@@ -84,21 +107,55 @@
     if link.address == address:
         return []
     link.address = address
-    link.dialed_at = now
-    link.news_at = None
     link.term = 0
-    link.servers_read_at = None
-    link.complete = False
-    if address == gateway.own_address():
-        return [DialController(None)]
     line = log_event(
         Component.peers,
         'controller is another gateway',
         controller=address.node,
     )
+    if link.relay is not None and address != gateway.own_address():
+        if link.relay == address:
+            link.relay = None
+            return [line]
+        if is_told(gateway, now):
+            # The relay connects to the new controller as well.
+            return [line]
+    link.relay = None
+    link.news_at = None
+    _begin_connection(link, now)
+    if address == gateway.own_address():
+        return [DialController(None)]
     return [DialController(address), line]
 
 
+def _begin_connection(link: LinkState, now: Seconds) -> None:
+    link.dialed_at = now
+    link.told_at = None
+    link.complete = False
+    link.clock.reset()
+
+
+def _build_greeting(gateway: Gateway, now: Seconds) -> Report:
+    options = gateway.options
+    clock = gateway.link.clock
+    clock.reset()
+    greeting = Greeting(
+        options.region,
+        options.link_rate,
+        len(gateway.connected.nodes),
+        gateway.link.lost_relay,
+    )
+    return Report(
+        gateway.own_address(),
+        Seconds(0),
+        (),
+        (),
+        options.speed,
+        asked_at=clock.ask(now),
+        greeting=greeting,
+    )
+
+
 def build_report(gateway: Gateway, now: Seconds) -> Report:
     """Build the report of the requests since the last one."""
     since = gateway.reported_at
@@ -130,6 +187,7 @@
         configuration=gateway.version,
         limits=gateway.limits.list_heard(now, since),
         leaving=gateway.registry.list_leaving(),
+        asked_at=gateway.link.clock.ask(now),
     )
 
 
@@ -175,17 +233,15 @@
     link = gateway.link
     if not is_linked(gateway, now):
         link.linked_at = now
-    link.news_at = now
+    built_at = link.clock.find_built_at(news.stamp, now)
+    link.told_at = built_at
+    link.news_at = Seconds(built_at - news.controller_age)
     gateway.pools.updated_at = now
     link.gateways = news.reporting
     _apply_gateways(gateway, news)
     if news.standbys:
         link.standbys = tuple(NodeId(name) for name in news.standbys)
-    for load in news.loads:
-        server = gateway.registry.by_tag.get(load.tag)
-        if server is not None:
-            pool = gateway.pools.find(server.life)
-            pool.apply_load(load.busy, load.service_time, now)
+    _apply_loads(gateway, now, news)
     if not gateway.control.leading:
         hear_limits(gateway, now, news.limits)
     for owners in news.owners:
@@ -193,6 +249,18 @@
     return []
 
 
+def _apply_loads(gateway: Gateway, now: Seconds, news: News) -> None:
+    link = gateway.link
+    if news.servers_whole:
+        link.loads.clear()
+    for load in news.loads:
+        link.loads[load.tag] = load
+        server = gateway.registry.by_tag.get(load.tag)
+        if server is not None:
+            pool = gateway.pools.find(server.life)
+            pool.apply_load(load.busy, load.service_time, now)
+
+
 def hear_limits(
     gateway: Gateway, now: Seconds, limits: tuple[ServerLimit, ...]
 ) -> None:
@@ -211,20 +279,59 @@
 
 
 def _handle_news(gateway: Gateway, now: Seconds, news: News) -> Effects:
-    address = gateway.link.address
+    link = gateway.link
+    if link.relay is not None and news.controller is not None:
+        # The relay knows of a new controller first.
+        _follow_relay(link, now, news.controller)
+    address = link.address
     if address is None or address.run != news.run:
         return []
     effects: Effects = []
-    if gateway.link.news_at is None:
-        effects.append(
-            log_event(Component.peers, 'linked', controller=address.node)
+    if link.told_at is None:
+        via = '' if link.relay is None else link.relay.node
+        linked = log_event(
+            Component.peers, 'linked', controller=address.node, relay=via
         )
-    gateway.link.term = news.term
+        effects.append(linked)
+        link.lost_relay = NodeId('')
+    link.term = news.term
+    effects.extend(_log_late(gateway, now, news))
     effects.extend(_apply_servers(gateway, now, news))
     effects.extend(apply_news(gateway, now, news))
-    age = news.configuration_age
-    gateway.link.configuration_read_at = Seconds(now - age)
-    return [*effects, *_check_configuration(gateway, now, news.configuration)]
+    built_at = link.clock.find_built_at(news.stamp, now)
+    link.configuration_read_at = Seconds(built_at - news.configuration_age)
+    return [*effects, *_check_configuration(gateway, now, news)]
+
+
+def _follow_relay(
+    link: LinkState, now: Seconds, controller: GatewayAddress
+) -> None:
+    known = link.address
+    if known is not None and known.run == controller.run:
+        link.announced_at = None
+        return
+    announced_at = link.announced_at
+    if announced_at is not None and now - announced_at > _RELAY_CHANGE_TIME:
+        # The relay does not find the controller that is known here.
+        return
+    link.address = controller
+    link.term = 0
+
+
+def _log_late(gateway: Gateway, now: Seconds, news: News) -> Effects:
+    link = gateway.link
+    age = now - link.clock.find_built_at(news.stamp, now)
+    if age < _LATE_UPDATE or now < link.late_line_at:
+        return []
+    link.late_line_at = Seconds(now + _LATE_LINE_INTERVAL)
+    line = log_event(
+        Component.peers,
+        'update is late',
+        age=round(age, 3),
+        controller_age=round(news.controller_age, 3),
+        relay='' if link.relay is None else link.relay.node,
+    )
+    return [line]
 
 
 def is_copy_overdue(gateway: Gateway, now: Seconds) -> bool:
@@ -236,19 +343,28 @@
 def _check_configuration(
     gateway: Gateway,
     now: Seconds,
-    version: Version,
+    news: News,
 ) -> Effects:
     link = gateway.link
-    if version <= gateway.version:
+    if news.configuration <= gateway.version:
         link.wanted_since = None
+        _skip_known_records(gateway, news)
         return []
     if link.wanted_since is None:
         link.wanted_since = now
-        return _ask_configuration(gateway, now, version)
+        return _ask_configuration(gateway, now, news.configuration)
     if now - link.asked_at < _COPY_TIMEOUT:
         return []
     read = SetTimer(TimerKind.read_configuration, Seconds(0))
-    return [read, *_ask_configuration(gateway, now, version)]
+    return [read, *_ask_configuration(gateway, now, news.configuration)]
+
+
+def _skip_known_records(gateway: Gateway, news: News) -> None:
+    """Read on after the records of versions that are known here."""
+    state = gateway.topics[Topic.configuration]
+    if state.next_offset is None or news.era != gateway.era or state.reading:
+        return
+    state.next_offset = max(state.next_offset, news.configuration_end)
 
 
 def request_configuration(
@@ -293,17 +409,12 @@
 
 def _apply_servers(gateway: Gateway, now: Seconds, news: News) -> Effects:
     registry = gateway.registry
-    link = gateway.link
-    read_at = Seconds(now - news.servers_age)
-    link.complete = link.complete or news.servers_whole
-    if link.complete:
-        # Changes do not replace a read of all entries.
-        link.servers_read_at = read_at
-    registry.lapses.record_read(read_at, read_at, gateway.options.heartbeat)
+    _record_read(gateway, now, news)
     present = {entry.life.server for entry in news.servers}
     if news.servers_whole:
         missing = registry.servers.keys() - present
         missing |= registry.list_rewritten(news.servers)
+        read_at = gateway.link.servers_read_at or now
         registry.lapses.review_missing(registry.servers, missing, read_at)
     changed = [server for server in news.servers if registry.put(server, now)]
     # The controller has deferred the removal if necessary.
@@ -311,7 +422,8 @@
     gone = [name for name in removed if registry.discard(name)]
     if not news.servers_whole:
         return _log_changes(changed, gone)
-    deferred = {ServerId(entry) for entry in news.doubted}
+    deferred = frozenset(ServerId(entry) for entry in news.doubted)
+    gateway.link.deferred = deferred
     gone.extend(registry.keep_only(present | deferred, now))
     line = log_event(
         Component.peers,
@@ -324,6 +436,19 @@
     return [line]
 
 
+def _record_read(gateway: Gateway, now: Seconds, news: News) -> None:
+    """Record as of when the servers' entries are known."""
+    link = gateway.link
+    built_at = link.clock.find_built_at(news.stamp, now)
+    read_at = Seconds(built_at - news.servers_age)
+    link.complete = link.complete or news.servers_whole
+    if link.complete:
+        # Changes do not replace a read of all entries.
+        link.servers_read_at = read_at
+    lapses = gateway.registry.lapses
+    lapses.record_read(read_at, read_at, gateway.options.heartbeat)
+
+
 def _log_changes(changed: list[Server], gone: list[ServerId]) -> Effects:
     """Log each change, or one summary if there are many."""
     total = len(changed) + len(gone)
@@ -359,25 +484,73 @@
     known = gateway.owners.get(owners.service)
     if known is not None and owners.position < known.position:
         return
-    gateway.owners[owners.service] = ServiceOwners(
-        OwnerMap(owners.entries),
-        owners.position,
+    gateway.replace_owners(
+        owners.service, OwnerMap(owners.entries), owners.position
     )
-    gateway.owners_changed = True
+
+
+def leave_relay(gateway: Gateway, now: Seconds) -> Effects:
+    """Leave a relay that does not find a controller that is known here."""
+    link = gateway.link
+    announced_at = link.announced_at
+    if link.relay is None or announced_at is None:
+        return []
+    if now - announced_at <= _RELAY_CHANGE_TIME:
+        return []
+    return _handle_link_lost(gateway, now)
+
+
+def _handle_relay(
+    gateway: Gateway, now: Seconds, relay: GatewayAddress
+) -> Effects:
+    link = gateway.link
+    if gateway.control.leading or relay == gateway.own_address():
+        return []
+    link.relay = relay
+    _begin_connection(link, now)
+    line = log_event(Component.peers, 'relay is named', relay=relay.node)
+    # Those that are connected here get the state from that relay as well.
+    return [line, *drop_peers(gateway), DialController(relay)]
+
+
+def drop_peers(gateway: Gateway) -> Effects:
+    """Close the connections of other gateways to this one."""
+    if not gateway.connected.nodes:
+        return []
+    gateway.connected.clear()
+    return [DropPeers()]
 
 
 def _handle_link_lost(gateway: Gateway, now: Seconds) -> Effects:
-    if gateway.link.news_at is None:
+    link = gateway.link
+    if link.relay is not None:
+        return _handle_relay_lost(gateway, now, link.relay)
+    if link.told_at is None:
         return []
-    gateway.link.controller_seen_at = now
-    gateway.link.dialed_at = None
-    gateway.link.news_at = None
-    gateway.link.servers_read_at = None
-    gateway.link.complete = False
-    gateway.link.configuration_read_at = None
+    link.controller_seen_at = now
+    link.dialed_at = None
+    link.news_at = None
+    link.told_at = None
+    link.complete = False
+    link.clock.reset()
     return [
         SetTimer(TimerKind.read_configuration, Seconds(0)),
         log_event(Component.peers, 'link to the controller lost'),
         SetTimer(TimerKind.read_ownership, Seconds(0)),
         SetTimer(TimerKind.read_servers, Seconds(0)),
     ]
+
+
+def _handle_relay_lost(
+    gateway: Gateway, now: Seconds, relay: GatewayAddress
+) -> Effects:
+    """Connect to the controller itself; what is known stays known."""
+    link = gateway.link
+    link.relay = None
+    link.lost_relay = relay.node
+    link.announced_at = None
+    _begin_connection(link, now)
+    line = log_event(
+        Component.peers, 'link to the relay lost', relay=relay.node
+    )
+    return [line, DialController(link.address)]
--- a/trefoilsaddle/gateway/reducer.py
+++ b/trefoilsaddle/gateway/reducer.py
@@ -17,6 +17,7 @@
     forwarding,
     lifecycle,
     peers,
+    relaying,
     reporting,
     statedump,
 )
@@ -37,6 +38,7 @@
     election.handle_event,
     reporting.handle_event,
     controller.handle_event,
+    relaying.handle_event,
     forwarding.handle_event,
     statedump.handle_event,
 )
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -15,12 +15,14 @@
     Version,
 )
 from trefoilsaddle.gateway.budget import ServiceBudget
+from trefoilsaddle.gateway.clocks import ClockBound
 from trefoilsaddle.gateway.configuration import Configuration, Route
 from trefoilsaddle.gateway.control import ControlState
 from trefoilsaddle.gateway.events import RequestHead, Topic
 from trefoilsaddle.gateway.keys import Key
 from trefoilsaddle.gateway.limits import RateLimits
 from trefoilsaddle.gateway.options import GatewayOptions
+from trefoilsaddle.gateway.peermessages import ServerLoad
 from trefoilsaddle.gateway.pools import Pools
 from trefoilsaddle.gateway.servers import (
     Server,
@@ -29,6 +31,7 @@
     ServerTag,
 )
 from trefoilsaddle.gateway.table import (
+    NO_POSITION,
     GatewayAddress,
     OwnerMap,
     StoredTable,
@@ -99,16 +102,34 @@
 
     owners: OwnerMap
     position: TablePosition
+    # Rises with each change.
+    revision: int = 0
 
 
 @dataclass(slots=True)
 class LinkState:
     """Hold the connection to the controller and what it last sent."""
 
+    # Address of the controller, and of the relay through which this gateway is
+    # connected to it, if any.
     address: GatewayAddress | None = None
-    # Time at which that address was learned.
+    relay: GatewayAddress | None = None
+    # Relay whose connection was lost, until another one is named.
+    lost_relay: NodeId = NodeId('')
+    # Newest position at which a controller has announced itself, and since when
+    # the announced one is another one than the relay's.
+    announced: TablePosition = NO_POSITION
+    announced_at: Seconds | None = None
+    # Time at which the present address was dialed.
     dialed_at: Seconds | None = None
+    # Time at which the controller had the state that it last sent, and at which
+    # the other end of the connection built its last update; the earliest that
+    # the clocks allow.
     news_at: Seconds | None = None
+    told_at: Seconds | None = None
+    clock: ClockBound = field(default_factory=ClockBound)
+    # Time of the next log line about a late update.
+    late_line_at: Seconds = Seconds(0)
     # Time of the first update since the connection was made.
     linked_at: Seconds | None = None
     # Term that the controller stated in its last update; zero before the first.
@@ -128,10 +149,10 @@
     known: dict[NodeId, GatewayAddress] = field(default_factory=dict)
     # Gateways that the controller counts, in order.
     members: tuple[NodeId, ...] = ()
-    # Gateways that have connected to this controller and wait for its full
-    # state, and when the next group of them gets it.
-    awaiting_update: list[NodeId] = field(default_factory=list)
-    full_update_at: Seconds = Seconds(0)
+    # Newest loads and deferred removals that the controller has told, for the
+    # gateways that this one relays them to.
+    loads: dict[ServerTag, ServerLoad] = field(default_factory=dict)
+    deferred: frozenset[ServerId] = frozenset()
     # Speeds of the gateways that report to this controller.
     speeds: dict[NodeId, float] = field(default_factory=dict)
     # Gateways that the controller wants to remain members of the group.
@@ -142,6 +163,47 @@
     election_delay: Seconds = Seconds(0)
 
 
+@dataclass(slots=True)
+class Connected:
+    """Hold the gateways that are connected to this one, and what they know."""
+
+    nodes: set[NodeId] = field(default_factory=set)
+    # Those that wait for the full state, and when the next group gets it.
+    awaiting_update: list[NodeId] = field(default_factory=list)
+    full_update_at: Seconds = Seconds(0)
+    # State that was last sent to all of them.
+    servers: dict[ServerId, Server] = field(default_factory=dict)
+    gateways: frozenset[NodeId] = frozenset()
+    owners: dict[ServiceName, int] = field(default_factory=dict)
+    loads: dict[ServerTag, ServerLoad] = field(default_factory=dict)
+    standbys: tuple[NodeId, ...] = ()
+    configuration: Version = Version(0)
+    # When the next update is due even without a change, and its earliest time,
+    # so that changes are batched.
+    update_due_at: Seconds = Seconds(0)
+    update_not_before: Seconds = Seconds(0)
+
+    def remove(self, node: NodeId) -> None:
+        """Forget a gateway whose connection ends."""
+        self.nodes.discard(node)
+        if node in self.awaiting_update:
+            self.awaiting_update.remove(node)
+
+    def clear(self) -> None:
+        """Forget the gateways: their connections are closed."""
+        self.nodes.clear()
+        self.awaiting_update.clear()
+        self.forget_state()
+
+    def forget_state(self) -> None:
+        """Send everything again with the next update."""
+        self.servers.clear()
+        self.owners.clear()
+        self.loads.clear()
+        self.gateways = frozenset()
+        self.standbys = ()
+
+
 @dataclass(slots=True)
 class Gateway:
     """Hold the whole state of one gateway."""
@@ -163,6 +225,7 @@
     # True until parked requests have been tried with the new owners.
     owners_changed: bool = False
     link: LinkState = field(default_factory=LinkState)
+    connected: Connected = field(default_factory=Connected)
     calls: dict[CallId, OpenCall] = field(default_factory=dict)
     parked: dict[CallId, OpenCall] = field(default_factory=dict)
     budgets: dict[ServiceName, ServiceBudget] = field(default_factory=dict)
@@ -193,6 +256,19 @@
             options.node, options.run, options.host, options.port
         )
 
+    def replace_owners(
+        self, service: ServiceName, owners: OwnerMap, position: TablePosition
+    ) -> None:
+        """Replace the owners of a service's keys."""
+        known = self.owners.get(service)
+        revision = 0 if known is None else known.revision
+        self.owners[service] = ServiceOwners(owners, position, revision + 1)
+        self.owners_changed = True
+
+    def is_relay(self) -> bool:
+        """Return whether other gateways get the controller's state from here."""
+        return bool(self.connected.nodes) and not self.control.leading
+
     def is_outdated(self, era: StoreEra) -> bool:
         """Return whether an answer or a table is of an earlier era."""
         return NO_ERA < era < self.era
--- a/trefoilsaddle/gateway/takeover.py
+++ b/trefoilsaddle/gateway/takeover.py
@@ -44,9 +44,8 @@
     control.leading_since = now
     control.term += 1
     control.outdated_since = None
-    control.sent_servers.clear()
-    control.sent_revisions.clear()
-    control.sent_loads.clear()
+    control.regions.clear()
+    gateway.connected.forget_state()
     effects: Effects = []
     for rules in configuration.services.values():
         if rules.keyed:
--- a/trefoilsaddle/gateway/updates.py
+++ b/trefoilsaddle/gateway/updates.py
@@ -1,11 +1,10 @@
-"""Send the controller's state to gateways: owners, servers and loads."""
+"""Send state to the connected gateways: owners, servers and loads."""
 
 from dataclasses import replace
 
-from trefoilsaddle.core.units import NodeId, Seconds, ServerId
-from trefoilsaddle.gateway.control import ControlState, KeyedControl
+from trefoilsaddle.core.units import NO_OFFSET, NodeId, Seconds
 from trefoilsaddle.gateway.effects import (
-    AnnounceTable,
+    AnnounceController,
     Effects,
     SendConfiguration,
     SendNews,
@@ -15,10 +14,15 @@
     find_batching_delay,
     find_report_interval,
 )
-from trefoilsaddle.gateway.peermessages import News, OwnerNews, ServerLoad
+from trefoilsaddle.gateway.peermessages import (
+    ControllerAnnouncement,
+    News,
+    OwnerNews,
+    ServerLoad,
+)
 from trefoilsaddle.gateway.peers import apply_news
-from trefoilsaddle.gateway.rounding import round_load, round_time
 from trefoilsaddle.gateway.servers import Server
+from trefoilsaddle.gateway.sources import Origin, StateSource, find_source
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.table import GatewayAddress
 
@@ -42,21 +46,11 @@
 _MIN_ENTRIES = 255
 # Fraction of this machine's processor that full updates may use.
 _FULL_UPDATE_CORE_FRACTION = 0.1
-# Number of standbys; as many gateways may be lost with the controller before
-# slower ones join the election.
-_STANDBYS = 4
-# Minimum speed of a standby as a fraction of the fastest gateway's: the store
-# may elect any of them.
-_MIN_SPEED_FRACTION = 0.5
-# A new controller knows the speeds of most gateways after this time.
-_SPEEDS_KNOWN_AFTER = Seconds(2)
 
 
 def queue_full_update(gateway: Gateway, now: Seconds, node: NodeId) -> Effects:
     """Queue the full state for a gateway that has just connected."""
-    if not gateway.control.leading:
-        return []
-    gateway.link.awaiting_update.append(node)
+    gateway.connected.awaiting_update.append(node)
     return send_full_updates(gateway, now)
 
 
@@ -66,14 +60,18 @@
     Grants share the link and the processor with these messages, so the other
     gateways wait.
     """
-    link = gateway.link
-    if not link.awaiting_update or now < link.full_update_at:
+    connected = gateway.connected
+    if not connected.awaiting_update or now < connected.full_update_at:
+        return []
+    source = find_source(gateway, now)
+    origin = source.find_origin()
+    if origin is None:
         return []
-    link.full_update_at = Seconds(now + _FULL_UPDATE_INTERVAL)
+    connected.full_update_at = Seconds(now + _FULL_UPDATE_INTERVAL)
     most = _count_full_updates(gateway)
-    sent = link.awaiting_update[:most]
-    link.awaiting_update = link.awaiting_update[most:]
-    news = _build_full_news(gateway, now)
+    sent = connected.awaiting_update[:most]
+    connected.awaiting_update = connected.awaiting_update[most:]
+    news = _build_full_news(source, origin)
     return [SendNews(news, node) for node in sent]
 
 
@@ -88,48 +86,72 @@
     return max(int(each_second * _FULL_UPDATE_INTERVAL), 1)
 
 
-def _build_full_news(gateway: Gateway, now: Seconds) -> News:
-    servers = tuple(_list_confirmed_servers(gateway).values())
+def _build_full_news(source: StateSource, origin: Origin) -> News:
     owners = tuple(
-        _describe_owners(keyed) for keyed in gateway.control.keyed.values()
+        source.describe_owners(service) for service in source.list_owners()
+    )
+    news = _build_news(source, origin)
+    return replace(
+        news,
+        gateways=source.list_gateways(),
+        servers_whole=True,
+        servers=tuple(source.list_servers().values()),
+        owners=owners,
+        loads=source.list_loads(),
+        doubted=tuple(source.list_deferred()),
+        standbys=source.list_standbys(),
     )
-    return _build_news(gateway, now, servers, (), owners, whole=True)
 
 
 def broadcast_changes(gateway: Gateway, now: Seconds) -> Effects:
     """Send changes to all gateways, and a periodic update without any."""
-    control = gateway.control
-    if now < control.update_not_before:
+    connected = gateway.connected
+    if now < connected.update_not_before:
         return []
-    owners = tuple(
-        _describe_owners(keyed)
-        for keyed in control.keyed.values()
-        if _has_changed(control, keyed)
-    )
-    servers = _find_changed_servers(gateway)
-    removed = _find_removed(gateway)
-    due = now >= control.update_due_at
-    if not (owners or servers or removed or due):
+    source = find_source(gateway, now)
+    origin = source.find_origin()
+    if origin is None:
+        return []
+    due = now >= connected.update_due_at
+    news = _find_changes(source, origin)
+    if not (due or _tells_change(gateway, news)):
         return []
-    control.update_not_before = Seconds(now + find_batching_delay(gateway))
-    _record_sent(gateway)
-    loads: tuple[ServerLoad, ...] = ()
+    connected.update_not_before = Seconds(now + find_batching_delay(gateway))
+    _record_sent(source)
     if due:
-        control.update_due_at = Seconds(now + find_report_interval(gateway))
-        loads = _record_changed_loads(gateway, now)
-    news = _build_news(gateway, now, servers, removed, owners, whole=False)
-    news = replace(news, loads=loads)
-    return [SendNews(news), *apply_news(gateway, now, news)]
-
-
-def _record_changed_loads(
-    gateway: Gateway,
-    now: Seconds,
-) -> tuple[ServerLoad, ...]:
-    sent = gateway.control.sent_loads
+        connected.update_due_at = Seconds(now + find_report_interval(gateway))
+        loads = _pop_changed_loads(source)
+        news = replace(
+            news, loads=loads, gateways=_pop_changed_gateways(source)
+        )
+    effects: Effects = [SendNews(news)]
+    if gateway.control.leading:
+        effects.extend(apply_news(gateway, now, news))
+    return effects
+
+
+def _find_changes(source: StateSource, origin: Origin) -> News:
+    news = _build_news(source, origin)
+    return replace(
+        news,
+        servers=_find_changed_servers(source),
+        removed=_find_removed(source),
+        owners=_find_changed_owners(source),
+        standbys=_find_changed_standbys(source),
+    )
+
+
+def _tells_change(gateway: Gateway, news: News) -> bool:
+    changed = news.owners or news.servers or news.removed
+    newer = news.configuration != gateway.connected.configuration
+    return bool(changed) or newer
+
+
+def _pop_changed_loads(source: StateSource) -> tuple[ServerLoad, ...]:
+    sent = source.gateway.connected.loads
     changed = tuple(
         load
-        for load in _list_loads(gateway, now)
+        for load in source.list_loads()
         if _differs(sent.get(load.tag), load)
     )
     for load in changed:
@@ -146,7 +168,7 @@
     return abs(sent.service_time - load.service_time) > step
 
 
-def announce_table(gateway: Gateway, now: Seconds) -> Effects:
+def announce_controller(gateway: Gateway, now: Seconds) -> Effects:
     """Announce the controller to gateways that are not connected.
 
     They may be unable to read its table from the store.
@@ -157,17 +179,21 @@
     control.announce_at = Seconds(now + _ANNOUNCE_INTERVAL)
     if now - control.leading_since > _ANNOUNCE_TIME:
         return []
-    tables = [
-        stored
+    own = gateway.own_address()
+    positions = [
+        stored.position
         for stored in gateway.tables.values()
-        if stored.table.controller == gateway.own_address()
+        if stored.table.controller == own
     ]
-    absent = [
-        peer
+    if not positions:
+        return []
+    newest = max(positions)
+    announcement = ControllerAnnouncement(own, newest.offset, newest.era)
+    return [
+        AnnounceController(peer, announcement)
         for node, peer in gateway.link.known.items()
         if node not in control.reporters and node != gateway.options.node
     ]
-    return [AnnounceTable(peer, tables[0]) for peer in absent if tables]
 
 
 def send_configuration(gateway: Gateway, node: NodeId | None) -> Effects:
@@ -178,145 +204,85 @@
     return [SendConfiguration(node, configuration.encoded)]
 
 
-def _has_changed(control: ControlState, keyed: KeyedControl) -> bool:
-    sent = control.sent_revisions.get(keyed.service)
-    return sent != keyed.partitions.revision
+def _find_changed_owners(source: StateSource) -> tuple[OwnerNews, ...]:
+    sent = source.gateway.connected.owners
+    return tuple(
+        source.describe_owners(service)
+        for service, revision in source.list_owners().items()
+        if sent.get(service) != revision
+    )
 
 
-def _find_changed_servers(gateway: Gateway) -> tuple[Server, ...]:
-    sent = gateway.control.sent_servers
+def _find_changed_servers(source: StateSource) -> tuple[Server, ...]:
+    sent = source.gateway.connected.servers
     return tuple(
         server
-        for name, server in _list_confirmed_servers(gateway).items()
+        for name, server in source.list_servers().items()
         if sent.get(name) != server
     )
 
 
-def _list_confirmed_servers(gateway: Gateway) -> dict[ServerId, Server]:
-    registry = gateway.registry
-    return {
-        name: server
-        for name, server in registry.servers.items()
-        if name not in registry.deferred_removals
-    }
-
-
-def _find_removed(gateway: Gateway) -> tuple[str, ...]:
+def _find_removed(source: StateSource) -> tuple[str, ...]:
+    gateway = source.gateway
     return tuple(
         name
-        for name in gateway.control.sent_servers
+        for name in gateway.connected.servers
         if name not in gateway.registry.servers
     )
 
 
-def _record_sent(gateway: Gateway) -> None:
-    control = gateway.control
+def _record_sent(source: StateSource) -> None:
+    gateway = source.gateway
+    connected = gateway.connected
     known = gateway.registry.servers
     sent = {
         name: server
-        for name, server in control.sent_servers.items()
+        for name, server in connected.servers.items()
         if name in known
     }
-    control.sent_servers = sent | _list_confirmed_servers(gateway)
-    for keyed in control.keyed.values():
-        control.sent_revisions[keyed.service] = keyed.partitions.revision
-
-
-def _describe_owners(keyed: KeyedControl) -> OwnerNews:
-    partitions = keyed.partitions
-    return OwnerNews(
-        keyed.service,
-        keyed.position.offset,
-        partitions.list_entries(),
-        keyed.position.era,
-    )
+    connected.servers = sent | source.list_servers()
+    connected.owners = source.list_owners()
+    connected.configuration = gateway.version
 
 
-def _build_news(
-    gateway: Gateway,
-    now: Seconds,
-    servers: tuple[Server, ...],
-    removed: tuple[str, ...],
-    owners: tuple[OwnerNews, ...],
-    *,
-    whole: bool,
-) -> News:
+def _build_news(source: StateSource, origin: Origin) -> News:
+    gateway = source.gateway
+    end = gateway.topics[Topic.configuration].next_offset
     return News(
-        run=gateway.options.run,
-        reporting=max(len(gateway.control.reporters), 1),
-        gateways=_list_gateways(gateway, whole=whole),
+        run=origin.controller.run,
+        reporting=origin.reporting,
+        gateways=(),
         configuration=gateway.version,
-        configuration_age=_find_age(gateway, Topic.configuration, now),
-        servers_age=_find_age(gateway, Topic.servers, now),
-        servers_whole=whole,
-        servers=servers,
-        removed=removed,
-        owners=owners,
-        loads=_list_loads(gateway, now) if whole else (),
-        doubted=tuple(gateway.registry.deferred_removals) if whole else (),
-        standbys=_list_standbys(gateway, now, whole=whole),
-        term=gateway.control.term,
-        limits=gateway.limits.list_heard(now),
+        configuration_age=source.find_age(Topic.configuration),
+        servers_age=source.find_age(Topic.servers),
+        servers_whole=False,
+        servers=(),
+        removed=(),
+        owners=(),
+        loads=(),
+        term=origin.term,
+        limits=gateway.limits.list_heard(source.now),
+        stamp=source.now,
+        controller=origin.controller,
+        controller_age=origin.age,
+        configuration_end=NO_OFFSET if end is None else end,
+        era=gateway.era,
     )
 
 
-def _list_standbys(
-    gateway: Gateway,
-    now: Seconds,
-    *,
-    whole: bool,
-) -> tuple[NodeId, ...]:
-    """Return the fastest gateways, or none if they were sent before."""
-    if now - gateway.control.leading_since < _SPEEDS_KNOWN_AFTER:
-        return ()
-    speeds = gateway.link.speeds
-    nodes = gateway.control.reporters.keys() & speeds.keys()
-    least = (
-        max((speeds[node] for node in nodes), default=0) * _MIN_SPEED_FRACTION
-    )
-    fast_enough = [node for node in nodes if speeds[node] >= least]
-    ordered = sorted(fast_enough, key=lambda node: (-speeds[node], node))
-    own = gateway.options.node
-    chosen = [node for node in ordered if node != own][:_STANDBYS]
-    standbys = (own, *chosen)
-    if standbys == gateway.link.standbys and not whole:
+def _find_changed_standbys(source: StateSource) -> tuple[NodeId, ...]:
+    """Return the standbys, or none if they were sent before."""
+    standbys = source.list_standbys()
+    if standbys == source.gateway.connected.standbys:
         return ()
     return standbys
 
 
-def _find_age(gateway: Gateway, topic: Topic, now: Seconds) -> Seconds:
-    read_at = gateway.topics[topic].read_at
-    return round_time(Seconds(now if read_at is None else now - read_at))
-
-
-def _list_gateways(
-    gateway: Gateway,
-    *,
-    whole: bool,
-) -> tuple[GatewayAddress, ...]:
-    control = gateway.control
-    if not whole:
-        if control.sent_gateways == set(control.reporters):
-            return ()
-        # A full update to one gateway does not reach the others.
-        control.sent_gateways = set(control.reporters)
-    return tuple(
-        peer
-        for node, peer in gateway.link.known.items()
-        if node in control.reporters
-    )
-
-
-def _list_loads(gateway: Gateway, now: Seconds) -> tuple[ServerLoad, ...]:
-    listed: list[ServerLoad] = []
-    for service, loads in gateway.control.loads.items():
-        mean = loads.mean_time()
-        for server in gateway.registry.list_service(service):
-            incarnation = server.life
-            time = loads.service_time(incarnation, mean)
-            busy = loads.busy(incarnation, now)
-            load = ServerLoad(
-                incarnation.tag, round_load(busy), round_time(time)
-            )
-            listed.append(load)
-    return tuple(listed)
+def _pop_changed_gateways(source: StateSource) -> tuple[GatewayAddress, ...]:
+    connected = source.gateway.connected
+    listed = source.list_gateways()
+    nodes = frozenset(peer.node for peer in listed)
+    if nodes == connected.gateways:
+        return ()
+    connected.gateways = nodes
+    return listed
--- a/trefoilsaddle/programs/gatewaylinks.py
+++ b/trefoilsaddle/programs/gatewaylinks.py
@@ -1,8 +1,10 @@
-"""Exchange messages between gateways and their controller."""
+"""Exchange messages between gateways, their controller and its relays."""
 
 from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from math import inf
+from typing import Any
 
 import trio
 
@@ -10,32 +12,41 @@
 from trefoilsaddle.core.units import NodeId, Seconds, Version
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import (
-    AnnounceTable,
+    AnnounceController,
+    AnswerClock,
     AskConfiguration,
     DialController,
+    DropPeers,
+    NameRelay,
     SendConfiguration,
     SendNews,
     SendReport,
 )
 from trefoilsaddle.gateway.events import (
+    ClockAnswered,
     ConfigurationCopied,
     ConfigurationWanted,
+    ControllerAnnounced,
     Event,
     LinkLost,
+    LinkOpened,
     NewsReceived,
     PeerLinked,
+    PeerLost,
+    RelayAssigned,
     ReportReceived,
-    TableAnnounced,
 )
 from trefoilsaddle.gateway.peermessages import (
+    ClockAnswer,
     ConfigurationCopy,
     ConfigurationRead,
+    ControllerAnnouncement,
     News,
     PeerMessage,
+    RelayNamed,
     Report,
-    TableAnnouncement,
 )
-from trefoilsaddle.gateway.table import GatewayAddress, StoredTable
+from trefoilsaddle.gateway.table import GatewayAddress
 from trefoilsaddle.http import sockets
 from trefoilsaddle.traffic import ByteCount
 from trefoilsaddle.wire.deflating import Deflater, Inflater
@@ -92,14 +103,23 @@
         return None
 
 
+@dataclass(slots=True)
+class _PeerConnection:
+    outbox: _Outbox
+    # Cancelled to close the connection.
+    scope: trio.CancelScope
+    # None before the first report.
+    node: NodeId | None = None
+
+
 @dataclass(slots=True)
 class ControllerServer:
-    """Serve the connections of gateways to the controller."""
+    """Serve the connections of gateways to the controller or a relay."""
 
     feed: Feed
     decode_configuration: _Decode
     traffic: ByteCount = field(default_factory=ByteCount)
-    outboxes: dict[NodeId, _Outbox] = field(default_factory=dict)
+    peers: dict[NodeId, _PeerConnection] = field(default_factory=dict)
     # The last configuration sent and its encoded message.
     _last_configuration: bytes = b''
     _configuration_message: bytes = b''
@@ -109,8 +129,10 @@
 
     def send(self, effect: SendNews) -> None:
         """Send a state update to one gateway or to all."""
+        if effect.node is None and not self.peers:
+            return
         message = self._encode(effect.news)
-        names = list(self.outboxes) if effect.node is None else [effect.node]
+        names = list(self.peers) if effect.node is None else [effect.node]
         for name in names:
             self._push(name, message)
 
@@ -129,6 +151,20 @@
         """Request the configuration of a gateway."""
         self._push(node, encode_peer_message(ConfigurationRead(known)))
 
+    def answer_clock(self, effect: AnswerClock) -> None:
+        """Tell a gateway the time."""
+        self._push(effect.node, encode_peer_message(effect.answer))
+
+    def name_relay(self, effect: NameRelay) -> None:
+        """Tell a gateway to connect to a relay."""
+        self._push(effect.node, encode_peer_message(RelayNamed(effect.relay)))
+
+    def drop_peers(self, effect: DropPeers) -> None:
+        """Close the connection of one gateway, or those of all."""
+        names = list(self.peers) if effect.node is None else [effect.node]
+        for name in names:
+            self._drop(name)
+
     async def serve(self, stream: trio.SocketStream) -> None:
         """Receive the messages of one gateway and send it those queued."""
         sockets.set_options(stream)
@@ -136,7 +172,8 @@
         outbox, inbox = trio.open_memory_channel[bytes](_MAX_QUEUED)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_write_messages, messages, inbox)
-            await self._receive_from_gateway(messages, outbox)
+            connection = _PeerConnection(outbox, nursery.cancel_scope)
+            await self._receive_from_gateway(messages, connection)
             nursery.cancel_scope.cancel()
         sockets.close(stream)
 
@@ -149,60 +186,66 @@
     async def _receive_from_gateway(
         self,
         messages: MessageStream,
-        outbox: _Outbox,
+        connection: _PeerConnection,
     ) -> None:
-        node: NodeId | None = None
-        message = await messages.receive()
-        while message is not None and not isinstance(message, Failure):
-            if isinstance(message, Report):
-                node = self._handle_report(message, node, outbox)
-            else:
-                self._handle_other(message, node)
+        with ExitStack() as stack:
             message = await messages.receive()
-        if node is not None and self.outboxes.get(node) is outbox:
-            self.outboxes.pop(node)
-
-    def _handle_other(self, message: PeerMessage, node: NodeId | None) -> None:
-        if isinstance(message, TableAnnouncement):
-            stored = StoredTable(message.offset, message.table)
-            self.feed(TableAnnounced(stored))
-        elif isinstance(message, ConfigurationRead) and node is not None:
+            while message is not None and not isinstance(message, Failure):
+                if connection.node is not None:
+                    self._handle_message(message, connection.node)
+                elif isinstance(message, Report):
+                    self._handle_first(message, connection)
+                    stack.callback(self._handle_end, connection)
+                elif isinstance(message, ControllerAnnouncement):
+                    self.feed(ControllerAnnounced(message))
+                message = await messages.receive()
+
+    def _handle_first(
+        self, report: Report, connection: _PeerConnection
+    ) -> None:
+        name = report.gateway.node
+        connection.node = name
+        self.peers[name] = connection
+        self.feed(PeerLinked(name, report))
+        self.feed(ReportReceived(report))
+
+    def _handle_end(self, connection: _PeerConnection) -> None:
+        node = connection.node
+        if node is not None and self.peers.get(node) is connection:
+            self.peers.pop(node)
+            self.feed(PeerLost(node))
+
+    def _handle_message(self, message: PeerMessage, node: NodeId) -> None:
+        if isinstance(message, Report):
+            # A relay passes on the reports of others as well.
+            self.feed(ReportReceived(message))
+        elif isinstance(message, ConfigurationRead):
             self.feed(ConfigurationWanted(node))
         elif isinstance(message, ConfigurationCopy):
             _feed_copy(message, self.decode_configuration, self.feed)
 
-    def _handle_report(
-        self,
-        report: Report,
-        node: NodeId | None,
-        outbox: _Outbox,
-    ) -> NodeId:
-        name = report.gateway.node
-        if node is None:
-            self.outboxes[name] = outbox
-            self.feed(PeerLinked(name))
-        self.feed(ReportReceived(report))
-        return name
-
     def _push(self, node: NodeId, message: bytes) -> None:
-        outbox = self.outboxes.get(node)
-        if outbox is None:
+        connection = self.peers.get(node)
+        if connection is None:
             return
         try:
-            outbox.send_nowait(message)
+            connection.outbox.send_nowait(message)
         except (trio.WouldBlock, trio.BrokenResourceError):
-            # The gateway does not read, or its connection has ended; it gets a full update when it connects
-            # again.
-            self.outboxes.pop(node)
-            outbox.close()
+            # The gateway does not read, or its connection has ended; it gets a
+            # full update when it connects again.
+            self._drop(node)
+
+    def _drop(self, node: NodeId) -> None:
+        connection = self.peers.get(node)
+        if connection is not None:
+            connection.scope.cancel()
 
 
 @dataclass(slots=True)
 class ControllerLink:
-    """Maintain the connection to the controller."""
+    """Maintain the connection to the controller or its relay."""
 
     feed: Feed
-    greeting: Report
     decode_configuration: _Decode
     traffic: ByteCount = field(default_factory=ByteCount)
     address: GatewayAddress | None = None
@@ -236,7 +279,8 @@
             if self.address is not None:
                 await self._run_until_changed(self.address, address_changed)
                 self.outbox = None
-                self.feed(LinkLost())
+                if not address_changed.is_set():
+                    self.feed(LinkLost())
             if address_changed.is_set():
                 self.address_changed = trio.Event()
             else:
@@ -268,23 +312,34 @@
         outbox, inbox = trio.open_memory_channel[bytes](_MAX_QUEUED)
         messages = MessageStream(stream, self.traffic)
         self.outbox = outbox
-        self.push(self.greeting)
+        self.feed(LinkOpened())
         async with stream, trio.open_nursery() as nursery:
             nursery.start_soon(_write_messages, messages, inbox)
             await self._receive_from_controller(messages)
             nursery.cancel_scope.cancel()
 
     async def _receive_from_controller(self, messages: MessageStream) -> None:
-        while True:
+        known = True
+        while known:
             message = await messages.receive()
-            if isinstance(message, ConfigurationCopy):
+            known = message is not None and self._handle_message(message)
+
+    def _handle_message(self, message: PeerMessage | Failure) -> bool:
+        """Handle a message; return whether it may come from this end."""
+        match message:
+            case ConfigurationCopy():
                 _feed_copy(message, self.decode_configuration, self.feed)
-            elif isinstance(message, ConfigurationRead):
+            case ConfigurationRead():
                 self.feed(ConfigurationWanted(None))
-            elif isinstance(message, News):
+            case News():
                 self.feed(NewsReceived(message))
-            else:
-                return
+            case ClockAnswer():
+                self.feed(ClockAnswered(message))
+            case RelayNamed():
+                self.feed(RelayAssigned(message.relay))
+            case _:
+                return False
+        return True
 
 
 @dataclass(frozen=True, slots=True)
@@ -309,17 +364,32 @@
             self.server.send_configuration(effect.node, effect.encoded)
 
 
-async def announce_table(effect: AnnounceTable) -> None:
-    """Send a stored table to one gateway, if it can be reached."""
+def list_peer_actions(
+    server: ControllerServer, link: ControllerLink
+) -> dict[type, Callable[[Any], None]]:
+    """Return how the effects on connections to gateways are performed."""
+    copies = ConfigurationExchange(server, link)
+    return {
+        DialController: link.dial,
+        SendReport: link.send,
+        SendNews: server.send,
+        AnswerClock: server.answer_clock,
+        NameRelay: server.name_relay,
+        DropPeers: server.drop_peers,
+        SendConfiguration: copies.send,
+        AskConfiguration: copies.request,
+    }
+
+
+async def announce_controller(effect: AnnounceController) -> None:
+    """Announce a new controller to one gateway, if it can be reached."""
     address = effect.address
     stream = await sockets.open_stream(
         address.host, address.port, _CONNECT_TIMEOUT
     )
     if stream is None:
         return
-    stored = effect.stored
-    message = TableAnnouncement(stored.offset, stored.table)
-    encoded = encode_peer_message(message)
+    encoded = encode_peer_message(effect.announcement)
     async with stream:
         with trio.move_on_after(_CONNECT_TIMEOUT):
             await MessageStream(stream).send(encoded)
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -9,16 +9,13 @@
 import trio
 
 from trefoilsaddle.clock import SystemClock
-from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.decisionlog import DecisionLog
 from trefoilsaddle.gateway.effects import (
-    AnnounceTable,
+    AnnounceController,
     AppendTable,
-    AskConfiguration,
     CancelAttempts,
     CountMetric,
     DeliverAnswer,
-    DialController,
     Effect,
     EndCall,
     ExitProcess,
@@ -29,9 +26,6 @@
     ReadTopic,
     ReleaseKeys,
     SendAttempt,
-    SendConfiguration,
-    SendNews,
-    SendReport,
     SetCallTimer,
     SetReady,
     SetTimer,
@@ -42,7 +36,6 @@
     TimerExpired,
     TimerKind,
 )
-from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gatewaymetrics import GatewayMetrics
@@ -53,10 +46,10 @@
 from trefoilsaddle.programs.containment import Containment
 from trefoilsaddle.programs.gatewaycalls import GatewayCalls
 from trefoilsaddle.programs.gatewaylinks import (
-    ConfigurationExchange,
     ControllerLink,
     ControllerServer,
-    announce_table,
+    announce_controller,
+    list_peer_actions,
 )
 from trefoilsaddle.programs.gatewayorders import OrderRunner
 from trefoilsaddle.programs.looplag import LoopLag
@@ -111,14 +104,7 @@
         )
         decode_configuration = self._store.decode_configuration
         self.controller = ControllerServer(self.feed, decode_configuration)
-        greeting = Report(
-            gateway.own_address(), Seconds(0), (), (), options.speed
-        )
-        self._link = ControllerLink(
-            self.feed,
-            greeting,
-            decode_configuration,
-        )
+        self._link = ControllerLink(self.feed, decode_configuration)
         counts = {
             'store': self._store.traffic,
             'orders': orders.traffic,
@@ -168,8 +154,14 @@
 
     def _list_actions(self) -> dict[type[Effect], _Perform]:
         calls = self.calls
-        copies = ConfigurationExchange(self.controller, self._link)
         return {
+            **list_peer_actions(self.controller, self._link),
+            AnnounceController: partial(
+                self._nursery.start_soon,
+                self.containment.run,
+                'announcement',
+                announce_controller,
+            ),
             WriteDecision: self.write,
             SetTimer: self._set_timer,
             SetCallTimer: calls.set_timer,
@@ -183,17 +175,6 @@
             LeaveGroup: self._leave,
             GrantKeys: self._orders.grant,
             ReleaseKeys: self._orders.release,
-            DialController: self._link.dial,
-            SendReport: self._link.send,
-            SendNews: self.controller.send,
-            SendConfiguration: copies.send,
-            AskConfiguration: copies.request,
-            AnnounceTable: partial(
-                self._nursery.start_soon,
-                self.containment.run,
-                'announcement',
-                announce_table,
-            ),
             SetReady: self._set_ready,
             ExitProcess: self._exit,
             CountMetric: self._count,
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -104,6 +104,15 @@
   configuration @8 :Int64;
   limits @9 :ServerLimits;
   leaving @10 :List(UInt32);
+  askedAt @11 :Float64;
+  greeting @12 :Greeting;
+}
+
+struct Greeting {
+  region @0 :Text;
+  linkRate @1 :Float32;
+  members @2 :UInt32;
+  lostRelay @3 :Text;
 }
 
 struct OwnerNews {
@@ -129,6 +138,22 @@
   standbys @12 :List(Text);
   term @13 :UInt32;
   limits @14 :ServerLimits;
+  stamp @15 :Float64;
+  # No node: not stated.
+  controller @16 :GatewayAddress;
+  controllerAge @17 :Float64;
+  # Minus one: not stated.
+  configurationEnd @18 :Int64 = -1;
+  era @19 :Int64 = -1;
+}
+
+struct ClockAnswer {
+  askedAt @0 :Float64;
+  stamp @1 :Float64;
+}
+
+struct RelayNamed {
+  relay @0 :GatewayAddress;
 }
 
 struct ConfigurationRead {
@@ -139,9 +164,10 @@
   deflated @0 :Data;
 }
 
-struct TableAnnouncement {
-  offset @0 :Int64;
-  table @1 :OwnershipTable;
+struct ControllerAnnouncement {
+  controller @0 :GatewayAddress;
+  offset @1 :Int64;
+  era @2 :Int64;
 }
 
 struct PeerMessage {
@@ -152,8 +178,12 @@
     rowNews @1 :Void;
     configurationRead @2 :ConfigurationRead;
     configurationCopy @3 :ConfigurationCopy;
-    tableAnnouncement @4 :TableAnnouncement;
+    # Whole tables of new controllers, up to version 0.1.
+    tableAnnouncement @4 :Void;
     report @5 :Report;
     news @6 :News;
+    clockAnswer @7 :ClockAnswer;
+    relayNamed @8 :RelayNamed;
+    controllerAnnouncement @9 :ControllerAnnouncement;
   }
 }
