--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -75,7 +75,7 @@
 # 2.5 s, and a read that hangs takes 0.9 s.
 _MAX_SERVERS_AGE = Seconds(1.2)
 _SERVERS_CHECK_INTERVAL = Seconds(0.2)
-# A relay reads so much earlier that its members need not.
+# A relay reads so much earlier that its followers need not.
 _RELAY_LEAD = Seconds(0.3)
 # Interval of the checks whether the controller's updates still arrive.
 _LINK_CHECK_INTERVAL = Seconds(0.5)
--- a/trefoilsaddle/gateway/peermessages.py
+++ b/trefoilsaddle/gateway/peermessages.py
@@ -70,7 +70,7 @@
     # Bandwidth of the machine's link in Mbit/s.
     link_rate: float = 0
     # Number of gateways that are connected to it as their relay.
-    members: int = 0
+    followers: int = 0
     # Relay whose connection was lost just before; empty if none was.
     lost_relay: NodeId = NodeId('')
 
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -236,6 +236,7 @@
     built_at = link.clock.find_built_at(news.stamp, now)
     link.told_at = built_at
     link.news_at = Seconds(built_at - news.controller_age)
+    link.controller_at = link.news_at
     gateway.pools.updated_at = now
     link.gateways = news.reporting
     _apply_gateways(gateway, news)
--- a/trefoilsaddle/gateway/relaying.py
+++ b/trefoilsaddle/gateway/relaying.py
@@ -56,11 +56,11 @@
         case ConfigurationWanted():
             return updates.send_configuration(gateway, event.node)
         case NewsReceived() | TopicRead():
-            return _tell_members(gateway, now)
+            return _tell_followers(gateway, now)
         case TimerExpired(kind=TimerKind.review):
             left = leave_relay(gateway, now)
             chosen = _choose_relays(gateway, now)
-            return [*left, *chosen, *_tell_members(gateway, now)]
+            return [*left, *chosen, *_tell_followers(gateway, now)]
     return []
 
 
@@ -72,7 +72,7 @@
     return _handle_lost(gateway, now, event.node)
 
 
-def _tell_members(gateway: Gateway, now: Seconds) -> Effects:
+def _tell_followers(gateway: Gateway, now: Seconds) -> Effects:
     """Pass on what has changed; the controller does so with its review."""
     if not gateway.is_relay():
         return []
@@ -85,7 +85,7 @@
 ) -> Effects:
     node = event.node
     if gateway.link.relay is not None and not gateway.control.leading:
-        # A member of a relay has no members itself.
+        # A follower of a relay has no followers itself.
         return [DropPeers(node)]
     gateway.connected.nodes.add(node)
     answers = _answer_clock(gateway, now, event.report)
@@ -120,7 +120,7 @@
     candidate = Candidate(
         report.gateway,
         find_capacity(report.speed, greeting.link_rate),
-        greeting.members,
+        greeting.followers,
     )
     return links.admit(candidate, greeting.lost_relay, now)
 
@@ -153,7 +153,7 @@
                 region=region,
                 relay=relay.node,
                 capacity=round(relay.capacity, 2),
-                members=relay.members,
+                followers=relay.followers,
             )
             effects.append(line)
     return effects
--- a/trefoilsaddle/gateway/relays.py
+++ b/trefoilsaddle/gateway/relays.py
@@ -32,7 +32,7 @@
     # Cores, or the link's equivalent if that is less.
     capacity: float
     # Number of gateways that are connected to it already.
-    members: int
+    followers: int
 
     @property
     def node(self) -> NodeId:
@@ -42,7 +42,7 @@
     @property
     def order(self) -> tuple[int, float, str]:
         """Return by what candidates are compared; the greatest is the best."""
-        return self.members, self.capacity, self.node
+        return self.followers, self.capacity, self.node
 
 
 def find_capacity(speed: float, link_rate: float) -> float:
--- a/trefoilsaddle/gateway/sources.py
+++ b/trefoilsaddle/gateway/sources.py
@@ -172,9 +172,9 @@
     def find_origin(self) -> Origin | None:
         """Return the controller, if it has told its state."""
         link = self.gateway.link
-        if link.address is None or link.news_at is None:
+        if link.address is None or link.controller_at is None:
             return None
-        age = Seconds(self.now - link.news_at)
+        age = Seconds(self.now - link.controller_at)
         return Origin(link.address, link.term, age, link.gateways)
 
     def list_owners(self) -> dict[ServiceName, int]:
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -122,10 +122,11 @@
     announced_at: Seconds | None = None
     # Time at which the present address was dialed.
     dialed_at: Seconds | None = None
-    # Time at which the controller had the state that it last sent, and at which
-    # the other end of the connection built its last update; the earliest that
-    # the clocks allow.
+    # Time at which the controller had the state that it last sent, by the
+    # earliest that the clocks allow; the first is None without a connection.
     news_at: Seconds | None = None
+    controller_at: Seconds | None = None
+    # Time at which the other end of the connection built its last update.
     told_at: Seconds | None = None
     clock: ClockBound = field(default_factory=ClockBound)
     # Time of the next log line about a late update.
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -111,7 +111,7 @@
 struct Greeting {
   region @0 :Text;
   linkRate @1 :Float32;
-  members @2 :UInt32;
+  followers @2 :UInt32;
   lostRelay @3 :Text;
 }
 
