Send during a stop only what a server can end before the exit

Callers saw requests, payments among them, that were taken up to 3.2 s after SIGTERM and cut without an answer 5.6 s after it.

Cause: a request that arrived before 3.2 s was sent with its whole time, and one that was parked, refused by a first server or tried again was sent at any time: `place` and `_try_again` did not know of the stop.

Now the server's mean time, its queue and a factor for the longest requests are compared with the time of the exit. A request that ends by its own deadline before the exit is always sent. What does not fit goes to a faster server or is refused at once as not run (`stopping`); one that would wait for an owner is refused if an average server could not end it any more.

Ruled out: refusing earlier than 3.2 s, which would refuse what is served today while the platform still sends callers here.

Evidence: tests/test_gatewaystop.py before the change, 11 of 23 failed (late at a slow server, late at a server with a queue, early at a very slow server, each for reads and payments; shed, refused and unsent 4 s after SIGTERM; parked 3.1 s after it; parked 4.9 s after it); now 23 pass.

The guard LOST of tests/test_gatewayguards.py took out `is_refusing` and looked at 5.5 s after SIGTERM, where the estimate refuses as well by now, so that the loss of the guard went unseen. It looks at 3.3 s now, where only `is_refusing` refuses, and two guards take out the estimate for servers and for owners.

--- a/tests/test_gatewayguards.py
+++ b/tests/test_gatewayguards.py
@@ -16,19 +16,21 @@
 from tests import test_gatewaylimits as limittests
 from tests import test_gatewaypauses as pausetests
 from tests import test_gatewayrelay as relaytests
+from tests import test_gatewaystop as stoptests
 from tests import test_platformadapter as adaptertests
 from tests.gatewayscenes import GATEWAYS, build_scene, list_unowned
 from trefoilsaddle.core.units import NodeId, Seconds, ServiceName
 from trefoilsaddle.gateway import (
+    choosing,
     controller,
     forwarding,
     lifecycle,
     notices,
     peers,
+    placing,
 )
 from trefoilsaddle.gateway import servers as servermodule
 from trefoilsaddle.gateway.budget import ServiceBudget
-from trefoilsaddle.gateway.choosing import choose_service
 from trefoilsaddle.gateway.configuration import Route
 from trefoilsaddle.gateway.effects import (
     Component,
@@ -64,7 +66,7 @@
 
 
 def _shift_excess(gateway: Gateway, route: Route) -> ServiceName:
-    choose_service(gateway, route)
+    choosing.choose_service(gateway, route)
     return route.services[-1].service
 
 
@@ -222,10 +224,30 @@
         lambda gateway, now: False,
         partial(
             forwardingtests.test_stopping_gateway_sends_only_what_it_can_finish,
-            5.5,
+            3.3,
             0,
         ),
     ),
+    'LOST-of-a-late-send': _Guard(
+        choosing,
+        'ends_in_time',
+        lambda *arguments: True,
+        partial(
+            stoptests.test_stopping_gateway_sends_what_ends_in_time,
+            stoptests.ARRIVALS['late at a slow server'],
+            '/pay/1',
+        ),
+    ),
+    'LOST-of-a-late-send-to-an-owner': _Guard(
+        placing,
+        'ends_in_time',
+        lambda *arguments: True,
+        partial(
+            stoptests.test_stopping_gateway_sends_what_ends_in_time,
+            stoptests.ARRIVALS['late at a slow server'],
+            '/reads/1',
+        ),
+    ),
     'CONFIG': _Guard(
         peers,
         '_COPY_TIMEOUT',
--- a/trefoilsaddle/gateway/choosing.py
+++ b/trefoilsaddle/gateway/choosing.py
@@ -5,6 +5,7 @@
 
 from trefoilsaddle.core.units import Seconds, ServiceName, ZoneName
 from trefoilsaddle.gateway.configuration import Route
+from trefoilsaddle.gateway.lifecycle import find_exit_time
 from trefoilsaddle.gateway.pools import Pool
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.sharing import find_wait_for_server
@@ -32,6 +33,8 @@
 # Fraction of the depth that each rank may fill. The most urgent rank may exceed
 # it: the requests that it displaces are worth less.
 _RANK_FRACTIONS = (1.5, 1.0, 0.85)
+# Longest time of a request at a server, as a multiple of its mean time.
+_LONGEST_FACTOR = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +128,9 @@
     sampled: list[Candidate] = []
     for server in _shuffle_by_speed(gateway, servers):
         candidate = build_candidate(gateway, server, now)
-        if has_room(call, candidate):
+        if has_room(call, candidate) and ends_in_time(
+            gateway, call, candidate, now
+        ):
             sampled.append(candidate)
         if len(sampled) == _SAMPLE_SIZE:
             break
@@ -172,6 +177,33 @@
     return candidate.busy + 1 <= max(room, 1)
 
 
+def ends_in_time(
+    gateway: Gateway,
+    call: OpenCall,
+    candidate: Candidate,
+    now: Seconds,
+) -> bool:
+    """Return whether a server is expected to answer before this process ends."""
+    slots = candidate.server.slots
+    waiting = max(candidate.busy + 1 - slots, 0) / slots
+    mean = candidate.pool.service_time
+    if is_cold(gateway, candidate.server, now):
+        mean = Seconds(mean * _COLD_FACTOR)
+    longest = Seconds(mean * (waiting + _LONGEST_FACTOR))
+    return _exits_later(gateway, call, Seconds(now + longest))
+
+
+def may_wait(gateway: Gateway, call: OpenCall, now: Seconds) -> bool:
+    """Return whether an average server could still answer in time."""
+    longest = gateway.pools.default_time * _LONGEST_FACTOR
+    return _exits_later(gateway, call, Seconds(now + longest))
+
+
+def _exits_later(gateway: Gateway, call: OpenCall, end: Seconds) -> bool:
+    exit_time = find_exit_time(gateway)
+    return exit_time is None or min(end, call.expires) <= exit_time
+
+
 def find_depth(call: OpenCall, candidate: Candidate) -> float:
     """Return how many requests a slot may hold, including waiting ones."""
     time = max(candidate.pool.service_time, _MIN_TIME)
--- a/trefoilsaddle/gateway/ending.py
+++ b/trefoilsaddle/gateway/ending.py
@@ -8,6 +8,7 @@
 from trefoilsaddle.gateway.choosing import (
     Candidate,
     find_depth,
+    has_room,
     list_candidates,
 )
 from trefoilsaddle.gateway.effects import (
@@ -100,6 +101,9 @@
     candidates = list_candidates(gateway, call, now)
     if not candidates:
         return _refuse_unavailable(gateway, call, now)
+    if any(has_room(call, candidate) for candidate in candidates):
+        # Only a stop keeps a gateway from using a server that has room.
+        return end_call(gateway, call, now, ResultCode.stopping)
     waits = [find_wait(call, candidate) for candidate in candidates]
     return refuse(gateway, call, now, ResultCode.queue_full, min(waits))
 
--- a/trefoilsaddle/gateway/lifecycle.py
+++ b/trefoilsaddle/gateway/lifecycle.py
@@ -52,6 +52,15 @@
     return since is not None and now - since >= _REMOVAL_TIME
 
 
+def find_exit_time(gateway: Gateway) -> Seconds | None:
+    """Return when a stopping gateway exits at the latest."""
+    since = gateway.stopping_since
+    if since is None:
+        return None
+    limit = gateway.options.stop_timeout - _FINAL_ANSWERS_TIME
+    return Seconds(since + limit)
+
+
 def is_prepared(gateway: Gateway) -> bool:
     """Return whether the gateway knows enough to serve callers."""
     configuration = gateway.configuration
--- a/trefoilsaddle/gateway/placing.py
+++ b/trefoilsaddle/gateway/placing.py
@@ -9,7 +9,9 @@
     Candidate,
     build_candidate,
     choose_server,
+    ends_in_time,
     has_room,
+    may_wait,
 )
 from trefoilsaddle.gateway.effects import CountMetric, Effects, SendAttempt
 from trefoilsaddle.gateway.ending import (
@@ -79,6 +81,17 @@
     full = now < candidate.pool.full_until
     if full or not has_room(call, candidate):
         return refuse_busy(gateway, call, candidate, now)
+    return _send_in_time(gateway, call, candidate, now)
+
+
+def _send_in_time(
+    gateway: Gateway,
+    call: OpenCall,
+    candidate: Candidate,
+    now: Seconds,
+) -> Effects:
+    if not ends_in_time(gateway, call, candidate, now):
+        return end_call(gateway, call, now, ResultCode.stopping)
     return _send(gateway, call, candidate, now)
 
 
@@ -110,6 +123,8 @@
     now: Seconds,
     code: ResultCode,
 ) -> Effects:
+    if not may_wait(gateway, call, now):
+        return end_call(gateway, call, now, ResultCode.stopping)
     if call.call not in gateway.parked:
         # A request that comes back from a server has its time to wait as well.
         call.parked_at = now
