Count the time of a stop from its signal

Callers saw a connection cut by SIGKILL with the last answers unwritten, when the gateway's loop was late at SIGTERM.

Cause: `stopping_since` is the time at which the loop handled the signal, and the limit of the stop was counted from it, while the platform counts the grace from when it sent SIGTERM. With a loop that is busy for 0.6 s the exit was at 6.2 s of a grace of 6 s; a grace below 3.6 s was always exceeded, as the process stayed for 3.2 s in any case.

A handler of its own now notes the signal between two instructions of a busy loop. It states the time of the last event that was handled before it: the signal cannot have been sent earlier, also if the process did not run for a while. The exit, and what may still be sent, count from there. Readiness and the 3.2 s for which callers are served still count from when the loop knows, as the platform's checks fail from then on.

Bound: the exit is at most the time since the event before the signal too early, 0.1 s in a process that runs (its review), and never too late but for a signal that the kernel has not delivered.

The six cases of `test_exit_counts_from_the_signal` and `test_late_signal_leaves_less_time_to_send` in tests/test_gatewaystop.py can't be expressed in the old code (the event had no time: TypeError); now green.

--- a/tests/test_gatewaystop.py
+++ b/tests/test_gatewaystop.py
@@ -7,7 +7,12 @@
 from measure.gatewayworld import World
 from tests.gatewayscenes import CATALOGUE, CHECKOUT, build_scene
 from trefoilsaddle.core.units import CallId, NodeId, Seconds, ServiceName
-from trefoilsaddle.gateway.effects import Effects, EndCall, SendAttempt
+from trefoilsaddle.gateway.effects import (
+    Effects,
+    EndCall,
+    ExitProcess,
+    SendAttempt,
+)
 from trefoilsaddle.gateway.events import (
     AttemptEnded,
     AttemptVerdict,
@@ -15,6 +20,8 @@
     RequestArrived,
     RequestHead,
     StopRequested,
+    TimerExpired,
+    TimerKind,
 )
 from trefoilsaddle.gateway.keys import Key
 from trefoilsaddle.gateway.placing import retry_parked
@@ -208,3 +215,48 @@
 
 def _reduce_and_list_ends(world: World, event: Event) -> list[object]:
     return _find(_reduce(world, event), EndCall)
+
+
+# Time from SIGTERM until its handling, and from then until a review; whether the
+# process exits, and with it a request that a server still runs.
+_LATE_SIGNALS = (
+    (0, 5.5, False),
+    (0, 5.7, True),
+    (0.6, 4.9, False),
+    (0.6, 5.1, True),
+)
+
+
+# Guards against a process that is killed with its last answers unwritten, as a
+# busy loop handled SIGTERM late and counted the whole grace from then on.
+@pytest.mark.parametrize(('late', 'elapsed', 'exits'), _LATE_SIGNALS)
+def test_exit_counts_from_the_signal(
+    late: float, elapsed: float, *, exits: bool
+) -> None:
+    """Exit before SIGKILL however late the signal was handled."""
+    world = _build_patient_scene()
+    sent = world.now
+    _advance(world, late)
+    _reduce(world, StopRequested(sent))
+    assert _find(_reduce(world, _arrive(_PAY)), SendAttempt)
+    _advance(world, elapsed)
+    effects = _reduce(world, TimerExpired(TimerKind.review))
+    assert bool(_find(effects, ExitProcess)) == exits
+    assert _find_gateway(world).stopping_since == sent + late
+
+
+# Guards against a request that a late loop sends for longer than the process
+# may run.
+@pytest.mark.parametrize(('late', 'sent'), [(0, True), (0.8, False)])
+def test_late_signal_leaves_less_time_to_send(
+    late: float, *, sent: bool
+) -> None:
+    """Count from the signal what a request may take."""
+    world = _build_patient_scene()
+    signal = world.now
+    _advance(world, late)
+    _reduce(world, StopRequested(signal))
+    _advance(world, 3.1)
+    _set_servers(world, 0.35, 0)
+    effects = _reduce(world, _arrive(_PAY))
+    assert bool(_find(effects, SendAttempt)) == sent
--- a/trefoilsaddle/gateway/events.py
+++ b/trefoilsaddle/gateway/events.py
@@ -50,6 +50,9 @@
 class StopRequested:
     """Report a request for a graceful shutdown."""
 
+    # Earliest time at which it may have been sent; None if it has just been.
+    sent_after: Seconds | None = None
+
 
 @dataclass(frozen=True, slots=True)
 class DumpRequested:
--- a/trefoilsaddle/gateway/lifecycle.py
+++ b/trefoilsaddle/gateway/lifecycle.py
@@ -39,8 +39,8 @@
                 zone=options.zone,
             )
             return [line]
-        case StopRequested():
-            return _stop(gateway, now)
+        case StopRequested(sent_after=sent_after):
+            return _stop(gateway, now, sent_after)
         case TimerExpired(kind=TimerKind.review):
             return _update_readiness(gateway, now)
     return []
@@ -54,11 +54,11 @@
 
 def find_exit_time(gateway: Gateway) -> Seconds | None:
     """Return when a stopping gateway exits at the latest."""
-    since = gateway.stopping_since
-    if since is None:
+    sent_after = gateway.stop_sent_after
+    if sent_after is None:
         return None
     limit = gateway.options.stop_timeout - _FINAL_ANSWERS_TIME
-    return Seconds(since + limit)
+    return Seconds(sent_after + limit)
 
 
 def is_prepared(gateway: Gateway) -> bool:
@@ -76,24 +76,29 @@
     )
 
 
-def _stop(gateway: Gateway, now: Seconds) -> Effects:
+def _stop(
+    gateway: Gateway, now: Seconds, sent_after: Seconds | None
+) -> Effects:
     if gateway.stopping_since is not None:
         return []
     gateway.stopping_since = now
+    # The platform counts from the signal, which a busy loop handles later.
+    gateway.stop_sent_after = now if sent_after is None else sent_after
     gateway.ready = False
     line = log_event(
         Component.lifecycle,
         'stopping',
         reason='shutdown requested',
         open_requests=len(gateway.calls),
+        signal_age=round(now - gateway.stop_sent_after, 3),
     )
     return [line, SetReady(ready=False)]
 
 
 def _update_readiness(gateway: Gateway, now: Seconds) -> Effects:
-    since = gateway.stopping_since
-    if since is not None:
-        return _check_stop(gateway, now, since)
+    exit_time = find_exit_time(gateway)
+    if exit_time is not None:
+        return _check_stop(gateway, now, exit_time)
     if gateway.ready or not is_prepared(gateway):
         return []
     gateway.ready = True
@@ -101,12 +106,9 @@
     return [line, SetReady(ready=True)]
 
 
-def _check_stop(gateway: Gateway, now: Seconds, since: Seconds) -> Effects:
-    elapsed = now - since
-    if elapsed < _REMOVAL_TIME:
-        return []
-    limit = gateway.options.stop_timeout - _FINAL_ANSWERS_TIME
-    if gateway.calls and elapsed < limit:
+def _check_stop(gateway: Gateway, now: Seconds, exit_time: Seconds) -> Effects:
+    is_needed = gateway.calls or not is_refusing(gateway, now)
+    if is_needed and now < exit_time:
         return []
     line = log_event(
         Component.lifecycle,
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -177,7 +177,10 @@
     # Departures of servers that are handled here; see `ServerRegistry`.
     departures_handled: int = 0
     ready: bool = False
+    # Time from which a stop is known, and the earliest at which its signal may
+    # have been sent.
     stopping_since: Seconds | None = None
+    stop_sent_after: Seconds | None = None
 
     @property
     def version(self) -> Version:
--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -3,7 +3,7 @@
 from functools import partial
 from pathlib import Path
 from random import SystemRandom
-from signal import SIGHUP, SIGTERM, SIGUSR1
+from signal import SIGHUP, SIGUSR1
 
 import trio
 
@@ -13,7 +13,6 @@
 from trefoilsaddle.gateway.events import (
     DumpRequested,
     Started,
-    StopRequested,
 )
 from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.state import build_gateway
@@ -28,6 +27,7 @@
 )
 from trefoilsaddle.programs.gatewayshell import GatewayShell
 from trefoilsaddle.programs.readiness import ReadinessService
+from trefoilsaddle.programs.stopsignal import watch_stop_signal
 from trefoilsaddle.results import ResultCode
 
 _RUN_BITS = 48
@@ -61,6 +61,7 @@
             return failure
         nursery.start_soon(shell.run)
         nursery.start_soon(_watch_signals, shell, path)
+        nursery.start_soon(watch_stop_signal, shell)
         shell.feed(Started())
         await shell.exited.wait()
         nursery.cancel_scope.cancel()
@@ -101,11 +102,9 @@
 
 
 async def _watch_signals(shell: GatewayShell, path: Path) -> None:
-    with trio.open_signal_receiver(SIGTERM, SIGHUP, SIGUSR1) as signals:
+    with trio.open_signal_receiver(SIGHUP, SIGUSR1) as signals:
         async for number in signals:
-            if number == SIGTERM:
-                shell.feed(StopRequested())
-            elif number == SIGUSR1:
+            if number == SIGUSR1:
                 shell.feed(DumpRequested())
             else:
                 _check_settings(shell, path)
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -85,6 +85,8 @@
         self._log = log
         self._nursery = nursery
         self._clock = SystemClock()
+        # Time of the last event that was handled.
+        self.active_at = self._clock.read_monotonic()
         self._events: deque[Event] = deque()
         self._reducing = False
         self._lag = LoopLag(self.metrics, self.write)
@@ -153,6 +155,7 @@
         while self._events:
             self._handle_event(self._events.popleft())
         self._reducing = False
+        self.active_at = self._clock.read_monotonic()
 
     def write(self, decision: WriteDecision) -> None:
         """Write a log line."""
@@ -160,6 +163,7 @@
 
     def _handle_event(self, event: Event) -> None:
         now = self._clock.read_monotonic()
+        self.active_at = now
         try:
             for effect in reduce(self.gateway, now, event):
                 self._actions[type(effect)](effect)
