Answer what was read before a stopping gateway closes a connection

Callers that send ahead saw requests cut without an answer during a planned stop: those that were read whole and waited for their turn when the stop began, and those that arrived in one piece with an earlier one after it.

Cause: the next answer bore `Connection: close` unless requests behind it ran already, and whatever waited behind it was dropped, however long it had waited.

Now a stopping gateway closes a connection with the answer to the last request that it has read. What arrived in one piece is read to its end; then no more is read behind an unanswered request, so that a caller that goes on sending gets its connection closed. The reducer still decides on each request: late ones are refused as not run.

--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -3,7 +3,8 @@
 Requests that were sent before the answer to an earlier one are read as they
 arrive; answers leave in the order of the requests. Nothing behind an answer
 that closes the connection is started, and what is running behind it is
-cancelled.
+cancelled. A service that closes its connections answers what has been read, and
+closes each with its last answer.
 
 A connection is closed without an answer only if no complete request has been
 read, or if the caller has closed it.
@@ -50,6 +51,8 @@
     _idle: trio.Event = field(default_factory=trio.Event)
     # True once an invalid request has been refused.
     _refused: bool = False
+    # True once nothing more is read, as the service closes its connections.
+    _ending: bool = False
     # Cancelled to let the reader look whether it may go on.
     _pause: trio.CancelScope = field(default_factory=trio.CancelScope)
 
@@ -91,7 +94,7 @@
         self._reader.idle_until = inf
         self._pipeline.add(received, nursery)
         self._changed.set()
-        while received.is_last or self._pipeline.is_full():
+        while received.is_last or self._may_not_read():
             if self._refused:
                 await self._reader.discard()
                 return False
@@ -100,6 +103,15 @@
                 return False
         return True
 
+    def _may_not_read(self) -> bool:
+        if self._pipeline.is_full():
+            return True
+        if self._pipeline.first is None or not self.service.is_closing():
+            return False
+        # What has arrived with an earlier request is answered as well.
+        self._ending = self._ending or not self._reader.has_rest()
+        return self._ending
+
     def _limit_idle_time(self) -> None:
         timeout = self.service.read_limits().idle_timeout
         self._reader.set_idle_limit(trio.current_time() + timeout)
--- a/trefoilsaddle/http/pipeline.py
+++ b/trefoilsaddle/http/pipeline.py
@@ -32,7 +32,7 @@
 
     @abstractmethod
     def is_closing(self) -> bool:
-        """Return whether connections are closed after the next answer."""
+        """Return whether connections are closed after their last answer."""
 
     @abstractmethod
     def is_idempotent(self, request: HttpRequest) -> bool:
@@ -125,9 +125,8 @@
 
     def may_close(self) -> bool:
         """Return whether the first answer closes the connection."""
-        # Requests that run already are answered before.
-        started = sum(exchange.started for exchange in self.unanswered)
-        return started <= 1 and self.service.is_closing()
+        # Whatever has been read is answered before.
+        return len(self.unanswered) <= 1 and self.service.is_closing()
 
     def leave(self) -> None:
         """Cancel all requests: the caller has closed the connection."""
@@ -136,7 +135,7 @@
             exchange.scope.cancel()
 
     def _start_ahead(self, nursery: trio.Nursery) -> None:
-        if len(self.unanswered) <= 1 or self.service.is_closing():
+        if len(self.unanswered) <= 1:
             return
         for exchange in self.unanswered:
             request = exchange.received.request
--- a/trefoilsaddle/http/requests.py
+++ b/trefoilsaddle/http/requests.py
@@ -81,6 +81,10 @@
         self._rest = parser.trailing_data[0]
         return ReceivedRequest(request, parser, trio.current_time())
 
+    def has_rest(self) -> bool:
+        """Return whether bytes behind the last request have arrived."""
+        return bool(self._rest)
+
     async def wait_for_end(self, scope: trio.CancelScope) -> bool:
         """Keep early bytes until the scope ends; return False if all came."""
         with scope:
