Let callers read a closing answer before the connection is closed

Callers that send ahead, or read slowly, saw the last answer of a stopping gateway end in a reset.

Cause: the connection was closed as soon as the answer was in the socket's buffer. Bytes that had arrived unread by then, or arrived later, made the kernel reset the connection and drop the part of the answer that was not delivered. Refusals of invalid requests were protected from this, ordinary answers were not.

Now any connection that this end closes with an answer is shut down for writing only, and what arrives is discarded until the caller closes, for 1 s at most, as was done for refusals. Connections that the caller asked to close are closed at once as before: it has promised to send nothing more.

--- a/tests/test_gatewaycallers.py
+++ b/tests/test_gatewaycallers.py
@@ -1,5 +1,7 @@
 """Test how a gateway handles valid and invalid requests of callers."""
 
+import socket
+from contextlib import suppress
 from dataclasses import dataclass, field, replace
 
 import pytest
@@ -22,6 +24,7 @@
     b'POST /pay/1 HTTP/1.1\r\nhost: shop.example\r\n'
     b'transfer-encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n'
 )
+_SMALL_BUFFER = 16_384
 _SMALL = replace(
     LIMITS,
     header_bytes=300,
@@ -175,3 +178,25 @@
 
     serve_caller(service, use)
     assert service.left == 1
+
+
+# Guards against a last answer that its caller reads slowly and that a reset
+# destroys, as the caller has sent more meanwhile.
+def test_closing_answer_reaches_a_caller_that_sends_on() -> None:
+    """Discard what arrives behind the last answer until it has been read."""
+    body = b'b' * LIMITS.body_bytes
+    head = b'POST /pay/1 HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n'
+
+    async def use(stream: trio.SocketStream) -> None:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER)
+        await stream.send_all(head % len(body) + body)
+        received = bytearray()
+        part = await stream.receive_some(_SMALL_BUFFER)
+        while part:
+            received += part
+            with suppress(trio.BrokenResourceError):
+                await stream.send_all(_GET)
+            part = await stream.receive_some(_SMALL_BUFFER)
+        assert received.endswith(b'echo ' + body)
+
+    serve_caller(_Service(closing=True), use)
--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -10,7 +10,7 @@
 read, or if the caller has closed it.
 """
 
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from math import inf
@@ -29,10 +29,11 @@
 _LENGTH = b'content-length'
 # Limit on sending an answer to a caller that reads slowly.
 _WRITE_TIMEOUT = Seconds(10)
-# Time for which the rest of a refused request is read and discarded.  Closing
-# the connection with unread bytes would reset it before the caller has read
-# the answer.
-_DISCARD_TIMEOUT = Seconds(1)
+# Time for which the caller may read the last answer of a connection that this
+# end closes.  Bytes that arrive meanwhile are discarded: unread ones would reset
+# the connection, and with it the answer.
+_LINGER_TIMEOUT = Seconds(1)
+_CHUNK_BYTES = 65_536
 
 
 @dataclass(slots=True)
@@ -49,8 +50,8 @@
     _changed: trio.Event = field(default_factory=trio.Event)
     # Set when the last unanswered request has its answer.
     _idle: trio.Event = field(default_factory=trio.Event)
-    # True once an invalid request has been refused.
-    _refused: bool = False
+    # True once this end has closed the connection with an answer.
+    _closed: bool = False
     # True once nothing more is read, as the service closes its connections.
     _ending: bool = False
     # Cancelled to let the reader look whether it may go on.
@@ -71,6 +72,8 @@
                 nursery.start_soon(self._read_requests, nursery)
                 await self._answer_requests(nursery)
                 nursery.cancel_scope.cancel()
+            if self._closed:
+                await _wait_until_closed(self.stream)
 
     # Reading.
 
@@ -95,9 +98,6 @@
         self._pipeline.add(received, nursery)
         self._changed.set()
         while received.is_last or self._may_not_read():
-            if self._refused:
-                await self._reader.discard()
-                return False
             self._pause = trio.CancelScope()
             if not await self._reader.wait_for_end(self._pause):
                 return False
@@ -176,6 +176,7 @@
         ]
         if self._pipeline.may_close():
             headers.append(_CLOSE)
+            self._closed = True
         parts = [parser.send(_build_head(answer, tuple(headers)))]
         parts.append(parser.send(h11.Data(data=answer.body)))
         parts.append(parser.send(h11.EndOfMessage()))
@@ -194,14 +195,20 @@
         )
         if parser.our_state is h11.ERROR:
             return
+        self._closed = True
         await self._write(parser, closing)
-        with trio.move_on_after(_DISCARD_TIMEOUT):
-            await self.stream.send_eof()
-            self._refused = True
-            self._pause.cancel()
-            while not self._pipeline.left:
-                self._changed = trio.Event()
-                await self._changed.wait()
+
+
+async def _wait_until_closed(stream: trio.SocketStream) -> None:
+    """Let the caller read the last answer and close the connection."""
+    with (
+        trio.move_on_after(_LINGER_TIMEOUT),
+        suppress(trio.BrokenResourceError, trio.ClosedResourceError),
+    ):
+        await stream.send_eof()
+        received = await stream.receive_some(_CHUNK_BYTES)
+        while received:
+            received = await stream.receive_some(_CHUNK_BYTES)
 
 
 def _build_head(answer: HttpAnswer, headers: Headers) -> h11.Response:
--- a/trefoilsaddle/http/requests.py
+++ b/trefoilsaddle/http/requests.py
@@ -97,13 +97,6 @@
             await trio.sleep_forever()
         return True
 
-    async def discard(self) -> None:
-        """Read and drop bytes until the caller closes the connection."""
-        self._rest = b''
-        received = await self.stream.receive_some(_CHUNK_BYTES)
-        while received:
-            received = await self.stream.receive_some(_CHUNK_BYTES)
-
     def set_idle_limit(self, until: float) -> None:
         """Set the time at which a wait for a first byte ends."""
         self.idle_until = until
