Keep a stopping process until its answers are written

Callers saw answers that broke off in the middle, and requests without one that had been read behind another, when a stopping gateway exited.

Cause: the process ended as soon as no request was open in the reducer. `deliver` takes a request out of `gateway.calls` before a byte of its answer is written, a request that waits for its turn on its connection is not in there yet, and the end of the process cancelled all connections.

Now the connections count their requests from when they are read until the answer is written, and, if it closes the connection, until the caller has read it. After the reducer's `ExitProcess` the process stays until none is left, at most until 0.2 s before the end of the grace.

Evidence: `test_exit_waits_for_answers_that_are_written` (a whole gateway, an answer of 8 MB that its caller reads until 4 s after SIGTERM) red on the old code, cut at 3.2 s; now green. `test_requests_are_counted_until_they_are_answered` cannot be expressed in the old code, which counted nothing; green.

--- a/tests/callerservice.py
+++ b/tests/callerservice.py
@@ -7,6 +7,7 @@
 
 from trefoilsaddle.http.callers import CallerConnection
 from trefoilsaddle.http.pipeline import CallerService
+from trefoilsaddle.http.unanswered import UnansweredCount
 
 _HOST = '127.0.0.1'
 _LIVENESS_BOUND = 20
@@ -14,16 +15,20 @@
 _Use = Callable[[trio.SocketStream], Awaitable[None]]
 
 
-def serve_caller(service: CallerService, use: _Use) -> None:
+def serve_caller(
+    service: CallerService, use: _Use, count: UnansweredCount | None = None
+) -> None:
     """Let a test use a connection to the service."""
-    trio.run(_run, service, use)
+    trio.run(_run, service, use, count or UnansweredCount())
 
 
-async def _run(service: CallerService, use: _Use) -> None:
+async def _run(
+    service: CallerService, use: _Use, count: UnansweredCount
+) -> None:
     listeners = await trio.open_tcp_listeners(0, host=_HOST)
     port = listeners[0].socket.getsockname()[1]
     async with trio.open_nursery() as nursery:
-        serve = partial(_serve, service)
+        serve = partial(_serve, service, count)
         nursery.start_soon(trio.serve_listeners, serve, listeners)
         with trio.fail_after(_LIVENESS_BOUND):
             stream = await trio.open_tcp_stream(_HOST, port)
@@ -31,5 +36,7 @@
         nursery.cancel_scope.cancel()
 
 
-async def _serve(service: CallerService, stream: trio.SocketStream) -> None:
-    await CallerConnection(service, stream).serve()
+async def _serve(
+    service: CallerService, count: UnansweredCount, stream: trio.SocketStream
+) -> None:
+    await CallerConnection(service, stream, count=count).serve()
--- a/tests/test_gatewaypipelining.py
+++ b/tests/test_gatewaypipelining.py
@@ -13,6 +13,7 @@
 from trefoilsaddle.http.messages import HttpAnswer, HttpRequest
 from trefoilsaddle.http.pipeline import CallerService
 from trefoilsaddle.http.requests import BadInput
+from trefoilsaddle.http.unanswered import UnansweredCount
 
 _SLOW = 0.2
 _MAX_UNANSWERED = 16
@@ -243,6 +244,30 @@
     assert service.left == []
 
 
+# Guards against a process that ends while requests that it has read wait for
+# their turn, or while a caller has not read its last answer.
+@pytest.mark.parametrize('leaves', [False, True])
+def test_requests_are_counted_until_they_are_answered(*, leaves: bool) -> None:
+    """Count what waits, runs or is being read, until the caller leaves."""
+    service = _Service()
+    count = UnansweredCount()
+
+    async def use(stream: trio.SocketStream) -> None:
+        await stream.send_all(_post('a', _SLOW) + _post('b') + _post('c'))
+        while not service.running:
+            await trio.sleep(0.01)
+        assert count.count == 3
+        service.closing = True
+        if not leaves:
+            assert len(await _read_answers(stream)) == 3
+            assert count.count == 1
+        await stream.aclose()
+        await count.wait_until_none()
+
+    serve_caller(service, use, count)
+    assert count.count == 0
+
+
 def test_requests_of_a_connection_are_bounded() -> None:
     """Start no more than a number of requests, and answer all in order."""
     service = _Service()
--- a/tests/test_gatewaystopsignal.py
+++ b/tests/test_gatewaystopsignal.py
@@ -1,13 +1,17 @@
-"""Test that a gateway counts the time of a stop from the signal."""
+"""Test that a gateway exits in time after SIGTERM, with its answers written."""
 
+import json
 import os
 import signal
+import socket
 import time
 from pathlib import Path
 
 import pytest
 import trio
 
+from standins.platform import StoreStandIn
+from tests.scriptedserver import ScriptedServer, Step, whole
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.http import sockets
 from trefoilsaddle.platform.settings import GatewaySettings, read_settings
@@ -18,6 +22,53 @@
 _GRACE = 3.7
 _BUSY = 0.6
 _LIVENESS_BOUND = 20
+# Seconds from SIGTERM at which the caller still reads its answer.
+_READING = 4
+_SMALL_BUFFER = 65_536
+_PAUSE = 0.2
+_BODY = b'b' * 8_388_608
+_GET = b'GET /reads/1 HTTP/1.1\r\nhost: shop.example\r\n'
+_HEADERS = b'x-attempt-id: mine\r\nx-deadline-ms: 2000\r\n\r\n'
+_SEAL = (b'x-attempt-id: mine', b'x-upstream-seal: seal')
+_CONFIGURATION = {
+    'version': 'r3',
+    'limits': {
+        'headerBytes': 16_384,
+        'maxBodyBytes': 1000,
+        'headerTimeout': '3000ms',
+        'idleTimeout': '15s',
+    },
+    'listeners': [
+        {
+            'host': 'shop.example',
+            'rules': [
+                {
+                    'name': 'r',
+                    'kind': 'idempotent',
+                    'targetLatency': '600ms',
+                    'priority': 1,
+                    'match': {'pathPrefix': '/reads/'},
+                    'action': {
+                        'service': 'guide',
+                        'timeout': '2s',
+                        'attempts': 2,
+                    },
+                },
+            ],
+        },
+    ],
+    'clusters': [{'name': 'guide', 'maxConns': 130}],
+}
+_ENTRY = {
+    'service': 'guide',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 3,
+    'state': 'ready',
+    'warmupLeft': '0ms',
+    'seq': 1,
+    'born': 5,
+}
 _SETTINGS = """
 node = "edge-a-1"
 ip = "127.0.0.1"
@@ -35,7 +86,7 @@
 retrySlack = 64
 budgetWindow = "10s"
 holdMax = "10000ms"
-grace = "3700ms"
+grace = "{grace}"
 [platform]
 address = "127.0.0.1:{store}"
 """
@@ -59,8 +110,8 @@
     return ports
 
 
-def _write_settings(path: Path) -> GatewaySettings:
-    front, ready, peers, store = _find_ports(4)
+def _write_settings(path: Path, grace: float, store: int) -> GatewaySettings:
+    front, ready, peers = _find_ports(3)
     path.write_text(
         _SETTINGS.format(
             front=front,
@@ -68,6 +119,7 @@
             peers=peers,
             last=peers + 2,
             store=store,
+            grace=f'{grace}s',
         )
     )
     settings = read_settings(path, 1)
@@ -97,7 +149,7 @@
     path = tmp_path / 'settings.toml'
 
     async def run() -> float:
-        settings = _write_settings(path)
+        settings = _write_settings(path, _GRACE, _find_ports(1)[0])
         with trio.fail_after(_LIVENESS_BOUND):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_run_gateway, settings, path)
@@ -108,3 +160,60 @@
         return trio.current_time() - sent
 
     assert trio.run(run) < _GRACE
+
+
+async def _start_store(nursery: trio.Nursery, server_port: int) -> int:
+    store = StoreStandIn()
+    port: int = await nursery.start(store.serve)
+    store.put('keyed.op', 'config', json.dumps(_CONFIGURATION).encode())
+    entry = _ENTRY | {'address': f'{_HOST}:{server_port}'}
+    store.put('keyed.servers', 'i-1', json.dumps(entry).encode())
+    return port
+
+
+async def _ask(port: int) -> trio.SocketStream:
+    """Return a connection on which an answer with success has begun."""
+    status = b''
+    while status != b'200':
+        stream = await trio.open_tcp_stream(_HOST, port)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER)
+        await stream.send_all(_GET + _HEADERS)
+        status = (await stream.receive_some(12))[-3:]
+        await trio.sleep(_PAUSE)
+    return stream
+
+
+async def _read_slowly(stream: trio.SocketStream, until: float) -> bytes:
+    received = bytearray()
+    part = await stream.receive_some(_SMALL_BUFFER)
+    while part:
+        received += part
+        if trio.current_time() < until:
+            await trio.sleep(_PAUSE)
+        part = await stream.receive_some(_SMALL_BUFFER)
+    return bytes(received)
+
+
+# Guards against answers that are cut while they are written, as the process ended
+# once no request was at a server.
+def test_exit_waits_for_answers_that_are_written(tmp_path: Path) -> None:
+    """Write the whole answer to a slow reader before the process ends."""
+    path = tmp_path / 'settings.toml'
+
+    async def run() -> bytes:
+        server = ScriptedServer([Step(whole(_BODY, *_SEAL))])
+        with trio.fail_after(_LIVENESS_BOUND):
+            async with trio.open_nursery() as nursery:
+                server_port = await nursery.start(server.serve)
+                store_port = await _start_store(nursery, server_port)
+                settings = _write_settings(path, 6, store_port)
+                nursery.start_soon(_run_gateway, settings, path)
+                await _wait_until_running(settings.ready.port)
+                stream = await _ask(settings.callers.port)
+                os.kill(os.getpid(), signal.SIGTERM)
+                until = trio.current_time() + _READING
+                received = await _read_slowly(stream, until)
+                nursery.cancel_scope.cancel()
+        return received
+
+    assert trio.run(run).endswith(b'\r\n\r\n' + _BODY)
--- a/trefoilsaddle/gateway/effects.py
+++ b/trefoilsaddle/gateway/effects.py
@@ -231,7 +231,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ExitProcess:
-    """Exit the process; nothing is in flight."""
+    """Exit the process once callers have their answers."""
+
+    # Longest wait for answers that are being written.
+    patience: Seconds
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/lifecycle.py
+++ b/trefoilsaddle/gateway/lifecycle.py
@@ -23,6 +23,8 @@
 _REMOVAL_TIME = Seconds(3.2)
 # Time reserved for the last answers before the process is killed.
 _FINAL_ANSWERS_TIME = Seconds(0.4)
+# Part of it in which they may be written.
+_WRITING_TIME = Seconds(0.2)
 
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
@@ -107,12 +109,16 @@
 
 
 def _check_stop(gateway: Gateway, now: Seconds, exit_time: Seconds) -> Effects:
+    if gateway.stopped:
+        return []
     is_needed = gateway.calls or not is_refusing(gateway, now)
     if is_needed and now < exit_time:
         return []
+    gateway.stopped = True
     line = log_event(
         Component.lifecycle,
         'stopped',
         open_requests=len(gateway.calls),
     )
-    return [line, ExitProcess()]
+    patience = Seconds(max(exit_time + _WRITING_TIME - now, 0))
+    return [line, ExitProcess(patience)]
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -181,6 +181,8 @@
     # have been sent.
     stopping_since: Seconds | None = None
     stop_sent_after: Seconds | None = None
+    # True once the process only writes answers and exits.
+    stopped: bool = False
 
     @property
     def version(self) -> Version:
--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -24,6 +24,7 @@
 from trefoilsaddle.http.messages import Headers, HttpAnswer
 from trefoilsaddle.http.pipeline import CallerService, Exchange, Pipeline
 from trefoilsaddle.http.requests import BadInput, RequestReader
+from trefoilsaddle.http.unanswered import UnansweredCount
 
 _CLOSE = (b'connection', b'close')
 _LENGTH = b'content-length'
@@ -44,6 +45,8 @@
     stream: trio.SocketStream
     # Limits the memory of the answers being written.
     budget: AnswerBudget = field(default_factory=AnswerBudget)
+    # Counts the unanswered requests of this and other connections.
+    count: UnansweredCount = field(default_factory=UnansweredCount)
     _reader: RequestReader = field(init=False)
     _pipeline: Pipeline = field(init=False)
     # Set when the reader has read a request or has ended.
@@ -59,7 +62,7 @@
 
     def __post_init__(self) -> None:
         """Prepare to read the first request."""
-        self._pipeline = Pipeline(self.service, self.budget)
+        self._pipeline = Pipeline(self.service, self.budget, self.count)
         self._reader = RequestReader(
             self.stream, self.service.read_limits, self._wait_until_idle
         )
@@ -68,6 +71,7 @@
         """Answer requests until either end closes the connection."""
         with ExitStack() as stack:
             stack.callback(sockets.close, self.stream)
+            stack.callback(self._pipeline.close)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read_requests, nursery)
                 await self._answer_requests(nursery)
@@ -138,7 +142,8 @@
             ):
                 # The caller has gone; cancelling `answer` tells the service.
                 return
-            self._finish_first(nursery)
+            if more:
+                self._finish_first(nursery)
 
     async def _wait_for_first(self) -> Exchange | None:
         while self._pipeline.first is None and not self._pipeline.left:
--- a/trefoilsaddle/http/pipeline.py
+++ b/trefoilsaddle/http/pipeline.py
@@ -16,6 +16,7 @@
 from trefoilsaddle.http.budget import AnswerBudget
 from trefoilsaddle.http.messages import HttpAnswer, HttpRequest
 from trefoilsaddle.http.requests import BadInput, ReceivedRequest
+from trefoilsaddle.http.unanswered import UnansweredCount
 
 # Limits on the unanswered requests of a connection, and on the bytes of their
 # bodies; above them nothing more is read.
@@ -96,6 +97,8 @@
 
     service: CallerService
     budget: AnswerBudget
+    # Counts the unanswered requests of all connections.
+    count: UnansweredCount
     unanswered: deque[Exchange] = field(default_factory=deque)
     # True once the caller has closed the connection.
     left: bool = False
@@ -108,11 +111,13 @@
     def add(self, received: ReceivedRequest, nursery: trio.Nursery) -> None:
         """Add a request, and start it if it may run ahead."""
         self.unanswered.append(Exchange(received))
+        self.count.add()
         self._start_ahead(nursery)
 
     def remove_first(self, nursery: trio.Nursery) -> None:
         """Remove the request whose answer has been written."""
         self.unanswered.popleft().written.set()
+        self.count.remove(1)
         self._start_ahead(nursery)
 
     def is_full(self) -> bool:
@@ -134,6 +139,11 @@
         for exchange in self.unanswered:
             exchange.scope.cancel()
 
+    def close(self) -> None:
+        """Remove all requests: the connection has ended."""
+        self.count.remove(len(self.unanswered))
+        self.unanswered.clear()
+
     def _start_ahead(self, nursery: trio.Nursery) -> None:
         if len(self.unanswered) <= 1:
             return
--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -17,14 +17,13 @@
 from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.state import build_gateway
 from trefoilsaddle.http import sockets
-from trefoilsaddle.http.budget import AnswerBudget
 from trefoilsaddle.http.callers import CallerConnection
-from trefoilsaddle.http.pipeline import CallerService
 from trefoilsaddle.platform.settings import (
     Address,
     GatewaySettings,
     read_settings,
 )
+from trefoilsaddle.programs.gatewaycalls import GatewayCalls
 from trefoilsaddle.programs.gatewayshell import GatewayShell
 from trefoilsaddle.programs.readiness import ReadinessService
 from trefoilsaddle.programs.stopsignal import watch_stop_signal
@@ -73,13 +72,12 @@
     settings: GatewaySettings,
     nursery: trio.Nursery,
 ) -> Failure | None:
-    readiness = ReadinessService(shell)
+    serve_probe = partial(_serve_probe, shell, ReadinessService(shell))
     options = settings.options
-    budget = shell.calls.servers.budget
     served = (
-        (settings.callers, partial(_serve_caller, shell.calls, budget)),
-        (settings.ready, partial(_serve_caller, readiness, budget)),
-        (settings.metrics, partial(_serve_caller, readiness, budget)),
+        (settings.callers, partial(_serve_caller, shell.calls)),
+        (settings.ready, serve_probe),
+        (settings.metrics, serve_probe),
         (Address(options.host, options.port), shell.controller.serve),
     )
     for address, serve_connection in served:
@@ -92,12 +90,17 @@
     return None
 
 
-async def _serve_caller(
-    service: CallerService,
-    budget: AnswerBudget,
-    stream: trio.SocketStream,
+async def _serve_caller(calls: GatewayCalls, stream: trio.SocketStream) -> None:
+    sockets.set_options(stream)
+    budget = calls.servers.budget
+    await CallerConnection(calls, stream, budget, calls.unanswered).serve()
+
+
+async def _serve_probe(
+    shell: GatewayShell, service: ReadinessService, stream: trio.SocketStream
 ) -> None:
     sockets.set_options(stream)
+    budget = shell.calls.servers.budget
     await CallerConnection(service, stream, budget).serve()
 
 
--- a/trefoilsaddle/programs/gatewaycalls.py
+++ b/trefoilsaddle/programs/gatewaycalls.py
@@ -36,6 +36,7 @@
 from trefoilsaddle.http.pool import ConnectionPool
 from trefoilsaddle.http.progress import Progress
 from trefoilsaddle.http.requests import BadInput
+from trefoilsaddle.http.unanswered import UnansweredCount
 from trefoilsaddle.ports import Dialect, RefusalText
 from trefoilsaddle.programs.containment import Containment
 from trefoilsaddle.programs.gatewaystatuses import find_refusal_status
@@ -158,6 +159,7 @@
     nursery: trio.Nursery
     containment: Containment
     servers: Servers = field(init=False)
+    unanswered: UnansweredCount = field(default_factory=UnansweredCount)
     pending: dict[CallId, _PendingCall] = field(default_factory=dict)
     last_call: int = 0
 
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -239,10 +239,16 @@
         self.ready = effect.ready
 
     def _exit(self, effect: ExitProcess) -> None:
-        self.exited.set()
+        self._nursery.start_soon(_exit_when_answered, self, effect.patience)
 
     def _count(self, effect: CountMetric) -> None:
         self.metrics.count(effect.name, effect.label)
 
     def _observe(self, effect: ObserveTime) -> None:
         self.metrics.observe_answer(effect.seconds)
+
+
+async def _exit_when_answered(shell: GatewayShell, patience: Seconds) -> None:
+    with trio.move_on_after(patience):
+        await shell.calls.unanswered.wait_until_none()
+    shell.exited.set()
