--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -3,13 +3,14 @@
 Requests that were sent before the answer to an earlier one are read as they
 arrive; answers leave in the order of the requests. Nothing behind an answer
 that closes the connection is started, and what is running behind it is
-cancelled.
+cancelled. A service that closes its connections answers what has been read, and
+closes each with its last answer.
 
 A connection is closed without an answer only if no complete request has been
 read, or if the caller has closed it.
 """
 
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from math import inf
@@ -23,15 +24,17 @@
 from trefoilsaddle.http.messages import Headers, HttpAnswer
 from trefoilsaddle.http.pipeline import CallerService, Exchange, Pipeline
 from trefoilsaddle.http.requests import BadInput, RequestReader
+from trefoilsaddle.http.unanswered import UnansweredCount
 
 _CLOSE = (b'connection', b'close')
 _LENGTH = b'content-length'
 # Limit on sending an answer to a caller that reads slowly.
 _WRITE_TIMEOUT = Seconds(10)
-# Time for which the rest of a refused request is read and discarded.  Closing
-# the connection with unread bytes would reset it before the caller has read
-# the answer.
-_DISCARD_TIMEOUT = Seconds(1)
+# Time for which the caller may read the last answer of a connection that this
+# end closes.  Bytes that arrive meanwhile are discarded: unread ones would reset
+# the connection, and with it the answer.
+_LINGER_TIMEOUT = Seconds(1)
+_CHUNK_BYTES = 65_536
 
 
 @dataclass(slots=True)
@@ -42,20 +45,24 @@
     stream: trio.SocketStream
     # Limits the memory of the answers being written.
     budget: AnswerBudget = field(default_factory=AnswerBudget)
+    # Counts the unanswered requests of this and other connections.
+    count: UnansweredCount = field(default_factory=UnansweredCount)
     _reader: RequestReader = field(init=False)
     _pipeline: Pipeline = field(init=False)
     # Set when the reader has read a request or has ended.
     _changed: trio.Event = field(default_factory=trio.Event)
     # Set when the last unanswered request has its answer.
     _idle: trio.Event = field(default_factory=trio.Event)
-    # True once an invalid request has been refused.
-    _refused: bool = False
+    # True once this end has closed the connection with an answer.
+    _closed: bool = False
+    # True once nothing more is read, as the service closes its connections.
+    _ending: bool = False
     # Cancelled to let the reader look whether it may go on.
     _pause: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     def __post_init__(self) -> None:
         """Prepare to read the first request."""
-        self._pipeline = Pipeline(self.service, self.budget)
+        self._pipeline = Pipeline(self.service, self.budget, self.count)
         self._reader = RequestReader(
             self.stream, self.service.read_limits, self._wait_until_idle
         )
@@ -64,10 +71,13 @@
         """Answer requests until either end closes the connection."""
         with ExitStack() as stack:
             stack.callback(sockets.close, self.stream)
+            stack.callback(self._pipeline.close)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read_requests, nursery)
                 await self._answer_requests(nursery)
                 nursery.cancel_scope.cancel()
+            if self._closed:
+                await _wait_until_closed(self.stream)
 
     # Reading.
 
@@ -91,15 +101,21 @@
         self._reader.idle_until = inf
         self._pipeline.add(received, nursery)
         self._changed.set()
-        while received.is_last or self._pipeline.is_full():
-            if self._refused:
-                await self._reader.discard()
-                return False
+        while received.is_last or self._may_not_read():
             self._pause = trio.CancelScope()
             if not await self._reader.wait_for_end(self._pause):
                 return False
         return True
 
+    def _may_not_read(self) -> bool:
+        if self._pipeline.is_full():
+            return True
+        if self._pipeline.first is None or not self.service.is_closing():
+            return False
+        # What has arrived with an earlier request is answered as well.
+        self._ending = self._ending or not self._reader.has_rest()
+        return self._ending
+
     def _limit_idle_time(self) -> None:
         timeout = self.service.read_limits().idle_timeout
         self._reader.set_idle_limit(trio.current_time() + timeout)
@@ -126,7 +142,8 @@
             ):
                 # The caller has gone; cancelling `answer` tells the service.
                 return
-            self._finish_first(nursery)
+            if more:
+                self._finish_first(nursery)
 
     async def _wait_for_first(self) -> Exchange | None:
         while self._pipeline.first is None and not self._pipeline.left:
@@ -164,6 +181,7 @@
         ]
         if self._pipeline.may_close():
             headers.append(_CLOSE)
+            self._closed = True
         parts = [parser.send(_build_head(answer, tuple(headers)))]
         parts.append(parser.send(h11.Data(data=answer.body)))
         parts.append(parser.send(h11.EndOfMessage()))
@@ -182,14 +200,20 @@
         )
         if parser.our_state is h11.ERROR:
             return
+        self._closed = True
         await self._write(parser, closing)
-        with trio.move_on_after(_DISCARD_TIMEOUT):
-            await self.stream.send_eof()
-            self._refused = True
-            self._pause.cancel()
-            while not self._pipeline.left:
-                self._changed = trio.Event()
-                await self._changed.wait()
+
+
+async def _wait_until_closed(stream: trio.SocketStream) -> None:
+    """Let the caller read the last answer and close the connection."""
+    with (
+        trio.move_on_after(_LINGER_TIMEOUT),
+        suppress(trio.BrokenResourceError, trio.ClosedResourceError),
+    ):
+        await stream.send_eof()
+        received = await stream.receive_some(_CHUNK_BYTES)
+        while received:
+            received = await stream.receive_some(_CHUNK_BYTES)
 
 
 def _build_head(answer: HttpAnswer, headers: Headers) -> h11.Response:
--- a/trefoilsaddle/http/requests.py
+++ b/trefoilsaddle/http/requests.py
@@ -81,6 +81,10 @@
         self._rest = parser.trailing_data[0]
         return ReceivedRequest(request, parser, trio.current_time())
 
+    def has_rest(self) -> bool:
+        """Return whether bytes behind the last request have arrived."""
+        return bool(self._rest)
+
     async def wait_for_end(self, scope: trio.CancelScope) -> bool:
         """Keep early bytes until the scope ends; return False if all came."""
         with scope:
@@ -93,13 +97,6 @@
             await trio.sleep_forever()
         return True
 
-    async def discard(self) -> None:
-        """Read and drop bytes until the caller closes the connection."""
-        self._rest = b''
-        received = await self.stream.receive_some(_CHUNK_BYTES)
-        while received:
-            received = await self.stream.receive_some(_CHUNK_BYTES)
-
     def set_idle_limit(self, until: float) -> None:
         """Set the time at which a wait for a first byte ends."""
         self.idle_until = until
--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -3,7 +3,7 @@
 from functools import partial
 from pathlib import Path
 from random import SystemRandom
-from signal import SIGHUP, SIGTERM, SIGUSR1
+from signal import SIGHUP, SIGUSR1
 
 import trio
 
@@ -13,21 +13,20 @@
 from trefoilsaddle.gateway.events import (
     DumpRequested,
     Started,
-    StopRequested,
 )
 from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.state import build_gateway
 from trefoilsaddle.http import sockets
-from trefoilsaddle.http.budget import AnswerBudget
 from trefoilsaddle.http.callers import CallerConnection
-from trefoilsaddle.http.pipeline import CallerService
 from trefoilsaddle.platform.settings import (
     Address,
     GatewaySettings,
     read_settings,
 )
+from trefoilsaddle.programs.gatewaycalls import GatewayCalls
 from trefoilsaddle.programs.gatewayshell import GatewayShell
 from trefoilsaddle.programs.readiness import ReadinessService
+from trefoilsaddle.programs.stopsignal import watch_stop_signal
 from trefoilsaddle.results import ResultCode
 
 _RUN_BITS = 48
@@ -61,6 +60,7 @@
             return failure
         nursery.start_soon(shell.run)
         nursery.start_soon(_watch_signals, shell, path)
+        nursery.start_soon(watch_stop_signal, shell)
         shell.feed(Started())
         await shell.exited.wait()
         nursery.cancel_scope.cancel()
@@ -72,13 +72,12 @@
     settings: GatewaySettings,
     nursery: trio.Nursery,
 ) -> Failure | None:
-    readiness = ReadinessService(shell)
+    serve_probe = partial(_serve_probe, shell, ReadinessService(shell))
     options = settings.options
-    budget = shell.calls.servers.budget
     served = (
-        (settings.callers, partial(_serve_caller, shell.calls, budget)),
-        (settings.ready, partial(_serve_caller, readiness, budget)),
-        (settings.metrics, partial(_serve_caller, readiness, budget)),
+        (settings.callers, partial(_serve_caller, shell.calls)),
+        (settings.ready, serve_probe),
+        (settings.metrics, serve_probe),
         (Address(options.host, options.port), shell.controller.serve),
     )
     for address, serve_connection in served:
@@ -91,21 +90,24 @@
     return None
 
 
-async def _serve_caller(
-    service: CallerService,
-    budget: AnswerBudget,
-    stream: trio.SocketStream,
+async def _serve_caller(calls: GatewayCalls, stream: trio.SocketStream) -> None:
+    sockets.set_options(stream)
+    budget = calls.servers.budget
+    await CallerConnection(calls, stream, budget, calls.unanswered).serve()
+
+
+async def _serve_probe(
+    shell: GatewayShell, service: ReadinessService, stream: trio.SocketStream
 ) -> None:
     sockets.set_options(stream)
+    budget = shell.calls.servers.budget
     await CallerConnection(service, stream, budget).serve()
 
 
 async def _watch_signals(shell: GatewayShell, path: Path) -> None:
-    with trio.open_signal_receiver(SIGTERM, SIGHUP, SIGUSR1) as signals:
+    with trio.open_signal_receiver(SIGHUP, SIGUSR1) as signals:
         async for number in signals:
-            if number == SIGTERM:
-                shell.feed(StopRequested())
-            elif number == SIGUSR1:
+            if number == SIGUSR1:
                 shell.feed(DumpRequested())
             else:
                 _check_settings(shell, path)
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -78,6 +78,8 @@
         self._log = log
         self._nursery = nursery
         self._clock = SystemClock()
+        # Time of the last event that was handled.
+        self.active_at = self._clock.read_monotonic()
         self._events: deque[Event] = deque()
         self._reducing = False
         self._lag = LoopLag(self.metrics, self.write)
@@ -139,6 +141,7 @@
         while self._events:
             self._handle_event(self._events.popleft())
         self._reducing = False
+        self.active_at = self._clock.read_monotonic()
 
     def write(self, decision: WriteDecision) -> None:
         """Write a log line."""
@@ -146,6 +149,7 @@
 
     def _handle_event(self, event: Event) -> None:
         now = self._clock.read_monotonic()
+        self.active_at = now
         try:
             for effect in reduce(self.gateway, now, event):
                 self._actions[type(effect)](effect)
@@ -216,10 +220,16 @@
         self.ready = effect.ready
 
     def _exit(self, effect: ExitProcess) -> None:
-        self.exited.set()
+        self._nursery.start_soon(_exit_when_answered, self, effect.patience)
 
     def _count(self, effect: CountMetric) -> None:
         self.metrics.count(effect.name, effect.label)
 
     def _observe(self, effect: ObserveTime) -> None:
         self.metrics.observe_answer(effect.seconds)
+
+
+async def _exit_when_answered(shell: GatewayShell, patience: Seconds) -> None:
+    with trio.move_on_after(patience):
+        await shell.calls.unanswered.wait_until_none()
+    shell.exited.set()
