Trust confirmed rows of an incomplete table, and end the wait once

A row of a table now says whether its holder is confirmed, and an incomplete table states the time left until no grant of a lost table can be in force. A successor grants confirmed rows at once, with its own token, and waits for all other keys only until that end.

Why it is safe. Lost tables are those of earlier eras that the copy lacks. - A row is confirmed once its holder has accepted, after the controller saw the new era, the token that it had. Another server can hold the keys by a lost table only if its controller had first had them released, so that the holder refuses the older token, or had waited out the tolerance of this controller, which has not passed. Confirmed rows wait in addition for the controllers of the present era, as after any takeover. - Rows of an earlier era than the present one tell nothing. Records of earlier versions state neither field and are waited for as before. Reports of all gateways shorten the end as before; it is stored then.

A controller drops rows whose own grants have ended while holders are unknown, and successors do not wait for a controller that can tell no more.

Ruled out: the end of the wait by a clock of another host; rows trusted because a table of the era names them.

--- a/tests/test_gatewayrestore.py
+++ b/tests/test_gatewayrestore.py
@@ -338,7 +338,7 @@
     gateway = process.gateway
     keyed = next(iter(gateway.control.keyed.values()))
     gateway.control.elected = False
-    effects = append_table(gateway, keyed)
+    effects = append_table(gateway, keyed, world.now)
     gateway.control.elected = True
     append = effects[0]
     assert isinstance(append, AppendTable)
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -35,7 +35,11 @@
     join_free,
 )
 from trefoilsaddle.gateway.peers import dial
-from trefoilsaddle.gateway.restoring import end_wait
+from trefoilsaddle.gateway.restoring import (
+    end_wait,
+    find_time_left,
+    lacks_confirmations,
+)
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.table import (
@@ -69,22 +73,31 @@
     end_wait(keyed, now)
     if keyed.pending is not None or now < keyed.append_after:
         return []
-    if keyed.table_due:
-        return append_table(gateway, keyed)
+    if keyed.table_due or _lacks_confirmations(gateway, keyed):
+        return append_table(gateway, keyed, now)
     if _choose_holders(gateway, keyed, now) or _has_assigning(keyed):
-        return append_table(gateway, keyed)
+        return append_table(gateway, keyed, now)
     return []
 
 
-def append_table(gateway: Gateway, keyed: KeyedControl) -> Effects:
+def _lacks_confirmations(gateway: Gateway, keyed: KeyedControl) -> bool:
+    stored = gateway.tables.get(keyed.service)
+    return stored is not None and lacks_confirmations(keyed, stored.table)
+
+
+def append_table(
+    gateway: Gateway,
+    keyed: KeyedControl,
+    now: Seconds,
+) -> Effects:
     """Append the next table to the store."""
     end = gateway.control.end
     services = gateway.control.keyed.values()
     if end is None or any(other.pending is not None for other in services):
         return []
     keyed.sequence += 1
-    table = _build_table(gateway, keyed, end)
-    keyed.pending = PendingAppend(table, end)
+    table = _build_table(gateway, keyed, end, now)
+    keyed.pending = PendingAppend(table, end, keyed.unknown_until)
     return [AppendTable(end, table)]
 
 
@@ -363,6 +376,7 @@
     gateway: Gateway,
     keyed: KeyedControl,
     end: Offset,
+    now: Seconds,
 ) -> OwnershipTable:
     fence = find_fence(TablePosition(gateway.era, end))
     for partition in keyed.partitions.ordered:
@@ -378,6 +392,8 @@
         predecessors=_list_predecessors(keyed),
         era=gateway.era,
         incomplete=keyed.unknown_until is not None,
+        unknown_left=find_time_left(keyed.unknown_until, now),
+        lapsing_left=find_time_left(keyed.lapsing_until, now),
     )
 
 
@@ -415,7 +431,8 @@
     now: Seconds,
 ) -> Effects:
     keyed.pending = None
-    keyed.table_due = _has_to_follow(gateway, keyed, pending.table)
+    keyed.renewal_end = None
+    keyed.table_due = _has_to_follow(gateway, keyed, pending)
     keyed.position = TablePosition(pending.table.era, pending.expected)
     keyed.hold = pending.table.hold
     gateway.control.end = Offset(pending.expected + 1)
@@ -450,11 +467,12 @@
 def _has_to_follow(
     gateway: Gateway,
     keyed: KeyedControl,
-    table: OwnershipTable,
+    pending: PendingAppend,
 ) -> bool:
     """Return whether an accepted table has become untrue meanwhile."""
-    known = table.incomplete and keyed.unknown_until is None
-    return known or (table.resigned and not _is_resigning(gateway))
+    shortened = pending.unknown_until != keyed.unknown_until
+    resigned = pending.table.resigned
+    return shortened or (resigned and not _is_resigning(gateway))
 
 
 def _undo_assignment(keyed: KeyedControl, now: Seconds) -> None:
--- a/trefoilsaddle/gateway/control.py
+++ b/trefoilsaddle/gateway/control.py
@@ -28,6 +28,8 @@
 
     table: OwnershipTable
     expected: Offset
+    # End of the wait for unknown holders that the table states.
+    unknown_until: Seconds | None = None
 
 
 @dataclass(slots=True)
@@ -58,6 +60,15 @@
     # Time until which servers may hold keys by tables that are lost; None if
     # every holder is known.
     unknown_until: Seconds | None = None
+    # Time until which unconfirmed holders, named by the table of the previous
+    # controller, may hold keys; None if this controller renews their grants.
+    lapsing_until: Seconds | None = None
+    # True if this gateway was the controller before the store came back, so that
+    # only it knows the holders.
+    restored: bool = False
+    # Time until which grants may be renewed before a table is stored in the
+    # present era; None once one is.
+    renewal_end: Seconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -50,7 +50,7 @@
 from trefoilsaddle.gateway.pacing import bound_moves, count_changing
 from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.peers import hear_limits, request_configuration
-from trefoilsaddle.gateway.restoring import is_outdated
+from trefoilsaddle.gateway.restoring import may_be_stored_again
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.takeover import (
     record_resigned,
@@ -96,7 +96,7 @@
         return updates.send_configuration(gateway, event.node)
     if isinstance(event, PeerLinked):
         return updates.queue_full_update(gateway, now, event.node)
-    return _resign(gateway)
+    return _resign(gateway, now)
 
 
 def _handle_ended(
@@ -149,7 +149,8 @@
     """Return whether the last controller may still store its tables again."""
     control = gateway.control
     if not any(
-        is_outdated(gateway, stored) for stored in gateway.tables.values()
+        may_be_stored_again(gateway, stored)
+        for stored in gateway.tables.values()
     ):
         return False
     if control.outdated_since is None:
@@ -157,12 +158,12 @@
     return now - control.outdated_since < _RESTORE_TIME
 
 
-def _resign(gateway: Gateway) -> Effects:
+def _resign(gateway: Gateway, now: Seconds) -> Effects:
     control = gateway.control
     effects: Effects = []
     if control.leading:
         for keyed in control.keyed.values():
-            effects.extend(append_table(gateway, keyed))
+            effects.extend(append_table(gateway, keyed, now))
     effects.extend(step_down(gateway, 'the process stops'))
     return [*effects, LeaveGroup()]
 
--- a/trefoilsaddle/gateway/election.py
+++ b/trefoilsaddle/gateway/election.py
@@ -91,7 +91,10 @@
 def is_restoring(gateway: Gateway) -> bool:
     """Return whether the store may lack tables that only this gateway has."""
     return gateway.control.leading and any(
-        (keyed.table_due or keyed.unknown_until is not None)
+        (
+            keyed.table_due
+            or (keyed.restored and keyed.unknown_until is not None)
+        )
         and any(partition.granted for partition in keyed.partitions.ordered)
         for keyed in gateway.control.keyed.values()
     )
--- a/trefoilsaddle/gateway/eras.py
+++ b/trefoilsaddle/gateway/eras.py
@@ -13,18 +13,31 @@
     AppendEnded,
     Event,
     JoinEnded,
+    TableAnnounced,
     TopicRead,
 )
 from trefoilsaddle.gateway.loglines import log_event
-from trefoilsaddle.gateway.restoring import begin_wait
+from trefoilsaddle.gateway.restoring import (
+    begin_wait,
+    bound_renewals,
+    record_unknown_end,
+)
 from trefoilsaddle.gateway.state import Gateway
+from trefoilsaddle.gateway.table import StoredTable
 
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
     """Record the era of each answer of the store."""
-    if isinstance(event, (TopicRead, JoinEnded, AppendEnded)):
-        return _record_era(gateway, now, event.era)
-    return []
+    if isinstance(event, TableAnnounced):
+        record_unknown_end(gateway, event.stored.table, now)
+    if not isinstance(event, (TopicRead, JoinEnded, AppendEnded)):
+        return []
+    effects = _record_era(gateway, now, event.era)
+    if isinstance(event, TopicRead):
+        for entry in event.entries:
+            if isinstance(entry, StoredTable):
+                record_unknown_end(gateway, entry.table, now)
+    return effects
 
 
 def _record_era(gateway: Gateway, now: Seconds, era: StoreEra) -> Effects:
@@ -32,6 +45,8 @@
     if era <= known:
         return []
     gateway.era = era
+    gateway.era_seen_at = now
+    gateway.unknown_ends.clear()
     if known == NO_ERA:
         return []
     line = log_event(
@@ -58,4 +73,5 @@
             reason = 'the store came back before the takeover'
             return [*step_down(gateway, reason), read_tables()]
         begin_wait(gateway, keyed, stored, now)
+        bound_renewals(gateway, keyed)
     return [read_tables()]
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -192,7 +192,7 @@
     server = None
     if partition.incarnation is not None:
         server = gateway.registry.find_incarnation(partition.incarnation)
-    if server is None:
+    if server is None or _is_renewal_over(keyed, now):
         return []
     hold = find_hold_in_force(gateway, keyed)
     if partition.failing_since is not None:
@@ -210,6 +210,10 @@
     ]
 
 
+def _is_renewal_over(keyed: KeyedControl, now: Seconds) -> bool:
+    return keyed.renewal_end is not None and now > keyed.renewal_end
+
+
 def _shorten_hold(
     gateway: Gateway,
     partition: Partition,
@@ -230,7 +234,7 @@
 ) -> Effects:
     if partition.call_pending:
         return []
-    if now >= partition.held_until:
+    if now >= _find_end(keyed, partition):
         return _set_free(keyed, partition, now, 'its grant has lapsed')
     releasing = partition.state == PartitionState.releasing
     if releasing and now - partition.since > _MAX_RELEASING_TIME:
@@ -240,6 +244,13 @@
     return []
 
 
+def _find_end(keyed: KeyedControl, partition: Partition) -> Seconds:
+    # Once the own grants have ended, the holder is as unknown as any other.
+    if keyed.restored and keyed.unknown_until is not None:
+        return partition.granted_until
+    return partition.held_until
+
+
 def is_release_late(partition: Partition, now: Seconds) -> bool:
     """Return whether the grant lapses before a release could be answered."""
     lapsing = partition.state == PartitionState.lapsing
--- a/trefoilsaddle/gateway/partitions.py
+++ b/trefoilsaddle/gateway/partitions.py
@@ -89,6 +89,8 @@
     restarted: bool = False
     # True until its holder has accepted a grant of this controller.
     inherited: bool = False
+    # True if another controller's table names its holder as confirmed.
+    imported: bool = False
     # Time at which the state was entered.
     since: Seconds = Seconds(0)
     # Time at which the keys became free; None once a holder has confirmed them.
@@ -104,6 +106,11 @@
         """Return whether the stored table names the holder."""
         return self.state in _RECORDED
 
+    @property
+    def confirmed(self) -> bool:
+        """Return whether no lost table can name another holder."""
+        return self.imported or not self.inherited
+
     @property
     def held_until(self) -> Seconds:
         """Return the latest time at which the holder may own the keys."""
@@ -143,6 +150,7 @@
         self.serving = False
         self.restarted = False
         self.inherited = False
+        self.imported = False
         self.granted_until = Seconds(0)
         self.inherited_until = Seconds(0)
         self.unanswered_until = Seconds(0)
@@ -219,11 +227,14 @@
                 last = None
                 continue
             row = Assignment(
-                partition.keys, partition.incarnation, partition.fence
+                partition.keys,
+                partition.incarnation,
+                partition.fence,
+                partition.confirmed,
             )
             if last is not None and _can_join(last, partition):
                 keys = KeyRange(rows.pop().keys.first, partition.keys.last)
-                row = Assignment(keys, partition.incarnation, fence)
+                row = replace(row, keys=keys, fence=fence)
             rows.append(row)
             last = partition
         return tuple(rows)
--- a/trefoilsaddle/gateway/restoring.py
+++ b/trefoilsaddle/gateway/restoring.py
@@ -3,8 +3,14 @@
 Tables that are lost may have assigned keys to servers that no known table
 names.  A controller that stored the newest tables itself goes on, but gives no
 key away before each of its holders has confirmed its grant once more: a holder
-that another controller had taken over would refuse.  A successor knows no
-holder: it waits until all grants have lapsed that lost tables allowed.
+that another controller had taken over would refuse.  Its tables say which
+holders have confirmed, and a successor trusts these.  For all other keys, the
+successor waits until no grant of a lost table is in force.
+
+Such grants are renewed for at most the outage tolerance after the return, as a
+controller without a table in the present era renews no longer.  The end of the
+wait is thus a bound that each gateway can state from the time at which it first
+saw the era, or a table of the era that states the time left.
 """
 
 from trefoilsaddle.core.units import Seconds
@@ -17,7 +23,12 @@
     find_grant_end,
 )
 from trefoilsaddle.gateway.state import Gateway
-from trefoilsaddle.gateway.table import GatewayAddress, StoredTable
+from trefoilsaddle.gateway.table import (
+    NOT_STATED,
+    GatewayAddress,
+    OwnershipTable,
+    StoredTable,
+)
 
 
 def is_outdated(gateway: Gateway, stored: StoredTable) -> bool:
@@ -26,6 +37,16 @@
     return table.incomplete or gateway.is_outdated(table.era)
 
 
+def may_be_stored_again(gateway: Gateway, stored: StoredTable) -> bool:
+    """Return whether its controller may soon store a table that tells more."""
+    table = stored.table
+    if gateway.is_outdated(table.era):
+        return True
+    if table.lapsing_left >= 0 or not table.incomplete:
+        return False
+    return not all(row.confirmed for row in table.assignments)
+
+
 def begin_wait(
     gateway: Gateway,
     keyed: KeyedControl,
@@ -37,14 +58,72 @@
     # A lost table may have stated a longer hold than the known one.
     keyed.inherited_hold = options.max_hold
     keyed.predecessors = _list_possible_controllers(gateway, stored)
-    renewed_until = Seconds(now + options.outage_tolerance)
-    keyed.unknown_until = find_latest_end(gateway, keyed, renewed_until)
+    keyed.unknown_until = _find_unknown_end(gateway, keyed)
     keyed.table_due = True
     keyed.pending = None
+    keyed.lapsing_until = None
     for partition in keyed.partitions.ordered:
         _begin_wait(partition, keyed.unknown_until, now)
 
 
+def bound_renewals(gateway: Gateway, keyed: KeyedControl) -> None:
+    """Renew grants no longer than without the store, until a table is stored."""
+    control = gateway.control
+    keyed.restored = True
+    keyed.renewal_end = Seconds(
+        control.confirmed_at + gateway.options.outage_tolerance
+    )
+
+
+def record_unknown_end(
+    gateway: Gateway,
+    table: OwnershipTable,
+    now: Seconds,
+) -> None:
+    """Record when the grants of lost tables end, as a table states it."""
+    if table.era != gateway.era or not table.incomplete:
+        return
+    if table.unknown_left < 0:
+        return
+    ends = gateway.unknown_ends
+    # The time left counts from before the table was stored.
+    until = Seconds(now + table.unknown_left)
+    ends[table.service] = min(ends.get(table.service, until), until)
+
+
+def find_time_left(until: Seconds | None, now: Seconds) -> Seconds:
+    """Return the time left until the end of a wait, as a table states it."""
+    return NOT_STATED if until is None else Seconds(max(until - now, 0))
+
+
+def lacks_confirmations(keyed: KeyedControl, table: OwnershipTable) -> bool:
+    """Return whether an incomplete table can now tell more of its rows."""
+    if keyed.unknown_until is None or awaits_confirmation(keyed):
+        return False
+    unconfirmed = {row.keys for row in table.assignments if not row.confirmed}
+    return any(
+        partition.keys in unconfirmed
+        and (partition.confirmed or partition.incarnation is None)
+        for partition in keyed.partitions.ordered
+    )
+
+
+def awaits_confirmation(keyed: KeyedControl) -> bool:
+    """Return whether holders are being asked, so that a table can wait."""
+    return keyed.unknown_until is not None and any(
+        partition.granted
+        and not partition.confirmed
+        and partition.failing_since is None
+        for partition in keyed.partitions.ordered
+    )
+
+
+def await_lapse(partition: Partition, until: Seconds) -> None:
+    """Give a partition without a known holder to nobody until a given time."""
+    partition.inherited = True
+    partition.inherited_until = until
+
+
 def end_wait(keyed: KeyedControl, now: Seconds) -> None:
     """End the wait once every holder is known or no grant can be left."""
     until = keyed.unknown_until
@@ -53,7 +132,8 @@
     keyed.unknown_until = None
     keyed.table_due = True
     for partition in keyed.partitions.ordered:
-        partition.inherited_until = Seconds(0)
+        if now < until and not partition.imported:
+            partition.inherited_until = Seconds(0)
         if partition.state == PartitionState.free:
             partition.inherited = False
 
@@ -65,8 +145,11 @@
 ) -> None:
     """Shorten the waits for grants that nobody renews any more."""
     until = find_latest_end(gateway, keyed, now)
-    if keyed.unknown_until is not None:
-        keyed.unknown_until = min(keyed.unknown_until, until)
+    if keyed.lapsing_until is not None:
+        keyed.lapsing_until = min(keyed.lapsing_until, until)
+    if keyed.unknown_until is not None and until < keyed.unknown_until:
+        keyed.unknown_until = until
+        keyed.table_due = True
     for partition in keyed.partitions.ordered:
         partition.shorten_inherited(until)
 
@@ -88,6 +171,7 @@
         incarnation = partition.incarnation
         partition.set_free(now, partition.handover)
         partition.target = None if incarnation is None else incarnation.server
+    partition.imported = False
     if partition.granted:
         partition.next_call = now
     # Released keys belong to nobody; any others have to be confirmed.
@@ -96,6 +180,12 @@
     partition.inherited_until = until
 
 
+def _find_unknown_end(gateway: Gateway, keyed: KeyedControl) -> Seconds:
+    renewed_until = gateway.era_seen_at + gateway.options.outage_tolerance
+    until = find_latest_end(gateway, keyed, Seconds(renewed_until))
+    return min(gateway.unknown_ends.get(keyed.service, until), until)
+
+
 def _are_holders_known(keyed: KeyedControl) -> bool:
     # A controller whose servers all confirm its grants was not replaced: its
     # successor would have granted the same keys with a higher token.
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -160,6 +160,11 @@
     owners: dict[ServiceName, ServiceOwners] = field(default_factory=dict)
     # Newest era of the store that was seen in an answer.
     era: StoreEra = NO_ERA
+    # Time at which that era was first seen.
+    era_seen_at: Seconds = Seconds(0)
+    # Time by which no grant of a lost table is in force, as stated by tables of
+    # that era.
+    unknown_ends: dict[ServiceName, Seconds] = field(default_factory=dict)
     # True until parked requests have been tried with the new owners.
     owners_changed: bool = False
     link: LinkState = field(default_factory=LinkState)
--- a/trefoilsaddle/gateway/table.py
+++ b/trefoilsaddle/gateway/table.py
@@ -34,6 +34,9 @@
 NO_POSITION = TablePosition(NO_ERA, NO_OFFSET)
 
 
+NOT_STATED = Seconds(-1)
+
+
 @dataclass(frozen=True, slots=True)
 class GatewayAddress:
     """Identify one incarnation of a gateway and its address for peers."""
@@ -53,6 +56,9 @@
     life: ServerIncarnation
     # Fencing token of the grant.
     fence: int
+    # True if no other server can hold the keys by a table that the store has
+    # lost.
+    confirmed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +84,12 @@
     # True while servers that the table does not name may hold keys, as the
     # tables that named them are lost.
     incomplete: bool = False
+    # Time left, when an incomplete table was written, until no grant of a lost
+    # table can be in force; negative in records that do not state it.
+    unknown_left: Seconds = NOT_STATED
+    # Time left until the grants of rows that are not confirmed have lapsed;
+    # negative if this controller may renew them.
+    lapsing_left: Seconds = NOT_STATED
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/takeover.py
+++ b/trefoilsaddle/gateway/takeover.py
@@ -21,6 +21,7 @@
 from trefoilsaddle.gateway.partitions import Partition, PartitionState
 from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.restoring import (
+    await_lapse,
     begin_wait,
     find_latest_end,
     is_outdated,
@@ -72,7 +73,7 @@
         )
         # The table names no owner yet, but tells gateways where the controller
         # is.
-        return [first, *append_table(gateway, keyed)]
+        return [first, *append_table(gateway, keyed, now)]
     _import_table(gateway, keyed, stored, now)
     line = log_event(
         Component.ownership,
@@ -88,7 +89,7 @@
         partition.state == PartitionState.assigning
         for partition in _list_partitions(keyed)
     ):
-        return [line, *append_table(gateway, keyed)]
+        return [line, *append_table(gateway, keyed, now)]
     return [line]
 
 
@@ -99,12 +100,8 @@
     now: Seconds,
 ) -> Effects:
     keyed.position = stored.position
-    partitions = [
-        Partition(row.keys, target=row.life.server, since=now, free_since=now)
-        for row in stored.table.assignments
-    ]
-    keyed.partitions.ordered = fill_gaps(partitions)
     begin_wait(gateway, keyed, stored, now)
+    _import_incomplete(gateway, keyed, stored, now)
     line = log_event(
         Component.ownership,
         'holders are unknown',
@@ -114,7 +111,60 @@
         era=gateway.era,
         predecessor=stored.table.controller.node,
     )
-    return [line, *append_table(gateway, keyed)]
+    return [line, *append_table(gateway, keyed, now)]
+
+
+def _import_incomplete(
+    gateway: Gateway,
+    keyed: KeyedControl,
+    stored: StoredTable,
+    now: Seconds,
+) -> None:
+    """Import the rows that hold in spite of lost tables."""
+    table = stored.table
+    if gateway.is_outdated(table.era):
+        partitions = [_import_target(row, now) for row in table.assignments]
+    else:
+        # The controllers before this one may still renew named grants.
+        ended = Seconds(now + gateway.options.outage_tolerance)
+        renewed_until = find_latest_end(gateway, keyed, ended)
+        keyed.lapsing_until = renewed_until
+        if table.lapsing_left >= 0:
+            stated_until = Seconds(now + table.lapsing_left)
+            keyed.lapsing_until = min(renewed_until, stated_until)
+        partitions = [
+            _import_row(gateway, keyed, row, renewed_until, now)
+            for row in table.assignments
+        ]
+    keyed.partitions.ordered = fill_gaps(partitions)
+    for partition in keyed.partitions.ordered:
+        if partition.incarnation is None and keyed.unknown_until is not None:
+            await_lapse(partition, keyed.unknown_until)
+
+
+def _import_target(row: Assignment, now: Seconds) -> Partition:
+    return Partition(
+        row.keys, target=row.life.server, since=now, free_since=now
+    )
+
+
+def _import_row(
+    gateway: Gateway,
+    keyed: KeyedControl,
+    row: Assignment,
+    renewed_until: Seconds,
+    now: Seconds,
+) -> Partition:
+    until = renewed_until if row.confirmed else keyed.lapsing_until
+    held_until = max(until or renewed_until, keyed.unknown_until or now)
+    partition = _import_partition(gateway, row, held_until, now)
+    if row.confirmed:
+        return partition
+    # Another server may hold the keys as well, so that they have to lapse.
+    partition.imported = False
+    partition.serving = False
+    partition.enter_state(PartitionState.lapsing, now)
+    return partition
 
 
 def record_resigned(
@@ -188,6 +238,7 @@
     )
     partition.inherited_until = held_until
     partition.inherited = True
+    partition.imported = True
     server = gateway.registry.find_incarnation(row.life)
     if server is None:
         partition.state = PartitionState.lapsing
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -38,6 +38,7 @@
   keys @0 :KeyRange;
   life @1 :ServerLife;
   fence @2 :Int64;
+  confirmed @3 :Bool;
 }
 
 struct OwnershipTable {
@@ -51,6 +52,9 @@
   # Minus one: not stated.
   era @7 :Int64 = -1;
   incomplete @8 :Bool;
+  # Minus one: not stated.
+  unknownLeft @9 :Float64 = -1;
+  lapsingLeft @10 :Float64 = -1;
 }
 
 # The five structs below hold lists of a data class by column.
