Store the tables of a controller that stops just after the return

If the store turns out to have come back, it first asks its holders for confirmation, and then stores one table that says that it has resigned and which rows are confirmed. It leaves the group at once, as before, so that an election is no later than it was.

Why it is safe: no order is sent once a table is on its way that says that its controller has resigned; only if that table was of an earlier era, and so is in force nowhere, are holders asked again. Without that, nothing is sent that was not sent before. A table that was under way at SIGTERM is now followed by one that says so, and each service gets its own.

Tried before and not enough: the rows and the end of the wait alone, as no table of the present era exists then.

--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -98,6 +98,7 @@
     keyed.sequence += 1
     table = _build_table(gateway, keyed, end, now)
     keyed.pending = PendingAppend(table, end, keyed.unknown_until)
+    keyed.resigned = gateway.stopping_since is not None
     return [AppendTable(end, table)]
 
 
@@ -459,7 +460,9 @@
         **describe_spread(pending.table),
     )
     effects: Effects = [line, *dial(gateway, now, pending.table.controller)]
-    if not gateway.control.elected and not is_restoring(gateway):
+    stopping = gateway.stopping_since is not None
+    lasting = stopping or is_restoring(gateway)
+    if not gateway.control.elected and not lasting:
         effects.extend(step_down(gateway, 'the store chose another member'))
     return effects
 
@@ -470,8 +473,10 @@
     pending: PendingAppend,
 ) -> bool:
     """Return whether an accepted table has become untrue meanwhile."""
-    shortened = pending.unknown_until != keyed.unknown_until
     resigned = pending.table.resigned
+    if gateway.stopping_since is not None:
+        return not resigned
+    shortened = pending.unknown_until != keyed.unknown_until
     return shortened or (resigned and not _is_resigning(gateway))
 
 
--- a/trefoilsaddle/gateway/control.py
+++ b/trefoilsaddle/gateway/control.py
@@ -66,6 +66,9 @@
     # True if this gateway was the controller before the store came back, so that
     # only it knows the holders.
     restored: bool = False
+    # True once a table is being stored which says that this controller has
+    # resigned as its process stops; no order is sent from then on.
+    resigned: bool = False
     # Time until which grants may be renewed before a table is stored in the
     # present era; None once one is.
     renewal_end: Seconds | None = None
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -5,7 +5,6 @@
 from trefoilsaddle.core.units import NodeId, Seconds, ServiceName
 from trefoilsaddle.gateway import updates
 from trefoilsaddle.gateway.assigning import (
-    append_table,
     assign_free,
     find_loads,
     handle_append_ended,
@@ -21,10 +20,9 @@
 from trefoilsaddle.gateway.effects import (
     Component,
     Effects,
-    LeaveGroup,
     SetTimer,
 )
-from trefoilsaddle.gateway.election import read_tables, step_down
+from trefoilsaddle.gateway.election import read_tables
 from trefoilsaddle.gateway.events import (
     AppendEnded,
     ConfigurationWanted,
@@ -50,6 +48,10 @@
 from trefoilsaddle.gateway.pacing import bound_moves, count_changing
 from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.peers import hear_limits, request_configuration
+from trefoilsaddle.gateway.resigning import (
+    begin_resigning,
+    continue_resigning,
+)
 from trefoilsaddle.gateway.restoring import may_be_stored_again
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.takeover import (
@@ -96,7 +98,7 @@
         return updates.send_configuration(gateway, event.node)
     if isinstance(event, PeerLinked):
         return updates.queue_full_update(gateway, now, event.node)
-    return _resign(gateway, now)
+    return begin_resigning(gateway, now)
 
 
 def _handle_ended(
@@ -158,20 +160,12 @@
     return now - control.outdated_since < _RESTORE_TIME
 
 
-def _resign(gateway: Gateway, now: Seconds) -> Effects:
-    control = gateway.control
-    effects: Effects = []
-    if control.leading:
-        for keyed in control.keyed.values():
-            effects.extend(append_table(gateway, keyed, now))
-    effects.extend(step_down(gateway, 'the process stops'))
-    return [*effects, LeaveGroup()]
-
-
 def _update(gateway: Gateway, now: Seconds) -> Effects:
     control = gateway.control
     if not control.leading:
         return _retry_read(gateway, now)
+    if gateway.stopping_since is not None:
+        return continue_resigning(gateway, now)
     effects = _add_services(gateway, now)
     if control.end is None:
         effects.extend(_retry_read(gateway, now))
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -192,7 +192,7 @@
     server = None
     if partition.incarnation is not None:
         server = gateway.registry.find_incarnation(partition.incarnation)
-    if server is None or _is_renewal_over(keyed, now):
+    if server is None or keyed.resigned or _is_renewal_over(keyed, now):
         return []
     hold = find_hold_in_force(gateway, keyed)
     if partition.failing_since is not None:
@@ -263,7 +263,7 @@
     partition: Partition,
 ) -> Effects:
     """Send the release of a partition."""
-    if partition.incarnation is None:
+    if partition.incarnation is None or keyed.resigned:
         return []
     address = gateway.control.addresses.get(partition.incarnation)
     if address is None:
--- a/trefoilsaddle/gateway/restoring.py
+++ b/trefoilsaddle/gateway/restoring.py
@@ -62,6 +62,8 @@
     keyed.table_due = True
     keyed.pending = None
     keyed.lapsing_until = None
+    # A last table of the era before is not in force.
+    keyed.resigned = False
     for partition in keyed.partitions.ordered:
         _begin_wait(partition, keyed.unknown_until, now)
 
