Refuse the first grants of a suspended controller of lost tables

Two owners (OWNER): the controller is cut off, its successor stores a table and is suspended before it sends a grant; the store comes back from a copy without that table and names the old controller. Its holders all confirm, it moves keys, and the successor goes on within its 12 s: it grants the keys to their old holder, whose newest token is older than that of the lost table.

Confirmation showed only that no newer grant had arrived. Once all holders have confirmed, the next table now has a token of the present era for each row, and a holder has to accept it before its keys are given away, as after a takeover; the table names the possible controllers until then. The earlier token is renewed until that table is stored, so that no key lapses meanwhile. Keys that were released when the store came back go to their last holder, for the same reason.

Open: keys that the lost tables had given to a third server while the successor's earlier grants all got lost, and released keys whose last holder drains; both need a suspended controller.

--- a/tests/test_gatewaysuccessors.py
+++ b/tests/test_gatewaysuccessors.py
@@ -359,6 +359,43 @@
     world.run(_MAX_UNKNOWN_TIME)
 
 
+# Guards against two owners when a controller of lost tables was suspended before
+# it sent its first grants.
+@pytest.mark.parametrize('seed', range(3))
+def test_grants_of_a_suspended_successor_are_refused(
+    seed: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Give no keys away that an earlier controller may still grant."""
+    world = _build_scene(monkeypatch, seed)
+    _send_load(world, Random(seed))
+    world.run(1)
+    old = _find_controller(world)
+    copy = world.store.copy()
+    ended = world.store.find_end(Topic.ownership)
+    old.store_cut = True
+    old.peers_cut = True
+    other = old
+    while other is old or world.store.find_end(Topic.ownership) == ended:
+        world.run(0.001)
+        other = _find_leading(world, old)
+    assert isinstance(world, _FreezingWorld)
+    world.freeze(other, 9)
+    world.faults.store_down = True
+    world.run(0.5)
+    _reconnect(world)
+    _return_to(world, copy, old)
+    world.run(_MAX_UNKNOWN_TIME)
+    assert list_unowned(world) == []
+
+
+def _find_leading(world: World, old: Process) -> Process:
+    for process in world.processes.values():
+        if process is not old and process.gateway.control.leading:
+            return process
+    return old
+
+
 def _cut_off(process: Process, *, cut: bool = True) -> None:
     process.store_cut = cut
     process.peers_cut = cut
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -36,6 +36,7 @@
 )
 from trefoilsaddle.gateway.peers import dial
 from trefoilsaddle.gateway.restoring import (
+    adopt_tokens,
     end_wait,
     find_time_left,
     lacks_confirmations,
@@ -448,6 +449,7 @@
             and partition.fence == fence
         ):
             partition.enter_state(PartitionState.granting, now)
+    adopt_tokens(keyed, pending.table, fence, now)
     keyed.partitions.join_stored(pending.table.assignments, now)
     keyed.partitions.revision += 1
     line = log_event(
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -347,11 +347,12 @@
     partition.handover = ''
     if partition.incarnation is not None:
         gateway.control.suspicions.record_confirmed(partition.incarnation, now)
-    if partition.inherited:
+    if partition.inherited and not partition.token_due:
         # The server now refuses every earlier controller, but a grant of one
         # that arrived before may still take effect.
         partition.inherited = False
-        partition.shorten_inherited(find_grant_end(keyed.inherited_hold, now))
+        hold = partition.hold if keyed.restored else keyed.inherited_hold
+        partition.shorten_inherited(find_grant_end(hold, now))
     interval = find_renewal_interval(gateway, partition.hold)
     partition.next_call = Seconds(now + interval)
     if partition.state == PartitionState.granting:
@@ -414,6 +415,7 @@
     handover: str = '',
 ) -> Effects:
     line = _describe_grant(partition, now, 'keys are free', reason)
+    partition.last_holder = partition.incarnation
     partition.set_free(now, handover)
     if keyed.unknown_until is not None:
         # Only a release shows that no later holder is named by a lost table.
--- a/trefoilsaddle/gateway/partitions.py
+++ b/trefoilsaddle/gateway/partitions.py
@@ -77,6 +77,8 @@
     unanswered_until: Seconds = Seconds(0)
     # Handover reference that the last holder returned; empty if there is none.
     handover: str = ''
+    # Holder that released the keys last; meaningful only while they are free.
+    last_holder: ServerIncarnation | None = None
     # Server chosen to get the keys next, if any.
     target: ServerId | None = None
     # True while an order for the partition is unanswered.
@@ -91,6 +93,8 @@
     inherited: bool = False
     # True if another controller's table names its holder as confirmed.
     imported: bool = False
+    # True until its holder is granted the keys with a token of the present era.
+    token_due: bool = False
     # Time at which the state was entered.
     since: Seconds = Seconds(0)
     # Time at which the keys became free; None once a holder has confirmed them.
@@ -151,6 +155,7 @@
         self.restarted = False
         self.inherited = False
         self.imported = False
+        self.token_due = False
         self.granted_until = Seconds(0)
         self.inherited_until = Seconds(0)
         self.unanswered_until = Seconds(0)
@@ -229,7 +234,7 @@
             row = Assignment(
                 partition.keys,
                 partition.incarnation,
-                partition.fence,
+                fence if partition.token_due else partition.fence,
                 partition.confirmed,
             )
             if last is not None and _can_join(last, partition):
--- a/trefoilsaddle/gateway/restoring.py
+++ b/trefoilsaddle/gateway/restoring.py
@@ -138,6 +138,8 @@
             partition.inherited_until = Seconds(0)
         if partition.state == PartitionState.free:
             partition.inherited = False
+    if keyed.restored and now < until:
+        _require_tokens(keyed, until)
 
 
 def shorten_waits(
@@ -174,6 +176,11 @@
         partition.set_free(now, partition.handover)
         partition.target = None if incarnation is None else incarnation.server
     partition.imported = False
+    partition.token_due = False
+    if partition.handover and partition.last_holder is not None:
+        # A suspended controller of lost tables may grant it the released keys;
+        # with a newer grant of them it refuses.
+        partition.target = partition.last_holder.server
     if partition.granted:
         partition.next_call = now
     # Released keys belong to nobody; any others have to be confirmed.
@@ -188,6 +195,44 @@
     return min(gateway.unknown_ends.get(keyed.service, until), until)
 
 
+def _require_tokens(keyed: KeyedControl, until: Seconds) -> None:
+    """Have the holders accept a token above those of all lost tables.
+
+    Until then a controller that was suspended may grant them the keys.
+    """
+    for partition in keyed.partitions.ordered:
+        if partition.granted:
+            partition.token_due = True
+            partition.inherited = True
+            partition.imported = True
+            partition.inherited_until = until
+
+
+def adopt_tokens(
+    keyed: KeyedControl,
+    table: OwnershipTable,
+    fence: int,
+    now: Seconds,
+) -> None:
+    """Grant keys with the tokens of an accepted table where they are due."""
+    renewed = {row.keys for row in table.assignments if row.fence == fence}
+    for partition in keyed.partitions.ordered:
+        due = partition.token_due and partition.granted
+        if due and partition.keys in renewed:
+            _adopt_token(partition, fence, now)
+
+
+def _adopt_token(partition: Partition, fence: int, now: Seconds) -> None:
+    if partition.call_pending:
+        # The answer is for the earlier token, so that it will be ignored.
+        call = CONNECT_TIMEOUT + MAX_CALL_DELAY
+        partition.extend_hold(partition.hold, Seconds(now + call))
+        partition.call_pending = False
+    partition.token_due = False
+    partition.fence = fence
+    partition.enter_state(PartitionState.granting, now)
+
+
 def _are_holders_known(keyed: KeyedControl) -> bool:
     # A controller whose servers all confirm its grants was not replaced: its
     # successor would have granted the same keys with a higher token.
