--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -5,7 +5,6 @@
 from trefoilsaddle.core.units import NodeId, Seconds, ServiceName
 from trefoilsaddle.gateway import updates
 from trefoilsaddle.gateway.assigning import (
-    append_table,
     assign_free,
     find_loads,
     handle_append_ended,
@@ -21,10 +20,9 @@
 from trefoilsaddle.gateway.effects import (
     Component,
     Effects,
-    LeaveGroup,
     SetTimer,
 )
-from trefoilsaddle.gateway.election import read_tables, step_down
+from trefoilsaddle.gateway.election import read_tables
 from trefoilsaddle.gateway.events import (
     AppendEnded,
     Event,
@@ -48,7 +46,11 @@
 from trefoilsaddle.gateway.pacing import bound_moves, count_changing
 from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.peers import hear_limits, request_configuration
-from trefoilsaddle.gateway.restoring import is_outdated
+from trefoilsaddle.gateway.resigning import (
+    begin_resigning,
+    continue_resigning,
+)
+from trefoilsaddle.gateway.restoring import may_be_stored_again
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.takeover import (
     record_resigned,
@@ -81,7 +83,7 @@
         case ReportReceived():
             return handle_report(gateway, now, event.report)
         case StopRequested():
-            return _resign(gateway)
+            return begin_resigning(gateway, now)
     return []
 
 
@@ -135,7 +137,8 @@
     """Return whether the last controller may still store its tables again."""
     control = gateway.control
     if not any(
-        is_outdated(gateway, stored) for stored in gateway.tables.values()
+        may_be_stored_again(gateway, stored)
+        for stored in gateway.tables.values()
     ):
         return False
     if control.outdated_since is None:
@@ -143,20 +146,12 @@
     return now - control.outdated_since < _RESTORE_TIME
 
 
-def _resign(gateway: Gateway) -> Effects:
-    control = gateway.control
-    effects: Effects = []
-    if control.leading:
-        for keyed in control.keyed.values():
-            effects.extend(append_table(gateway, keyed))
-    effects.extend(step_down(gateway, 'the process stops'))
-    return [*effects, LeaveGroup()]
-
-
 def _update(gateway: Gateway, now: Seconds) -> Effects:
     control = gateway.control
     if not control.leading:
         return _retry_read(gateway, now)
+    if gateway.stopping_since is not None:
+        return continue_resigning(gateway, now)
     effects = _add_services(gateway, now)
     if control.end is None:
         effects.extend(_retry_read(gateway, now))
