Answer HEAD requests that a gateway ends itself

Callers saw: a HEAD request that had been passed on ended with a closed connection when its outcome was unknown or its time was over, and likewise when it was refused. Cause: the gateway's own answers have a body, h11 takes none in the answer to HEAD, and the error counted as a caller that has gone.

The parser of a request is now told no body if the request was HEAD; the length stays that of the body.

--- a/tests/test_gatewaycallers.py
+++ b/tests/test_gatewaycallers.py
@@ -92,6 +92,11 @@
         b'431',
         b'header_too_large',
     ),
+    'oversize-head-without-body': _Bad(
+        b'HEAD / HTTP/1.1\r\nhost: a\r\nx: %b\r\n\r\n' % (b'y' * 400),
+        b'431',
+        b'\r\n\r\n',
+    ),
     'oversize-head-in-parts': _Bad(
         b'GET / HTTP/1.1\r\nhost: a\r\nx: %b' % (b'y' * 400),
         b'431',
--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -22,7 +22,7 @@
 from trefoilsaddle.http.budget import AnswerBudget
 from trefoilsaddle.http.messages import Headers, HttpAnswer
 from trefoilsaddle.http.pipeline import CallerService, Exchange, Pipeline
-from trefoilsaddle.http.requests import BadInput, RequestReader
+from trefoilsaddle.http.requests import BadInput, ReceivedRequest, RequestReader
 
 _CLOSE = (b'connection', b'close')
 _LENGTH = b'content-length'
@@ -137,7 +137,7 @@
     async def _answer_first(self, exchange: Exchange) -> bool:
         received = exchange.received
         if isinstance(received.request, BadInput):
-            await self._refuse(received.parser, received.request)
+            await self._refuse(received, received.request)
             return False
         if exchange.started:
             await exchange.answered.wait()
@@ -147,7 +147,7 @@
         if answer is None:
             return False
         with self.budget.hold(len(answer.body)):
-            await self._write(received.parser, answer)
+            await self._write(received, answer)
         return received.parser.our_state is h11.DONE and not received.is_last
 
     def _finish_first(self, nursery: trio.Nursery) -> None:
@@ -157,7 +157,11 @@
             self._idle.set()
             self._limit_idle_time()
 
-    async def _write(self, parser: h11.Connection, answer: HttpAnswer) -> None:
+    async def _write(
+        self, received: ReceivedRequest, answer: HttpAnswer
+    ) -> None:
+        parser = received.parser
+        body = b'' if received.head_only else answer.body
         headers = [
             *answer.headers,
             (_LENGTH, b'%d' % len(answer.body)),
@@ -165,7 +169,7 @@
         if self._pipeline.may_close():
             headers.append(_CLOSE)
         parts = [parser.send(_build_head(answer, tuple(headers)))]
-        parts.append(parser.send(h11.Data(data=answer.body)))
+        parts.append(parser.send(h11.Data(data=body)))
         parts.append(parser.send(h11.EndOfMessage()))
         scope = trio.move_on_after(_WRITE_TIMEOUT)
         with scope:
@@ -173,16 +177,16 @@
         if scope.cancelled_caught:
             sockets.abort(self.stream)
 
-    async def _refuse(self, parser: h11.Connection, bad: BadInput) -> None:
+    async def _refuse(self, received: ReceivedRequest, bad: BadInput) -> None:
         answer = self.service.refuse(bad)
         closing = HttpAnswer(
             answer.status,
             (*answer.headers, _CLOSE),
             answer.body,
         )
-        if parser.our_state is h11.ERROR:
+        if received.parser.our_state is h11.ERROR:
             return
-        await self._write(parser, closing)
+        await self._write(received, closing)
         with trio.move_on_after(_DISCARD_TIMEOUT):
             await self.stream.send_eof()
             self._refused = True
--- a/trefoilsaddle/http/requests.py
+++ b/trefoilsaddle/http/requests.py
@@ -20,6 +20,7 @@
 
 _CHUNK_BYTES = 65_536
 _LENGTH = b'content-length'
+_HEAD = b'HEAD'
 # Limit on receiving a whole body; requests time out earlier than that.
 _BODY_TIMEOUT = Seconds(10)
 
@@ -40,6 +41,8 @@
     parser: h11.Connection
     # Time at which it was received completely, by the event loop's clock.
     at: float
+    # True if its answer has no body.
+    head_only: bool = False
 
     @property
     def is_last(self) -> bool:
@@ -59,6 +62,7 @@
     wait_for_turn: Callable[[], Awaitable[None]]
     # Time at which a connection without requests is closed.
     idle_until: float = inf
+    _head_only: bool = False
     _rest: bytes = b''
     _idle_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
@@ -72,6 +76,7 @@
             return None
         parser.receive_data(self._rest)
         self._rest = b''
+        self._head_only = False
         try:
             request = await self._read_request(parser, limits)
         except h11.RemoteProtocolError as error:
@@ -79,7 +84,9 @@
         if request is None:
             return None
         self._rest = parser.trailing_data[0]
-        return ReceivedRequest(request, parser, trio.current_time())
+        return ReceivedRequest(
+            request, parser, trio.current_time(), self._head_only
+        )
 
     async def wait_for_end(self, scope: trio.CancelScope) -> bool:
         """Keep early bytes until the scope ends; return False if all came."""
@@ -126,6 +133,7 @@
                 )
         if not isinstance(head, h11.Request):
             return None
+        self._head_only = head.method == _HEAD
         bad = _check_head(head, limits)
         if bad is not None:
             return bad
