Keep an answer that a caller takes no bytes of for some seconds

Callers saw: a connection reset in the middle of an answer, or before it, where they or the link took no bytes for 4 s. Cause: TCP_USER_TIMEOUT of 4 s, meant for servers, gateways and the store, was set on callers' connections too; unacknowledged bytes of that age make the kernel discard the answer and end the connection, and with it all its requests. An answer may wait as long behind other bytes on the gateway's link (reads of tables and copies of a configuration have filled links for 2 to 6 s) while its caller still waits.

The limit for callers is now 12 s, longer than any caller waits; writes keep their limit of 10 s, idle connections theirs.

--- a/trefoilsaddle/http/sockets.py
+++ b/trefoilsaddle/http/sockets.py
@@ -11,6 +11,9 @@
 
 # Time after which unacknowledged bytes close a connection.
 _MAX_UNACKNOWLEDGED_MS = 4000
+# The same for callers: longer than any of them waits for an answer, so that no
+# answer is discarded while it is wanted.
+_MAX_UNACKNOWLEDGED_BY_CALLER_MS = 12_000
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _BACKLOG = 1024
 # Wait for a refusal after a connection was established, in round trips, and the
@@ -41,13 +44,22 @@
 
 def set_options(stream: trio.SocketStream) -> None:
     """Close the connection if the other end stops acknowledging."""
+    _limit_unacknowledged(stream, _MAX_UNACKNOWLEDGED_MS)
+
+
+def set_caller_options(stream: trio.SocketStream) -> None:
+    """Close a connection if its caller has long stopped acknowledging."""
+    _limit_unacknowledged(stream, _MAX_UNACKNOWLEDGED_BY_CALLER_MS)
+
+
+def _limit_unacknowledged(stream: trio.SocketStream, limit_ms: int) -> None:
     # Fails if the other end has already reset the connection; the next read
     # reports that.
     with suppress(OSError):
         stream.setsockopt(
             socket.IPPROTO_TCP,
             socket.TCP_USER_TIMEOUT,
-            _MAX_UNACKNOWLEDGED_MS,
+            limit_ms,
         )
 
 
--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -76,9 +76,9 @@
     options = settings.options
     budget = shell.calls.servers.budget
     served = (
-        (settings.callers, partial(_serve_caller, shell.calls, budget)),
-        (settings.ready, partial(_serve_caller, readiness, budget)),
-        (settings.metrics, partial(_serve_caller, readiness, budget)),
+        (settings.callers, partial(serve_caller, shell.calls, budget)),
+        (settings.ready, partial(serve_caller, readiness, budget)),
+        (settings.metrics, partial(serve_caller, readiness, budget)),
         (Address(options.host, options.port), shell.controller.serve),
     )
     for address, serve_connection in served:
@@ -91,12 +91,13 @@
     return None
 
 
-async def _serve_caller(
+async def serve_caller(
     service: CallerService,
     budget: AnswerBudget,
     stream: trio.SocketStream,
 ) -> None:
-    sockets.set_options(stream)
+    """Serve a connection of a caller, or of the platform."""
+    sockets.set_caller_options(stream)
     await CallerConnection(service, stream, budget).serve()
 
 
