Log callers' connections that end with unanswered requests

A caller that left, a connection whose bytes were not acknowledged, a slow reader, an idle limit, a gateway's own close and the end of the process all ended requests alike: at most by the line `caller left`. So LOST could not be traced from the logs.

A connection that ends no longer starts a request behind one that was given up (it was cancelled before it could be sent).

--- a/tests/test_gatewaylostanswers.py
+++ b/tests/test_gatewaylostanswers.py
@@ -1,7 +1,7 @@
 """Test that no accepted request ends without an answer."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 import pytest
@@ -13,6 +13,7 @@
 from trefoilsaddle.gateway.configuration import CallerLimits
 from trefoilsaddle.http import sockets
 from trefoilsaddle.http.budget import AnswerBudget
+from trefoilsaddle.http.connectionend import ConnectionEnd, EndReason
 from trefoilsaddle.http.messages import HttpAnswer, HttpRequest
 from trefoilsaddle.http.pipeline import CallerService
 from trefoilsaddle.http.requests import BadInput
@@ -32,6 +33,7 @@
     seconds: float = 0
     limits: CallerLimits = LIMITS
     requests: list[HttpRequest] = field(default_factory=list)
+    ends: list[ConnectionEnd] = field(default_factory=list)
 
     def read_limits(self) -> CallerLimits:
         """Return the limits of the test case."""
@@ -57,6 +59,10 @@
         """Answer with the name of the result code."""
         return HttpAnswer(bad.status, (), bad.code.name.encode())
 
+    def record_end(self, end: ConnectionEnd) -> None:
+        """Keep how the connection ended."""
+        self.ends.append(end)
+
 
 async def _read_head(stream: trio.SocketStream) -> bytes:
     received = b''
@@ -123,3 +129,120 @@
             received += len(part)
 
     trio.run(_use_gateway_connection, service, use)
+
+
+async def _close(stream: trio.SocketStream) -> None:
+    await stream.aclose()
+
+
+async def _reset(stream: trio.SocketStream) -> None:
+    sockets.abort(stream)
+
+
+async def _wait(stream: trio.SocketStream) -> None:
+    await trio.sleep_forever()
+
+
+async def _send_nonsense(stream: trio.SocketStream) -> None:
+    await stream.send_all(b'nonsense\r\n\r\n')
+    await stream.receive_some()
+    await stream.aclose()
+
+
+@dataclass(frozen=True, slots=True)
+class _End:
+    """How a caller, or the service, ends a connection, and what is logged."""
+
+    reason: EndReason
+    act: Callable[[trio.SocketStream], Awaitable[None]]
+    seconds: float = 9
+    limits: CallerLimits = LIMITS
+    sent: bytes = _GET + _GET
+    unanswered: int = 2
+    unwritten: int = 0
+
+
+_ENDS = {
+    'closed': _End(EndReason.caller_closed, _close),
+    'reset': _End(EndReason.caller_reset, _reset),
+    'one after the other': _End(
+        EndReason.caller_closed, _close, sent=_POST + _GET, unanswered=1
+    ),
+    'closed with unread answers': _End(
+        EndReason.caller_reset, _close, seconds=0, unanswered=0
+    ),
+    'idle': _End(
+        EndReason.idle,
+        _wait,
+        seconds=0,
+        limits=replace(LIMITS, idle_timeout=Seconds(0.1)),
+        unanswered=0,
+    ),
+    'invalid request': _End(
+        EndReason.refused, _send_nonsense, seconds=0, unanswered=0
+    ),
+    'last by its own word': _End(
+        EndReason.answered,
+        _wait,
+        seconds=0,
+        sent=_GET.replace(b'host', b'connection: close\r\nhost'),
+        unanswered=0,
+    ),
+}
+
+
+# Guards against connections that end without a trace of what was unanswered.
+@pytest.mark.parametrize('case', _ENDS.values(), ids=_ENDS)
+def test_end_of_a_connection_is_described(case: _End) -> None:
+    """Name the reason, and count the requests that were not answered."""
+    service = _Service(status=200, seconds=case.seconds, limits=case.limits)
+
+    async def use(stream: trio.SocketStream) -> None:
+        await stream.send_all(case.sent)
+        while not service.requests:
+            await trio.sleep(0.01)
+        await trio.sleep(0.05)
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(case.act, stream)
+                while not service.ends:
+                    await trio.sleep(0.01)
+                scope.cancel()
+
+    serve_caller(service, use)
+    end = service.ends[0]
+    assert end.reason is case.reason
+    assert end.unanswered == case.unanswered
+    assert end.unwritten == case.unwritten
+    assert bool(end.oldest) == bool(case.unanswered)
+
+
+def test_end_by_the_process_is_described() -> None:
+    """Count the requests that run when the process ends."""
+    service = _Service(seconds=9)
+
+    async def use(stream: trio.SocketStream) -> None:
+        await stream.send_all(_GET)
+        while not service.requests:
+            await trio.sleep(0.01)
+
+    serve_caller(service, use)
+    assert service.ends[0].reason is EndReason.interrupted
+    assert service.ends[0].unanswered == 1
+
+
+def test_answer_that_is_not_acknowledged_is_described(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Tell a connection that timed out from one that its caller closed."""
+    monkeypatch.setattr(sockets, '_MAX_UNACKNOWLEDGED_BY_CALLER_MS', 300)
+    service = _Service(body=bytes(_LARGE), status=200)
+
+    async def use(stream: trio.SocketStream) -> None:
+        await stream.send_all(_GET)
+        while not service.ends:
+            await trio.sleep(0.05)
+
+    trio.run(_use_gateway_connection, service, use)
+    assert service.ends[0].reason is EndReason.unacknowledged
+    assert service.ends[0].unwritten == 1
--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -20,6 +20,7 @@
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.http import sockets
 from trefoilsaddle.http.budget import AnswerBudget
+from trefoilsaddle.http.connectionend import EndReason, find_reason
 from trefoilsaddle.http.messages import Headers, HttpAnswer
 from trefoilsaddle.http.pipeline import CallerService, Exchange, Pipeline
 from trefoilsaddle.http.requests import BadInput, ReceivedRequest, RequestReader
@@ -52,6 +53,8 @@
     _refused: bool = False
     # Cancelled to let the reader look whether it may go on.
     _pause: trio.CancelScope = field(default_factory=trio.CancelScope)
+    # Why the connection ends; the first reason counts.
+    _reason: EndReason | None = None
 
     def __post_init__(self) -> None:
         """Prepare to read the first request."""
@@ -64,11 +67,19 @@
         """Answer requests until either end closes the connection."""
         with ExitStack() as stack:
             stack.callback(sockets.close, self.stream)
+            stack.callback(self._report_end)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read_requests, nursery)
                 await self._answer_requests(nursery)
                 nursery.cancel_scope.cancel()
 
+    def _report_end(self) -> None:
+        reason = self._reason or EndReason.interrupted
+        self.service.record_end(self._pipeline.describe_end(reason))
+
+    def _set_reason(self, reason: EndReason) -> None:
+        self._reason = self._reason or reason
+
     # Reading.
 
     async def _read_requests(self, nursery: trio.Nursery) -> None:
@@ -77,8 +88,15 @@
         while more:
             try:
                 more = await self._read_request(nursery)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
+            except (
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ) as error:
+                self._set_reason(find_reason(error))
                 more = False
+        self._set_reason(
+            EndReason.idle if self._reader.was_idle else EndReason.caller_closed
+        )
         # Whether the caller has left or was idle for too long, nothing that is
         # still unanswered is wanted.
         self._pipeline.leave()
@@ -122,11 +140,15 @@
             except (
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
-                h11.LocalProtocolError,
-            ):
+            ) as error:
                 # The caller has gone; cancelling `answer` tells the service.
+                self._set_reason(find_reason(error))
+                return
+            except h11.LocalProtocolError:
+                self._set_reason(EndReason.invalid_answer)
                 return
-            self._finish_first(nursery)
+            if more:
+                self._finish_first(nursery)
 
     async def _wait_for_first(self) -> Exchange | None:
         while self._pipeline.first is None and not self._pipeline.left:
@@ -137,6 +159,7 @@
     async def _answer_first(self, exchange: Exchange) -> bool:
         received = exchange.received
         if isinstance(received.request, BadInput):
+            self._set_reason(EndReason.refused)
             await self._refuse(received, received.request)
             return False
         if exchange.started:
@@ -145,10 +168,15 @@
             await exchange.run(self.service, received.request)
         answer = exchange.answer
         if answer is None:
+            self._set_reason(EndReason.no_answer)
             return False
         with self.budget.hold(len(answer.body)):
             await self._write(received, answer)
-        return received.parser.our_state is h11.DONE and not received.is_last
+        exchange.written.set()
+        if received.parser.our_state is h11.DONE and not received.is_last:
+            return True
+        self._set_reason(EndReason.answered)
+        return False
 
     def _finish_first(self, nursery: trio.Nursery) -> None:
         self._pipeline.remove_first(nursery)
@@ -175,7 +203,9 @@
         with scope:
             await self.stream.send_all(b''.join(part for part in parts if part))
         if scope.cancelled_caught:
+            self._set_reason(EndReason.write_timeout)
             sockets.abort(self.stream)
+            raise trio.ClosedResourceError
 
     async def _refuse(self, received: ReceivedRequest, bad: BadInput) -> None:
         answer = self.service.refuse(bad)
--- a/trefoilsaddle/http/pipeline.py
+++ b/trefoilsaddle/http/pipeline.py
@@ -14,6 +14,7 @@
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.configuration import CallerLimits
 from trefoilsaddle.http.budget import AnswerBudget
+from trefoilsaddle.http.connectionend import ConnectionEnd, EndReason
 from trefoilsaddle.http.messages import HttpAnswer, HttpRequest
 from trefoilsaddle.http.requests import BadInput, ReceivedRequest
 
@@ -48,6 +49,9 @@
     def refuse(self, bad: BadInput) -> HttpAnswer:
         """Build the answer to an invalid request."""
 
+    def record_end(self, end: ConnectionEnd) -> None:
+        """Take note of how a connection ended."""
+
 
 @dataclass(slots=True)
 class Exchange:
@@ -135,6 +139,19 @@
         for exchange in self.unanswered:
             exchange.scope.cancel()
 
+    def describe_end(self, reason: EndReason) -> ConnectionEnd:
+        """Describe what the end of the connection leaves unanswered."""
+        started = [
+            exchange
+            for exchange in self.unanswered
+            if exchange.started and not exchange.written.is_set()
+        ]
+        now = trio.current_time()
+        ages = [now - exchange.received.at for exchange in started]
+        unwritten = sum(exchange.answer is not None for exchange in started)
+        oldest = Seconds(max(ages, default=0))
+        return ConnectionEnd(reason, len(started), unwritten, oldest)
+
     def _start_ahead(self, nursery: trio.Nursery) -> None:
         if len(self.unanswered) <= 1 or self.service.is_closing():
             return
--- a/trefoilsaddle/http/requests.py
+++ b/trefoilsaddle/http/requests.py
@@ -66,6 +66,11 @@
     _rest: bytes = b''
     _idle_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
+    @property
+    def was_idle(self) -> bool:
+        """Return whether the last wait for a first byte took too long."""
+        return self._idle_scope.cancelled_caught
+
     async def read(self) -> ReceivedRequest | None:
         """Return the next request, or None once there is none."""
         limits = self.read_limits()
--- a/trefoilsaddle/programs/gatewaycalls.py
+++ b/trefoilsaddle/programs/gatewaycalls.py
@@ -1,7 +1,7 @@
 """Connect callers' requests and server attempts with the reducer."""
 
-from collections.abc import Callable, Iterator, Mapping
-from contextlib import ExitStack, contextmanager
+from collections.abc import Callable, Mapping
+from contextlib import ExitStack
 from dataclasses import dataclass, field, replace
 from functools import partial
 from math import inf
@@ -13,10 +13,12 @@
 from trefoilsaddle.gateway.configuration import CallerLimits
 from trefoilsaddle.gateway.effects import (
     CancelAttempts,
+    Component,
     DeliverAnswer,
     EndCall,
     SendAttempt,
     SetCallTimer,
+    WriteDecision,
 )
 from trefoilsaddle.gateway.events import (
     AttemptEnded,
@@ -27,9 +29,11 @@
     RequestArrived,
     RequestHead,
 )
+from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.servers import ServerIncarnation
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.http.budget import AnswerBudget
+from trefoilsaddle.http.connectionend import ConnectionEnd
 from trefoilsaddle.http.exchange import AnswerMatcher
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.pipeline import CallerService
@@ -201,8 +205,8 @@
         with ExitStack() as held:
             pending = _PendingCall(request, head, held, self.servers.budget)
             self.pending[call] = pending
-            with self._report_leaving(call, pending):
-                await self._wait_for_end(call, pending)
+            held.callback(self._forget_call, call, pending)
+            await self._wait_for_end(call, pending)
         return pending.answer
 
     def refuse(self, bad: BadInput) -> HttpAnswer:
@@ -210,6 +214,11 @@
         text = RefusalText(bad.status, 0, bad.code.name)
         return self.dialect.build_refusal(text, '')
 
+    def record_end(self, end: ConnectionEnd) -> None:
+        """Log the end of a connection that left requests unanswered."""
+        if end.lost_bytes:
+            self.containment.write(_build_end_line(end))
+
     def set_timer(self, effect: SetCallTimer) -> None:
         """Set the time at which a request expires."""
         pending = self.pending.get(effect.call)
@@ -249,16 +258,8 @@
         pending.answer = self.dialect.build_refusal(text, request_id)
         pending.ended.set()
 
-    @contextmanager
-    def _report_leaving(
-        self, call: CallId, pending: _PendingCall
-    ) -> Iterator[None]:
-        """Report to the reducer if the caller leaves before the answer."""
-        with ExitStack() as stack:
-            stack.callback(self._forget_call, call, pending)
-            yield
-
     def _forget_call(self, call: CallId, pending: _PendingCall) -> None:
+        """Report to the reducer if the caller leaves before the answer."""
         self.pending.pop(call)
         if pending.answer is None:
             self.feed(CallerLeft(call))
@@ -317,6 +318,17 @@
     return AttemptEnded(effect.call, effect.attempt, AttemptVerdict.lost, 0)
 
 
+def _build_end_line(end: ConnectionEnd) -> WriteDecision:
+    return log_event(
+        Component.forwarding,
+        'connection of a caller ended',
+        reason=end.reason.value,
+        unanswered=end.unanswered,
+        unwritten=end.unwritten,
+        oldest=round(end.oldest, 3),
+    )
+
+
 def _cancel_scopes(pending: _PendingCall) -> None:
     for scope in pending.scopes.values():
         scope.cancel()
