Answer a request whose step of the reducer has failed

Callers saw: a closed connection, or none, in place of an answer. Cause: an unexpected error in a step of the reducer is logged and its effects are dropped. If that was the result of an attempt, nothing ended the request but its expiry, and if that failed too the service returned no answer, which closes the connection after the request has been passed on. If it was the arrival, no timer was set and the request waited until its caller left.

Ruled out: any other way to end without an answer in the reducer (each removal of a call is followed by DeliverAnswer or EndCall, or follows CallerLeft).

Red before: test_failed_step_leaves_no_request_unanswered (4 of 5 cases; the other has no fault). A request now expires by the caller's own time if no timer is set, and one that the reducer has not ended by then is answered 504, which promises nothing; its attempts are cancelled and the reducer is told.

--- a/trefoilsaddle/programs/gatewaycalls.py
+++ b/trefoilsaddle/programs/gatewaycalls.py
@@ -4,7 +4,6 @@
 from contextlib import ExitStack
 from dataclasses import dataclass, field, replace
 from functools import partial
-from math import inf
 from types import MappingProxyType
 
 import trio
@@ -43,6 +42,7 @@
 from trefoilsaddle.ports import Dialect, RefusalText
 from trefoilsaddle.programs.containment import Containment
 from trefoilsaddle.programs.gatewaystatuses import find_refusal_status
+from trefoilsaddle.results import ResultCode
 
 # Limits until the first configuration has been read.
 _FIRST_LIMITS = CallerLimits(
@@ -81,10 +81,14 @@
     budget: AnswerBudget
     answer: HttpAnswer | None = None
     ended: trio.Event = field(default_factory=trio.Event)
-    expires: float = inf
+    # Time at which the request expires, also if the reducer sets no timer.
+    expires: float = field(init=False)
     answers: dict[int, HttpAnswer] = field(default_factory=dict)
     scopes: dict[int, trio.CancelScope] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.expires = trio.current_time() + self.head.remaining
+
     def store_answer(self, attempt: int, answer: HttpAnswer) -> None:
         """Store the answer of an attempt until the request has ended."""
         self.answers[attempt] = answer
@@ -273,6 +277,8 @@
             await pending.ended.wait()
         if not pending.ended.is_set():
             self.feed(CallExpired(call))
+        if not pending.ended.is_set():
+            _give_up(self, call, pending)
 
     async def _run_attempt(
         self,
@@ -329,6 +335,14 @@
     )
 
 
+def _give_up(calls: GatewayCalls, call: CallId, pending: _PendingCall) -> None:
+    # A step of the reducer has failed: the request may have run.
+    _cancel_scopes(pending)
+    calls.feed(CallerLeft(call))
+    code = ResultCode.deadline_passed
+    calls.end_call(EndCall(call, code, not_run=False, retry_after=Seconds(0)))
+
+
 def _cancel_scopes(pending: _PendingCall) -> None:
     for scope in pending.scopes.values():
         scope.cancel()
