Report settings with bad addresses or speeds instead of failing on them

Callers saw (with such a file): all connections of a gateway cut. Cause: after a SIGHUP the settings are read again in the task that waits for signals, and an address without a port, or a speed of 0, raised there, which ended the process and with it every request in flight.

Ruled out: files that are missing, are no TOML or lack keys; they were reported already.

Red before: test_bad_settings_name_file_and_key, 5 new cases of 6.

--- a/tests/test_platformadapter.py
+++ b/tests/test_platformadapter.py
@@ -475,6 +475,12 @@
     'heartbeat': _SETTINGS.replace('"870ms"', '870'),
     'platform': _SETTINGS.partition('[platform]')[0],
     'TOML': 'node =',
+    'listen.front': _SETTINGS.replace('10.0.0.1:8548', '10.0.0.1'),
+    'listen.ready': _SETTINGS.replace('"10.0.0.1:8542"', '8542'),
+    'platform.address': _SETTINGS.replace('10.200.1.7:8541', '10.200.1.7:x'),
+    'limits.cpuShare': _SETTINGS.replace('cpuShare = 0.5', 'cpuShare = 0'),
+    'limits.cores': _SETTINGS.replace('cores = 3', 'cores = -1'),
+    'internalPorts': _SETTINGS.replace('[7540, 7555]', '[]'),
 }
 
 
@@ -498,6 +504,8 @@
     assert settings.options.heartbeat == Seconds(0.87)
 
 
+# Guards against a process that ends, and cuts its requests, because it reads
+# bad settings again.
 @pytest.mark.parametrize('key', _BAD_SETTINGS)
 def test_bad_settings_name_file_and_key(tmp_path: Path, key: str) -> None:
     """Name the file and the invalid key."""
--- a/trefoilsaddle/platform/settings.py
+++ b/trefoilsaddle/platform/settings.py
@@ -3,8 +3,9 @@
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
-from pydantic import Field, ValidationError
+from pydantic import BeforeValidator, Field, ValidationError
 
 from trefoilsaddle.core.errors import Failure
 from trefoilsaddle.core.units import NodeId, RegionName, Seconds, ZoneName
@@ -23,11 +24,29 @@
 _ORDER_PROCESSOR_TIME = 0.0028
 
 
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Hold a host and a port."""
+
+    host: str
+    port: int
+
+
+def _read_address(text: object) -> Address:
+    if not isinstance(text, str):
+        raise ValueError('an address must be a string')
+    host, _, port = text.rpartition(':')
+    return Address(host, int(port))
+
+
+_WireAddress = Annotated[Address, BeforeValidator(_read_address)]
+
+
 class _WireListen(WireModel):
     # Address for callers.
-    front: str
+    front: _WireAddress
     # Address of the readiness endpoint.
-    ready: str
+    ready: _WireAddress
 
 
 class _WireBounds(WireModel):
@@ -41,15 +60,15 @@
 
 
 class _WirePlatform(WireModel):
-    address: str
+    address: _WireAddress
     # Number of partitions of each topic that belongs to the gateways.
     parts: int = 1
 
 
 class _WireLimits(WireModel):
     # Fraction of a core that the process gets, and the speed of that core.
-    cpu_share: float = Field(default=1, alias='cpuShare', strict=False)
-    cores: float = Field(default=2, strict=False)
+    cpu_share: float = Field(default=1, alias='cpuShare', strict=False, gt=0)
+    cores: float = Field(default=2, strict=False, gt=0)
     # Bandwidth of the machine's link in Mbit/s, in each direction.
     link_rate: float = Field(default=1000, alias='linkMbps', strict=False)
 
@@ -71,14 +90,6 @@
     limits: _WireLimits = _WireLimits()
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
-    """Hold a host and a port."""
-
-    host: str
-    port: int
-
-
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Hold the options and the addresses of a gateway."""
@@ -115,10 +126,10 @@
     metrics = peers + 1
     return GatewaySettings(
         options=_build_options(wire, run, peers),
-        callers=_read_address(wire.listen.front),
-        ready=_read_address(wire.listen.ready),
+        callers=wire.listen.front,
+        ready=wire.listen.ready,
         metrics=Address(wire.ip, metrics),
-        store=_read_address(wire.platform.address),
+        store=wire.platform.address,
         partitions=wire.platform.parts,
     )
 
@@ -158,10 +169,5 @@
     )
 
 
-def _read_address(text: str) -> Address:
-    host, _, port = text.rpartition(':')
-    return Address(host, int(port))
-
-
 def _fail(path: Path, reason: str) -> Failure:
     return Failure(ResultCode.settings_invalid, f'{path}: {reason}')
