Apply the limits in force when a request arrives

Cause: the limits were read when the connection began to wait for the request, so that a version that came while it was idle did not hold for the next one.

Red before: test_idle_connection_obeys_the_limits_in_force. A table beside it shows that neither the idle limit nor a version that changes it cuts a request (green before; red in all 8 cases if the limit is kept while requests run).

--- a/tests/test_gatewaylostanswers.py
+++ b/tests/test_gatewaylostanswers.py
@@ -246,3 +246,54 @@
     trio.run(_use_gateway_connection, service, use)
     assert service.ends[0].reason is EndReason.unacknowledged
     assert service.ends[0].unwritten == 1
+
+
+def _enlarge(limits: CallerLimits) -> CallerLimits:
+    return replace(limits, body_bytes=LIMITS.body_bytes)
+
+
+def _shorten(limits: CallerLimits) -> CallerLimits:
+    return replace(limits, idle_timeout=Seconds(0.01))
+
+
+# Guards against a version whose limits hold only once a connection has carried
+# another request: what it allows was refused.
+def test_idle_connection_obeys_the_limits_in_force() -> None:
+    """Accept a body that only the newest limits allow."""
+    service = _Service(status=200, limits=replace(LIMITS, body_bytes=1))
+
+    async def use(stream: trio.SocketStream) -> None:
+        await stream.send_all(_GET)
+        await _read_head(stream)
+        service.limits = _enlarge(service.limits)
+        await stream.send_all(_POST)
+        assert (await _read_head(stream)).startswith(b'HTTP/1.1 200 ')
+
+    serve_caller(service, use)
+    assert len(service.requests) == 2
+
+
+# Guards against an idle limit that ends a connection while a request of it
+# runs.
+@pytest.mark.parametrize('sent', [_GET, _POST, _GET * 3, _POST + _GET])
+@pytest.mark.parametrize('change', [_enlarge, _shorten])
+def test_idle_limit_cuts_no_request(
+    sent: bytes, change: Callable[[CallerLimits], CallerLimits]
+) -> None:
+    """Answer requests that run for longer than the idle limit, old or new."""
+    limits = replace(LIMITS, idle_timeout=Seconds(0.1))
+    service = _Service(status=200, seconds=0.3, limits=limits)
+    count = sent.count(b'HTTP/1.1')
+
+    async def use(stream: trio.SocketStream) -> None:
+        await stream.send_all(sent)
+        await trio.sleep(0.05)
+        service.limits = change(limits)
+        received = b''
+        while received.count(b'unknown') < count:
+            part = await stream.receive_some()
+            assert part
+            received += part
+
+    serve_caller(service, use)
+    assert [end.unanswered for end in service.ends] == [0]
--- a/trefoilsaddle/http/requests.py
+++ b/trefoilsaddle/http/requests.py
@@ -73,12 +73,12 @@
 
     async def read(self) -> ReceivedRequest | None:
         """Return the next request, or None once there is none."""
+        if not self._rest and not await self._wait_for_bytes():
+            return None
         limits = self.read_limits()
         parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
-        if not self._rest and not await self._wait_for_bytes():
-            return None
         parser.receive_data(self._rest)
         self._rest = b''
         self._head_only = False
