Ignore the signal for new settings until the process handles it

Seen: a gateway that gets SIGHUP while it loads its modules (the first 0.6 s here, longer on a slow machine) ends, and starts once more. Cause: the default action of the signal, until the task that handles it runs.

Ruled out: SIGHUP later, which only reads the settings again.

No request is lost by this, as nothing is accepted by then, but the gateway is missing for longer.

--- a/tests/test_gatewaycommand.py
+++ b/tests/test_gatewaycommand.py
@@ -1,6 +1,7 @@
 """Test the gateway's command line."""
 
 import gc
+import signal
 import tomllib
 from collections.abc import Iterator
 from pathlib import Path
@@ -46,9 +47,11 @@
 
 @pytest.fixture
 def collector() -> Iterator[None]:
-    """Restore the settings of the garbage collector."""
+    """Restore the collector's settings and the action on a signal."""
     thresholds = gc.get_threshold()
+    action = signal.getsignal(signal.SIGHUP)
     yield
+    signal.signal(signal.SIGHUP, action)
     gc.unfreeze()
     gc.set_threshold(*thresholds)
     gc.enable()
@@ -90,6 +93,26 @@
     assert gc.get_threshold()[0] > 700
 
 
+# Guards against a process that ends because its settings change while it
+# starts.
+@pytest.mark.usefixtures('collector')
+def test_settings_may_change_during_the_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Ignore the signal that tells of new settings until it is handled."""
+    seen: list[object] = []
+
+    def load(name: str) -> SimpleNamespace:
+        seen.append(signal.getsignal(signal.SIGHUP))
+        return SimpleNamespace(run_gateway=lambda path: None)
+
+    monkeypatch.setattr(gatewaystart, 'import_module', load)
+    monkeypatch.setattr('sys.argv', ['gateway'])
+    monkeypatch.setenv('TREFOILSADDLE_CONFIG', 'settings.toml')
+    gatewaystart.start_gateway()
+    assert seen == [signal.SIG_IGN]
+
+
 @pytest.mark.usefixtures('collector')
 def test_start_with_bad_settings_ends_with_their_code(
     monkeypatch: pytest.MonkeyPatch,
--- a/trefoilsaddle/programs/gatewaystart.py
+++ b/trefoilsaddle/programs/gatewaystart.py
@@ -11,6 +11,7 @@
 import sys
 from importlib import import_module
 from pathlib import Path
+from signal import SIG_IGN, SIGHUP, signal
 
 _SETTINGS_NAME = 'TREFOILSADDLE_CONFIG'
 _PROGRAM = 'trefoilsaddle.programs.gateway'
@@ -25,6 +26,9 @@
     """Load the program, exempt it from collections, and run it."""
     settings = os.environ.get(_SETTINGS_NAME)
     plain = settings is not None and len(sys.argv) == 1
+    # The program handles it once it runs; until then it would end the process,
+    # and the settings are read later anyway.
+    signal(SIGHUP, SIG_IGN)
     gc.disable()
     program = import_module(_PROGRAM if plain else _COMMAND)
     gc.freeze()
