Release an answer that an attempt reads as its request ends

Callers would see: after a long time, 502 for every request of a gateway, as all answers count as too large.

Ruled out as a way to lose an answer: above the budget requests are answered 502. Red before: test_answer_that_comes_too_late_is_not_held (2 cases, with an exchange that ends in that step).

--- a/tests/test_gatewayfailedsteps.py
+++ b/tests/test_gatewayfailedsteps.py
@@ -26,7 +26,7 @@
 from trefoilsaddle.http.messages import HttpAnswer, HttpRequest
 from trefoilsaddle.platform.dialect import PlatformDialect
 from trefoilsaddle.programs.containment import Containment
-from trefoilsaddle.programs.gatewaycalls import GatewayCalls
+from trefoilsaddle.programs.gatewaycalls import GatewayCalls, Servers
 
 _HEADERS = (
     (b'host', b'a'),
@@ -80,6 +80,16 @@
         )
 
 
+def _build_calls(reducer: _Reducer, nursery: trio.Nursery) -> GatewayCalls:
+    return GatewayCalls(
+        build_gateway(build_options('g', 1, 1)),
+        PlatformDialect(),
+        reducer.feed,
+        nursery,
+        Containment(lambda line: None),
+    )
+
+
 _FAILING: dict[str, _Kinds] = {
     'none': (),
     'arrival': (RequestArrived,),
@@ -101,13 +111,7 @@
         server = ScriptedServer([Step(_ANSWER)])
         async with serve_script(server), trio.open_nursery() as nursery:
             reducer = _Reducer(server, failing)
-            reducer.calls = GatewayCalls(
-                build_gateway(build_options('g', 1, 1)),
-                PlatformDialect(),
-                reducer.feed,
-                nursery,
-                Containment(lambda line: None),
-            )
+            reducer.calls = _build_calls(reducer, nursery)
             with trio.fail_after(2):
                 answer = await reducer.calls.answer(_REQUEST, Seconds(0))
             nursery.cancel_scope.cancel()
@@ -122,3 +126,30 @@
     # The reducer forgets a request that it has not ended itself.
     left = [event for event in reducer.events if isinstance(event, CallerLeft)]
     assert len(left) == int(bool(failing))
+
+
+# Guards against a budget for answers that shrinks by each answer that comes as
+# its request ends, until all answers count as too large.
+@pytest.mark.parametrize('leaves_after', [1, 0.1], ids=['expires', 'leaves'])
+def test_answer_that_comes_too_late_is_not_held(
+    monkeypatch: pytest.MonkeyPatch, leaves_after: float
+) -> None:
+    """Release what an attempt has read after its request has ended."""
+
+    async def exchange(*arguments: object) -> HttpAnswer:
+        # The answer is whole in the step in which the request ends.
+        with trio.CancelScope(shield=True):
+            await trio.sleep(0.4)
+        return HttpAnswer(200, (), b'whole')
+
+    async def run() -> int:
+        server = ScriptedServer([])
+        async with trio.open_nursery() as nursery:
+            reducer = _Reducer(server, (AttemptEnded,))
+            reducer.calls = _build_calls(reducer, nursery)
+            monkeypatch.setattr(Servers, 'exchange', exchange)
+            with trio.move_on_after(leaves_after):
+                await reducer.calls.answer(_REQUEST, Seconds(0))
+        return reducer.calls.servers.budget.held
+
+    assert trio.run(run) == 0
--- a/trefoilsaddle/programs/gatewaycalls.py
+++ b/trefoilsaddle/programs/gatewaycalls.py
@@ -91,6 +91,8 @@
 
     def store_answer(self, attempt: int, answer: HttpAnswer) -> None:
         """Store the answer of an attempt until the request has ended."""
+        if self.ended.is_set():
+            return
         self.answers[attempt] = answer
         self.held.enter_context(self.budget.hold(len(answer.body)))
 
@@ -265,6 +267,7 @@
     def _forget_call(self, call: CallId, pending: _PendingCall) -> None:
         """Report to the reducer if the caller leaves before the answer."""
         self.pending.pop(call)
+        pending.ended.set()
         if pending.answer is None:
             self.feed(CallerLeft(call))
             _cancel_scopes(pending)
