--- a/tests/scriptedserver.py
+++ b/tests/scriptedserver.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from trefoilsaddle.http import sockets
+
 # Timeout in seconds for a run in which an expected event never happens.
 _LIVENESS_BOUND = 20
 _BLOCK_BYTES = 65_536
@@ -129,6 +131,23 @@
             nursery.cancel_scope.cancel()
 
 
+async def find_ports(number: int) -> list[int]:
+    """Return free ports, each with a free one above it."""
+    listeners: list[trio.SocketListener] = []
+    ports: list[int] = []
+    while len(ports) < number:
+        listener = (await trio.open_tcp_listeners(0, host='127.0.0.1'))[0]
+        listeners.append(listener)
+        port = listener.socket.getsockname()[1]
+        above = sockets.listen('127.0.0.1', port + 1)
+        if above is not None:
+            listeners.append(above)
+            ports.append(port)
+    for opened in listeners:
+        opened.socket.close()
+    return ports
+
+
 async def _receive(stream: trio.SocketStream) -> bytes:
     try:
         return bytes(await stream.receive_some())
--- a/tests/test_platformstandins.py
+++ b/tests/test_platformstandins.py
@@ -10,6 +10,7 @@
 import trio
 
 from standins.platform import ServerStandIn, StoreStandIn
+from tests.scriptedserver import find_ports
 from trefoilsaddle.clock import SystemClock
 from trefoilsaddle.core.units import (
     NodeId,
@@ -53,7 +54,6 @@
     OwnershipTable,
     StoredTable,
 )
-from trefoilsaddle.http import sockets
 from trefoilsaddle.http.messages import HttpAnswer, HttpRequest
 from trefoilsaddle.http.pool import ConnectionPool
 from trefoilsaddle.platform.orders import PlatformOrders
@@ -336,23 +336,6 @@
     trio.run(run)
 
 
-async def _find_ports(number: int) -> list[int]:
-    """Return free ports, each with a free one above it."""
-    listeners = []
-    ports: list[int] = []
-    while len(ports) < number:
-        listener = (await trio.open_tcp_listeners(0, host=_HOST))[0]
-        listeners.append(listener)
-        port = listener.socket.getsockname()[1]
-        above = sockets.listen(_HOST, port + 1)
-        if above is not None:
-            listeners.append(above)
-            ports.append(port)
-    for opened in listeners:
-        await opened.aclose()
-    return ports
-
-
 async def _run_gateway(settings: GatewaySettings, path: Path) -> None:
     """Run a gateway, and fail at once if it cannot start."""
     failure = await serve_gateway(settings, path)
@@ -453,7 +436,7 @@
             store.put('keyed.op', 'config', json.dumps(_CONFIGURATION).encode())
             entry = _write_entry('guide', server_port)
             store.put('keyed.servers', 'i-1', entry)
-            ports = await _find_ports(3)
+            ports = await find_ports(3)
             settings = _write_settings(tmp_path, ports, store_port)
             nursery.start_soon(_run_gateway, settings, tmp_path)
             with trio.fail_after(20):
@@ -538,7 +521,7 @@
             store.put(
                 'keyed.servers', 'i-1', _write_entry('guide', server_port)
             )
-            ports = await _find_ports(3)
+            ports = await find_ports(3)
             settings = _write_settings(tmp_path, ports, store_port)
             nursery.start_soon(_run_gateway, settings, tmp_path)
             with trio.fail_after(20):
@@ -601,7 +584,7 @@
         store = StoreStandIn()
         async with trio.open_nursery() as nursery:
             store_port = await nursery.start(store.serve)
-            ports = await _find_ports(3)
+            ports = await find_ports(3)
             settings = _write_settings(tmp_path, ports, store_port)
             nursery.start_soon(_run_gateway, settings, tmp_path)
             headers = (
