--- a/tests/test_gatewayplannedwork.py
+++ b/tests/test_gatewayplannedwork.py
@@ -21,7 +21,7 @@
 from trefoilsaddle.http.exchange import exchange
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.platform.settings import GatewaySettings, read_settings
-from trefoilsaddle.programs.gateway import serve_gateway
+from trefoilsaddle.programs import gateway, gatewayshell
 
 _HOST = '127.0.0.1'
 _CALLERS = 12
@@ -184,6 +184,7 @@
     fleet.store.put('keyed.servers', 'i-1', b'')
 
 
+_CALLS = ((b'GET', b'/reads/1'), (b'POST', b'/pay/1'))
 _WORKS: dict[str, tuple[_Act, ...]] = {
     'shorter idle limit': (_limit_idle('50ms'), _limit_idle('1ms')),
     'longer idle limit': (_limit_idle('50ms'), _limit_idle('60s')),
@@ -205,26 +206,56 @@
 ) -> None:
     """Answer all requests on kept connections while it happens."""
 
-    async def run() -> Counter[int | Fault]:
-        fleet = _Fleet(StoreStandIn(), tmp_path)
-        async with trio.open_nursery() as nursery:
-            with trio.fail_after(20):
-                await _start(fleet, nursery)
-                for number in range(_CALLERS):
-                    call = (b'GET', b'/reads/1'), (b'POST', b'/pay/1')
-                    nursery.start_soon(fleet.call, *call[number % 2])
-                for work in works:
-                    await trio.sleep(_PAUSE)
-                    await work(fleet)
-                await trio.sleep(3 * _PAUSE)
-            nursery.cancel_scope.cancel()
-        return fleet.ends
-
-    ends = trio.run(run)
+    ends = trio.run(_play, tmp_path, works)
     assert set(ends) <= {200, 404, 503}
     assert ends[200] > _CALLERS
 
 
+# Guards against a process that ends, with all its requests, because a task of
+# it has failed.
+@pytest.mark.parametrize(
+    ('owner', 'name'),
+    [
+        (gatewayshell, 'sweep_pools'),
+        (gateway, 'read_settings'),
+    ],
+    ids=['sweep', 'settings'],
+)
+def test_task_that_fails_cuts_no_request(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, owner: object, name: str
+) -> None:
+    """Go on when the sweep of pools or a check of settings fails once."""
+    whole = getattr(owner, name)
+    failures: list[ZeroDivisionError] = []
+
+    def fail_once(*arguments: object) -> object:
+        if failures:
+            return whole(*arguments)
+        failures.append(ZeroDivisionError('once'))
+        raise failures[0]
+
+    monkeypatch.setattr(owner, name, fail_once)
+    ends = trio.run(_play, tmp_path, (_send_hup,))
+    assert failures
+    assert set(ends) <= {200, 503}
+    assert ends[200] > _CALLERS
+
+
+async def _play(folder: Path, works: tuple[_Act, ...]) -> Counter[int | Fault]:
+    fleet = _Fleet(StoreStandIn(), folder)
+    async with trio.open_nursery() as nursery:
+        with trio.fail_after(20):
+            await _start(fleet, nursery)
+            for number in range(_CALLERS):
+                nursery.start_soon(fleet.call, *_CALLS[number % 2])
+            for work in works:
+                await trio.sleep(_PAUSE)
+                await work(fleet)
+            await trio.sleep(3 * _PAUSE)
+        nursery.cancel_scope.cancel()
+    return fleet.ends
+
+
 async def _start(fleet: _Fleet, nursery: trio.Nursery) -> None:
     store_port = await nursery.start(fleet.store.serve)
     fleet.put_version(lambda wire: None)
@@ -234,7 +265,7 @@
     settings = await _write_settings(fleet, store_port)
     fleet.front = settings.callers.port
     path = fleet.folder / 'settings.toml'
-    nursery.start_soon(serve_gateway, settings, path)
+    nursery.start_soon(gateway.serve_gateway, settings, path)
     await _wait_until_served(fleet.front)
 
 
--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -109,10 +109,12 @@
             elif number == SIGUSR1:
                 shell.feed(DumpRequested())
             else:
-                _check_settings(shell, path)
+                await shell.containment.run(
+                    'settings', _check_settings, shell, path
+                )
 
 
-def _check_settings(shell: GatewayShell, path: Path) -> None:
+async def _check_settings(shell: GatewayShell, path: Path) -> None:
     # Addresses and limits of a running process do not change.  The file is
     # validated only, so that a fault is logged before the next start.
     loaded = read_settings(path, shell.gateway.options.run)
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -133,9 +133,12 @@
         """Run the timers, the controller link and the sweeping of pools."""
         keep_running = self.containment.keep_running
         self._nursery.start_soon(keep_running, 'link', self._link.run)
-        pools = self.calls.servers.pools
-        self._nursery.start_soon(sweep_pools, pools.values)
-        self._nursery.start_soon(sweep_pools, self._list_order_pools)
+        for list_pools in (
+            self.calls.servers.pools.values,
+            self._list_order_pools,
+        ):
+            sweep = partial(sweep_pools, list_pools)
+            self._nursery.start_soon(keep_running, 'sweep', sweep)
         self._nursery.start_soon(keep_running, 'traffic', self._traffic_log.run)
         while True:
             self._timer_set = trio.Event()
