Tell a request as not sent if no descriptor is left

Callers would see: 502, outcome unknown, 0.3 s late, for requests of which nothing was sent. Cause: an error in opening a socket was raised instead of reported, and contained as an exchange whose outcome is unknown.

Red before: test_request_without_a_descriptor_is_unsent. Found while the ways to end without an answer were listed; it is none of them.

--- a/tests/test_gatewayexchange.py
+++ b/tests/test_gatewayexchange.py
@@ -1,5 +1,6 @@
 """Test that only a complete answer to the own request is returned."""
 
+import errno
 from dataclasses import dataclass
 
 import pytest
@@ -156,6 +157,21 @@
     trio.run(run)
 
 
+# Guards against requests that are told to have an unknown outcome although
+# nothing was sent, for want of a descriptor.
+def test_request_without_a_descriptor_is_unsent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Report as unsent what could not even open a socket."""
+
+    def refuse(*arguments: object) -> None:
+        raise OSError(errno.EMFILE, 'too many open files')
+
+    monkeypatch.setattr(trio.socket, 'socket', refuse)
+    pool = ConnectionPool('127.0.0.1', 9, Seconds(1))
+    assert trio.run(pool.exchange, _build_request()) is Fault.unsent
+
+
 @pytest.mark.parametrize('idle', [0, 3], ids=['fresh-only', 'usual'])
 def test_closed_idle_connection_is_not_used(idle: int) -> None:
     """Use a new connection if the server has closed the idle one."""
--- a/trefoilsaddle/http/sockets.py
+++ b/trefoilsaddle/http/sockets.py
@@ -29,7 +29,11 @@
 ) -> trio.SocketStream | None:
     """Connect to an address, or return None if that fails."""
     with ExitStack() as stack, trio.move_on_after(timeout):
-        connection = trio.socket.socket()
+        try:
+            # Fails if no descriptor is left.
+            connection = trio.socket.socket()
+        except OSError:
+            return None
         stack.callback(connection.close)
         try:
             await connection.connect((host, port))
