--- a/tests/test_gatewaysuccessors.py
+++ b/tests/test_gatewaysuccessors.py
@@ -13,7 +13,8 @@
 
 import pytest
 
-from measure.gatewayworld import Process, World
+from measure.gatewayworld import World
+from measure.worldprocess import Process
 from measure.worldservers import WorldServer
 from measure.worldstore import Membership, StoreCopy
 from tests.gatewayscenes import CATALOGUE, GATEWAYS, build_scene, list_unowned
--- a/trefoilsaddle/gateway/eras.py
+++ b/trefoilsaddle/gateway/eras.py
@@ -13,7 +13,6 @@
     AppendEnded,
     Event,
     JoinEnded,
-    TableAnnounced,
     TopicRead,
 )
 from trefoilsaddle.gateway.loglines import log_event
@@ -28,8 +27,6 @@
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
     """Record the era of each answer of the store."""
-    if isinstance(event, TableAnnounced):
-        record_unknown_end(gateway, event.stored.table, now)
     if not isinstance(event, (TopicRead, JoinEnded, AppendEnded)):
         return []
     effects = _record_era(gateway, now, event.era)
--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -21,9 +21,14 @@
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.http import sockets
 from trefoilsaddle.http.budget import AnswerBudget
+from trefoilsaddle.http.connectionend import EndReason, find_reason
 from trefoilsaddle.http.messages import Headers, HttpAnswer
 from trefoilsaddle.http.pipeline import CallerService, Exchange, Pipeline
-from trefoilsaddle.http.requests import BadInput, RequestReader
+from trefoilsaddle.http.requests import (
+    BadInput,
+    ReceivedRequest,
+    RequestReader,
+)
 from trefoilsaddle.http.unanswered import UnansweredCount
 
 _CLOSE = (b'connection', b'close')
@@ -59,6 +64,8 @@
     _ending: bool = False
     # Cancelled to let the reader look whether it may go on.
     _pause: trio.CancelScope = field(default_factory=trio.CancelScope)
+    # Why the connection ends; the first reason counts.
+    _reason: EndReason | None = None
 
     def __post_init__(self) -> None:
         """Prepare to read the first request."""
@@ -72,6 +79,7 @@
         with ExitStack() as stack:
             stack.callback(sockets.close, self.stream)
             stack.callback(self._pipeline.close)
+            stack.callback(self._report_end)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read_requests, nursery)
                 await self._answer_requests(nursery)
@@ -79,6 +87,13 @@
             if self._closed:
                 await _wait_until_closed(self.stream)
 
+    def _report_end(self) -> None:
+        reason = self._reason or EndReason.interrupted
+        self.service.record_end(self._pipeline.describe_end(reason))
+
+    def _set_reason(self, reason: EndReason) -> None:
+        self._reason = self._reason or reason
+
     # Reading.
 
     async def _read_requests(self, nursery: trio.Nursery) -> None:
@@ -87,8 +102,15 @@
         while more:
             try:
                 more = await self._read_request(nursery)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
+            except (
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ) as error:
+                self._set_reason(find_reason(error))
                 more = False
+        self._set_reason(
+            EndReason.idle if self._reader.was_idle else EndReason.caller_closed
+        )
         # Whether the caller has left or was idle for too long, nothing that is
         # still unanswered is wanted.
         self._pipeline.leave()
@@ -138,9 +160,12 @@
             except (
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
-                h11.LocalProtocolError,
-            ):
+            ) as error:
                 # The caller has gone; cancelling `answer` tells the service.
+                self._set_reason(find_reason(error))
+                return
+            except h11.LocalProtocolError:
+                self._set_reason(EndReason.invalid_answer)
                 return
             if more:
                 self._finish_first(nursery)
@@ -154,7 +179,8 @@
     async def _answer_first(self, exchange: Exchange) -> bool:
         received = exchange.received
         if isinstance(received.request, BadInput):
-            await self._refuse(received.parser, received.request)
+            self._set_reason(EndReason.refused)
+            await self._refuse(received, received.request)
             return False
         if exchange.started:
             await exchange.answered.wait()
@@ -162,10 +188,15 @@
             await exchange.run(self.service, received.request)
         answer = exchange.answer
         if answer is None:
+            self._set_reason(EndReason.no_answer)
             return False
         with self.budget.hold(len(answer.body)):
-            await self._write(received.parser, answer)
-        return received.parser.our_state is h11.DONE and not received.is_last
+            await self._write(received, answer)
+        exchange.written.set()
+        if received.parser.our_state is h11.DONE and not received.is_last:
+            return True
+        self._set_reason(EndReason.answered)
+        return False
 
     def _finish_first(self, nursery: trio.Nursery) -> None:
         self._pipeline.remove_first(nursery)
@@ -174,7 +205,11 @@
             self._idle.set()
             self._limit_idle_time()
 
-    async def _write(self, parser: h11.Connection, answer: HttpAnswer) -> None:
+    async def _write(
+        self, received: ReceivedRequest, answer: HttpAnswer
+    ) -> None:
+        parser = received.parser
+        body = b'' if received.head_only else answer.body
         headers = [
             *answer.headers,
             (_LENGTH, b'%d' % len(answer.body)),
@@ -183,25 +218,27 @@
             headers.append(_CLOSE)
             self._closed = True
         parts = [parser.send(_build_head(answer, tuple(headers)))]
-        parts.append(parser.send(h11.Data(data=answer.body)))
+        parts.append(parser.send(h11.Data(data=body)))
         parts.append(parser.send(h11.EndOfMessage()))
         scope = trio.move_on_after(_WRITE_TIMEOUT)
         with scope:
             await self.stream.send_all(b''.join(part for part in parts if part))
         if scope.cancelled_caught:
+            self._set_reason(EndReason.write_timeout)
             sockets.abort(self.stream)
+            raise trio.ClosedResourceError
 
-    async def _refuse(self, parser: h11.Connection, bad: BadInput) -> None:
+    async def _refuse(self, received: ReceivedRequest, bad: BadInput) -> None:
         answer = self.service.refuse(bad)
         closing = HttpAnswer(
             answer.status,
             (*answer.headers, _CLOSE),
             answer.body,
         )
-        if parser.our_state is h11.ERROR:
+        if received.parser.our_state is h11.ERROR:
             return
         self._closed = True
-        await self._write(parser, closing)
+        await self._write(received, closing)
 
 
 async def _wait_until_closed(stream: trio.SocketStream) -> None:
--- a/trefoilsaddle/http/requests.py
+++ b/trefoilsaddle/http/requests.py
@@ -20,6 +20,7 @@
 
 _CHUNK_BYTES = 65_536
 _LENGTH = b'content-length'
+_HEAD = b'HEAD'
 # Limit on receiving a whole body; requests time out earlier than that.
 _BODY_TIMEOUT = Seconds(10)
 
@@ -40,6 +41,8 @@
     parser: h11.Connection
     # Time at which it was received completely, by the event loop's clock.
     at: float
+    # True if its answer has no body.
+    head_only: bool = False
 
     @property
     def is_last(self) -> bool:
@@ -59,19 +62,26 @@
     wait_for_turn: Callable[[], Awaitable[None]]
     # Time at which a connection without requests is closed.
     idle_until: float = inf
+    _head_only: bool = False
     _rest: bytes = b''
     _idle_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
+    @property
+    def was_idle(self) -> bool:
+        """Return whether the last wait for a first byte took too long."""
+        return self._idle_scope.cancelled_caught
+
     async def read(self) -> ReceivedRequest | None:
         """Return the next request, or None once there is none."""
+        if not self._rest and not await self._wait_for_bytes():
+            return None
         limits = self.read_limits()
         parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
-        if not self._rest and not await self._wait_for_bytes():
-            return None
         parser.receive_data(self._rest)
         self._rest = b''
+        self._head_only = False
         try:
             request = await self._read_request(parser, limits)
         except h11.RemoteProtocolError as error:
@@ -79,7 +89,9 @@
         if request is None:
             return None
         self._rest = parser.trailing_data[0]
-        return ReceivedRequest(request, parser, trio.current_time())
+        return ReceivedRequest(
+            request, parser, trio.current_time(), self._head_only
+        )
 
     def has_rest(self) -> bool:
         """Return whether bytes behind the last request have arrived."""
@@ -123,6 +135,7 @@
                 )
         if not isinstance(head, h11.Request):
             return None
+        self._head_only = head.method == _HEAD
         bad = _check_head(head, limits)
         if bad is not None:
             return bad
--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -17,13 +17,15 @@
 from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.state import build_gateway
 from trefoilsaddle.http import sockets
+from trefoilsaddle.http.budget import AnswerBudget
 from trefoilsaddle.http.callers import CallerConnection
+from trefoilsaddle.http.pipeline import CallerService
+from trefoilsaddle.http.unanswered import UnansweredCount
 from trefoilsaddle.platform.settings import (
     Address,
     GatewaySettings,
     read_settings,
 )
-from trefoilsaddle.programs.gatewaycalls import GatewayCalls
 from trefoilsaddle.programs.gatewayshell import GatewayShell
 from trefoilsaddle.programs.readiness import ReadinessService
 from trefoilsaddle.programs.stopsignal import watch_stop_signal
@@ -72,10 +74,13 @@
     settings: GatewaySettings,
     nursery: trio.Nursery,
 ) -> Failure | None:
-    serve_probe = partial(_serve_probe, shell, ReadinessService(shell))
+    calls = shell.calls
+    budget = calls.servers.budget
+    serve_probe = partial(serve_caller, ReadinessService(shell), budget)
+    serve_calls = partial(serve_caller, calls, budget, count=calls.unanswered)
     options = settings.options
     served = (
-        (settings.callers, partial(_serve_caller, shell.calls)),
+        (settings.callers, serve_calls),
         (settings.ready, serve_probe),
         (settings.metrics, serve_probe),
         (Address(options.host, options.port), shell.controller.serve),
@@ -90,18 +95,16 @@
     return None
 
 
-async def _serve_caller(calls: GatewayCalls, stream: trio.SocketStream) -> None:
-    sockets.set_options(stream)
-    budget = calls.servers.budget
-    await CallerConnection(calls, stream, budget, calls.unanswered).serve()
-
-
-async def _serve_probe(
-    shell: GatewayShell, service: ReadinessService, stream: trio.SocketStream
+async def serve_caller(
+    service: CallerService,
+    budget: AnswerBudget,
+    stream: trio.SocketStream,
+    count: UnansweredCount | None = None,
 ) -> None:
-    sockets.set_options(stream)
-    budget = shell.calls.servers.budget
-    await CallerConnection(service, stream, budget).serve()
+    """Serve a connection of a caller, or of the platform."""
+    sockets.set_caller_options(stream)
+    unanswered = count or UnansweredCount()
+    await CallerConnection(service, stream, budget, unanswered).serve()
 
 
 async def _watch_signals(shell: GatewayShell, path: Path) -> None:
@@ -110,10 +113,12 @@
             if number == SIGUSR1:
                 shell.feed(DumpRequested())
             else:
-                _check_settings(shell, path)
+                await shell.containment.run(
+                    'settings', _check_settings, shell, path
+                )
 
 
-def _check_settings(shell: GatewayShell, path: Path) -> None:
+async def _check_settings(shell: GatewayShell, path: Path) -> None:
     # Addresses and limits of a running process do not change.  The file is
     # validated only, so that a fault is logged before the next start.
     loaded = read_settings(path, shell.gateway.options.run)
