--- a/trefoilsaddle/gateway/choosing.py
+++ b/trefoilsaddle/gateway/choosing.py
@@ -34,7 +34,7 @@
 # it: the requests that it displaces are worth less.
 _RANK_FRACTIONS = (1.5, 1.0, 0.85)
 # Longest time of a request at a server, as a multiple of its mean time.
-_LONGEST_FACTOR = 6
+_LONGEST_FACTOR = 9
 
 
 @dataclass(frozen=True, slots=True)
