Step down at the return if the outage tolerance had passed

At the first sight of a new era a controller goes on only while it may still renew without the store; otherwise it takes over anew. The proof that confirmed rows hold leans on it.

--- a/tests/test_gatewaysuccessors.py
+++ b/tests/test_gatewaysuccessors.py
@@ -20,6 +20,7 @@
 from trefoilsaddle.core.units import NodeId, Seconds, StoreEra
 from trefoilsaddle.gateway.events import (
     Event,
+    JoinEnded,
     StopRequested,
     Topic,
 )
@@ -396,6 +397,35 @@
     return old
 
 
+def _raise_era(world: World, process: Process) -> None:
+    """Tell a controller that the store came back, and that it still leads."""
+    gateway = process.gateway
+    joined = JoinEnded(
+        answered=True,
+        generation=gateway.control.generation,
+        leads=True,
+        asked_at=world.now,
+        era=StoreEra(gateway.era + 1),
+    )
+    world.feed(process, joined)
+
+
+# Guards against two owners when a controller goes on for which its successor has
+# waited.
+@pytest.mark.parametrize(('silence', 'leading'), [(11.9, True), (12.1, False)])
+def test_controller_goes_on_only_within_its_tolerance(
+    silence: float,
+    *,
+    leading: bool,
+) -> None:
+    """Step down at the return if the store had been silent for too long."""
+    world = build_scene()
+    process = _find_controller(world)
+    process.gateway.control.confirmed_at = Seconds(world.now - silence)
+    _raise_era(world, process)
+    assert process.gateway.control.leading == leading
+
+
 def _cut_off(process: Process, *, cut: bool = True) -> None:
     process.store_cut = cut
     process.peers_cut = cut
--- a/trefoilsaddle/gateway/eras.py
+++ b/trefoilsaddle/gateway/eras.py
@@ -8,7 +8,7 @@
 
 from trefoilsaddle.core.units import NO_ERA, Seconds, StoreEra
 from trefoilsaddle.gateway.effects import Component, Effects
-from trefoilsaddle.gateway.election import read_tables, step_down
+from trefoilsaddle.gateway.election import may_renew, read_tables, step_down
 from trefoilsaddle.gateway.events import (
     AppendEnded,
     Event,
@@ -63,6 +63,10 @@
 def _restore_tables(gateway: Gateway, now: Seconds) -> Effects:
     """Begin to store the tables again that the store may have lost."""
     control = gateway.control
+    if not may_renew(gateway, now):
+        # A successor may have waited for its grants to lapse.
+        reason = 'the store was unreachable for too long'
+        return [*step_down(gateway, reason), read_tables()]
     control.end = None
     # Only later reports show that their gateways renew no grants.
     control.term += 1
