Take no answer of before the return for a confirmation

Such an answer extends the hold as before, and the holder is asked again.

Evidence: test_answer_of_before_the_return_confirms_no_holder[True], red before.

--- a/tests/test_gatewaysuccessors.py
+++ b/tests/test_gatewaysuccessors.py
@@ -17,13 +17,16 @@
 from measure.worldservers import WorldServer
 from measure.worldstore import Membership, StoreCopy
 from tests.gatewayscenes import CATALOGUE, GATEWAYS, build_scene, list_unowned
-from trefoilsaddle.core.units import NodeId, Seconds, StoreEra
+from trefoilsaddle.core.units import NodeId, Seconds, ServiceName, StoreEra
 from trefoilsaddle.gateway.events import (
     Event,
     JoinEnded,
+    OrderEnded,
+    OrderVerdict,
     StopRequested,
     Topic,
 )
+from trefoilsaddle.gateway.granting import handle_order_ended
 from trefoilsaddle.gateway.options import MAX_HOLD
 from trefoilsaddle.gateway.partitions import PartitionState
 from trefoilsaddle.gateway.restoring import record_unknown_end
@@ -426,6 +429,34 @@
     assert process.gateway.control.leading == leading
 
 
+# Guards against two owners when a holder was taken over between its answer and
+# the return of the store.
+@pytest.mark.parametrize('pending', [False, True])
+def test_answer_of_before_the_return_confirms_no_holder(
+    *,
+    pending: bool,
+) -> None:
+    """Ask holders again whose answers were under way at the return."""
+    world = build_scene()
+    process = _find_controller(world)
+    keyed = process.gateway.control.keyed[ServiceName(CATALOGUE)]
+    partition = keyed.partitions.ordered[0]
+    assert partition.incarnation is not None
+    partition.call_pending = pending
+    _raise_era(world, process)
+    answered = OrderEnded(
+        keyed.service,
+        partition.keys,
+        partition.incarnation,
+        partition.fence,
+        release=False,
+        verdict=OrderVerdict.done,
+        handover='',
+    )
+    handle_order_ended(process.gateway, world.now, answered)
+    assert partition.confirmed != pending
+
+
 def _cut_off(process: Process, *, cut: bool = True) -> None:
     process.store_cut = cut
     process.peers_cut = cut
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -100,8 +100,15 @@
     if partition is None or partition.incarnation != event.incarnation:
         return []
     partition.call_pending = False
+    asked_before = partition.asked_before
+    partition.asked_before = False
     if event.release:
         return _handle_release_ended(gateway, keyed, partition, now, event)
+    if asked_before and event.verdict == OrderVerdict.done:
+        # Another controller may have taken the keys over since the answer.
+        partition.extend_hold(partition.hold, now)
+        partition.next_call = now
+        return []
     return _handle_grant_ended(gateway, keyed, partition, now, event)
 
 
--- a/trefoilsaddle/gateway/partitions.py
+++ b/trefoilsaddle/gateway/partitions.py
@@ -83,6 +83,8 @@
     target: ServerId | None = None
     # True while an order for the partition is unanswered.
     call_pending: bool = False
+    # True while a grant is unanswered that was sent before the store came back.
+    asked_before: bool = False
     next_call: Seconds = Seconds(0)
     failing_since: Seconds | None = None
     # True if the holder is believed to serve the keys.
--- a/trefoilsaddle/gateway/restoring.py
+++ b/trefoilsaddle/gateway/restoring.py
@@ -177,6 +177,7 @@
         partition.target = None if incarnation is None else incarnation.server
     partition.imported = False
     partition.token_due = False
+    partition.asked_before = partition.call_pending
     if partition.handover and partition.last_holder is not None:
         # A suspended controller of lost tables may grant it the released keys;
         # with a newer grant of them it refuses.
@@ -228,6 +229,7 @@
         call = CONNECT_TIMEOUT + MAX_CALL_DELAY
         partition.extend_hold(partition.hold, Seconds(now + call))
         partition.call_pending = False
+        partition.asked_before = False
     partition.token_due = False
     partition.fence = fence
     partition.enter_state(PartitionState.granting, now)
