Detect tokens that ignore the era through a successor

test_disabled_guard_is_detected[fences-of-the-era] no longer saw OwnerError: a controller that goes on now grants each holder its keys with a new token first, so that the holder itself refuses a token that does not rise, before another server gets the keys. The check is the same.

--- a/tests/test_gatewayrestore.py
+++ b/tests/test_gatewayrestore.py
@@ -201,7 +201,7 @@
 @pytest.mark.parametrize(
     ('guard', 'instead', 'trouble'),
     [
-        ('assigning.find_fence', _ignore_era, _do_nothing),
+        ('assigning.find_fence', _ignore_era, _kill_controller),
         ('takeover.is_outdated', _trust_copy, _cut_controller),
     ],
     ids=['fences-of-the-era', 'unknown-holders'],
