--- a/tests/test_gatewaysuccessors.py
+++ b/tests/test_gatewaysuccessors.py
@@ -18,12 +18,16 @@
 from measure.worldservers import WorldServer
 from measure.worldstore import Membership, StoreCopy
 from tests.gatewayscenes import CATALOGUE, GATEWAYS, build_scene, list_unowned
-from trefoilsaddle.core.units import NodeId, Seconds, StoreEra
+from trefoilsaddle.core.units import NodeId, Seconds, ServiceName, StoreEra
 from trefoilsaddle.gateway.events import (
     Event,
+    JoinEnded,
+    OrderEnded,
+    OrderVerdict,
     StopRequested,
     Topic,
 )
+from trefoilsaddle.gateway.granting import handle_order_ended
 from trefoilsaddle.gateway.options import MAX_HOLD
 from trefoilsaddle.gateway.partitions import PartitionState
 from trefoilsaddle.gateway.restoring import record_unknown_end
@@ -397,6 +401,63 @@
     return old
 
 
+def _raise_era(world: World, process: Process) -> None:
+    """Tell a controller that the store came back, and that it still leads."""
+    gateway = process.gateway
+    joined = JoinEnded(
+        answered=True,
+        generation=gateway.control.generation,
+        leads=True,
+        asked_at=world.now,
+        era=StoreEra(gateway.era + 1),
+    )
+    world.feed(process, joined)
+
+
+# Guards against two owners when a controller goes on for which its successor has
+# waited.
+@pytest.mark.parametrize(('silence', 'leading'), [(11.9, True), (12.1, False)])
+def test_controller_goes_on_only_within_its_tolerance(
+    silence: float,
+    *,
+    leading: bool,
+) -> None:
+    """Step down at the return if the store had been silent for too long."""
+    world = build_scene()
+    process = _find_controller(world)
+    process.gateway.control.confirmed_at = Seconds(world.now - silence)
+    _raise_era(world, process)
+    assert process.gateway.control.leading == leading
+
+
+# Guards against two owners when a holder was taken over between its answer and
+# the return of the store.
+@pytest.mark.parametrize('pending', [False, True])
+def test_answer_of_before_the_return_confirms_no_holder(
+    *,
+    pending: bool,
+) -> None:
+    """Ask holders again whose answers were under way at the return."""
+    world = build_scene()
+    process = _find_controller(world)
+    keyed = process.gateway.control.keyed[ServiceName(CATALOGUE)]
+    partition = keyed.partitions.ordered[0]
+    assert partition.incarnation is not None
+    partition.call_pending = pending
+    _raise_era(world, process)
+    answered = OrderEnded(
+        keyed.service,
+        partition.keys,
+        partition.incarnation,
+        partition.fence,
+        release=False,
+        verdict=OrderVerdict.done,
+        handover='',
+    )
+    handle_order_ended(process.gateway, world.now, answered)
+    assert partition.confirmed != pending
+
+
 def _cut_off(process: Process, *, cut: bool = True) -> None:
     process.store_cut = cut
     process.peers_cut = cut
