Let members of a relay wait for faster gateways

Callers with keys would wait for a slow controller in the other region: members of a relay lose no connection when the controller is lost, so the time at which a controller was last heard of stayed that of their start, and their election delay had ended long before.

Each update that shows a recent controller state now counts as hearing of it.

--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -298,6 +298,8 @@
     effects.extend(_log_late(gateway, now, news))
     effects.extend(_apply_servers(gateway, now, news))
     effects.extend(apply_news(gateway, now, news))
+    if is_linked(gateway, now):
+        link.controller_seen_at = now
     built_at = link.clock.find_built_at(news.stamp, now)
     link.configuration_read_at = Seconds(built_at - news.configuration_age)
     return [*effects, *_check_configuration(gateway, now, news)]
