Tell members what the relay reads without a controller

What callers would see: requests handled by an old version (CONFIG), as before. A relay that had lost the controller told its members nothing, so that after 1.2 to 1.6 s each of them read servers, tables and configuration from the store over the link between regions.

Cause: a relay without an update of the controller had no origin to tell; its read of the configuration waited up to 0.5 s, longer than its lead of 0.3 s; what it had read was told with the next periodic update only.

Evidence: test_relay_reads_the_store_for_its_members, red before (all eight members read all three topics within 2 s), green now (only the relay reads).

A controller that has told nothing is named with the greatest age, so that no member counts as linked, while ages of what the relay reads are told at once.

--- /dev/null
+++ b/tests/test_gatewayrelays.py
@@ -0,0 +1,94 @@
+"""Test the relays of regions without the controller, and their members."""
+
+from collections import Counter
+from math import inf
+
+import pytest
+
+from measure.gatewayworld import World
+from measure.worldprocess import Process
+from measure.worldstorecalls import StoreCalls
+from tests.regionscenes import (
+    WEST,
+    RegionScene,
+    build_regions,
+    find_controller,
+)
+from trefoilsaddle.core.units import NodeId
+from trefoilsaddle.gateway.effects import JoinGroup, ReadTopic
+
+_SCENE = RegionScene(east=6, west=8, servers=10, link_share=1_000_000)
+_TAKEOVER_TIME = 3
+# Election delay of a gateway with one core, less the interval of updates.
+_MIN_ELECTION_DELAY = 0.75
+
+
+def _find_relay(world: World) -> Process:
+    relays = [
+        process
+        for process in world.processes.values()
+        if process.alive and process.gateway.is_relay()
+    ]
+    assert len(relays) == 1
+    return relays[0]
+
+
+def _list_members(world: World) -> list[Process]:
+    relay = _find_relay(world)
+    return [
+        process
+        for process in world.processes.values()
+        if process.alive and process.linked == relay.node
+    ]
+
+
+_READ = StoreCalls.read
+_JOIN = StoreCalls.join
+
+
+# Guards against requests that gateways of the other region handle by an old
+# version (CONFIG), as all of them read the store over the full link once the
+# controller is lost.
+@pytest.mark.parametrize('calm', [0, 0.3, 0.6, 0.9])
+def test_relay_reads_the_store_for_its_members(
+    monkeypatch: pytest.MonkeyPatch, calm: float
+) -> None:
+    """Lose the controller: of the other region, only the relay reads."""
+    world = build_regions(_SCENE)
+    world.run(calm)
+    relay = _find_relay(world)
+    reads: Counter[NodeId] = Counter()
+
+    def read(calls: StoreCalls, process: Process, effect: ReadTopic) -> None:
+        if process.region == WEST:
+            reads[process.node] += 1
+        _READ(calls, process, effect)
+
+    monkeypatch.setattr(StoreCalls, 'read', read)
+    world.kill_gateway(find_controller(world).node)
+    world.run(_TAKEOVER_TIME)
+    assert reads.keys() == {relay.node}
+
+
+# Guards against keys that wait for a slow controller in the other region, as the
+# members of a relay joined the election before faster gateways were through.
+@pytest.mark.parametrize('calm', [0.1, 0.3, 0.5, 0.7])
+def test_slow_members_let_faster_gateways_be_elected(
+    monkeypatch: pytest.MonkeyPatch, calm: float
+) -> None:
+    """Lose the controller: slow members wait for their election delay."""
+    world = build_regions(_SCENE)
+    world.run(calm)
+    members = {process.node for process in _list_members(world)}
+    lost_at = world.now
+    joined: list[float] = []
+
+    def join(calls: StoreCalls, process: Process, effect: JoinGroup) -> None:
+        if process.node in members:
+            joined.append(world.now - lost_at)
+        _JOIN(calls, process, effect)
+
+    monkeypatch.setattr(StoreCalls, 'join', join)
+    world.kill_gateway(find_controller(world).node)
+    world.run(_TAKEOVER_TIME)
+    assert min(joined, default=inf) >= _MIN_ELECTION_DELAY
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -70,11 +70,11 @@
 # within 2.5 s; the controller's read takes up to a second, and its age counts
 # from its start.
 _MAX_CONFIGURATION_AGE = Seconds(1.6)
-_CONFIGURATION_CHECK_INTERVAL = Seconds(0.2)
+_CONFIGURATION_CHECK_INTERVAL = Seconds(0.1)
 # Maximum age of what was told of the servers: one that leaves gets no work after
 # 2.5 s, and a read that hangs takes 0.9 s.
 _MAX_SERVERS_AGE = Seconds(1.2)
-_SERVERS_CHECK_INTERVAL = Seconds(0.2)
+_SERVERS_CHECK_INTERVAL = Seconds(0.1)
 # A relay reads so much earlier that its members need not.
 _RELAY_LEAD = Seconds(0.3)
 # Interval of the checks whether the controller's updates still arrive.
@@ -93,7 +93,7 @@
     """Read the topics of the store and apply their entries."""
     match event:
         case Started():
-            return [_read(gateway, Topic.configuration)]
+            return [_read(gateway, Topic.configuration, now)]
         case TimerExpired():
             return _handle_timer(gateway, now, event.kind)
         case TopicRead():
@@ -134,32 +134,45 @@
     return [*stepped, *dial(gateway, now, announcement.controller)]
 
 
-def _read(gateway: Gateway, topic: Topic) -> ReadTopic:
+def _read(gateway: Gateway, topic: Topic, now: Seconds) -> ReadTopic:
     state = gateway.topics[topic]
     state.reading = True
     wait = _NO_WAIT
     if state.next_offset is not None:
-        wait = _find_wait(gateway, topic)
+        wait = _find_wait(gateway, topic, now)
     return ReadTopic(topic, state.next_offset, wait, gateway.era)
 
 
-def _find_wait(gateway: Gateway, topic: Topic) -> Seconds:
+def _find_wait(gateway: Gateway, topic: Topic, now: Seconds) -> Seconds:
     if topic == Topic.configuration:
-        if gateway.link.wanted_since is not None:
-            return _NO_WAIT
-        if gateway.configuration is None:
-            return _FIRST_WAIT
-        wait = gateway.options.configuration_wait
-        if gateway.control.elected or gateway.is_relay():
-            # The others rely on this read, whose age counts from its start.
-            return Seconds(wait / 2)
-        return wait
+        return _find_configuration_wait(gateway, now)
     if topic == Topic.ownership:
         return _TABLE_WAIT
     # Every server writes at each heartbeat, so that a wait would end at once.
     return _NO_WAIT
 
 
+def _find_configuration_wait(gateway: Gateway, now: Seconds) -> Seconds:
+    if gateway.link.wanted_since is not None:
+        return _NO_WAIT
+    if gateway.configuration is None:
+        return _FIRST_WAIT
+    if gateway.is_relay() and _is_read_overdue(gateway, now):
+        # The members read themselves unless they are told soon.
+        return _NO_WAIT
+    wait = gateway.options.configuration_wait
+    if gateway.control.elected or gateway.is_relay():
+        # The others rely on this read, whose age counts from its start.
+        return Seconds(wait / 2)
+    return wait
+
+
+def _is_read_overdue(gateway: Gateway, now: Seconds) -> bool:
+    read_at = gateway.topics[Topic.configuration].read_at
+    limit = _MAX_CONFIGURATION_AGE - _RELAY_LEAD
+    return read_at is None or now - read_at > limit
+
+
 def _read_servers(gateway: Gateway, now: Seconds) -> Effects:
     if gateway.topics[Topic.servers].reading:
         return []
@@ -177,7 +190,7 @@
     # Every server writes at each heartbeat: after some time, the newest record
     # of each is less data than all records since the last read.
     state = gateway.topics[Topic.servers]
-    read = _read(gateway, Topic.servers)
+    read = _read(gateway, Topic.servers, now)
     age = _MAX_HEARTBEATS * gateway.options.heartbeat
     if state.read_at is None or now - state.read_at <= age:
         return read
@@ -199,7 +212,7 @@
     if told and not is_copy_overdue(gateway, now):
         pause = _CONFIGURATION_CHECK_INTERVAL
         return [SetTimer(TimerKind.read_configuration, pause)]
-    return [_read(gateway, Topic.configuration)]
+    return [_read(gateway, Topic.configuration, now)]
 
 
 def _is_recent(
@@ -227,7 +240,7 @@
 def _read_tables(gateway: Gateway, now: Seconds) -> ReadTopic:
     # A table replaces all earlier ones of its service: after some time with the
     # controller, the newest are less data than all since the last read.
-    read = _read(gateway, Topic.ownership)
+    read = _read(gateway, Topic.ownership, now)
     answered_at = gateway.topics[Topic.ownership].answered_at
     recent = answered_at is None or now - answered_at <= _MAX_TABLES_AGE
     if recent or gateway.control.elected:
@@ -256,7 +269,7 @@
                 Component.store, 'history is gone', topic=event.topic.value
             )
         )
-        return [*effects, _read(gateway, event.topic)]
+        return [*effects, _read(gateway, event.topic, now)]
     state.read_at = event.asked_at
     state.next_offset = event.next_offset
     if event.topic == Topic.servers:
--- a/trefoilsaddle/gateway/relaying.py
+++ b/trefoilsaddle/gateway/relaying.py
@@ -28,6 +28,7 @@
     ReportReceived,
     TimerExpired,
     TimerKind,
+    Topic,
     TopicRead,
 )
 from trefoilsaddle.gateway.loglines import log_event
@@ -55,15 +56,19 @@
             return _handle_report(gateway, now, event.report)
         case ConfigurationWanted():
             return updates.send_configuration(gateway, event.node)
-        case NewsReceived() | TopicRead():
-            return _tell_members(gateway, now)
-        case TimerExpired(kind=TimerKind.review):
-            left = leave_relay(gateway, now)
-            chosen = _choose_relays(gateway, now)
-            return [*left, *chosen, *_tell_members(gateway, now)]
+        case TopicRead():
+            return _tell_read(gateway, now, event.topic)
+        case NewsReceived() | TimerExpired(kind=TimerKind.review):
+            return _review_links(gateway, now)
     return []
 
 
+def _review_links(gateway: Gateway, now: Seconds) -> Effects:
+    left = leave_relay(gateway, now)
+    chosen = _choose_relays(gateway, now)
+    return [*left, *chosen, *_tell_members(gateway, now)]
+
+
 def _handle_connection(
     gateway: Gateway, now: Seconds, event: PeerLinked | PeerLost
 ) -> Effects:
@@ -72,6 +77,13 @@
     return _handle_lost(gateway, now, event.node)
 
 
+def _tell_read(gateway: Gateway, now: Seconds, topic: Topic) -> Effects:
+    if gateway.is_relay() or topic == Topic.servers:
+        # The members read themselves unless they are told soon.
+        gateway.connected.update_due_at = now
+    return _tell_members(gateway, now)
+
+
 def _tell_members(gateway: Gateway, now: Seconds) -> Effects:
     """Pass on what has changed; the controller does so with its review."""
     if not gateway.is_relay():
--- a/trefoilsaddle/gateway/sources.py
+++ b/trefoilsaddle/gateway/sources.py
@@ -170,11 +170,16 @@
     """Provide the state that the controller has told this relay."""
 
     def find_origin(self) -> Origin | None:
-        """Return the controller, if it has told its state."""
+        """Return the controller that is known here, if any.
+
+        One that has told nothing yet is named with the greatest age, so that
+        the members learn what this relay reads from the store meanwhile.
+        """
         link = self.gateway.link
-        if link.address is None or link.news_at is None:
+        if link.address in {None, self.gateway.own_address()}:
             return None
-        age = Seconds(self.now - link.news_at)
+        told_at = Seconds(0) if link.news_at is None else link.news_at
+        age = Seconds(self.now - told_at)
         return Origin(link.address, link.term, age, link.gateways)
 
     def list_owners(self) -> dict[ServiceName, int]:
