Let no relay vouch for an old version

What callers would see: requests on the routes of an old version (CONFIG) at the members of a relay that was told of a newer version and did not get it.

Cause: the relay passed on its own version with the age of the controller's read, so that its members took the old version for the newest one.

Evidence: test_relay_does_not_vouch_for_an_old_version, red before (all seven members had the old version 2.5 s after the store acknowledged the new one), green now: their age grows and they read the store.

What was told counts as a read only while the version here is as new.

--- a/tests/test_gatewayrelays.py
+++ b/tests/test_gatewayrelays.py
@@ -6,19 +6,30 @@
 import pytest
 
 from measure.gatewayworld import World
+from measure.worlddials import Dials
+from measure.worldpeers import Peers
 from measure.worldprocess import Process
 from measure.worldstorecalls import StoreCalls
 from tests.regionscenes import (
     WEST,
     RegionScene,
     build_regions,
+    build_version,
     find_controller,
 )
 from trefoilsaddle.core.units import NodeId
-from trefoilsaddle.gateway.effects import JoinGroup, ReadTopic
+from trefoilsaddle.gateway.effects import (
+    AskConfiguration,
+    Effect,
+    JoinGroup,
+    ReadTopic,
+    SendConfiguration,
+)
 
 _SCENE = RegionScene(east=6, west=8, servers=10, link_share=1_000_000)
 _TAKEOVER_TIME = 3
+_MAX_VERSION_AGE = 2.5
+_LEAVING_TIME = 6
 # Election delay of a gateway with one core, less the interval of updates.
 _MIN_ELECTION_DELAY = 0.75
 
@@ -44,6 +55,9 @@
 
 _READ = StoreCalls.read
 _JOIN = StoreCalls.join
+_SEND_COPY = Peers.send_copy
+_ANNOUNCE = Peers.announce
+_LINK = getattr(Dials, '_link')
 
 
 # Guards against requests that gateways of the other region handle by an old
@@ -92,3 +106,32 @@
     world.kill_gateway(find_controller(world).node)
     world.run(_TAKEOVER_TIME)
     assert min(joined, default=inf) >= _MIN_ELECTION_DELAY
+
+
+# Guards against requests that are handled by an old version (CONFIG) at the
+# members of a relay that has heard of a newer version and does not get it.
+def test_relay_does_not_vouch_for_an_old_version(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Keep a version from the relay; its members read it themselves."""
+    world = build_regions(_SCENE)
+    relay = _find_relay(world)
+    members = _list_members(world)
+    relay.store_cut = True
+
+    def send(peers: Peers, process: Process, effect: Effect) -> None:
+        linked = process.linked == relay.node or process is relay
+        if not linked and relay.node != _find_target(effect):
+            _SEND_COPY(peers, process, effect)
+
+    monkeypatch.setattr(Peers, 'send_copy', send)
+    world.store.write_configuration(build_version(2))
+    world.run(_MAX_VERSION_AGE)
+    late = [member.node for member in members if member.gateway.version < 2]
+    assert late == []
+
+
+def _find_target(effect: Effect) -> NodeId | None:
+    if isinstance(effect, (AskConfiguration, SendConfiguration)):
+        return effect.node
+    return None
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -301,7 +301,9 @@
     if is_linked(gateway, now):
         link.controller_seen_at = now
     built_at = link.clock.find_built_at(news.stamp, now)
-    link.configuration_read_at = Seconds(built_at - news.configuration_age)
+    if news.configuration <= gateway.version:
+        # Otherwise the version here is an old one, whatever its age.
+        link.configuration_read_at = Seconds(built_at - news.configuration_age)
     return [*effects, *_check_configuration(gateway, now, news)]
 
 
