Leave a relay that does not find the controller

What callers would see: requests for keys that reach former owners, for as long as the relay stays, at all members of a relay that is cut from the controller or misses its announcement.

Cause: a second update of the relay, which named the former controller, made a member forget the announcement; and the answers to questions for the time keep a connection open on which no controller's state arrives.

Evidence: two tests, test_members_leave_a_relay_that_misses_the_controller and ..._that_is_cut_from_the_controller, red before (no member was linked 3 s after the takeover, or 6 s after the cut), green now.

The announced controller is kept until the relay names it, for 1.5 s; a relay that tells of no controller is left after 4 s, when any takeover has ended. What is known of the controller does not become older by a relay that knows less.

--- a/tests/test_gatewayrelays.py
+++ b/tests/test_gatewayrelays.py
@@ -16,15 +16,19 @@
     build_regions,
     build_version,
     find_controller,
+    replace_controller,
 )
 from trefoilsaddle.core.units import NodeId
 from trefoilsaddle.gateway.effects import (
+    AnnounceController,
     AskConfiguration,
     Effect,
     JoinGroup,
     ReadTopic,
     SendConfiguration,
 )
+from trefoilsaddle.gateway.peers import is_linked
+from trefoilsaddle.gateway.table import GatewayAddress
 
 _SCENE = RegionScene(east=6, west=8, servers=10, link_share=1_000_000)
 _TAKEOVER_TIME = 3
@@ -135,3 +139,68 @@
     if isinstance(effect, (AskConfiguration, SendConfiguration)):
         return effect.node
     return None
+
+
+def _is_linked_to(world: World, process: Process, other: Process) -> bool:
+    gateway = process.gateway
+    known = gateway.link.address == other.gateway.own_address()
+    return known and is_linked(gateway, world.now)
+
+
+# Guards against keys whose requests go to former owners, as the members of a
+# relay that does not find the new controller forgot that it had announced
+# itself.
+def test_members_leave_a_relay_that_misses_the_controller(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Change the controller behind a relay's back; its members find it."""
+    world = build_regions(_SCENE)
+    relay = _find_relay(world)
+    members = _list_members(world)
+    former = find_controller(world)
+    relay.store_cut = True
+
+    def announce(
+        peers: Peers, process: Process, effect: AnnounceController
+    ) -> None:
+        if effect.address.node not in {relay.node, former.node}:
+            _ANNOUNCE(peers, process, effect)
+
+    monkeypatch.setattr(Peers, 'announce', announce)
+    controller = replace_controller(world, refused=True)
+    world.run(_TAKEOVER_TIME)
+    lost = [
+        member.node
+        for member in members
+        if not _is_linked_to(world, member, controller)
+    ]
+    assert lost == []
+
+
+# Guards against keys whose requests go to former owners at all members of a
+# relay that is cut from the controller and reaches its members.
+def test_members_leave_a_relay_that_is_cut_from_the_controller(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Cut a relay from the controller only; its members connect to that."""
+    world = build_regions(_SCENE)
+    relay = _find_relay(world)
+    members = _list_members(world)
+    controller = find_controller(world)
+
+    def link(
+        dials: Dials, process: Process, address: GatewayAddress | None
+    ) -> None:
+        far = address == controller.gateway.own_address()
+        if not (far and process is relay):
+            _LINK(dials, process, address)
+
+    monkeypatch.setattr(Dials, '_link', link)
+    world.dials.lose_link(relay)
+    world.run(_LEAVING_TIME)
+    lost = [
+        member.node
+        for member in members
+        if not _is_linked_to(world, member, controller)
+    ]
+    assert lost == []
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -128,7 +128,8 @@
     if announcement.position <= max(known, link.announced):
         return []
     link.announced = announcement.position
-    link.announced_at = now
+    link.awaited = announcement.controller
+    link.awaited_since = now
     link.controller_seen_at = now
     stepped = step_down(gateway, 'another controller has announced itself')
     return [*stepped, *dial(gateway, now, announcement.controller)]
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -55,6 +55,9 @@
 _MAX_NEWS_AGE = Seconds(1.4)
 # Time within which a relay connects to a controller that has announced itself.
 _RELAY_CHANGE_TIME = Seconds(1.5)
+# Time within which a relay tells of any controller; a lost one is replaced in
+# less.
+_MAX_RELAY_SEARCH = Seconds(4)
 # Age from which a late update is logged, and the interval between two lines.
 _LATE_UPDATE = Seconds(0.5)
 _LATE_LINE_INTERVAL = Seconds(1)
@@ -235,7 +238,9 @@
         link.linked_at = now
     built_at = link.clock.find_built_at(news.stamp, now)
     link.told_at = built_at
-    link.news_at = Seconds(built_at - news.controller_age)
+    # A relay that has lost the controller tells a greater age.
+    had_at = Seconds(built_at - news.controller_age)
+    link.news_at = max(link.news_at or had_at, had_at)
     gateway.pools.updated_at = now
     link.gateways = news.reporting
     _apply_gateways(gateway, news)
@@ -282,7 +287,7 @@
     link = gateway.link
     if link.relay is not None and news.controller is not None:
         # The relay knows of a new controller first.
-        _follow_relay(link, now, news.controller)
+        _follow_relay(link, news.controller)
     address = link.address
     if address is None or address.run != news.run:
         return []
@@ -307,19 +312,13 @@
     return [*effects, *_check_configuration(gateway, now, news)]
 
 
-def _follow_relay(
-    link: LinkState, now: Seconds, controller: GatewayAddress
-) -> None:
+def _follow_relay(link: LinkState, controller: GatewayAddress) -> None:
+    if link.awaited == controller:
+        link.awaited = None
     known = link.address
-    if known is not None and known.run == controller.run:
-        link.announced_at = None
-        return
-    announced_at = link.announced_at
-    if announced_at is not None and now - announced_at > _RELAY_CHANGE_TIME:
-        # The relay does not find the controller that is known here.
-        return
-    link.address = controller
-    link.term = 0
+    if known is None or known.run != controller.run:
+        link.address = controller
+        link.term = 0
 
 
 def _log_late(gateway: Gateway, now: Seconds, news: News) -> Effects:
@@ -494,14 +493,19 @@
 
 
 def leave_relay(gateway: Gateway, now: Seconds) -> Effects:
-    """Leave a relay that does not find a controller that is known here."""
+    """Leave a relay that does not find the controller."""
     link = gateway.link
-    announced_at = link.announced_at
-    if link.relay is None or announced_at is None:
+    if link.relay is None:
         return []
-    if now - announced_at <= _RELAY_CHANGE_TIME:
-        return []
-    return _handle_link_lost(gateway, now)
+    awaited = link.awaited
+    if awaited is not None and now - link.awaited_since > _RELAY_CHANGE_TIME:
+        link.address = awaited
+        link.term = 0
+        return _handle_relay_lost(gateway, now, link.relay)
+    since = max(link.news_at or Seconds(0), link.dialed_at or Seconds(0))
+    if now - since > _MAX_RELAY_SEARCH:
+        return _handle_relay_lost(gateway, now, link.relay)
+    return []
 
 
 def _handle_relay(
@@ -511,6 +515,7 @@
     if gateway.control.leading or relay == gateway.own_address():
         return []
     link.relay = relay
+    link.awaited = None
     _begin_connection(link, now)
     line = log_event(Component.peers, 'relay is named', relay=relay.node)
     # Those that are connected here get the state from that relay as well.
@@ -552,7 +557,7 @@
     link = gateway.link
     link.relay = None
     link.lost_relay = relay.node
-    link.announced_at = None
+    link.awaited = None
     _begin_connection(link, now)
     line = log_event(
         Component.peers, 'link to the relay lost', relay=relay.node
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -116,10 +116,11 @@
     relay: GatewayAddress | None = None
     # Relay whose connection was lost, until another one is named.
     lost_relay: NodeId = NodeId('')
-    # Newest position at which a controller has announced itself, and since when
-    # the announced one is another one than the relay's.
+    # Newest position at which a controller has announced itself, and that
+    # controller until the relay names it, with the time of the announcement.
     announced: TablePosition = NO_POSITION
-    announced_at: Seconds | None = None
+    awaited: GatewayAddress | None = None
+    awaited_since: Seconds = Seconds(0)
     # Time at which the present address was dialed.
     dialed_at: Seconds | None = None
     # Time at which the controller had the state that it last sent, and at which
