Tell members what a relay had removed before it took over

What callers would see: requests to a server that has left (DRAIN), for as long as the connection lasts, at members whose relay became the controller.

Cause: the relay forgot what it had told its members, who stay connected, and so never told a removal that was still to be sent; its updates of changes then count as complete.

Evidence: test_members_learn_removals_when_their_relay_takes_over, red before (all seven members kept the server), green now.

A new controller sends the full state to those that are connected already.

--- a/tests/test_gatewayrelays.py
+++ b/tests/test_gatewayrelays.py
@@ -29,11 +29,13 @@
 )
 from trefoilsaddle.gateway.peers import is_linked
 from trefoilsaddle.gateway.table import GatewayAddress
+from trefoilsaddle.gateway.takeover import take_over
 
 _SCENE = RegionScene(east=6, west=8, servers=10, link_share=1_000_000)
 _TAKEOVER_TIME = 3
 _MAX_VERSION_AGE = 2.5
 _LEAVING_TIME = 6
+_FULL_UPDATE_TIME = 0.12
 # Election delay of a gateway with one core, less the interval of updates.
 _MIN_ELECTION_DELAY = 0.75
 
@@ -204,3 +206,23 @@
         if not _is_linked_to(world, member, controller)
     ]
     assert lost == []
+
+
+# Guards against requests to a server that has left (DRAIN), as a relay that
+# became the controller forgot what its members still had to be told.
+def test_members_learn_removals_when_their_relay_takes_over() -> None:
+    """Remove a server just before a relay becomes the controller."""
+    world = build_regions(_SCENE)
+    relay = _find_relay(world).gateway
+    members = _list_members(world)
+    name = min(relay.registry.servers)
+    # The update that tells of it is delayed, as changes are batched.
+    relay.registry.discard(name)
+    take_over(relay, world.now)
+    world.run(_FULL_UPDATE_TIME)
+    knowing = [
+        member.node
+        for member in members
+        if name in member.gateway.registry.servers
+    ]
+    assert knowing == []
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -196,6 +196,11 @@
         self.awaiting_update.clear()
         self.forget_state()
 
+    def begin_anew(self) -> None:
+        """Send the full state to all: it is a controller's from now on."""
+        self.awaiting_update = sorted(self.nodes)
+        self.forget_state()
+
     def forget_state(self) -> None:
         """Send everything again with the next update."""
         self.servers.clear()
--- a/trefoilsaddle/gateway/takeover.py
+++ b/trefoilsaddle/gateway/takeover.py
@@ -45,7 +45,7 @@
     control.term += 1
     control.outdated_since = None
     control.regions.clear()
-    gateway.connected.forget_state()
+    gateway.connected.begin_anew()
     effects: Effects = []
     for rules in configuration.services.values():
         if rules.keyed:
