Drop what an earlier peer sent behind its last message

What callers would see: requests handled by an old version (CONFIG), as late updates count as fresh for up to 3 s.

Cause: a connection was read on until its task was cancelled, so that updates and answers of the clock that had arrived with the message that names a relay were taken for messages of that relay: a bound from another machine's clock.

Evidence: test_messages_of_an_earlier_peer_are_dropped, red before (the answer of the clock was fed after the relay had been dialed), green now.

A message is handled only while its connection is the present one.

--- a/tests/test_gatewaylinks.py
+++ b/tests/test_gatewaylinks.py
@@ -15,13 +15,15 @@
     SendConfiguration,
 )
 from trefoilsaddle.gateway.events import (
+    ClockAnswered,
     ConfigurationCopied,
     ConfigurationWanted,
     Event,
     LinkOpened,
     PeerLinked,
+    RelayAssigned,
 )
-from trefoilsaddle.gateway.peermessages import Report
+from trefoilsaddle.gateway.peermessages import ClockAnswer, RelayNamed, Report
 from trefoilsaddle.gateway.table import GatewayAddress
 from trefoilsaddle.programs.gatewaylinks import (
     ConfigurationExchange,
@@ -29,12 +31,16 @@
     ControllerServer,
 )
 from trefoilsaddle.results import ResultCode
+from trefoilsaddle.wire.deflating import Deflater
+from trefoilsaddle.wire.framing import pack_frame
+from trefoilsaddle.wire.gatewaycodec import encode_peer_message
 
 _HOST = '127.0.0.1'
 _NODE = NodeId('gate-2')
 # About the size of a configuration with some thousand routes.
 _WRITTEN = b'{"route": "/reads/"}' * 20_000
 _TEST_TIMEOUT = Seconds(20)
+_LEAVING_TIME = Seconds(0.2)
 
 
 def _decode(encoded: bytes) -> Configuration | Failure:
@@ -77,3 +83,44 @@
                     copies.send(SendConfiguration(copied.node, _WRITTEN))
             nursery.cancel_scope.cancel()
     return copied
+
+
+# Guards against what is taken for provably recent (CONFIG) by the clock of an
+# earlier peer, whose messages were handled after the next one was dialed.
+def test_messages_of_an_earlier_peer_are_dropped() -> None:
+    """Drop what the old peer sent behind the message that names a relay."""
+    assert trio.run(_leave_for_relay) == [RelayAssigned(_RELAY)]
+
+
+_RELAY = GatewayAddress(NodeId('gate-3'), 3, _HOST, 1)
+
+
+async def _leave_for_relay() -> list[Event]:
+    """Return what the link feeds of two messages that arrive together."""
+    fed: list[Event] = []
+
+    def feed(event: Event) -> None:
+        fed.append(event)
+        if isinstance(event, RelayAssigned):
+            link.dial(DialController(event.relay))
+
+    async def serve(stream: trio.SocketStream) -> None:
+        deflater = Deflater()
+        messages = (RelayNamed(_RELAY), ClockAnswer(Seconds(1), Seconds(2)))
+        frames = b''.join(
+            pack_frame(deflater.deflate(encode_peer_message(message)))
+            for message in messages
+        )
+        await stream.send_all(frames)
+        await trio.sleep_forever()
+
+    listeners = await trio.open_tcp_listeners(0, host=_HOST)
+    port = listeners[0].socket.getsockname()[1]
+    link = ControllerLink(feed, _decode)
+    link.dial(DialController(GatewayAddress(NodeId('gate-1'), 1, _HOST, port)))
+    with trio.move_on_after(_LEAVING_TIME):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            nursery.start_soon(link.run)
+    kept = (RelayAssigned, ClockAnswered)
+    return [event for event in fed if isinstance(event, kept)]
--- a/trefoilsaddle/programs/gatewaylinks.py
+++ b/trefoilsaddle/programs/gatewaylinks.py
@@ -315,14 +315,18 @@
         self.feed(LinkOpened())
         async with stream, trio.open_nursery() as nursery:
             nursery.start_soon(_write_messages, messages, inbox)
-            await self._receive_from_controller(messages)
+            await self._receive_from_controller(messages, outbox)
             nursery.cancel_scope.cancel()
 
-    async def _receive_from_controller(self, messages: MessageStream) -> None:
-        known = True
-        while known:
+    async def _receive_from_controller(
+        self, messages: MessageStream, outbox: _Outbox
+    ) -> None:
+        message = await messages.receive()
+        # A message may change the address; what is behind it is of no use.
+        while message is not None and self.outbox is outbox:
+            if not self._handle_message(message):
+                return
             message = await messages.receive()
-            known = message is not None and self._handle_message(message)
 
     def _handle_message(self, message: PeerMessage | Failure) -> bool:
         """Handle a message; return whether it may come from this end."""
