Let a former controller name the new one

What callers would see: requests for keys that reach former owners at a gateway that the store refuses.

Cause: it stays connected to the former controller, whose updates it ignores as they name another one; the former controller passes its reports on, so that the new one takes it for connected and does not announce itself to it again.

Evidence: test_former_controller_tells_of_the_new_one, red before (not linked 3 s after the takeover), green now.

A gateway that is told of another controller by the end it has dialed as one connects to that.

--- a/tests/test_gatewayrelays.py
+++ b/tests/test_gatewayrelays.py
@@ -35,6 +35,7 @@
 _TAKEOVER_TIME = 3
 _MAX_VERSION_AGE = 2.5
 _LEAVING_TIME = 6
+_FAST = 2
 _FULL_UPDATE_TIME = 0.12
 # Election delay of a gateway with one core, less the interval of updates.
 _MIN_ELECTION_DELAY = 0.75
@@ -226,3 +227,33 @@
         if name in member.gateway.registry.servers
     ]
     assert knowing == []
+
+
+# Guards against keys whose requests go to former owners at a gateway that the
+# store refuses and that stays with the former controller: that passes its
+# reports on, so that the new one does not announce itself to it.
+def test_former_controller_tells_of_the_new_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Change the controller without an announcement to a refused gateway."""
+    world = build_regions(_SCENE)
+    former = find_controller(world)
+    refused = next(
+        process
+        for process in world.processes.values()
+        if process.linked == former.node
+        and process.region != WEST
+        and process.gateway.options.speed < _FAST
+    )
+    refused.store_cut = True
+
+    def announce(
+        peers: Peers, process: Process, effect: AnnounceController
+    ) -> None:
+        if effect.address.node != refused.node:
+            _ANNOUNCE(peers, process, effect)
+
+    monkeypatch.setattr(Peers, 'announce', announce)
+    controller = replace_controller(world, refused=True)
+    world.run(_TAKEOVER_TIME)
+    assert _is_linked_to(world, refused, controller)
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -289,8 +289,10 @@
         # The relay knows of a new controller first.
         _follow_relay(link, news.controller)
     address = link.address
-    if address is None or address.run != news.run:
+    if address is None:
         return []
+    if address.run != news.run:
+        return _leave_former(gateway, now, news)
     effects: Effects = []
     if link.told_at is None:
         via = '' if link.relay is None else link.relay.node
@@ -312,6 +314,17 @@
     return [*effects, *_check_configuration(gateway, now, news)]
 
 
+def _leave_former(gateway: Gateway, now: Seconds, news: News) -> Effects:
+    """Connect to the controller that a former one names."""
+    named = news.controller
+    if named is None or gateway.control.leading:
+        return []
+    if named == gateway.own_address():
+        # The sender does not know yet that this gateway has stepped down.
+        return []
+    return dial(gateway, now, named)
+
+
 def _follow_relay(link: LinkState, controller: GatewayAddress) -> None:
     if link.awaited == controller:
         link.awaited = None
