Tell of servers again that were doubted once

What callers would see: requests to a server that has left (DRAIN) at the members of a relay.

Cause: a relay kept the servers that the controller's full update had named as doubtful until the next full update on the connection, and told its members neither changes nor removals of them.

Evidence: test_relay_tells_of_a_server_that_was_doubted, red before (no member knew that the server drains), green now.

A change that the controller tells of a server ends the doubt.

--- a/tests/test_gatewayrelays.py
+++ b/tests/test_gatewayrelays.py
@@ -1,6 +1,7 @@
 """Test the relays of regions without the controller, and their members."""
 
 from collections import Counter
+from dataclasses import replace
 from math import inf
 
 import pytest
@@ -36,6 +37,7 @@
 _MAX_VERSION_AGE = 2.5
 _LEAVING_TIME = 6
 _FAST = 2
+_PAUSE = 1.2
 _FULL_UPDATE_TIME = 0.12
 # Election delay of a gateway with one core, less the interval of updates.
 _MIN_ELECTION_DELAY = 0.75
@@ -257,3 +259,27 @@
     controller = replace_controller(world, refused=True)
     world.run(_TAKEOVER_TIME)
     assert _is_linked_to(world, refused, controller)
+
+
+# Guards against requests to a server that has left (DRAIN) at the members of a
+# relay that once was told that the server's entry may only have lapsed.
+def test_relay_tells_of_a_server_that_was_doubted() -> None:
+    """Have a doubted server come back, and then drain."""
+    world = build_regions(_SCENE)
+    relay = _find_relay(world).gateway
+    members = _list_members(world)
+    server = world.servers[0]
+    relay.link.deferred = frozenset((server.entry.life.server,))
+    world.run(_PAUSE)
+    server.entry = replace(server.entry, sequence=2)
+    world.store.write_server(server.entry)
+    world.run(_PAUSE)
+    world.drain_server(server)
+    world.run(_PAUSE)
+    name = server.entry.life.server
+    unaware = [
+        member.node
+        for member in members
+        if not member.gateway.registry.servers[name].draining
+    ]
+    assert unaware == []
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -437,6 +437,7 @@
     removed = [ServerId(name) for name in news.removed]
     gone = [name for name in removed if registry.discard(name)]
     if not news.servers_whole:
+        gateway.link.deferred -= present.union(removed)
         return _log_changes(changed, gone)
     deferred = frozenset(ServerId(entry) for entry in news.doubted)
     gateway.link.deferred = deferred
