--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -116,16 +116,16 @@
     relay: GatewayAddress | None = None
     # Relay whose connection was lost, until another one is named.
     lost_relay: NodeId = NodeId('')
-    # Newest position at which a controller has announced itself, and since when
-    # the announced one is another one than the relay's.
+    # Newest position at which a controller has announced itself, and that
+    # controller until the relay names it, with the time of the announcement.
     announced: TablePosition = NO_POSITION
-    announced_at: Seconds | None = None
+    awaited: GatewayAddress | None = None
+    awaited_since: Seconds = Seconds(0)
     # Time at which the present address was dialed.
     dialed_at: Seconds | None = None
     # Time at which the controller had the state that it last sent, by the
-    # earliest that the clocks allow; the first is None without a connection.
+    # earliest that the clocks allow; None without a connection.
     news_at: Seconds | None = None
-    controller_at: Seconds | None = None
     # Time at which the other end of the connection built its last update.
     told_at: Seconds | None = None
     clock: ClockBound = field(default_factory=ClockBound)
@@ -196,6 +196,11 @@
         self.awaiting_update.clear()
         self.forget_state()
 
+    def begin_anew(self) -> None:
+        """Send the full state to all: it is a controller's from now on."""
+        self.awaiting_update = sorted(self.nodes)
+        self.forget_state()
+
     def forget_state(self) -> None:
         """Send everything again with the next update."""
         self.servers.clear()
