--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -74,14 +74,18 @@
     settings: GatewaySettings,
     nursery: trio.Nursery,
 ) -> Failure | None:
-    budget = shell.calls.servers.budget
-    count = shell.calls.unanswered
-    probes = ReadinessService(shell)
+    calls = shell.calls
+    budget = calls.servers.budget
     # Probes do not hold a process that stops.
-    serve_probe = partial(serve_caller, probes, budget, UnansweredCount())
+    serve_probe = partial(
+        serve_caller, ReadinessService(shell), budget, UnansweredCount()
+    )
     peers = Address(settings.options.host, settings.options.port)
     served = (
-        (settings.callers, partial(serve_caller, shell.calls, budget, count)),
+        (
+            settings.callers,
+            partial(serve_caller, calls, budget, calls.unanswered),
+        ),
         (settings.ready, serve_probe),
         (settings.metrics, serve_probe),
         (peers, shell.controller.serve),
