--- a/trefoilsaddle/gateway/control.py
+++ b/trefoilsaddle/gateway/control.py
@@ -5,14 +5,14 @@
 from trefoilsaddle.core.units import (
     NodeId,
     Offset,
+    RegionName,
     Seconds,
-    ServerId,
     ServiceName,
 )
 from trefoilsaddle.gateway.loads import KeyRates, ServerLoads
 from trefoilsaddle.gateway.partitions import Partition, Partitions
-from trefoilsaddle.gateway.peermessages import ServerLoad
-from trefoilsaddle.gateway.servers import Server, ServerIncarnation, ServerTag
+from trefoilsaddle.gateway.relays import RegionLinks
+from trefoilsaddle.gateway.servers import Server, ServerIncarnation
 from trefoilsaddle.gateway.suspicion import Suspicions
 from trefoilsaddle.gateway.table import (
     NO_POSITION,
@@ -28,6 +28,8 @@
 
     table: OwnershipTable
     expected: Offset
+    # End of the wait for unknown holders that the table states.
+    unknown_until: Seconds | None = None
 
 
 @dataclass(slots=True)
@@ -58,6 +60,18 @@
     # Time until which servers may hold keys by tables that are lost; None if
     # every holder is known.
     unknown_until: Seconds | None = None
+    # Time until which unconfirmed holders, named by the table of the previous
+    # controller, may hold keys; None if this controller renews their grants.
+    lapsing_until: Seconds | None = None
+    # True if this gateway was the controller before the store came back, so that
+    # only it knows the holders.
+    restored: bool = False
+    # True once a table is being stored which says that this controller has
+    # resigned as its process stops; no order is sent from then on.
+    resigned: bool = False
+    # Time until which grants may be renewed before a table is stored in the
+    # present era; None once one is.
+    renewal_end: Seconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,13 +151,6 @@
     announce_at: Seconds = Seconds(0)
     # Time of the last report from each gateway.
     reporters: dict[NodeId, Seconds] = field(default_factory=dict)
-    # State that was last sent to the gateways, and when the next update is due
-    # even without a change.
-    sent_servers: dict[ServerId, Server] = field(default_factory=dict)
-    sent_gateways: set[NodeId] = field(default_factory=set)
-    sent_revisions: dict[ServiceName, int] = field(default_factory=dict)
-    sent_loads: dict[ServerTag, ServerLoad] = field(default_factory=dict)
-    update_due_at: Seconds = Seconds(0)
-    # Earliest time of the next update, so that changes are batched.
-    update_not_before: Seconds = Seconds(0)
+    # Links to gateways of other regions.
+    regions: dict[RegionName, RegionLinks] = field(default_factory=dict)
     monitor: ReviewMonitor = field(default_factory=ReviewMonitor)
--- a/trefoilsaddle/gateway/eras.py
+++ b/trefoilsaddle/gateway/eras.py
@@ -8,7 +8,7 @@
 
 from trefoilsaddle.core.units import NO_ERA, Seconds, StoreEra
 from trefoilsaddle.gateway.effects import Component, Effects
-from trefoilsaddle.gateway.election import read_tables, step_down
+from trefoilsaddle.gateway.election import may_renew, read_tables, step_down
 from trefoilsaddle.gateway.events import (
     AppendEnded,
     Event,
@@ -16,15 +16,25 @@
     TopicRead,
 )
 from trefoilsaddle.gateway.loglines import log_event
-from trefoilsaddle.gateway.restoring import begin_wait
+from trefoilsaddle.gateway.restoring import (
+    begin_wait,
+    bound_renewals,
+    record_unknown_end,
+)
 from trefoilsaddle.gateway.state import Gateway
+from trefoilsaddle.gateway.table import StoredTable
 
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
     """Record the era of each answer of the store."""
-    if isinstance(event, (TopicRead, JoinEnded, AppendEnded)):
-        return _record_era(gateway, now, event.era)
-    return []
+    if not isinstance(event, (TopicRead, JoinEnded, AppendEnded)):
+        return []
+    effects = _record_era(gateway, now, event.era)
+    if isinstance(event, TopicRead):
+        for entry in event.entries:
+            if isinstance(entry, StoredTable):
+                record_unknown_end(gateway, entry.table, now)
+    return effects
 
 
 def _record_era(gateway: Gateway, now: Seconds, era: StoreEra) -> Effects:
@@ -32,6 +42,8 @@
     if era <= known:
         return []
     gateway.era = era
+    gateway.era_seen_at = now
+    gateway.unknown_ends.clear()
     if known == NO_ERA:
         return []
     line = log_event(
@@ -48,6 +60,10 @@
 def _restore_tables(gateway: Gateway, now: Seconds) -> Effects:
     """Begin to store the tables again that the store may have lost."""
     control = gateway.control
+    if not may_renew(gateway, now):
+        # A successor may have waited for its grants to lapse.
+        reason = 'the store was unreachable for too long'
+        return [*step_down(gateway, reason), read_tables()]
     control.end = None
     # Only later reports show that their gateways renew no grants.
     control.term += 1
@@ -58,4 +74,5 @@
             reason = 'the store came back before the takeover'
             return [*step_down(gateway, reason), read_tables()]
         begin_wait(gateway, keyed, stored, now)
+        bound_renewals(gateway, keyed)
     return [read_tables()]
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -22,21 +22,23 @@
 from trefoilsaddle.gateway.election import step_down
 from trefoilsaddle.gateway.events import (
     ConfigurationCopied,
+    ControllerAnnounced,
     Event,
     ReadVerdict,
     Started,
-    TableAnnounced,
     TimerExpired,
     TimerKind,
     Topic,
     TopicRead,
 )
 from trefoilsaddle.gateway.loglines import log_event
+from trefoilsaddle.gateway.peermessages import ControllerAnnouncement
 from trefoilsaddle.gateway.peers import (
     dial,
     is_connecting,
     is_copy_overdue,
     is_linked,
+    is_told,
     log_server_change,
 )
 from trefoilsaddle.gateway.servers import (
@@ -44,7 +46,7 @@
     ServerChange,
     ServerRemoved,
 )
-from trefoilsaddle.gateway.state import Gateway, ServiceOwners, TopicState
+from trefoilsaddle.gateway.state import Gateway, TopicState
 from trefoilsaddle.gateway.table import (
     NO_POSITION,
     StoredTable,
@@ -64,13 +66,17 @@
 # Time since the last read of the tables was answered up to which all tables
 # since are read.
 _MAX_TABLES_AGE = Seconds(0.5)
-# Maximum age of the controller's read of the configuration. The read takes up
-# to a second, and its age counts from its start.
-_MAX_RELAYED_AGE = Seconds(2.5)
-# Interval at which the age of the controller's read of the servers is checked;
-# with twice the interval of such reads it stays well below the 2.5 s after
-# which a draining server gets no work.
-_SERVERS_CHECK_INTERVAL = Seconds(0.2)
+# Maximum age of what was told of the configuration. A version has to be in force
+# within 2.5 s; the controller's read takes up to a second, and its age counts
+# from its start.
+_MAX_CONFIGURATION_AGE = Seconds(1.6)
+_CONFIGURATION_CHECK_INTERVAL = Seconds(0.1)
+# Maximum age of what was told of the servers: one that leaves gets no work after
+# 2.5 s, and a read that hangs takes 0.9 s.
+_MAX_SERVERS_AGE = Seconds(1.2)
+_SERVERS_CHECK_INTERVAL = Seconds(0.1)
+# A relay reads so much earlier that its followers need not.
+_RELAY_LEAD = Seconds(0.3)
 # Interval of the checks whether the controller's updates still arrive.
 _LINK_CHECK_INTERVAL = Seconds(0.5)
 
@@ -87,13 +93,15 @@
     """Read the topics of the store and apply their entries."""
     match event:
         case Started():
-            return [_read(gateway, Topic.configuration)]
+            return [_read(gateway, Topic.configuration, now)]
         case TimerExpired():
             return _handle_timer(gateway, now, event.kind)
         case TopicRead():
             return _handle_read(gateway, now, event)
-        case ConfigurationCopied() | TableAnnounced():
-            return _handle_message(gateway, now, event)
+        case ConfigurationCopied():
+            return _apply_configuration(gateway, event.configuration)
+        case ControllerAnnounced():
+            return _handle_announcement(gateway, now, event.announcement)
     return []
 
 
@@ -110,47 +118,71 @@
     return []
 
 
-def _handle_message(
-    gateway: Gateway,
-    now: Seconds,
-    event: ConfigurationCopied | TableAnnounced,
+def _handle_announcement(
+    gateway: Gateway, now: Seconds, announcement: ControllerAnnouncement
 ) -> Effects:
-    if isinstance(event, ConfigurationCopied):
-        return _apply_configuration(gateway, event.configuration)
-    return _apply_table(gateway, now, event.stored)
+    """Connect to a controller whose table is newer than all known ones."""
+    link = gateway.link
+    positions = [stored.position for stored in gateway.tables.values()]
+    known = max(positions, default=NO_POSITION)
+    if announcement.position <= max(known, link.announced):
+        return []
+    link.announced = announcement.position
+    link.awaited = announcement.controller
+    link.awaited_since = now
+    link.controller_seen_at = now
+    stepped = step_down(gateway, 'another controller has announced itself')
+    return [*stepped, *dial(gateway, now, announcement.controller)]
 
 
-def _read(gateway: Gateway, topic: Topic) -> ReadTopic:
+def _read(gateway: Gateway, topic: Topic, now: Seconds) -> ReadTopic:
     state = gateway.topics[topic]
     state.reading = True
     wait = _NO_WAIT
     if state.next_offset is not None:
-        wait = _find_wait(gateway, topic)
+        wait = _find_wait(gateway, topic, now)
     return ReadTopic(topic, state.next_offset, wait, gateway.era)
 
 
-def _find_wait(gateway: Gateway, topic: Topic) -> Seconds:
+def _find_wait(gateway: Gateway, topic: Topic, now: Seconds) -> Seconds:
     if topic == Topic.configuration:
-        if gateway.link.wanted_since is not None:
-            return _NO_WAIT
-        if gateway.configuration is None:
-            return _FIRST_WAIT
-        return gateway.options.configuration_wait
+        return _find_configuration_wait(gateway, now)
     if topic == Topic.ownership:
         return _TABLE_WAIT
     # Every server writes at each heartbeat, so that a wait would end at once.
     return _NO_WAIT
 
 
+def _find_configuration_wait(gateway: Gateway, now: Seconds) -> Seconds:
+    if gateway.link.wanted_since is not None:
+        return _NO_WAIT
+    if gateway.configuration is None:
+        return _FIRST_WAIT
+    if gateway.is_relay() and _is_read_overdue(gateway, now):
+        # The followers read themselves unless they are told soon.
+        return _NO_WAIT
+    wait = gateway.options.configuration_wait
+    if gateway.control.elected or gateway.is_relay():
+        # The others rely on this read, whose age counts from its start.
+        return Seconds(wait / 2)
+    return wait
+
+
+def _is_read_overdue(gateway: Gateway, now: Seconds) -> bool:
+    read_at = gateway.topics[Topic.configuration].read_at
+    limit = _MAX_CONFIGURATION_AGE - _RELAY_LEAD
+    return read_at is None or now - read_at > limit
+
+
 def _read_servers(gateway: Gateway, now: Seconds) -> Effects:
     if gateway.topics[Topic.servers].reading:
         return []
     if gateway.configuration is None:
         return []
-    read_at = gateway.link.servers_read_at
-    limit = 2 * gateway.options.servers_interval
-    relayed = read_at is not None and now - read_at <= limit
-    if relayed and _relies_on_controller(gateway, now):
+    limit = _MAX_SERVERS_AGE
+    if gateway.is_relay():
+        limit = Seconds(limit - _RELAY_LEAD)
+    if _is_recent(gateway, gateway.link.servers_read_at, now, limit):
         return [SetTimer(TimerKind.read_servers, _SERVERS_CHECK_INTERVAL)]
     return [_read_recent(gateway, now)]
 
@@ -159,7 +191,7 @@
     # Every server writes at each heartbeat: after some time, the newest record
     # of each is less data than all records since the last read.
     state = gateway.topics[Topic.servers]
-    read = _read(gateway, Topic.servers)
+    read = _read(gateway, Topic.servers, now)
     age = _MAX_HEARTBEATS * gateway.options.heartbeat
     if state.read_at is None or now - state.read_at <= age:
         return read
@@ -174,16 +206,23 @@
 def _read_configuration(gateway: Gateway, now: Seconds) -> Effects:
     if gateway.topics[Topic.configuration].reading:
         return []
-    read_at = gateway.link.configuration_read_at
-    relayed = read_at is not None and now - read_at <= _MAX_RELAYED_AGE
-    overdue = is_copy_overdue(gateway, now)
-    if relayed and not overdue and _relies_on_controller(gateway, now):
-        return [SetTimer(TimerKind.read_configuration, _LINK_CHECK_INTERVAL)]
-    return [_read(gateway, Topic.configuration)]
+    limit = _MAX_CONFIGURATION_AGE
+    if gateway.is_relay():
+        limit = Seconds(limit - _RELAY_LEAD)
+    told = _is_recent(gateway, gateway.link.configuration_read_at, now, limit)
+    if told and not is_copy_overdue(gateway, now):
+        pause = _CONFIGURATION_CHECK_INTERVAL
+        return [SetTimer(TimerKind.read_configuration, pause)]
+    return [_read(gateway, Topic.configuration, now)]
 
 
-def _relies_on_controller(gateway: Gateway, now: Seconds) -> bool:
-    return is_linked(gateway, now) and not gateway.control.elected
+def _is_recent(
+    gateway: Gateway, read_at: Seconds | None, now: Seconds, limit: Seconds
+) -> bool:
+    """Return whether what was told is provably recent enough not to read."""
+    if read_at is None or gateway.control.elected:
+        return False
+    return now - read_at <= limit
 
 
 def _read_ownership(gateway: Gateway, now: Seconds) -> Effects:
@@ -192,6 +231,8 @@
     if gateway.configuration is None:
         return []
     told = is_linked(gateway, now) or is_connecting(gateway, now)
+    if gateway.link.relay is not None:
+        told = told or is_told(gateway, now)
     if gateway.control.leading or told:
         return [SetTimer(TimerKind.read_ownership, _LINK_CHECK_INTERVAL)]
     return [_read_tables(gateway, now)]
@@ -200,7 +241,7 @@
 def _read_tables(gateway: Gateway, now: Seconds) -> ReadTopic:
     # A table replaces all earlier ones of its service: after some time with the
     # controller, the newest are less data than all since the last read.
-    read = _read(gateway, Topic.ownership)
+    read = _read(gateway, Topic.ownership, now)
     answered_at = gateway.topics[Topic.ownership].answered_at
     recent = answered_at is None or now - answered_at <= _MAX_TABLES_AGE
     if recent or gateway.control.elected:
@@ -229,7 +270,7 @@
                 Component.store, 'history is gone', topic=event.topic.value
             )
         )
-        return [*effects, _read(gateway, event.topic)]
+        return [*effects, _read(gateway, event.topic, now)]
     state.read_at = event.asked_at
     state.next_offset = event.next_offset
     if event.topic == Topic.servers:
@@ -440,10 +481,7 @@
     position = NO_POSITION if owners is None else owners.position
     own = table.controller == gateway.own_address()
     if stored.position > position and not own:
-        gateway.owners[table.service] = ServiceOwners(
-            map_table(table), stored.position
-        )
-        gateway.owners_changed = True
+        gateway.replace_owners(table.service, map_table(table), stored.position)
     effects: Effects = []
     if gateway.control.leading:
         if table.controller == gateway.own_address():
--- a/trefoilsaddle/gateway/lifecycle.py
+++ b/trefoilsaddle/gateway/lifecycle.py
@@ -23,6 +23,9 @@
 _REMOVAL_TIME = Seconds(3.2)
 # Time reserved for the last answers before the process is killed.
 _FINAL_ANSWERS_TIME = Seconds(0.4)
+# Part of it in which they may be written.
+_WRITING_TIME = Seconds(0.2)
+_MIN_WRITING_TIME = Seconds(0.05)
 
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
@@ -39,8 +42,8 @@
                 zone=options.zone,
             )
             return [line]
-        case StopRequested():
-            return _stop(gateway, now)
+        case StopRequested(sent_after=sent_after):
+            return _stop(gateway, now, sent_after)
         case TimerExpired(kind=TimerKind.review):
             return _update_readiness(gateway, now)
     return []
@@ -52,6 +55,15 @@
     return since is not None and now - since >= _REMOVAL_TIME
 
 
+def find_exit_time(gateway: Gateway) -> Seconds | None:
+    """Return when a stopping gateway exits at the latest."""
+    sent_after = gateway.stop_sent_after
+    if sent_after is None:
+        return None
+    limit = gateway.options.stop_timeout - _FINAL_ANSWERS_TIME
+    return Seconds(sent_after + limit)
+
+
 def is_prepared(gateway: Gateway) -> bool:
     """Return whether the gateway knows enough to serve callers."""
     configuration = gateway.configuration
@@ -67,24 +79,29 @@
     )
 
 
-def _stop(gateway: Gateway, now: Seconds) -> Effects:
+def _stop(
+    gateway: Gateway, now: Seconds, sent_after: Seconds | None
+) -> Effects:
     if gateway.stopping_since is not None:
         return []
     gateway.stopping_since = now
+    # The platform counts from the signal, which a busy loop handles later.
+    gateway.stop_sent_after = now if sent_after is None else sent_after
     gateway.ready = False
     line = log_event(
         Component.lifecycle,
         'stopping',
         reason='shutdown requested',
         open_requests=len(gateway.calls),
+        signal_age=round(now - gateway.stop_sent_after, 3),
     )
     return [line, SetReady(ready=False)]
 
 
 def _update_readiness(gateway: Gateway, now: Seconds) -> Effects:
-    since = gateway.stopping_since
-    if since is not None:
-        return _check_stop(gateway, now, since)
+    exit_time = find_exit_time(gateway)
+    if exit_time is not None:
+        return _check_stop(gateway, now, exit_time)
     if gateway.ready or not is_prepared(gateway):
         return []
     gateway.ready = True
@@ -92,16 +109,17 @@
     return [line, SetReady(ready=True)]
 
 
-def _check_stop(gateway: Gateway, now: Seconds, since: Seconds) -> Effects:
-    elapsed = now - since
-    if elapsed < _REMOVAL_TIME:
+def _check_stop(gateway: Gateway, now: Seconds, exit_time: Seconds) -> Effects:
+    if gateway.stopped:
         return []
-    limit = gateway.options.stop_timeout - _FINAL_ANSWERS_TIME
-    if gateway.calls and elapsed < limit:
+    is_needed = gateway.calls or not is_refusing(gateway, now)
+    if is_needed and now < exit_time:
         return []
+    gateway.stopped = True
     line = log_event(
         Component.lifecycle,
         'stopped',
         open_requests=len(gateway.calls),
     )
-    return [line, ExitProcess()]
+    left = Seconds(exit_time + _WRITING_TIME - now)
+    return [line, ExitProcess(max(left, _MIN_WRITING_TIME))]
--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -3,13 +3,14 @@
 Requests that were sent before the answer to an earlier one are read as they
 arrive; answers leave in the order of the requests. Nothing behind an answer
 that closes the connection is started, and what is running behind it is
-cancelled.
+cancelled. A service that closes its connections answers what has been read, and
+closes each with its last answer.
 
 A connection is closed without an answer only if no complete request has been
 read, or if the caller has closed it.
 """
 
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from math import inf
@@ -20,18 +21,25 @@
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.http import sockets
 from trefoilsaddle.http.budget import AnswerBudget
+from trefoilsaddle.http.connectionend import EndReason, find_reason
 from trefoilsaddle.http.messages import Headers, HttpAnswer
 from trefoilsaddle.http.pipeline import CallerService, Exchange, Pipeline
-from trefoilsaddle.http.requests import BadInput, RequestReader
+from trefoilsaddle.http.requests import (
+    BadInput,
+    ReceivedRequest,
+    RequestReader,
+)
+from trefoilsaddle.http.unanswered import UnansweredCount
 
 _CLOSE = (b'connection', b'close')
 _LENGTH = b'content-length'
 # Limit on sending an answer to a caller that reads slowly.
 _WRITE_TIMEOUT = Seconds(10)
-# Time for which the rest of a refused request is read and discarded.  Closing
-# the connection with unread bytes would reset it before the caller has read
-# the answer.
-_DISCARD_TIMEOUT = Seconds(1)
+# Time for which the caller may read the last answer of a connection that this
+# end closes.  Bytes that arrive meanwhile are discarded: unread ones would reset
+# the connection, and with it the answer.
+_LINGER_TIMEOUT = Seconds(1)
+_CHUNK_BYTES = 65_536
 
 
 @dataclass(slots=True)
@@ -42,20 +50,26 @@
     stream: trio.SocketStream
     # Limits the memory of the answers being written.
     budget: AnswerBudget = field(default_factory=AnswerBudget)
+    # Counts the unanswered requests of this and other connections.
+    count: UnansweredCount = field(default_factory=UnansweredCount)
     _reader: RequestReader = field(init=False)
     _pipeline: Pipeline = field(init=False)
     # Set when the reader has read a request or has ended.
     _changed: trio.Event = field(default_factory=trio.Event)
     # Set when the last unanswered request has its answer.
     _idle: trio.Event = field(default_factory=trio.Event)
-    # True once an invalid request has been refused.
-    _refused: bool = False
+    # True once this end has closed the connection with an answer.
+    _closed: bool = False
+    # True once nothing more is read, as the service closes its connections.
+    _ending: bool = False
     # Cancelled to let the reader look whether it may go on.
     _pause: trio.CancelScope = field(default_factory=trio.CancelScope)
+    # Why the connection ends; the first reason counts.
+    _reason: EndReason | None = None
 
     def __post_init__(self) -> None:
         """Prepare to read the first request."""
-        self._pipeline = Pipeline(self.service, self.budget)
+        self._pipeline = Pipeline(self.service, self.budget, self.count)
         self._reader = RequestReader(
             self.stream, self.service.read_limits, self._wait_until_idle
         )
@@ -64,10 +78,21 @@
         """Answer requests until either end closes the connection."""
         with ExitStack() as stack:
             stack.callback(sockets.close, self.stream)
+            stack.callback(self._pipeline.close)
+            stack.callback(self._report_end)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read_requests, nursery)
                 await self._answer_requests(nursery)
                 nursery.cancel_scope.cancel()
+            if self._closed:
+                await _wait_until_closed(self.stream)
+
+    def _report_end(self) -> None:
+        reason = self._reason or EndReason.interrupted
+        self.service.record_end(self._pipeline.describe_end(reason))
+
+    def _set_reason(self, reason: EndReason) -> None:
+        self._reason = self._reason or reason
 
     # Reading.
 
@@ -77,8 +102,15 @@
         while more:
             try:
                 more = await self._read_request(nursery)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
+            except (
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ) as error:
+                self._set_reason(find_reason(error))
                 more = False
+        self._set_reason(
+            EndReason.idle if self._reader.was_idle else EndReason.caller_closed
+        )
         # Whether the caller has left or was idle for too long, nothing that is
         # still unanswered is wanted.
         self._pipeline.leave()
@@ -91,15 +123,21 @@
         self._reader.idle_until = inf
         self._pipeline.add(received, nursery)
         self._changed.set()
-        while received.is_last or self._pipeline.is_full():
-            if self._refused:
-                await self._reader.discard()
-                return False
+        while received.is_last or self._may_not_read():
             self._pause = trio.CancelScope()
             if not await self._reader.wait_for_end(self._pause):
                 return False
         return True
 
+    def _may_not_read(self) -> bool:
+        if self._pipeline.is_full():
+            return True
+        if self._pipeline.first is None or not self.service.is_closing():
+            return False
+        # What has arrived with an earlier request is answered as well.
+        self._ending = self._ending or not self._reader.has_rest()
+        return self._ending
+
     def _limit_idle_time(self) -> None:
         timeout = self.service.read_limits().idle_timeout
         self._reader.set_idle_limit(trio.current_time() + timeout)
@@ -122,11 +160,15 @@
             except (
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
-                h11.LocalProtocolError,
-            ):
+            ) as error:
                 # The caller has gone; cancelling `answer` tells the service.
+                self._set_reason(find_reason(error))
                 return
-            self._finish_first(nursery)
+            except h11.LocalProtocolError:
+                self._set_reason(EndReason.invalid_answer)
+                return
+            if more:
+                self._finish_first(nursery)
 
     async def _wait_for_first(self) -> Exchange | None:
         while self._pipeline.first is None and not self._pipeline.left:
@@ -137,7 +179,8 @@
     async def _answer_first(self, exchange: Exchange) -> bool:
         received = exchange.received
         if isinstance(received.request, BadInput):
-            await self._refuse(received.parser, received.request)
+            self._set_reason(EndReason.refused)
+            await self._refuse(received, received.request)
             return False
         if exchange.started:
             await exchange.answered.wait()
@@ -145,10 +188,15 @@
             await exchange.run(self.service, received.request)
         answer = exchange.answer
         if answer is None:
+            self._set_reason(EndReason.no_answer)
             return False
         with self.budget.hold(len(answer.body)):
-            await self._write(received.parser, answer)
-        return received.parser.our_state is h11.DONE and not received.is_last
+            await self._write(received, answer)
+        exchange.written.set()
+        if received.parser.our_state is h11.DONE and not received.is_last:
+            return True
+        self._set_reason(EndReason.answered)
+        return False
 
     def _finish_first(self, nursery: trio.Nursery) -> None:
         self._pipeline.remove_first(nursery)
@@ -157,39 +205,52 @@
             self._idle.set()
             self._limit_idle_time()
 
-    async def _write(self, parser: h11.Connection, answer: HttpAnswer) -> None:
+    async def _write(
+        self, received: ReceivedRequest, answer: HttpAnswer
+    ) -> None:
+        parser = received.parser
+        body = b'' if received.head_only else answer.body
         headers = [
             *answer.headers,
             (_LENGTH, b'%d' % len(answer.body)),
         ]
         if self._pipeline.may_close():
             headers.append(_CLOSE)
+            self._closed = True
         parts = [parser.send(_build_head(answer, tuple(headers)))]
-        parts.append(parser.send(h11.Data(data=answer.body)))
+        parts.append(parser.send(h11.Data(data=body)))
         parts.append(parser.send(h11.EndOfMessage()))
         scope = trio.move_on_after(_WRITE_TIMEOUT)
         with scope:
             await self.stream.send_all(b''.join(part for part in parts if part))
         if scope.cancelled_caught:
+            self._set_reason(EndReason.write_timeout)
             sockets.abort(self.stream)
+            raise trio.ClosedResourceError
 
-    async def _refuse(self, parser: h11.Connection, bad: BadInput) -> None:
+    async def _refuse(self, received: ReceivedRequest, bad: BadInput) -> None:
         answer = self.service.refuse(bad)
         closing = HttpAnswer(
             answer.status,
             (*answer.headers, _CLOSE),
             answer.body,
         )
-        if parser.our_state is h11.ERROR:
+        if received.parser.our_state is h11.ERROR:
             return
-        await self._write(parser, closing)
-        with trio.move_on_after(_DISCARD_TIMEOUT):
-            await self.stream.send_eof()
-            self._refused = True
-            self._pause.cancel()
-            while not self._pipeline.left:
-                self._changed = trio.Event()
-                await self._changed.wait()
+        self._closed = True
+        await self._write(received, closing)
+
+
+async def _wait_until_closed(stream: trio.SocketStream) -> None:
+    """Let the caller read the last answer and close the connection."""
+    with (
+        trio.move_on_after(_LINGER_TIMEOUT),
+        suppress(trio.BrokenResourceError, trio.ClosedResourceError),
+    ):
+        await stream.send_eof()
+        received = await stream.receive_some(_CHUNK_BYTES)
+        while received:
+            received = await stream.receive_some(_CHUNK_BYTES)
 
 
 def _build_head(answer: HttpAnswer, headers: Headers) -> h11.Response:
--- a/trefoilsaddle/http/pipeline.py
+++ b/trefoilsaddle/http/pipeline.py
@@ -14,8 +14,10 @@
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.configuration import CallerLimits
 from trefoilsaddle.http.budget import AnswerBudget
+from trefoilsaddle.http.connectionend import ConnectionEnd, EndReason
 from trefoilsaddle.http.messages import HttpAnswer, HttpRequest
 from trefoilsaddle.http.requests import BadInput, ReceivedRequest
+from trefoilsaddle.http.unanswered import UnansweredCount
 
 # Limits on the unanswered requests of a connection, and on the bytes of their
 # bodies; above them nothing more is read.
@@ -32,7 +34,7 @@
 
     @abstractmethod
     def is_closing(self) -> bool:
-        """Return whether connections are closed after the next answer."""
+        """Return whether connections are closed after their last answer."""
 
     @abstractmethod
     def is_idempotent(self, request: HttpRequest) -> bool:
@@ -48,6 +50,9 @@
     def refuse(self, bad: BadInput) -> HttpAnswer:
         """Build the answer to an invalid request."""
 
+    def record_end(self, end: ConnectionEnd) -> None:
+        """Take note of how a connection ended."""
+
 
 @dataclass(slots=True)
 class Exchange:
@@ -96,6 +101,8 @@
 
     service: CallerService
     budget: AnswerBudget
+    # Counts the unanswered requests of all connections.
+    count: UnansweredCount
     unanswered: deque[Exchange] = field(default_factory=deque)
     # True once the caller has closed the connection.
     left: bool = False
@@ -108,11 +115,13 @@
     def add(self, received: ReceivedRequest, nursery: trio.Nursery) -> None:
         """Add a request, and start it if it may run ahead."""
         self.unanswered.append(Exchange(received))
+        self.count.add()
         self._start_ahead(nursery)
 
     def remove_first(self, nursery: trio.Nursery) -> None:
         """Remove the request whose answer has been written."""
         self.unanswered.popleft().written.set()
+        self.count.remove(1)
         self._start_ahead(nursery)
 
     def is_full(self) -> bool:
@@ -125,9 +134,8 @@
 
     def may_close(self) -> bool:
         """Return whether the first answer closes the connection."""
-        # Requests that run already are answered before.
-        started = sum(exchange.started for exchange in self.unanswered)
-        return started <= 1 and self.service.is_closing()
+        # Whatever has been read is answered before.
+        return len(self.unanswered) <= 1 and self.service.is_closing()
 
     def leave(self) -> None:
         """Cancel all requests: the caller has closed the connection."""
@@ -135,8 +143,26 @@
         for exchange in self.unanswered:
             exchange.scope.cancel()
 
+    def close(self) -> None:
+        """Remove all requests: the connection has ended."""
+        self.count.remove(len(self.unanswered))
+        self.unanswered.clear()
+
+    def describe_end(self, reason: EndReason) -> ConnectionEnd:
+        """Describe what the end of the connection leaves unanswered."""
+        started = [
+            exchange
+            for exchange in self.unanswered
+            if exchange.started and not exchange.written.is_set()
+        ]
+        now = trio.current_time()
+        ages = [now - exchange.received.at for exchange in started]
+        unwritten = sum(exchange.answer is not None for exchange in started)
+        oldest = Seconds(max(ages, default=0))
+        return ConnectionEnd(reason, len(started), unwritten, oldest)
+
     def _start_ahead(self, nursery: trio.Nursery) -> None:
-        if len(self.unanswered) <= 1 or self.service.is_closing():
+        if len(self.unanswered) <= 1:
             return
         for exchange in self.unanswered:
             request = exchange.received.request
--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -3,7 +3,7 @@
 from functools import partial
 from pathlib import Path
 from random import SystemRandom
-from signal import SIGHUP, SIGTERM, SIGUSR1
+from signal import SIGHUP, SIGUSR1
 
 import trio
 
@@ -13,7 +13,6 @@
 from trefoilsaddle.gateway.events import (
     DumpRequested,
     Started,
-    StopRequested,
 )
 from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.state import build_gateway
@@ -21,6 +20,7 @@
 from trefoilsaddle.http.budget import AnswerBudget
 from trefoilsaddle.http.callers import CallerConnection
 from trefoilsaddle.http.pipeline import CallerService
+from trefoilsaddle.http.unanswered import UnansweredCount
 from trefoilsaddle.platform.settings import (
     Address,
     GatewaySettings,
@@ -28,6 +28,7 @@
 )
 from trefoilsaddle.programs.gatewayshell import GatewayShell
 from trefoilsaddle.programs.readiness import ReadinessService
+from trefoilsaddle.programs.stopsignal import watch_stop_signal
 from trefoilsaddle.results import ResultCode
 
 _RUN_BITS = 48
@@ -61,6 +62,7 @@
             return failure
         nursery.start_soon(shell.run)
         nursery.start_soon(_watch_signals, shell, path)
+        nursery.start_soon(watch_stop_signal, shell)
         shell.feed(Started())
         await shell.exited.wait()
         nursery.cancel_scope.cancel()
@@ -72,14 +74,21 @@
     settings: GatewaySettings,
     nursery: trio.Nursery,
 ) -> Failure | None:
-    readiness = ReadinessService(shell)
-    options = settings.options
-    budget = shell.calls.servers.budget
+    calls = shell.calls
+    budget = calls.servers.budget
+    # Probes do not hold a process that stops.
+    serve_probe = partial(
+        serve_caller, ReadinessService(shell), budget, UnansweredCount()
+    )
+    peers = Address(settings.options.host, settings.options.port)
     served = (
-        (settings.callers, partial(_serve_caller, shell.calls, budget)),
-        (settings.ready, partial(_serve_caller, readiness, budget)),
-        (settings.metrics, partial(_serve_caller, readiness, budget)),
-        (Address(options.host, options.port), shell.controller.serve),
+        (
+            settings.callers,
+            partial(serve_caller, calls, budget, calls.unanswered),
+        ),
+        (settings.ready, serve_probe),
+        (settings.metrics, serve_probe),
+        (peers, shell.controller.serve),
     )
     for address, serve_connection in served:
         listener = sockets.listen(address.host, address.port)
@@ -91,27 +100,29 @@
     return None
 
 
-async def _serve_caller(
+async def serve_caller(
     service: CallerService,
     budget: AnswerBudget,
+    count: UnansweredCount,
     stream: trio.SocketStream,
 ) -> None:
-    sockets.set_options(stream)
-    await CallerConnection(service, stream, budget).serve()
+    """Serve a connection of a caller, or of the platform."""
+    sockets.set_caller_options(stream)
+    await CallerConnection(service, stream, budget, count).serve()
 
 
 async def _watch_signals(shell: GatewayShell, path: Path) -> None:
-    with trio.open_signal_receiver(SIGTERM, SIGHUP, SIGUSR1) as signals:
+    with trio.open_signal_receiver(SIGHUP, SIGUSR1) as signals:
         async for number in signals:
-            if number == SIGTERM:
-                shell.feed(StopRequested())
-            elif number == SIGUSR1:
+            if number == SIGUSR1:
                 shell.feed(DumpRequested())
             else:
-                _check_settings(shell, path)
+                await shell.containment.run(
+                    'settings', _check_settings, shell, path
+                )
 
 
-def _check_settings(shell: GatewayShell, path: Path) -> None:
+async def _check_settings(shell: GatewayShell, path: Path) -> None:
     # Addresses and limits of a running process do not change.  The file is
     # validated only, so that a fault is logged before the next start.
     loaded = read_settings(path, shell.gateway.options.run)
--- a/trefoilsaddle/programs/gatewaycalls.py
+++ b/trefoilsaddle/programs/gatewaycalls.py
@@ -1,10 +1,9 @@
 """Connect callers' requests and server attempts with the reducer."""
 
-from collections.abc import Callable, Iterator, Mapping
-from contextlib import ExitStack, contextmanager
+from collections.abc import Callable, Mapping
+from contextlib import ExitStack
 from dataclasses import dataclass, field, replace
 from functools import partial
-from math import inf
 from types import MappingProxyType
 
 import trio
@@ -13,10 +12,12 @@
 from trefoilsaddle.gateway.configuration import CallerLimits
 from trefoilsaddle.gateway.effects import (
     CancelAttempts,
+    Component,
     DeliverAnswer,
     EndCall,
     SendAttempt,
     SetCallTimer,
+    WriteDecision,
 )
 from trefoilsaddle.gateway.events import (
     AttemptEnded,
@@ -27,18 +28,22 @@
     RequestArrived,
     RequestHead,
 )
+from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.servers import ServerIncarnation
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.http.budget import AnswerBudget
+from trefoilsaddle.http.connectionend import ConnectionEnd
 from trefoilsaddle.http.exchange import AnswerMatcher
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.pipeline import CallerService
 from trefoilsaddle.http.pool import ConnectionPool
 from trefoilsaddle.http.progress import Progress
 from trefoilsaddle.http.requests import BadInput
+from trefoilsaddle.http.unanswered import UnansweredCount
 from trefoilsaddle.ports import Dialect, RefusalText
 from trefoilsaddle.programs.containment import Containment
 from trefoilsaddle.programs.gatewaystatuses import find_refusal_status
+from trefoilsaddle.results import ResultCode
 
 # Limits until the first configuration has been read.
 _FIRST_LIMITS = CallerLimits(
@@ -77,12 +82,18 @@
     budget: AnswerBudget
     answer: HttpAnswer | None = None
     ended: trio.Event = field(default_factory=trio.Event)
-    expires: float = inf
+    # Time at which the request expires, also if the reducer sets no timer.
+    expires: float = field(init=False)
     answers: dict[int, HttpAnswer] = field(default_factory=dict)
     scopes: dict[int, trio.CancelScope] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.expires = trio.current_time() + self.head.remaining
+
     def store_answer(self, attempt: int, answer: HttpAnswer) -> None:
         """Store the answer of an attempt until the request has ended."""
+        if self.ended.is_set():
+            return
         self.answers[attempt] = answer
         self.held.enter_context(self.budget.hold(len(answer.body)))
 
@@ -158,6 +169,7 @@
     nursery: trio.Nursery
     containment: Containment
     servers: Servers = field(init=False)
+    unanswered: UnansweredCount = field(default_factory=UnansweredCount)
     pending: dict[CallId, _PendingCall] = field(default_factory=dict)
     last_call: int = 0
 
@@ -201,8 +213,8 @@
         with ExitStack() as held:
             pending = _PendingCall(request, head, held, self.servers.budget)
             self.pending[call] = pending
-            with self._report_leaving(call, pending):
-                await self._wait_for_end(call, pending)
+            held.callback(self._forget_call, call, pending)
+            await self._wait_for_end(call, pending)
         return pending.answer
 
     def refuse(self, bad: BadInput) -> HttpAnswer:
@@ -210,6 +222,11 @@
         text = RefusalText(bad.status, 0, bad.code.name)
         return self.dialect.build_refusal(text, '')
 
+    def record_end(self, end: ConnectionEnd) -> None:
+        """Log the end of a connection that left requests unanswered."""
+        if end.lost_bytes:
+            self.containment.write(_build_end_line(end))
+
     def set_timer(self, effect: SetCallTimer) -> None:
         """Set the time at which a request expires."""
         pending = self.pending.get(effect.call)
@@ -249,17 +266,10 @@
         pending.answer = self.dialect.build_refusal(text, request_id)
         pending.ended.set()
 
-    @contextmanager
-    def _report_leaving(
-        self, call: CallId, pending: _PendingCall
-    ) -> Iterator[None]:
-        """Report to the reducer if the caller leaves before the answer."""
-        with ExitStack() as stack:
-            stack.callback(self._forget_call, call, pending)
-            yield
-
     def _forget_call(self, call: CallId, pending: _PendingCall) -> None:
+        """Report to the reducer if the caller leaves before the answer."""
         self.pending.pop(call)
+        pending.ended.set()
         if pending.answer is None:
             self.feed(CallerLeft(call))
             _cancel_scopes(pending)
@@ -272,6 +282,8 @@
             await pending.ended.wait()
         if not pending.ended.is_set():
             self.feed(CallExpired(call))
+        if not pending.ended.is_set():
+            _give_up(self, call, pending)
 
     async def _run_attempt(
         self,
@@ -317,6 +329,25 @@
     return AttemptEnded(effect.call, effect.attempt, AttemptVerdict.lost, 0)
 
 
+def _build_end_line(end: ConnectionEnd) -> WriteDecision:
+    return log_event(
+        Component.forwarding,
+        'connection of a caller ended',
+        reason=end.reason.value,
+        unanswered=end.unanswered,
+        unwritten=end.unwritten,
+        oldest=round(end.oldest, 3),
+    )
+
+
+def _give_up(calls: GatewayCalls, call: CallId, pending: _PendingCall) -> None:
+    # A step of the reducer has failed: the request may have run.
+    _cancel_scopes(pending)
+    calls.feed(CallerLeft(call))
+    code = ResultCode.deadline_passed
+    calls.end_call(EndCall(call, code, not_run=False, retry_after=Seconds(0)))
+
+
 def _cancel_scopes(pending: _PendingCall) -> None:
     for scope in pending.scopes.values():
         scope.cancel()
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -12,13 +12,11 @@
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.decisionlog import DecisionLog
 from trefoilsaddle.gateway.effects import (
-    AnnounceTable,
+    AnnounceController,
     AppendTable,
-    AskConfiguration,
     CancelAttempts,
     CountMetric,
     DeliverAnswer,
-    DialController,
     Effect,
     EndCall,
     ExitProcess,
@@ -29,9 +27,6 @@
     ReadTopic,
     ReleaseKeys,
     SendAttempt,
-    SendConfiguration,
-    SendNews,
-    SendReport,
     SetCallTimer,
     SetReady,
     SetTimer,
@@ -42,7 +37,6 @@
     TimerExpired,
     TimerKind,
 )
-from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gatewaymetrics import GatewayMetrics
@@ -53,10 +47,10 @@
 from trefoilsaddle.programs.containment import Containment
 from trefoilsaddle.programs.gatewaycalls import GatewayCalls
 from trefoilsaddle.programs.gatewaylinks import (
-    ConfigurationExchange,
     ControllerLink,
     ControllerServer,
-    announce_table,
+    announce_controller,
+    list_peer_actions,
 )
 from trefoilsaddle.programs.gatewayorders import OrderRunner
 from trefoilsaddle.programs.looplag import LoopLag
@@ -85,6 +79,8 @@
         self._log = log
         self._nursery = nursery
         self._clock = SystemClock()
+        # Time of the last event that was handled.
+        self.active_at = self._clock.read_monotonic()
         self._events: deque[Event] = deque()
         self._reducing = False
         self._lag = LoopLag(self.metrics, self.write)
@@ -111,14 +107,7 @@
         )
         decode_configuration = self._store.decode_configuration
         self.controller = ControllerServer(self.feed, decode_configuration)
-        greeting = Report(
-            gateway.own_address(), Seconds(0), (), (), options.speed
-        )
-        self._link = ControllerLink(
-            self.feed,
-            greeting,
-            decode_configuration,
-        )
+        self._link = ControllerLink(self.feed, decode_configuration)
         counts = {
             'store': self._store.traffic,
             'orders': orders.traffic,
@@ -133,9 +122,12 @@
         """Run the timers, the controller link and the sweeping of pools."""
         keep_running = self.containment.keep_running
         self._nursery.start_soon(keep_running, 'link', self._link.run)
-        pools = self.calls.servers.pools
-        self._nursery.start_soon(sweep_pools, pools.values)
-        self._nursery.start_soon(sweep_pools, self._list_order_pools)
+        for list_pools in (
+            self.calls.servers.pools.values,
+            self._list_order_pools,
+        ):
+            sweep = partial(sweep_pools, list_pools)
+            self._nursery.start_soon(keep_running, 'sweep', sweep)
         self._nursery.start_soon(keep_running, 'traffic', self._traffic_log.run)
         while True:
             self._timer_set = trio.Event()
@@ -153,6 +145,7 @@
         while self._events:
             self._handle_event(self._events.popleft())
         self._reducing = False
+        self.active_at = self._clock.read_monotonic()
 
     def write(self, decision: WriteDecision) -> None:
         """Write a log line."""
@@ -160,6 +153,7 @@
 
     def _handle_event(self, event: Event) -> None:
         now = self._clock.read_monotonic()
+        self.active_at = now
         try:
             for effect in reduce(self.gateway, now, event):
                 self._actions[type(effect)](effect)
@@ -168,8 +162,14 @@
 
     def _list_actions(self) -> dict[type[Effect], _Perform]:
         calls = self.calls
-        copies = ConfigurationExchange(self.controller, self._link)
         return {
+            **list_peer_actions(self.controller, self._link),
+            AnnounceController: partial(
+                self._nursery.start_soon,
+                self.containment.run,
+                'announcement',
+                announce_controller,
+            ),
             WriteDecision: self.write,
             SetTimer: self._set_timer,
             SetCallTimer: calls.set_timer,
@@ -183,17 +183,6 @@
             LeaveGroup: self._leave,
             GrantKeys: self._orders.grant,
             ReleaseKeys: self._orders.release,
-            DialController: self._link.dial,
-            SendReport: self._link.send,
-            SendNews: self.controller.send,
-            SendConfiguration: copies.send,
-            AskConfiguration: copies.request,
-            AnnounceTable: partial(
-                self._nursery.start_soon,
-                self.containment.run,
-                'announcement',
-                announce_table,
-            ),
             SetReady: self._set_ready,
             ExitProcess: self._exit,
             CountMetric: self._count,
@@ -235,10 +224,16 @@
         self.ready = effect.ready
 
     def _exit(self, effect: ExitProcess) -> None:
-        self.exited.set()
+        self._nursery.start_soon(_exit_when_answered, self, effect.patience)
 
     def _count(self, effect: CountMetric) -> None:
         self.metrics.count(effect.name, effect.label)
 
     def _observe(self, effect: ObserveTime) -> None:
         self.metrics.observe_answer(effect.seconds)
+
+
+async def _exit_when_answered(shell: GatewayShell, patience: Seconds) -> None:
+    with trio.move_on_after(patience):
+        await shell.calls.unanswered.wait_until_none()
+    shell.exited.set()
