Announce how long holders are still unknown

Announcements held the table, and with it what was left of the wait for unknown holders, which gateways counted from then on; without the table a successor counted from its own read. Test, red before: test_announced_wait_is_known (no such field).

--- a/tests/test_gatewaysuccessors.py
+++ b/tests/test_gatewaysuccessors.py
@@ -18,8 +18,15 @@
 from measure.worldservers import WorldServer
 from measure.worldstore import Membership, StoreCopy
 from tests.gatewayscenes import CATALOGUE, GATEWAYS, build_scene, list_unowned
-from trefoilsaddle.core.units import NodeId, Seconds, ServiceName, StoreEra
+from trefoilsaddle.core.units import (
+    NodeId,
+    Offset,
+    Seconds,
+    ServiceName,
+    StoreEra,
+)
 from trefoilsaddle.gateway.events import (
+    ControllerAnnounced,
     Event,
     JoinEnded,
     OrderEnded,
@@ -30,8 +37,13 @@
 from trefoilsaddle.gateway.granting import handle_order_ended
 from trefoilsaddle.gateway.options import MAX_HOLD
 from trefoilsaddle.gateway.partitions import PartitionState
+from trefoilsaddle.gateway.peermessages import (
+    ControllerAnnouncement,
+    ServiceWait,
+)
+from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.restoring import record_unknown_end
-from trefoilsaddle.gateway.table import StoredTable
+from trefoilsaddle.gateway.table import GatewayAddress, StoredTable
 from trefoilsaddle.gateway.takeover import take_over_service
 
 _Fault = Callable[[World, Random], None]
@@ -540,3 +552,25 @@
         partition.held_until for partition in keyed.partitions.ordered
     )
     assert round(earliest - world.now, 3) >= round(wait, 3)
+
+
+# Guards against a successor that counts the wait for unknown holders from its own
+# read of the table, though its predecessor had announced what was left of it.
+@pytest.mark.parametrize(
+    ('eras', 'left', 'known'),
+    [(0, 5, 5), (0, 0, 0), (1, 5, None)],
+    ids=['waits', 'has ended', 'other era'],
+)
+def test_announced_wait_is_known(
+    eras: int, left: float, known: float | None
+) -> None:
+    """Record the end of a wait that a controller of this era announces."""
+    world = build_scene()
+    gateway = world.processes[NodeId(GATEWAYS[-1])].gateway
+    era = StoreEra(gateway.era + eras)
+    wait = ServiceWait(ServiceName(CATALOGUE), Seconds(left))
+    address = GatewayAddress(NodeId('new-1'), 9, 'new-1', 1)
+    announcement = ControllerAnnouncement(address, Offset(99), era, (wait,))
+    reduce(gateway, world.now, ControllerAnnounced(announcement))
+    end = gateway.unknown_ends.get(ServiceName(CATALOGUE))
+    assert end == (None if known is None else world.now + known)
--- a/trefoilsaddle/gateway/eras.py
+++ b/trefoilsaddle/gateway/eras.py
@@ -11,15 +11,18 @@
 from trefoilsaddle.gateway.election import may_renew, read_tables, step_down
 from trefoilsaddle.gateway.events import (
     AppendEnded,
+    ControllerAnnounced,
     Event,
     JoinEnded,
     TopicRead,
 )
 from trefoilsaddle.gateway.loglines import log_event
+from trefoilsaddle.gateway.peermessages import ControllerAnnouncement
 from trefoilsaddle.gateway.restoring import (
     begin_wait,
     bound_renewals,
     record_unknown_end,
+    record_wait,
 )
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.table import StoredTable
@@ -27,6 +30,8 @@
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
     """Record the era of each answer of the store."""
+    if isinstance(event, ControllerAnnounced):
+        _record_waits(gateway, now, event.announcement)
     if not isinstance(event, (TopicRead, JoinEnded, AppendEnded)):
         return []
     effects = _record_era(gateway, now, event.era)
@@ -37,6 +42,15 @@
     return effects
 
 
+def _record_waits(
+    gateway: Gateway, now: Seconds, announcement: ControllerAnnouncement
+) -> None:
+    if announcement.era != gateway.era:
+        return
+    for wait in announcement.waits:
+        record_wait(gateway, wait, now)
+
+
 def _record_era(gateway: Gateway, now: Seconds, era: StoreEra) -> Effects:
     known = gateway.era
     if era <= known:
--- a/trefoilsaddle/gateway/peermessages.py
+++ b/trefoilsaddle/gateway/peermessages.py
@@ -207,6 +207,14 @@
     deflated: bytes = field(repr=False)
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceWait:
+    """State how long servers may still hold a service's keys by lost tables."""
+
+    service: ServiceName
+    left: Seconds
+
+
 @dataclass(frozen=True, slots=True)
 class ControllerAnnouncement:
     """Announce a new controller to a gateway that may not reach the store."""
@@ -215,6 +223,8 @@
     # Position of its newest table.
     offset: Offset
     era: StoreEra
+    # Services whose holders are not all known.
+    waits: tuple[ServiceWait, ...] = ()
 
     @property
     def position(self) -> TablePosition:
--- a/trefoilsaddle/gateway/restoring.py
+++ b/trefoilsaddle/gateway/restoring.py
@@ -22,6 +22,7 @@
     PartitionState,
     find_grant_end,
 )
+from trefoilsaddle.gateway.peermessages import ServiceWait
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.table import (
     NOT_STATED,
@@ -87,10 +88,25 @@
         return
     if table.unknown_left < 0:
         return
-    ends = gateway.unknown_ends
     # The time left counts from before the table was stored.
-    until = Seconds(now + table.unknown_left)
-    ends[table.service] = min(ends.get(table.service, until), until)
+    wait = ServiceWait(table.service, table.unknown_left)
+    record_wait(gateway, wait, now)
+
+
+def record_wait(gateway: Gateway, wait: ServiceWait, now: Seconds) -> None:
+    """Record when the grants of lost tables end, at the latest."""
+    ends = gateway.unknown_ends
+    until = Seconds(now + wait.left)
+    ends[wait.service] = min(ends.get(wait.service, until), until)
+
+
+def list_waits(gateway: Gateway, now: Seconds) -> tuple[ServiceWait, ...]:
+    """Return how long this controller still waits for unknown holders."""
+    return tuple(
+        ServiceWait(service, Seconds(max(keyed.unknown_until - now, 0)))
+        for service, keyed in gateway.control.keyed.items()
+        if keyed.unknown_until is not None
+    )
 
 
 def find_time_left(until: Seconds | None, now: Seconds) -> Seconds:
--- a/trefoilsaddle/gateway/updates.py
+++ b/trefoilsaddle/gateway/updates.py
@@ -21,6 +21,7 @@
     ServerLoad,
 )
 from trefoilsaddle.gateway.peers import apply_news
+from trefoilsaddle.gateway.restoring import list_waits
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.sources import Origin, StateSource, find_source
 from trefoilsaddle.gateway.state import Gateway
@@ -189,7 +190,9 @@
     if not positions:
         return []
     newest = max(positions)
-    announcement = ControllerAnnouncement(own, newest.offset, newest.era)
+    announcement = ControllerAnnouncement(
+        own, newest.offset, newest.era, list_waits(gateway, now)
+    )
     return [
         AnnounceController(peer, announcement)
         for node, peer in gateway.link.known.items()
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -172,6 +172,12 @@
   controller @0 :GatewayAddress;
   offset @1 :Int64;
   era @2 :Int64;
+  waits @3 :List(ServiceWait);
+}
+
+struct ServiceWait {
+  service @0 :Text;
+  left @1 :Float64;
 }
 
 struct PeerMessage {
