Let a restarted gateway tell no state that nobody has told it

Only a gateway that a controller has told its state in this incarnation, and that knows the servers, tells them now; one that finds its own earlier incarnation in the table dials nobody. Test, red before in both cases: tests/test_gatewayrelays.py::test_restarted_gateway_tells_nothing.

--- a/tests/test_gatewayrelays.py
+++ b/tests/test_gatewayrelays.py
@@ -1,7 +1,7 @@
 """Test that one gateway of each other region relays what the controller sends."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 
@@ -16,10 +16,22 @@
     list_late,
     replace_controller,
 )
-from trefoilsaddle.core.units import NodeId, Seconds
+from trefoilsaddle.core.units import NodeId, Offset, Seconds, StoreEra
 from trefoilsaddle.gateway.clocks import NO_STAMP, ClockBound
+from trefoilsaddle.gateway.effects import DialController, Effects, SendNews
+from trefoilsaddle.gateway.events import (
+    ConfigurationCopied,
+    ControllerAnnounced,
+    PeerLinked,
+    Started,
+    TimerExpired,
+    TimerKind,
+)
+from trefoilsaddle.gateway.peermessages import ControllerAnnouncement
 from trefoilsaddle.gateway.peers import is_linked
+from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.relays import Candidate, RegionLinks
+from trefoilsaddle.gateway.state import build_gateway
 from trefoilsaddle.gateway.table import GatewayAddress
 
 # A third of the users' link between regions, which is as fast for few gateways.
@@ -127,6 +139,33 @@
     _assert_linked(world)
 
 
+# Guards against keys that nobody serves after all gateways have restarted: the last
+# controller's new incarnation told the others, who had read the servers, that there
+# are none, so that its successor left all keys to lapse.
+@pytest.mark.parametrize('earlier', [True, False])
+def test_restarted_gateway_tells_nothing(*, earlier: bool) -> None:
+    """Tell no state before a controller has told it to this incarnation."""
+    world = build_regions(_SCENE)
+    options = find_controller(world).gateway.options
+    gateway = build_gateway(replace(options, run=options.run + 1))
+    node = options.node if earlier else NodeId('east-9')
+    address = GatewayAddress(node, options.run, node, 1)
+    announcement = ControllerAnnouncement(address, Offset(9), StoreEra(1))
+    events = (
+        Started(),
+        ConfigurationCopied(build_version(1)),
+        ControllerAnnounced(announcement),
+        PeerLinked(NodeId('east-1')),
+        TimerExpired(TimerKind.review),
+    )
+    effects: Effects = []
+    for event in events:
+        effects.extend(reduce(gateway, world.now, event))
+    assert not any(isinstance(kind, SendNews) for kind in effects)
+    dialed = [kind for kind in effects if isinstance(kind, DialController)]
+    assert (dialed[0].address == address) != earlier
+
+
 # Guards against a gateway that takes what arrives to be as old as it says, though
 # it has waited on a link for seconds.
 @pytest.mark.parametrize(
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -126,7 +126,8 @@
     link.relay = None
     link.news_at = None
     _begin_connection(link, now)
-    if address == gateway.own_address():
+    if address.node == gateway.options.node:
+        # This gateway, or an earlier incarnation of it.
         return [DialController(None)]
     return [DialController(address), line]
 
@@ -238,6 +239,7 @@
         link.linked_at = now
     built_at = link.clock.find_built_at(news.stamp, now)
     link.told_at = built_at
+    link.was_told = True
     # A relay that has lost the controller tells a greater age.
     had_at = Seconds(built_at - news.controller_age)
     link.news_at = max(link.news_at or had_at, had_at)
--- a/trefoilsaddle/gateway/sources.py
+++ b/trefoilsaddle/gateway/sources.py
@@ -176,6 +176,9 @@
         the followers learn what this relay reads from the store meanwhile.
         """
         link = self.gateway.link
+        if not link.was_told or self.find_read_at(Topic.servers) is None:
+            # A restarted controller would vouch for its last incarnation.
+            return None
         if link.address in {None, self.gateway.own_address()}:
             return None
         told_at = Seconds(0) if link.news_at is None else link.news_at
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -126,6 +126,9 @@
     # Time at which the controller had the state that it last sent, by the
     # earliest that the clocks allow; None without a connection.
     news_at: Seconds | None = None
+    # True once a controller has told its state to this incarnation, or this
+    # gateway was the controller itself.
+    was_told: bool = False
     # Time at which the other end of the connection built its last update.
     told_at: Seconds | None = None
     clock: ClockBound = field(default_factory=ClockBound)
