--- a/trefoilsaddle/gateway/configuration.py
+++ b/trefoilsaddle/gateway/configuration.py
@@ -3,7 +3,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from trefoilsaddle.core.units import Rank, Seconds, ServiceName, Version
+from trefoilsaddle.core.units import (
+    Rank,
+    RegionName,
+    Seconds,
+    ServiceName,
+    Version,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +37,8 @@
     # Maximum number of attempts for one request.
     attempts: int
     services: tuple[WeightedService, ...]
+    # Regions whose servers may run the requests; empty if any may.
+    regions: frozenset[RegionName] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +51,8 @@
 
 # Ranks and latency goals of the routes to each service.
 _Goals = dict[ServiceName, set[RankGoal]]
+# Regions of the routes to each service that are limited to some.
+_Constraints = dict[ServiceName, set[frozenset[RegionName]]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +64,8 @@
     connections: int
     # True if each server serves only the keys that were granted to it.
     keyed: bool
+    # Requests per second that a cold server tolerates; zero if not limited.
+    cold_rate: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,15 +89,20 @@
     services: Mapping[ServiceName, ServiceRules] = field(repr=False)
     # Ranks and latency goals of the routes to each service.
     goals: _Goals = field(repr=False, init=False, default_factory=dict)
+    # Regions of the routes to each service that are limited to some.
+    constraints: _Constraints = field(
+        repr=False, init=False, default_factory=dict
+    )
     # The configuration as the operator wrote it, for gateways that cannot reach
     # the store.
     encoded: bytes = field(repr=False, default=b'')
 
     def __post_init__(self) -> None:
-        """Group the goals of the routes by service."""
+        """Group the goals and regions of the routes by service."""
         for routes in self.routes.values():
             for route in routes:
                 _add_goal(self.goals, route)
+                _add_constraint(self.constraints, route)
 
     def find_goal(self, service: ServiceName) -> Seconds | None:
         """Return the shortest latency goal of a service's routes."""
@@ -105,3 +122,11 @@
         if part.weight > 0:
             found = goals.setdefault(part.service, set())
             found.add(RankGoal(route.rank, route.goal))
+
+
+def _add_constraint(constraints: _Constraints, route: Route) -> None:
+    if not route.regions:
+        return
+    for part in route.services:
+        if part.weight > 0:
+            constraints.setdefault(part.service, set()).add(route.regions)
--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -22,6 +22,18 @@
     window: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class ColdServerBound:
+    """Limit the requests that a cold server gets in any second.
+
+    All gateways together may send `factor` times the rate that it tolerates,
+    and `slack` requests more.
+    """
+
+    factor: float = 1
+    slack: float = 0
+
+
 @dataclass(frozen=True, slots=True)
 class ServerDefaults:
     """Define what is assumed of servers before any measurement."""
@@ -66,6 +78,7 @@
     # Interval at which a server writes its entry; the entry lapses after three
     # missed writes.
     heartbeat: Seconds
+    cold_servers: ColdServerBound = ColdServerBound()
     # Cores available to this process, each scaled by its own speed.
     speed: float = 2
     # Bandwidth of this machine's link in Mbit/s.
--- a/trefoilsaddle/gateway/statements.py
+++ b/trefoilsaddle/gateway/statements.py
@@ -5,6 +5,17 @@
 from trefoilsaddle.core.units import Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Hold the load that a server reports of itself."""
+
+    running: int
+    waiting: int
+    slots: int
+    # Time that work takes now, as a multiple of the usual time.
+    slowness: float = 1
+
+
 @dataclass(frozen=True, slots=True)
 class ServerStatement:
     """Hold the statements of one answer."""
@@ -19,3 +30,5 @@
     leaving: bool = False
     # Time for which it wants no request from this gateway.
     pause: Seconds = Seconds(0)
+    # Load when the answer was sent; None if the server does not report it.
+    load: LoadReport | None = None
--- a/trefoilsaddle/platform/configuration.py
+++ b/trefoilsaddle/platform/configuration.py
@@ -5,7 +5,13 @@
 from pydantic import BeforeValidator, Field, ValidationError
 
 from trefoilsaddle.core.errors import Failure
-from trefoilsaddle.core.units import Rank, Seconds, ServiceName, Version
+from trefoilsaddle.core.units import (
+    Rank,
+    RegionName,
+    Seconds,
+    ServiceName,
+    Version,
+)
 from trefoilsaddle.gateway.configuration import (
     CallerLimits,
     Configuration,
@@ -44,6 +50,8 @@
     timeout: Duration
     # Maximum number of servers that one request is sent to.
     attempts: int
+    # Regions in which the requests may be served; empty for all regions.
+    regions: list[str] | None = Field(default=None, alias='allowedRegions')
 
 
 class _WireRule(WireModel):
@@ -65,6 +73,10 @@
     name: str
     connections: int = Field(alias='maxConns')
     sharded: bool = False
+    # Requests per second that a server tolerates while it is cold.
+    cold_rate: float = Field(
+        default=0, alias='warmupPerS', strict=False, ge=0, allow_inf_nan=False
+    )
 
 
 class _WireLimits(WireModel):
@@ -103,6 +115,7 @@
             ServiceName(cluster.name),
             cluster.connections,
             cluster.sharded,
+            cluster.cold_rate,
         )
         for cluster in wire.clusters
     ]
@@ -150,6 +163,9 @@
             WeightedService(ServiceName(part.service), part.weight)
             for part in parts
         ),
+        regions=frozenset(
+            RegionName(region) for region in action.regions or ()
+        ),
     )
 
 
--- a/trefoilsaddle/platform/headers.py
+++ b/trefoilsaddle/platform/headers.py
@@ -16,6 +16,8 @@
 LIMIT = b'server-limit'
 # `1` if the server is about to leave.
 LEAVING = b'server-leaving'
+# Requests running and waiting at the server, its slots, and how long work takes.
+LOAD = b'x-upstream-load'
 KEY = b'x-shard-key'
 # Handover token that the former owner of the keys leaves for the next one.
 HANDOVER = b'x-handover'
--- a/trefoilsaddle/platform/settings.py
+++ b/trefoilsaddle/platform/settings.py
@@ -11,6 +11,7 @@
 from trefoilsaddle.core.units import NodeId, RegionName, Seconds, ZoneName
 from trefoilsaddle.gateway.options import (
     DEFAULT_HOLD,
+    ColdServerBound,
     GatewayOptions,
     RetryBudget,
 )
@@ -57,6 +58,14 @@
     hold_max: Duration = Field(alias='holdMax')
     # Time from SIGTERM to SIGKILL.
     grace: Duration
+    # Requests in any second to a server that is cold: a multiple of the rate that
+    # it tolerates, and a number of further ones.
+    cold_factor: float = Field(
+        default=1, alias='warmupOver', strict=False, ge=1
+    )
+    cold_slack: float = Field(
+        default=0, alias='warmupSlack', strict=False, ge=0
+    )
 
 
 class _WirePlatform(WireModel):
@@ -163,6 +172,7 @@
         max_hold=Seconds(bounds.hold_max),
         stop_timeout=Seconds(bounds.grace),
         heartbeat=Seconds(wire.heartbeat),
+        cold_servers=ColdServerBound(bounds.cold_factor, bounds.cold_slack),
         link_rate=wire.limits.link_rate,
         speed=speed,
         order_time=Seconds(_ORDER_PROCESSOR_TIME / speed),
--- a/trefoilsaddle/platform/statements.py
+++ b/trefoilsaddle/platform/statements.py
@@ -4,13 +4,17 @@
 from http import HTTPStatus
 
 from trefoilsaddle.core.units import Seconds
-from trefoilsaddle.gateway.statements import ServerStatement
+from trefoilsaddle.gateway.statements import LoadReport, ServerStatement
 from trefoilsaddle.http.messages import HttpAnswer
 from trefoilsaddle.platform import headers as names
 
 _YES = b'1'
 # Plain decimals of up to 18 digits; anything else states nothing.
 _DECIMAL = re.compile(rb'\d{1,18}(\.\d{0,18})?')
+# Requests running, requests waiting and slots; the time that work takes, in
+# hundredths of the usual time, may follow.
+_LOAD = re.compile(rb'(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(\d{1,6}))?')
+_USUAL_SLOWNESS = 100
 
 
 def read_statement(answer: HttpAnswer) -> ServerStatement:
@@ -24,6 +28,20 @@
         unlimited=limit is None,
         leaving=answer.find_header(names.LEAVING) == _YES,
         pause=Seconds(pause or 0),
+        load=_read_load(answer.find_header(names.LOAD) or b''),
+    )
+
+
+def _read_load(text: bytes) -> LoadReport | None:
+    figures = _LOAD.fullmatch(text.replace(b' ', b''))
+    if figures is None:
+        return None
+    running, waiting, slots, slowness = figures.groups(b'%d' % _USUAL_SLOWNESS)
+    return LoadReport(
+        int(running),
+        int(waiting),
+        int(slots),
+        max(int(slowness), 1) / _USUAL_SLOWNESS,
     )
 
 
