Keep the requests of a route in its regions

Servers elsewhere are no candidates at any attempt, keys are held where all routes to their service allow, and a request without a server there is refused at once as not run. tests/test_gatewaylocality.py fails without it.

--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -27,6 +27,7 @@
     divide_keys,
 )
 from trefoilsaddle.gateway.loads import ServerLoads
+from trefoilsaddle.gateway.locality import may_hold_keys
 from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.pacing import bound_hold
 from trefoilsaddle.gateway.partitions import (
@@ -175,9 +176,10 @@
 
 
 def _is_available(gateway: Gateway, server: Server) -> bool:
-    return not server.draining and (
-        server.life.server not in gateway.registry.deferred_removals
-    )
+    deferred = server.life.server in gateway.registry.deferred_removals
+    if server.draining or deferred:
+        return False
+    return may_hold_keys(gateway, server)
 
 
 def _find_goal(gateway: Gateway, service: ServiceName) -> Seconds | None:
--- a/trefoilsaddle/gateway/choosing.py
+++ b/trefoilsaddle/gateway/choosing.py
@@ -3,9 +3,10 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from trefoilsaddle.core.units import Seconds, ServiceName, ZoneName
+from trefoilsaddle.core.units import Seconds, ServiceName
 from trefoilsaddle.gateway.configuration import Route
 from trefoilsaddle.gateway.lifecycle import find_exit_time
+from trefoilsaddle.gateway.locality import find_region, is_allowed
 from trefoilsaddle.gateway.pools import Pool
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.sharing import find_wait_for_server
@@ -103,15 +104,21 @@
     now: Seconds,
 ) -> Iterator[Server]:
     for server in gateway.registry.list_service(call.service):
-        if server.draining:
-            continue
-        pool = gateway.pools.find(server.life)
-        if now < max(pool.blocked_until, pool.full_until):
-            continue
-        if not find_wait_for_server(gateway, call, server.life, now):
+        if _accepts_requests(gateway, call, server, now):
             yield server
 
 
+def _accepts_requests(
+    gateway: Gateway, call: OpenCall, server: Server, now: Seconds
+) -> bool:
+    if server.draining or not is_allowed(gateway, call.route, server):
+        return False
+    pool = gateway.pools.find(server.life)
+    if now < max(pool.blocked_until, pool.full_until):
+        return False
+    return not find_wait_for_server(gateway, call, server.life, now)
+
+
 # If every gateway chose the best server by the same reported loads, all would
 # choose the same one until the next update; choosing the better of two random
 # servers spreads the requests.
@@ -229,8 +236,3 @@
     if find_region(gateway, server.zone) == options.region:
         return _OTHER_ZONE_COST
     return _OTHER_REGION_COST
-
-
-def find_region(gateway: Gateway, zone: ZoneName) -> str | None:
-    """Return the region of an availability zone."""
-    return gateway.options.regions.get(zone)
--- a/trefoilsaddle/gateway/ending.py
+++ b/trefoilsaddle/gateway/ending.py
@@ -19,6 +19,7 @@
     ObserveTime,
 )
 from trefoilsaddle.gateway.events import RequestArrived
+from trefoilsaddle.gateway.locality import has_allowed_server, is_allowed
 from trefoilsaddle.gateway.loglines import log_request
 from trefoilsaddle.gateway.sharing import find_wait_for_server
 from trefoilsaddle.gateway.state import Gateway, OpenCall
@@ -108,13 +109,22 @@
     return refuse(gateway, call, now, ResultCode.queue_full, min(waits))
 
 
+def refuse_region(gateway: Gateway, call: OpenCall, now: Seconds) -> Effects:
+    """Refuse a request that no server in the regions of its route can run."""
+    code = ResultCode.region_unavailable
+    return refuse(gateway, call, now, code, _START_RETRY_AFTER)
+
+
 def _refuse_unavailable(
     gateway: Gateway, call: OpenCall, now: Seconds
 ) -> Effects:
+    if not has_allowed_server(gateway, call.route, call.service):
+        if any(gateway.registry.list_service(call.service)):
+            return refuse_region(gateway, call, now)
     waits = [
         find_wait_for_server(gateway, call, server.life, now)
         for server in gateway.registry.list_service(call.service)
-        if not server.draining
+        if not server.draining and is_allowed(gateway, call.route, server)
     ]
     limited = [wait for wait in waits if wait]
     if limited:
--- a/trefoilsaddle/gateway/granting.py
+++ b/trefoilsaddle/gateway/granting.py
@@ -15,6 +15,7 @@
     OrderTimes,
     OrderVerdict,
 )
+from trefoilsaddle.gateway.locality import may_hold_keys
 from trefoilsaddle.gateway.loglines import log_event
 from trefoilsaddle.gateway.notices import record_order
 from trefoilsaddle.gateway.options import CONNECT_TIMEOUT
@@ -152,8 +153,10 @@
         return []
     # A server has to accept this controller's token before it releases, or an
     # earlier controller could renew the grant that was released.
-    leaving = server is not None and server.draining and not partition.inherited
-    if server is None or leaving:
+    leaving = server is not None and (
+        server.draining or not may_hold_keys(gateway, server)
+    )
+    if server is None or (leaving and not partition.inherited):
         begin_release(keyed, partition, now)
         return _update_ending(gateway, keyed, partition, now)
     failing = partition.failing_since
--- a/trefoilsaddle/gateway/placing.py
+++ b/trefoilsaddle/gateway/placing.py
@@ -20,7 +20,9 @@
     refuse,
     refuse_busy,
     refuse_full,
+    refuse_region,
 )
+from trefoilsaddle.gateway.locality import is_allowed
 from trefoilsaddle.gateway.loglines import log_request
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.sharing import find_wait_for_server
@@ -72,6 +74,14 @@
     server = _find_owner(gateway, call)
     if server is None or not gateway.registry.may_serve(server, now):
         return _park(gateway, call, now, _find_owner_code(gateway, call))
+    if not is_allowed(gateway, call.route, server):
+        return refuse_region(gateway, call, now)
+    return _place_at_owner(gateway, call, server, now)
+
+
+def _place_at_owner(
+    gateway: Gateway, call: OpenCall, server: Server, now: Seconds
+) -> Effects:
     candidate = build_candidate(gateway, server, now)
     if now < candidate.pool.blocked_until:
         return _park(gateway, call, now, ResultCode.owner_changing)
--- a/trefoilsaddle/results.py
+++ b/trefoilsaddle/results.py
@@ -56,6 +56,7 @@
     dispatcher_unreachable = 212
     server_unreachable = 214
     server_limited = 215
+    region_unavailable = 216
 
     # The outcome is unknown.
     answer_lost = 300
