--- a/measure/worldstore.py
+++ b/measure/worldstore.py
@@ -2,7 +2,13 @@
 
 from dataclasses import dataclass, field
 
-from trefoilsaddle.core.units import Offset, Seconds, ServerId, StoreEra
+from trefoilsaddle.core.units import (
+    Offset,
+    Seconds,
+    ServerId,
+    StoreEra,
+    ZoneName,
+)
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import AppendTable
 from trefoilsaddle.gateway.events import (
@@ -12,6 +18,7 @@
 )
 from trefoilsaddle.gateway.servers import Server, ServerRemoved
 from trefoilsaddle.gateway.table import StoredTable
+from trefoilsaddle.gateway.zones import ZoneDrain
 
 Records = dict[Topic, list[TopicEntry]]
 
@@ -82,6 +89,11 @@
         """Write a configuration, as an operator would."""
         self.records[Topic.configuration].append(configuration)
 
+    def drain_zone(self, zone: ZoneName, *, begins: bool = True) -> None:
+        """Begin to drain a zone, or end it, as an operator would."""
+        drain = ZoneDrain(zone, begins=begins)
+        self.records[Topic.configuration].append(drain)
+
     def write_server(self, server: Server) -> None:
         """Write the entry of a server."""
         self.records[Topic.servers].append(server)
@@ -102,12 +114,12 @@
         return AppendVerdict.conflict
 
     def read_newest(self, topic: Topic) -> tuple[TopicEntry, ...]:
-        """Return the newest record of each key, without removed servers."""
+        """Return the newest record of each key, without those that were removed."""
         newest: dict[str, TopicEntry] = {}
         for entry in self.records[topic]:
             name = _find_key(entry)
             newest.pop(name, None)
-            if not isinstance(entry, ServerRemoved):
+            if not _is_removal(entry):
                 newest[name] = entry
         return tuple(newest.values())
 
@@ -143,4 +155,12 @@
             return entry.server
         case StoredTable():
             return entry.table.service
+        case ZoneDrain():
+            return entry.zone
     return 'config'
+
+
+def _is_removal(entry: TopicEntry) -> bool:
+    if isinstance(entry, ZoneDrain):
+        return not entry.begins
+    return isinstance(entry, ServerRemoved)
--- a/trefoilsaddle/gateway/events.py
+++ b/trefoilsaddle/gateway/events.py
@@ -23,6 +23,7 @@
 from trefoilsaddle.gateway.servers import ServerChange, ServerIncarnation
 from trefoilsaddle.gateway.statements import ServerStatement
 from trefoilsaddle.gateway.table import GatewayAddress, StoredTable
+from trefoilsaddle.gateway.zones import ZoneDrain
 
 
 @unique
@@ -82,7 +83,7 @@
     unavailable = 'unavailable'
 
 
-TopicEntry = Configuration | ServerChange | StoredTable
+TopicEntry = Configuration | ServerChange | StoredTable | ZoneDrain
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/peermessages.py
+++ b/trefoilsaddle/gateway/peermessages.py
@@ -21,6 +21,7 @@
     OwnerEntry,
     TablePosition,
 )
+from trefoilsaddle.gateway.zones import NO_DRAINED_ZONES, DrainedZones
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,6 +175,8 @@
     # in which that offset was given out.
     configuration_end: Offset = NO_OFFSET
     era: StoreEra = NO_ERA
+    # Availability zones that operators drain.
+    drained: DrainedZones = NO_DRAINED_ZONES
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/reducer.py
+++ b/trefoilsaddle/gateway/reducer.py
@@ -20,6 +20,7 @@
     relaying,
     reporting,
     statedump,
+    zonedrain,
 )
 from trefoilsaddle.gateway.effects import Effects
 from trefoilsaddle.gateway.events import Event
@@ -34,6 +35,7 @@
     eras.handle_event,
     lifecycle.handle_event,
     following.handle_event,
+    zonedrain.handle_event,
     peers.handle_event,
     election.handle_event,
     reporting.handle_event,
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -19,6 +19,10 @@
 # this gateway knows up to a second later.
 MAX_DRAINING_USE = Seconds(1.2)
 
+# The same for servers of a drained zone, which get no new work 5 s after the
+# operator's request (`evacuate`); a gateway knows of it within 2 s.
+_MAX_DRAINED_ZONE_USE = Seconds(2.2)
+
 # Time after which the store no longer lists a silent server: three heartbeats of
 # up to 1.5 s, and the interval of reads.
 _WITHHOLDING_TIME = Seconds(5)
@@ -140,6 +144,28 @@
         return due
 
 
+@dataclass(slots=True)
+class ZoneServers:
+    """Treat the servers of drained zones as draining; keep their own entries."""
+
+    drained: frozenset[ZoneName] = frozenset()
+    # Entries of the servers there that have not asked to drain themselves.
+    declared: dict[ServerId, Server] = field(default_factory=dict)
+
+    def apply(self, server: Server) -> Server:
+        """Return the entry that is used for a server."""
+        name = server.life.server
+        if server.draining or server.zone not in self.drained:
+            self.declared.pop(name, None)
+            return server
+        self.declared[name] = server
+        return replace(server, draining=True)
+
+    def find_declared(self, server: Server) -> Server:
+        """Return a server's entry as the server has written it."""
+        return self.declared.get(server.life.server, server)
+
+
 @dataclass(slots=True)
 class ServerRegistry:
     """Hold the newest entry of each server."""
@@ -165,6 +191,7 @@
     # Incarnations that have said in an answer that they leave, and since when it
     # is known; their entries may say that they are ready.
     leaving: dict[ServerIncarnation, Seconds] = field(default_factory=dict)
+    zones: ZoneServers = field(default_factory=ZoneServers)
     # Incremented whenever an incarnation is replaced or removed.
     departures: int = 0
 
@@ -180,7 +207,10 @@
     def may_serve(self, server: Server, now: Seconds) -> bool:
         """Return whether a server may still get requests for its keys."""
         leaving = self.draining_since.get(server.life, now)
-        return now - leaving < MAX_DRAINING_USE
+        longest = MAX_DRAINING_USE
+        if server.life.server in self.zones.declared:
+            longest = _MAX_DRAINED_ZONE_USE
+        return now - leaving < longest
 
     def list_service(self, service: ServiceName) -> Iterator[Server]:
         """Yield the servers of a service."""
@@ -229,6 +259,7 @@
         self.departed.discard_withheld(name)
         if known is not None:
             self._replace(known, server)
+        server = self.zones.apply(server)
         self.servers[name] = server
         self.by_tag[server.life.tag] = server
         group = self.by_service.setdefault(server.service, {})
@@ -237,6 +268,8 @@
         if server.draining:
             since = self.leaving.get(server.life, now)
             self.draining_since.setdefault(server.life, since)
+        else:
+            self.draining_since.pop(server.life, None)
         return known is None or _is_significant(known, server)
 
     def admit_withheld(self, now: Seconds) -> list[Server]:
@@ -296,10 +329,7 @@
         The store adds such a record only if the entry was gone.
         """
         return {
-            entry.life.server
-            for entry in entries
-            if self.servers.get(entry.life.server) == entry
-            and self.servers[entry.life.server].is_older(entry)
+            entry.life.server for entry in entries if _is_rewritten(self, entry)
         }
 
     def _replace(self, known: Server, server: Server) -> None:
@@ -317,9 +347,17 @@
         self.by_tag.pop(server.life.tag, None)
         self.first_seen_at.pop(server.life, None)
         self.draining_since.pop(server.life, None)
+        self.zones.declared.pop(name, None)
         self.by_service.get(server.service, {}).pop(name, None)
 
 
+def _is_rewritten(registry: ServerRegistry, entry: Server) -> bool:
+    known = registry.servers.get(entry.life.server)
+    if known is None or registry.zones.find_declared(known) != entry:
+        return False
+    return known.is_older(entry)
+
+
 def _is_significant(known: Server, server: Server) -> bool:
     return (
         known.life != server.life
--- a/trefoilsaddle/gateway/sources.py
+++ b/trefoilsaddle/gateway/sources.py
@@ -76,11 +76,12 @@
         """Return the servers whose entries may only have lapsed."""
 
     def list_servers(self) -> dict[ServerId, Server]:
-        """Return the servers whose entries have not lapsed."""
+        """Return the servers whose entries have not lapsed, as they wrote."""
         deferred = self.list_deferred()
+        registry = self.gateway.registry
         return {
-            name: server
-            for name, server in self.gateway.registry.servers.items()
+            name: registry.zones.find_declared(server)
+            for name, server in registry.servers.items()
             if name not in deferred
         }
 
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -37,6 +37,7 @@
     StoredTable,
     TablePosition,
 )
+from trefoilsaddle.gateway.zones import NO_DRAINED_ZONES, DrainedZones
 from trefoilsaddle.results import ResultCode
 
 
@@ -185,6 +186,7 @@
     loads: dict[ServerTag, ServerLoad] = field(default_factory=dict)
     standbys: tuple[NodeId, ...] = ()
     configuration: Version = Version(0)
+    drained: DrainedZones = NO_DRAINED_ZONES
     # When the next update is due even without a change, and its earliest time,
     # so that changes are batched.
     update_due_at: Seconds = Seconds(0)
@@ -230,6 +232,7 @@
     configuration: Configuration | None = None
     registry: ServerRegistry = field(default_factory=ServerRegistry)
     limits: RateLimits = field(default_factory=RateLimits)
+    drained: DrainedZones = NO_DRAINED_ZONES
     topics: dict[Topic, TopicState] = field(
         default_factory=lambda: {topic: TopicState() for topic in Topic},
     )
--- a/trefoilsaddle/gateway/statedump.py
+++ b/trefoilsaddle/gateway/statedump.py
@@ -33,6 +33,7 @@
     return {
         'configuration': gateway.version,
         'ready': gateway.ready,
+        'drained_zones': list(gateway.drained.zones),
         'stopping_for': _find_age(gateway.stopping_since, now),
         'controller': {
             'node': None if link.address is None else link.address.node,
--- a/trefoilsaddle/gateway/updates.py
+++ b/trefoilsaddle/gateway/updates.py
@@ -145,8 +145,10 @@
 
 def _tells_change(gateway: Gateway, news: News) -> bool:
     changed = news.owners or news.servers or news.removed
-    newer = news.configuration != gateway.connected.configuration
-    return bool(changed) or newer
+    connected = gateway.connected
+    newer = news.configuration != connected.configuration
+    drained = news.drained.zones != connected.drained.zones
+    return bool(changed) or newer or drained
 
 
 def _pop_changed_loads(source: StateSource) -> tuple[ServerLoad, ...]:
@@ -247,6 +249,7 @@
     connected.servers = sent | source.list_servers()
     connected.owners = source.list_owners()
     connected.configuration = gateway.version
+    connected.drained = gateway.drained
 
 
 def _build_news(source: StateSource, origin: Origin) -> News:
@@ -271,6 +274,7 @@
         controller_age=origin.age,
         configuration_end=NO_OFFSET if end is None else end,
         era=gateway.era,
+        drained=gateway.drained,
     )
 
 
--- /dev/null
+++ b/trefoilsaddle/gateway/zonedrain.py
@@ -0,0 +1,76 @@
+"""Drain availability zones at the operator's request.
+
+The requests lie in the topic of the configuration.  A gateway reads them itself
+or is told them in updates; what is known as of the later position in the topic
+counts.  The servers of a drained zone are treated like draining ones, while
+their own entries are kept for the end of the drain; see `ServerRegistry`.
+"""
+
+from trefoilsaddle.core.units import Seconds, ZoneName
+from trefoilsaddle.gateway.effects import Component, CountMetric, Effects
+from trefoilsaddle.gateway.events import (
+    Event,
+    NewsReceived,
+    ReadVerdict,
+    Topic,
+    TopicRead,
+)
+from trefoilsaddle.gateway.loglines import log_event
+from trefoilsaddle.gateway.servers import ServerRegistry
+from trefoilsaddle.gateway.state import Gateway
+from trefoilsaddle.gateway.zones import DrainedZones, ZoneDrain
+
+
+def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
+    """Apply the drained zones that were read or told."""
+    match event:
+        case TopicRead(
+            topic=Topic.configuration, verdict=ReadVerdict.records
+        ) if not gateway.is_outdated(event.era):
+            return _apply(gateway, now, _find_read_zones(gateway, event))
+        case NewsReceived():
+            return _apply(gateway, now, event.news.drained)
+    return []
+
+
+def _find_read_zones(gateway: Gateway, event: TopicRead) -> DrainedZones:
+    zones: set[ZoneName] = set()
+    if not event.whole:
+        zones.update(gateway.drained.zones)
+    for entry in event.entries:
+        if not isinstance(entry, ZoneDrain):
+            continue
+        if entry.begins:
+            zones.add(entry.zone)
+        else:
+            zones.discard(entry.zone)
+    return DrainedZones(tuple(sorted(zones)), event.next_offset, event.era)
+
+
+def _apply(gateway: Gateway, now: Seconds, drained: DrainedZones) -> Effects:
+    known = gateway.drained
+    if drained.position < known.position:
+        return []
+    gateway.drained = drained
+    if drained.zones == known.zones:
+        return []
+    _drain_servers(gateway.registry, frozenset(drained.zones), now)
+    line = log_event(
+        Component.forwarding,
+        'drained zones changed',
+        zones=' '.join(drained.zones),
+        before=' '.join(known.zones),
+        offset=drained.offset,
+        servers=len(gateway.registry.zones.declared),
+    )
+    return [line, CountMetric('drained_zones_changed')]
+
+
+def _drain_servers(
+    registry: ServerRegistry, drained: frozenset[ZoneName], now: Seconds
+) -> None:
+    changed = registry.zones.drained ^ drained
+    registry.zones.drained = drained
+    for server in list(registry.servers.values()):
+        if server.zone in changed:
+            registry.put(registry.zones.find_declared(server), now)
--- a/trefoilsaddle/platform/store.py
+++ b/trefoilsaddle/platform/store.py
@@ -20,6 +20,7 @@
     Seconds,
     ServerId,
     StoreEra,
+    ZoneName,
 )
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import AppendTable, JoinGroup, ReadTopic
@@ -34,6 +35,7 @@
 )
 from trefoilsaddle.gateway.servers import ServerRemoved
 from trefoilsaddle.gateway.table import StoredTable
+from trefoilsaddle.gateway.zones import ZoneDrain
 from trefoilsaddle.http.budget import AnswerBudget
 from trefoilsaddle.http.messages import (
     Fault,
@@ -75,6 +77,9 @@
     }
 )
 _CONFIGURATION_KEY = 'config'
+# Prefix of the key of a record that asks to drain a zone; the record has no value
+# once the zone is to be used again.
+_DRAIN_PREFIX = 'evacuate/'
 _GROUP = 'gateways'
 # The member that is assigned the last partition of this topic is the
 # controller.  When members join, a member gives up its first partitions first,
@@ -465,6 +470,9 @@
 
 
 def _decode_operator_record(record: KeyedRecord) -> TopicEntry | None:
+    if record.name.startswith(_DRAIN_PREFIX):
+        zone = ZoneName(record.name.removeprefix(_DRAIN_PREFIX))
+        return ZoneDrain(zone, begins=bool(record.body))
     if record.name != _CONFIGURATION_KEY or not record.body:
         return None
     configuration = decode_configuration(record.body)
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -126,6 +126,13 @@
   era @3 :Int64 = -1;
 }
 
+struct DrainedZones {
+  zones @0 :List(Text);
+  # Minus one: not stated.
+  offset @1 :Int64 = -1;
+  era @2 :Int64 = -1;
+}
+
 struct News {
   run @0 :Int64;
   reporting @1 :UInt32;
@@ -149,6 +156,7 @@
   # Minus one: not stated.
   configurationEnd @18 :Int64 = -1;
   era @19 :Int64 = -1;
+  drained @20 :DrainedZones;
 }
 
 struct ClockAnswer {
