--- a/tests/test_gatewayforwarding.py
+++ b/tests/test_gatewayforwarding.py
@@ -357,12 +357,13 @@
     sent = _find(_reduce(world, _arrive(_PAY)), SendAttempt)[0]
     assert isinstance(sent, SendAttempt)
     pool = gateway.pools.find(sent.server.life)
+    call = gateway.calls[_CALL]
     world.now = Seconds(world.now + elapsed)
     gateway.pools.updated_at = world.now
     pool.fleet_busy = busy
     end = _find(_reduce(world, AttemptEnded(_CALL, 1, _LOST, 0)), EndCall)[0]
     assert isinstance(end, EndCall) and not end.not_run
-    candidate = build_candidate(gateway, sent.server, world.now)
+    candidate = build_candidate(gateway, sent.server, world.now, call)
     signs = (
         pool.failed == 0,
         pool.full_until > world.now,
--- /dev/null
+++ b/trefoilsaddle/gateway/admitting.py
@@ -0,0 +1,109 @@
+"""Apply the admission of requests to services whose servers report their load."""
+
+from collections.abc import Iterable
+
+from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.gateway.admission import (
+    Capacity,
+    Demand,
+    ServerRoom,
+    find_admitted_depth,
+)
+from trefoilsaddle.gateway.servers import Server
+from trefoilsaddle.gateway.serviceshares import ServerGroup
+from trefoilsaddle.gateway.state import Gateway, OpenCall
+
+# Time that callers who return have lost at least; others differ by less.
+_MIN_RETURN_TIME = Seconds(0.08)
+
+
+def record_time_left(gateway: Gateway, call: OpenCall) -> None:
+    """Record how long a caller waits, and whether it came before."""
+    name = call.route.name
+    left = call.head.remaining
+    longest = max(gateway.longest_left.get(name, left), left)
+    gateway.longest_left[name] = longest
+    call.returned = left < longest - _MIN_RETURN_TIME
+
+
+def reports_load(gateway: Gateway, call: OpenCall) -> bool:
+    """Return whether the servers of a request's service report their load."""
+    return call.service in gateway.pools.reporting
+
+
+def build_demand(gateway: Gateway, call: OpenCall, now: Seconds) -> Demand:
+    """Describe a request."""
+    rank = call.route.rank
+    configuration = gateway.configuration
+    goals = (
+        ()
+        if configuration is None
+        else configuration.goals.get(call.service, ())
+    )
+    urgent = {entry.rank for entry in goals if entry.rank < rank}
+    return Demand(
+        rank,
+        call.route.goal,
+        Seconds(call.expires - now),
+        len(urgent),
+        call.returned,
+    )
+
+
+def find_wait_for_share(
+    gateway: Gateway,
+    call: OpenCall,
+    servers: Iterable[Server],
+    now: Seconds,
+) -> Seconds:
+    """Return the time until this gateway may send a request, by its part."""
+    pools = gateway.pools
+    if now - pools.updated_at > pools.update_lifetime:
+        return Seconds(0)
+    demand = build_demand(gateway, call, now)
+    capacity = _sum_capacity(gateway, demand, servers)
+    share = gateway.shares.find_rate(_find_group(call))
+    part = gateway.shares.find_demand(call.service)
+    rate = capacity.find_rate() * part.find(gateway.count_gateways())
+    admitted = share.admit(demand, rate, now)
+    if admitted or not capacity.is_scarce():
+        return Seconds(0)
+    return Seconds(share.find_wait(demand, rate))
+
+
+def spend_share(gateway: Gateway, call: OpenCall) -> None:
+    """Record that a request is sent."""
+    if reports_load(gateway, call):
+        gateway.shares.find_rate(_find_group(call)).spend()
+
+
+def update_demands(gateway: Gateway) -> None:
+    """Measure this gateway's part of the requests by the newest reports."""
+    if not gateway.pools.reporting or gateway.configuration is None:
+        return
+    services = gateway.configuration.services.keys()
+    gateway.shares.keep_only(set(services))
+    for service in gateway.pools.reporting & services:
+        pools = [
+            gateway.pools.find(server.life)
+            for server in gateway.registry.list_service(service)
+        ]
+        own = sum(pool.own_mean for pool in pools)
+        fleet = sum(pool.fleet_busy for pool in pools)
+        gateway.shares.find_demand(service).add(own, fleet)
+
+
+def _sum_capacity(
+    gateway: Gateway, demand: Demand, servers: Iterable[Server]
+) -> Capacity:
+    capacity = Capacity()
+    for server in servers:
+        pool = gateway.pools.find(server.life)
+        room = ServerRoom(pool.fleet_busy, server.slots, pool.service_time)
+        depth = find_admitted_depth(demand, pool.service_time)
+        capacity = capacity.add(room, depth)
+    return capacity
+
+
+def _find_group(call: OpenCall) -> ServerGroup:
+    return ServerGroup(call.service, call.route.regions)
--- a/trefoilsaddle/gateway/attempts.py
+++ b/trefoilsaddle/gateway/attempts.py
@@ -212,7 +212,7 @@
     wait: float = find_wait_for_server(gateway, call, server.life, now)
     if _is_busy(gateway, server, now):
         # It makes sense to come back once the server has worked off its queue.
-        candidate = build_candidate(gateway, server, now)
+        candidate = build_candidate(gateway, server, now, call)
         wait = max(wait, find_wait(call, candidate))
     if not wait:
         return end_call(gateway, call, now, code)
--- a/trefoilsaddle/gateway/choosing.py
+++ b/trefoilsaddle/gateway/choosing.py
@@ -5,6 +5,13 @@
 
 from trefoilsaddle.core.units import Seconds, ServiceName
 from trefoilsaddle.gateway import slowstart
+from trefoilsaddle.gateway.admission import (
+    Demand,
+    ServerRoom,
+    answers_in_time,
+    find_admitted_depth,
+)
+from trefoilsaddle.gateway.admitting import build_demand, reports_load
 from trefoilsaddle.gateway.configuration import Route
 from trefoilsaddle.gateway.lifecycle import find_exit_time
 from trefoilsaddle.gateway.locality import find_region, is_allowed
@@ -49,6 +56,8 @@
     cost: float
     # Limit of the requests per slot at the server.
     max_depth: float = _MAX_DEPTH
+    # The request, if the server reports its load.
+    demand: Demand | None = None
 
 
 def choose_service(gateway: Gateway, route: Route) -> ServiceName:
@@ -77,7 +86,7 @@
     region = gateway.options.region
     near: list[Server] = []
     far: list[Server] = []
-    for server in _list_open(gateway, call, now):
+    for server in list_open(gateway, call, now):
         inside = find_region(gateway, server.zone) == region
         (near if inside else far).append(server)
     sampled = [
@@ -94,16 +103,17 @@
 ) -> list[Candidate]:
     """Return the servers of a request's service that accept requests."""
     return [
-        build_candidate(gateway, server, now)
-        for server in _list_open(gateway, call, now)
+        build_candidate(gateway, server, now, call)
+        for server in list_open(gateway, call, now)
     ]
 
 
-def _list_open(
+def list_open(
     gateway: Gateway,
     call: OpenCall,
     now: Seconds,
 ) -> Iterator[Server]:
+    """Yield the servers of a request's service that accept requests."""
     for server in gateway.registry.list_service(call.service):
         if _accepts_requests(gateway, call, server, now):
             yield server
@@ -135,7 +145,7 @@
     """Draw random servers, fast ones more often, until enough have room."""
     sampled: list[Candidate] = []
     for server in _shuffle_by_speed(gateway, servers):
-        candidate = build_candidate(gateway, server, now)
+        candidate = build_candidate(gateway, server, now, call)
         if has_room(call, candidate) and ends_in_time(
             gateway, call, candidate, now
         ):
@@ -156,7 +166,10 @@
 
 
 def build_candidate(
-    gateway: Gateway, server: Server, now: Seconds
+    gateway: Gateway,
+    server: Server,
+    now: Seconds,
+    call: OpenCall,
 ) -> Candidate:
     """Estimate the time after which a server would answer one more request."""
     pool = gateway.pools.find(server.life)
@@ -164,15 +177,19 @@
     cost = pool.expected_cost()
     if is_cold(gateway, server, now):
         cost *= _COLD_FACTOR
-    cost *= max(1, (busy + 1) / server.slots)
+    cost *= max(1, (busy + 1) / server.slots) * pool.find_slowness(now)
     cost *= 1 + gateway.random.random() * _COST_JITTER
     resets = server.service in gateway.pools.resetting
+    demand = None
+    if reports_load(gateway, call):
+        demand = build_demand(gateway, call, now)
     return Candidate(
         server,
         pool,
         busy,
         cost + _find_distance_cost(gateway, server),
         _MAX_DEPTH_RESETTING if resets else _MAX_DEPTH,
+        demand,
     )
 
 
@@ -182,7 +199,16 @@
 ) -> bool:
     """Return whether a server would answer within the latency goal."""
     room = find_depth(call, candidate) * candidate.server.slots
-    return candidate.busy + 1 <= max(room, 1)
+    if candidate.busy + 1 > max(room, 1):
+        return False
+    return candidate.demand is None or answers_in_time(
+        candidate.demand,
+        ServerRoom(
+            candidate.busy,
+            candidate.server.slots,
+            candidate.pool.service_time,
+        ),
+    )
 
 
 def ends_in_time(
@@ -214,6 +240,10 @@
 
 def find_depth(call: OpenCall, candidate: Candidate) -> float:
     """Return how many requests a slot may hold, including waiting ones."""
+    if candidate.demand is not None:
+        return find_admitted_depth(
+            candidate.demand, candidate.pool.service_time
+        )
     time = max(candidate.pool.service_time, _MIN_TIME)
     depth = call.route.goal * _GOAL_FRACTION / time
     rank = min(call.route.rank, len(_RANK_FRACTIONS) - 1)
--- a/trefoilsaddle/gateway/ending.py
+++ b/trefoilsaddle/gateway/ending.py
@@ -115,6 +115,14 @@
     return refuse(gateway, call, now, code, _START_RETRY_AFTER)
 
 
+def refuse_without_share(
+    gateway: Gateway, call: OpenCall, wait: Seconds, now: Seconds
+) -> Effects:
+    """Refuse a request that exceeds this gateway's part of the room."""
+    code = ResultCode.admission_limited
+    return refuse(gateway, call, now, code, max(wait, _MIN_FULL_WAIT))
+
+
 def _refuse_unavailable(
     gateway: Gateway, call: OpenCall, now: Seconds
 ) -> Effects:
--- a/trefoilsaddle/gateway/notices.py
+++ b/trefoilsaddle/gateway/notices.py
@@ -32,6 +32,7 @@
     statement = event.statement
     if statement is None:
         return []
+    _record_load(gateway, incarnation, statement, now)
     effects = _record_leaving(gateway, incarnation, statement, now)
     if statement.pause:
         effects.append(_pause_server(gateway, incarnation, statement, now))
@@ -56,6 +57,19 @@
     return effects
 
 
+def _record_load(
+    gateway: Gateway,
+    incarnation: ServerIncarnation,
+    statement: ServerStatement,
+    now: Seconds,
+) -> None:
+    server = gateway.registry.find_incarnation(incarnation)
+    if statement.load is None or server is None:
+        return
+    gateway.pools.find(incarnation).record_load(statement.load, now)
+    gateway.pools.reporting.add(server.service)
+
+
 def _record_leaving(
     gateway: Gateway,
     incarnation: ServerIncarnation,
--- a/trefoilsaddle/gateway/placing.py
+++ b/trefoilsaddle/gateway/placing.py
@@ -5,12 +5,18 @@
 """
 
 from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.gateway.admitting import (
+    find_wait_for_share,
+    reports_load,
+    spend_share,
+)
 from trefoilsaddle.gateway.choosing import (
     Candidate,
     build_candidate,
     choose_server,
     ends_in_time,
     has_room,
+    list_open,
     may_wait,
 )
 from trefoilsaddle.gateway.effects import CountMetric, Effects, SendAttempt
@@ -21,6 +27,7 @@
     refuse_busy,
     refuse_full,
     refuse_region,
+    refuse_without_share,
 )
 from trefoilsaddle.gateway.locality import is_allowed
 from trefoilsaddle.gateway.loglines import log_request
@@ -63,6 +70,11 @@
     rules = configuration.services.get(call.service)
     if rules is not None and rules.keyed:
         return _place_keyed(gateway, call, now)
+    if reports_load(gateway, call):
+        servers = list_open(gateway, call, now)
+        wait = find_wait_for_share(gateway, call, servers, now)
+        if wait:
+            return refuse_without_share(gateway, call, wait, now)
     candidate = choose_server(gateway, call, now)
     if candidate is None:
         return refuse_full(gateway, call, now)
@@ -83,7 +95,7 @@
 def _place_at_owner(
     gateway: Gateway, call: OpenCall, server: Server, now: Seconds
 ) -> Effects:
-    candidate = build_candidate(gateway, server, now)
+    candidate = build_candidate(gateway, server, now, call)
     if now < candidate.pool.blocked_until:
         return _park(gateway, call, now, ResultCode.owner_changing)
     wait = find_wait_for_server(gateway, call, server.life, now)
@@ -181,6 +193,7 @@
     candidate.pool.start_request(now)
     gateway.limits.spend(incarnation)
     gateway.cold_servers.spend(incarnation)
+    spend_share(gateway, call)
     remaining = Seconds(call.expires - now)
     line = log_request(
         call.head.request_id,
--- a/trefoilsaddle/gateway/pools.py
+++ b/trefoilsaddle/gateway/pools.py
@@ -8,8 +8,10 @@
 from dataclasses import dataclass, field
 
 from trefoilsaddle.core.units import Seconds, ServiceName
+from trefoilsaddle.gateway.loadreports import HeardLoad
 from trefoilsaddle.gateway.peermessages import ServerUse
 from trefoilsaddle.gateway.servers import ServerIncarnation
+from trefoilsaddle.gateway.statements import LoadReport
 
 # Weight of a new result in the moving average of failures.
 _FAILURE_GAIN = 0.2
@@ -53,6 +55,8 @@
     full_until: Seconds = Seconds(0)
     # The server wants no requests before this time.
     paused_until: Seconds = Seconds(0)
+    # Last load that the server has reported, if it does.
+    heard: HeardLoad | None = None
 
     def start_request(self, now: Seconds) -> None:
         """Record that a request was sent."""
@@ -118,6 +122,14 @@
         self.updated_at = now
         self.service_time = service_time
 
+    def record_load(self, report: LoadReport, now: Seconds) -> None:
+        """Record the load that an answer reports; its request has ended."""
+        self.heard = HeardLoad(report, now, max(self.running - 1, 0))
+
+    def find_slowness(self, now: Seconds) -> float:
+        """Return by what factor work takes longer than usual."""
+        return 1 if self.heard is None else self.heard.find_slowness(now)
+
     def expected_cost(self) -> float:
         """Return the expected time of a request, with a cost for failures."""
         weight = 1 + self.failure_rate * _FAILURE_COST
@@ -142,6 +154,8 @@
     # whose servers say so instead.
     resetting: set[ServiceName] = field(default_factory=set)
     shedding: set[ServiceName] = field(default_factory=set)
+    # Services whose servers report their load.
+    reporting: set[ServiceName] = field(default_factory=set)
     # Time of the last request of a service whose connection was reset at once.
     reset_at: dict[ServiceName, Seconds] = field(default_factory=dict)
 
@@ -174,6 +188,9 @@
         gateways: int,
     ) -> float:
         """Estimate the number of requests at a server."""
+        heard = pool.heard
+        if heard is not None and heard.is_newer(pool.updated_at, now):
+            return float(heard.count_others() + pool.running)
         if now - self.updated_at > self.update_lifetime:
             return float(pool.running * max(gateways, 1))
         others = max(pool.fleet_busy - pool.own_at_update, 0)
--- a/trefoilsaddle/gateway/reporting.py
+++ b/trefoilsaddle/gateway/reporting.py
@@ -1,6 +1,7 @@
 """Send this gateway's reports to the controller at regular intervals."""
 
 from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.gateway.admitting import update_demands
 from trefoilsaddle.gateway.controller import handle_report
 from trefoilsaddle.gateway.effects import Effects, SetTimer
 from trefoilsaddle.gateway.events import Event, TimerExpired, TimerKind
@@ -14,6 +15,7 @@
     if event != TimerExpired(TimerKind.report):
         return []
     report = build_report(gateway, now)
+    update_demands(gateway)
     pause = find_report_interval(gateway)
     effects: Effects = [SetTimer(TimerKind.report, pause)]
     _remove_gone(gateway)
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -31,6 +31,7 @@
     ServerRegistry,
     ServerTag,
 )
+from trefoilsaddle.gateway.serviceshares import ServiceShares
 from trefoilsaddle.gateway.table import (
     NO_POSITION,
     GatewayAddress,
@@ -89,6 +90,8 @@
     unknown_code: ResultCode | None = None
     # Last complete answer of a server if it reported a failure.
     failed: FailedAnswer | None = None
+    # True if the caller was refused before.
+    returned: bool = False
     # Time at which the request began to wait for an owner of its key.
     parked_at: Seconds = Seconds(0)
 
@@ -254,6 +257,11 @@
     calls: dict[CallId, OpenCall] = field(default_factory=dict)
     parked: dict[CallId, OpenCall] = field(default_factory=dict)
     budgets: dict[ServiceName, ServiceBudget] = field(default_factory=dict)
+    # This gateway's part of what may be sent to the servers of services that report
+    # their load.
+    shares: ServiceShares = field(default_factory=ServiceShares)
+    # Longest time that callers of a route have had left.
+    longest_left: dict[str, Seconds] = field(default_factory=dict)
     # State of the smooth weighted round robin of each route with several
     # services.
     turns: dict[str, dict[ServiceName, float]] = field(default_factory=dict)
--- a/trefoilsaddle/results.py
+++ b/trefoilsaddle/results.py
@@ -57,6 +57,7 @@
     server_unreachable = 214
     server_limited = 215
     region_unavailable = 216
+    admission_limited = 217
 
     # The outcome is unknown.
     answer_lost = 300
