--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -213,6 +213,7 @@
         speed: float = 1,
         born: int = 1,
         zone: ZoneName = ZONE,
+        slots: int = 3,
     ) -> WorldServer:
         """Start a server and write its entry to the store."""
         entry = Server(
@@ -221,7 +222,7 @@
             name,
             80,
             zone,
-            slots=3,
+            slots=slots,
             draining=False,
             warm_up_left=Seconds(0),
         )
@@ -551,6 +552,8 @@
             self._begin(server, work)
         elif len(server.waiting) < server.queue_limit:
             server.waiting.append(work)
+        elif server.resets:
+            self._answer(server, work, AttemptVerdict.lost)
         else:
             self._answer(server, work, AttemptVerdict.shed)
 
@@ -571,8 +574,11 @@
         process = self.processes[NodeId(work.sender)]
         status = _OK if verdict == AttemptVerdict.answered else 0
         server.record_answer(work.sender, self.now)
+        statement = None
+        if verdict != AttemptVerdict.lost:
+            statement = server.build_statement()
         event = AttemptEnded(
-            work.call, work.attempt, verdict, status, server.statement
+            work.call, work.attempt, verdict, status, statement
         )
         route = self._find_route(process.region, server).reverse()
         feed = partial(self.feed, process, event)
--- a/measure/worldservers.py
+++ b/measure/worldservers.py
@@ -1,14 +1,14 @@
 """Simulated servers of the platform: held keys, slots and queues."""
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from trefoilsaddle.core.units import CallId, Seconds
 from trefoilsaddle.gateway.events import OrderVerdict
 from trefoilsaddle.gateway.keys import Key, KeyRange, cut_range
 from trefoilsaddle.gateway.options import MAX_HOLD
 from trefoilsaddle.gateway.servers import Server
-from trefoilsaddle.gateway.statements import ServerStatement
+from trefoilsaddle.gateway.statements import LoadReport, ServerStatement
 
 # A server's clock may be slow, so it holds keys longer by up to this factor.
 _SLOW_CLOCK_FACTOR = 1.02
@@ -64,6 +64,10 @@
     waiting: deque[Work] = field(default_factory=deque)
     # What its answers state about it.
     statement: ServerStatement = ServerStatement(unlimited=True)
+    # True if its answers report its load.
+    reports_load: bool = False
+    # True if it resets the connections of requests that it has no room for.
+    resets: bool = False
     arrivals: list[Arrival] = field(default_factory=list)
     # Time at which each gateway first got an answer that names a limit.
     told: dict[str, Seconds] = field(default_factory=dict)
@@ -72,6 +76,15 @@
         """Record that a request of a gateway has arrived."""
         self.arrivals.append(Arrival(now, sender))
 
+    def build_statement(self) -> ServerStatement:
+        """Return what its next answer states."""
+        if not self.reports_load:
+            return self.statement
+        load = LoadReport(
+            len(self.running), len(self.waiting), self.entry.slots
+        )
+        return replace(self.statement, load=load)
+
     def record_answer(self, sender: str, now: Seconds) -> None:
         """Record that a gateway gets an answer."""
         if self.statement.limit is not None:
