Prefer servers of the own zone where they report their load

Cause: the cost of another zone, 10 ms, was below the jitter of a server's cost, so that half of the requests without a key crossed zones.

--- a/measure/overload.py
+++ b/measure/overload.py
@@ -289,8 +289,10 @@
         limits=CallerLimits(16_384, 1_048_576, Seconds(3), Seconds(15)),
         routes={'shop.example': routes},
         services={
-            ServiceName(name): ServiceRules(ServiceName(name), 460, keyed=value)
-            for name, value in keyed.items()
+            ServiceName(name): ServiceRules(
+                ServiceName(name), 460, keyed=divided
+            )
+            for name, divided in keyed.items()
         },
     )
 
--- a/trefoilsaddle/gateway/admission.py
+++ b/trefoilsaddle/gateway/admission.py
@@ -10,14 +10,14 @@
 - The gateways share the rate at which a service's servers complete requests and
   the room that is left at them.  Each one takes its part, so that servers which
   reset connections when they are full are never filled.
-- Of a gateway's part, the less urgent kinds leave some for the more urgent ones
-  of the same service, and callers who come for the first time leave some for
+- Of a gateway's part, the least urgent kind leaves some for the more urgent ones
+  of the same service, and its callers who come for the first time leave some for
   those who come back, as these have no further try.
 """
 
 from dataclasses import dataclass
 
-from trefoilsaddle.core.units import Rank, Seconds
+from trefoilsaddle.core.units import Seconds
 
 # Requests per slot at a server: its slots have to stay in use between two
 # updates, and servers reset connections from four per slot.
@@ -33,8 +33,8 @@
 # Requests that a gateway may save up, as a time of its rate and at least.
 _MAX_SAVED_TIME = Seconds(0.3)
 _MIN_SAVED = 2
-# Part of a request that has to be left over: for each rank that is more urgent, and
-# for callers who have a further try.
+# Part of a request that the least urgent kind has to leave over: for more urgent
+# kinds, and if its caller has a further try.
 _RANK_RESERVE = 0.5
 _FIRST_TRY_RESERVE = 0.5
 # Utilisation below which requests need no part of a limited rate.
@@ -45,12 +45,12 @@
 class Demand:
     """Describe a request to be admitted."""
 
-    rank: Rank
     goal: Seconds
     # Time until its caller or its route's timeout ends it.
     left: Seconds
-    # More urgent ranks that share the service.
-    more_urgent: int = 0
+    # True if a more urgent, or a less urgent, kind of request uses the service.
+    yields: bool = False
+    precedes: bool = False
     # True if its caller was refused before and has no further try.
     returned: bool = False
 
@@ -136,7 +136,9 @@
 
 
 def _find_reserve(demand: Demand) -> float:
-    reserve = _RANK_RESERVE * min(demand.more_urgent, 1)
+    if demand.precedes:
+        return 0
+    reserve = _RANK_RESERVE if demand.yields else 0
     return reserve if demand.returned else reserve + _FIRST_TRY_RESERVE
 
 
--- a/trefoilsaddle/gateway/admitting.py
+++ b/trefoilsaddle/gateway/admitting.py
@@ -40,13 +40,13 @@
         if configuration is None
         else configuration.goals.get(call.service, ())
     )
-    urgent = {entry.rank for entry in goals if entry.rank < rank}
+    ranks = {entry.rank for entry in goals}
     return Demand(
-        rank,
         call.route.goal,
         Seconds(call.expires - now),
-        len(urgent),
-        call.returned,
+        yields=any(other < rank for other in ranks),
+        precedes=any(other > rank for other in ranks),
+        returned=call.returned,
     )
 
 
--- a/trefoilsaddle/gateway/choosing.py
+++ b/trefoilsaddle/gateway/choosing.py
@@ -1,7 +1,8 @@
 """Choose the service of a request and the server that runs it."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from trefoilsaddle.core.units import Seconds, ServiceName
 from trefoilsaddle.gateway import slowstart
@@ -14,16 +15,28 @@
 from trefoilsaddle.gateway.admitting import build_demand, reports_load
 from trefoilsaddle.gateway.configuration import Route
 from trefoilsaddle.gateway.lifecycle import find_exit_time
-from trefoilsaddle.gateway.locality import find_region, is_allowed
+from trefoilsaddle.gateway.locality import (
+    Distance,
+    find_distance,
+    is_allowed,
+)
 from trefoilsaddle.gateway.pools import Pool
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.sharing import find_wait_for_server
 from trefoilsaddle.gateway.state import Gateway, OpenCall
 
-# Cost of a server in another zone, as a time that is added to its own.
-_OTHER_ZONE_COST = Seconds(0.01)
-# Cost of a server in another region: a round trip, and the price of the bytes.
-_OTHER_REGION_COST = Seconds(0.4)
+# Costs of servers elsewhere, as times that are added to their own: for another
+# region a round trip, and the price of the bytes.
+_DISTANCE_COSTS: Mapping[Distance, Seconds] = MappingProxyType(
+    {
+        Distance.zone: Seconds(0),
+        Distance.region: Seconds(0.01),
+        Distance.elsewhere: Seconds(0.4),
+    }
+)
+# Cost of another zone where servers report their load: what is known of them is
+# exact enough to use the own zone as long as it answers as soon as that.
+_REPORTING_ZONE_COST = Seconds(0.1)
 # Jitter of the cost as a fraction, so that gateways which choose at the same
 # moment choose differently.
 _COST_JITTER = 0.25
@@ -83,15 +96,18 @@
     now: Seconds,
 ) -> Candidate | None:
     """Return the cheaper of servers drawn at random, if any has room."""
-    region = gateway.options.region
-    near: list[Server] = []
-    far: list[Server] = []
+    groups: dict[Distance, list[Server]] = {
+        distance: [] for distance in Distance
+    }
     for server in list_open(gateway, call, now):
-        inside = find_region(gateway, server.zone) == region
-        (near if inside else far).append(server)
+        distance = find_distance(gateway, server)
+        if distance == Distance.zone and not reports_load(gateway, call):
+            distance = Distance.region
+        groups[distance].append(server)
     sampled = [
-        *_sample_with_room(gateway, call, near, now),
-        *_sample_with_room(gateway, call, far, now),
+        candidate
+        for servers in groups.values()
+        for candidate in _sample_with_room(gateway, call, servers, now)
     ]
     return min(sampled, key=lambda candidate: candidate.cost, default=None)
 
@@ -187,7 +203,7 @@
         server,
         pool,
         busy,
-        cost + _find_distance_cost(gateway, server),
+        cost + _find_distance_cost(gateway, server, reports=demand is not None),
         _MAX_DEPTH_RESETTING if resets else _MAX_DEPTH,
         demand,
     )
@@ -262,10 +278,10 @@
 _MIN_TIME = Seconds(0.001)
 
 
-def _find_distance_cost(gateway: Gateway, server: Server) -> Seconds:
-    options = gateway.options
-    if server.zone == options.zone:
-        return Seconds(0)
-    if find_region(gateway, server.zone) == options.region:
-        return _OTHER_ZONE_COST
-    return _OTHER_REGION_COST
+def _find_distance_cost(
+    gateway: Gateway, server: Server, *, reports: bool
+) -> Seconds:
+    distance = find_distance(gateway, server)
+    if distance == Distance.region and reports:
+        return _REPORTING_ZONE_COST
+    return _DISTANCE_COSTS[distance]
--- a/trefoilsaddle/gateway/locality.py
+++ b/trefoilsaddle/gateway/locality.py
@@ -5,12 +5,34 @@
 allow, so that an owner can serve the requests of each route.
 """
 
+from enum import Enum, unique
+
 from trefoilsaddle.core.units import RegionName, ServiceName, ZoneName
 from trefoilsaddle.gateway.configuration import Configuration, Route
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.state import Gateway
 
 
+@unique
+class Distance(Enum):
+    """List how far servers are from a gateway."""
+
+    # In its availability zone, in its region, or farther away.
+    zone = 'zone'
+    region = 'region'
+    elsewhere = 'elsewhere'
+
+
+def find_distance(gateway: Gateway, server: Server) -> Distance:
+    """Return how far a server is."""
+    options = gateway.options
+    if server.zone == options.zone:
+        return Distance.zone
+    if find_region(gateway, server.zone) == options.region:
+        return Distance.region
+    return Distance.elsewhere
+
+
 def find_region(gateway: Gateway, zone: ZoneName) -> RegionName | None:
     """Return the region of an availability zone."""
     return gateway.options.regions.get(zone)
