--- a/tests/test_gatewayadmission.py
+++ b/tests/test_gatewayadmission.py
@@ -100,7 +100,7 @@
 
 @pytest.mark.parametrize(
     ('busy', 'scarce', 'rate'),
-    [(0, False, 40 + 18), (12, False, 40 + 6), (15, True, 43), (70, True, 0)],
+    [(0, False, 58), (12, False, 46), (15, True, 43), (70, True, 0)],
 )
 def test_rate_follows_the_room_that_is_left(
     busy: float, rate: float, *, scarce: bool
