--- a/tests/test_gatewayadmission.py
+++ b/tests/test_gatewayadmission.py
@@ -12,6 +12,7 @@
     DemandShare,
     RateShare,
     ServerRoom,
+    Standing,
     answers_in_time,
     find_admitted_depth,
 )
@@ -23,11 +24,13 @@
 _NOW = Seconds(100)
 _DEMAND = Demand(goal=Seconds(0.8), left=Seconds(1.2))
 # Kinds that share their service with others, or have it alone.
-_URGENT = replace(_DEMAND, precedes=True)
-_LEAST_URGENT = replace(_DEMAND, yields=True)
-_LEAST_URGENT_AGAIN = replace(_LEAST_URGENT, returned=True)
+_URGENT = replace(_DEMAND, standing=Standing(precedes=True))
+_LEAST_URGENT = replace(_DEMAND, standing=Standing(yields=True))
+_LEAST_URGENT_AGAIN = replace(
+    _DEMAND, standing=Standing(yields=True, returned=True)
+)
 _ALONE = _DEMAND
-_ALONE_AGAIN = replace(_DEMAND, returned=True)
+_ALONE_AGAIN = replace(_DEMAND, standing=Standing(returned=True))
 _LIFE = ServerIncarnation(ServerId('dispatcher-0'), 1)
 _REPORT = LoadReport(running=6, waiting=4, slots=6, slowness=3)
 
--- a/trefoilsaddle/gateway/admission.py
+++ b/trefoilsaddle/gateway/admission.py
@@ -42,18 +42,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Demand:
-    """Describe a request to be admitted."""
+class Standing:
+    """Rank a request among those of its service."""
 
-    goal: Seconds
-    # Time until its caller or its route's timeout ends it.
-    left: Seconds
     # True if a more urgent, or a less urgent, kind of request uses the service.
     yields: bool = False
     precedes: bool = False
     # True if its caller was refused before and has no further try.
     returned: bool = False
 
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Describe a request to be admitted."""
+
+    goal: Seconds
+    # Time until its caller or its route's timeout ends it.
+    left: Seconds
+    standing: Standing = Standing()
+
     def find_limit(self) -> Seconds:
         """Return the time in which an answer is wanted."""
         return Seconds(min(self.goal, self.left))
@@ -136,10 +143,11 @@
 
 
 def _find_reserve(demand: Demand) -> float:
-    if demand.precedes:
+    standing = demand.standing
+    if standing.precedes:
         return 0
-    reserve = _RANK_RESERVE if demand.yields else 0
-    return reserve if demand.returned else reserve + _FIRST_TRY_RESERVE
+    reserve = _RANK_RESERVE if standing.yields else 0
+    return reserve if standing.returned else reserve + _FIRST_TRY_RESERVE
 
 
 @dataclass(slots=True)
--- a/trefoilsaddle/gateway/admitting.py
+++ b/trefoilsaddle/gateway/admitting.py
@@ -7,23 +7,37 @@
     Capacity,
     Demand,
     ServerRoom,
+    Standing,
     find_admitted_depth,
 )
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.serviceshares import ServerGroup
 from trefoilsaddle.gateway.state import Gateway, OpenCall
 
+# Routes of which the longest time is kept; names may change with each version.
+_MAX_ROUTES = 4096
 # Time that callers who return have lost at least; others differ by less.
 _MIN_RETURN_TIME = Seconds(0.08)
 
 
-def record_time_left(gateway: Gateway, call: OpenCall) -> None:
-    """Record how long a caller waits, and whether it came before."""
+def find_standing(gateway: Gateway, call: OpenCall) -> Standing:
+    """Rank a request; record how long its caller waits."""
     name = call.route.name
+    rank = call.route.rank
     left = call.head.remaining
     longest = max(gateway.longest_left.get(name, left), left)
     gateway.longest_left[name] = longest
-    call.returned = left < longest - _MIN_RETURN_TIME
+    configuration = gateway.configuration
+    goals = (
+        ()
+        if configuration is None
+        else configuration.goals.get(call.service, ())
+    )
+    return Standing(
+        yields=any(entry.rank < rank for entry in goals),
+        precedes=any(entry.rank > rank for entry in goals),
+        returned=left < longest - _MIN_RETURN_TIME,
+    )
 
 
 def reports_load(gateway: Gateway, call: OpenCall) -> bool:
@@ -31,23 +45,10 @@
     return call.service in gateway.pools.reporting
 
 
-def build_demand(gateway: Gateway, call: OpenCall, now: Seconds) -> Demand:
+def build_demand(call: OpenCall, now: Seconds) -> Demand:
     """Describe a request."""
-    rank = call.route.rank
-    configuration = gateway.configuration
-    goals = (
-        ()
-        if configuration is None
-        else configuration.goals.get(call.service, ())
-    )
-    ranks = {entry.rank for entry in goals}
-    return Demand(
-        call.route.goal,
-        Seconds(call.expires - now),
-        yields=any(other < rank for other in ranks),
-        precedes=any(other > rank for other in ranks),
-        returned=call.returned,
-    )
+    left = Seconds(call.expires - now)
+    return Demand(call.route.goal, left, call.standing)
 
 
 def find_wait_for_share(
@@ -60,7 +61,7 @@
     pools = gateway.pools
     if now - pools.updated_at > pools.update_lifetime:
         return Seconds(0)
-    demand = build_demand(gateway, call, now)
+    demand = build_demand(call, now)
     capacity = _sum_capacity(gateway, demand, servers)
     share = gateway.shares.find_rate(_find_group(call))
     part = gateway.shares.find_demand(call.service)
@@ -83,6 +84,8 @@
         return
     services = gateway.configuration.services.keys()
     gateway.shares.keep_only(set(services))
+    if len(gateway.longest_left) > _MAX_ROUTES:
+        gateway.longest_left.clear()
     for service in gateway.pools.reporting & services:
         pools = [
             gateway.pools.find(server.life)
--- a/trefoilsaddle/gateway/choosing.py
+++ b/trefoilsaddle/gateway/choosing.py
@@ -1,6 +1,6 @@
 """Choose the service of a request and the server that runs it."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
 
@@ -93,21 +93,23 @@
 def choose_server(
     gateway: Gateway,
     call: OpenCall,
+    servers: Iterable[Server],
     now: Seconds,
 ) -> Candidate | None:
     """Return the cheaper of servers drawn at random, if any has room."""
+    reports = reports_load(gateway, call)
     groups: dict[Distance, list[Server]] = {
         distance: [] for distance in Distance
     }
-    for server in list_open(gateway, call, now):
+    for server in servers:
         distance = find_distance(gateway, server)
-        if distance == Distance.zone and not reports_load(gateway, call):
+        if distance == Distance.zone and not reports:
             distance = Distance.region
         groups[distance].append(server)
     sampled = [
         candidate
-        for servers in groups.values()
-        for candidate in _sample_with_room(gateway, call, servers, now)
+        for group in groups.values()
+        for candidate in _sample_with_room(gateway, call, group, now)
     ]
     return min(sampled, key=lambda candidate: candidate.cost, default=None)
 
@@ -198,7 +200,7 @@
     resets = server.service in gateway.pools.resetting
     demand = None
     if reports_load(gateway, call):
-        demand = build_demand(gateway, call, now)
+        demand = build_demand(call, now)
     return Candidate(
         server,
         pool,
--- a/trefoilsaddle/gateway/forwarding.py
+++ b/trefoilsaddle/gateway/forwarding.py
@@ -7,7 +7,7 @@
 
 from trefoilsaddle.core.units import CallId, Seconds
 from trefoilsaddle.gateway import lifecycle
-from trefoilsaddle.gateway.admitting import record_time_left
+from trefoilsaddle.gateway.admitting import find_standing
 from trefoilsaddle.gateway.attempts import handle_attempt_ended
 from trefoilsaddle.gateway.choosing import choose_service
 from trefoilsaddle.gateway.configuration import Configuration
@@ -81,7 +81,7 @@
         now,
         Seconds(now + remaining),
     )
-    record_time_left(gateway, call)
+    call.standing = find_standing(gateway, call)
     gateway.calls[call.call] = call
     gateway.find_budget(service).count_request(now)
     _count_key(gateway, configuration, call)
--- a/trefoilsaddle/gateway/placing.py
+++ b/trefoilsaddle/gateway/placing.py
@@ -70,12 +70,12 @@
     rules = configuration.services.get(call.service)
     if rules is not None and rules.keyed:
         return _place_keyed(gateway, call, now)
+    servers = list(list_open(gateway, call, now))
     if reports_load(gateway, call):
-        servers = list_open(gateway, call, now)
         wait = find_wait_for_share(gateway, call, servers, now)
         if wait:
             return refuse_without_share(gateway, call, wait, now)
-    candidate = choose_server(gateway, call, now)
+    candidate = choose_server(gateway, call, servers, now)
     if candidate is None:
         return refuse_full(gateway, call, now)
     return _send(gateway, call, candidate, now)
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -14,6 +14,7 @@
     StoreEra,
     Version,
 )
+from trefoilsaddle.gateway.admission import Standing
 from trefoilsaddle.gateway.budget import ServiceBudget
 from trefoilsaddle.gateway.clocks import ClockBound
 from trefoilsaddle.gateway.coldservers import ColdServers
@@ -90,8 +91,7 @@
     unknown_code: ResultCode | None = None
     # Last complete answer of a server if it reported a failure.
     failed: FailedAnswer | None = None
-    # True if the caller was refused before.
-    returned: bool = False
+    standing: Standing = Standing()
     # Time at which the request began to wait for an owner of its key.
     parked_at: Seconds = Seconds(0)
 
