Check a configuration before it is published

Cause: operators learned of a fault in op/config, such as a route that an earlier one shadows or a service that no cluster defines, only when requests were refused.

--- a/trefoilsaddle/platform/configuration.py
+++ b/trefoilsaddle/platform/configuration.py
@@ -19,12 +19,23 @@
     ServiceRules,
     WeightedService,
 )
+from trefoilsaddle.gateway.configurationcheck import (
+    ConfigurationDocument,
+    PlacedRoute,
+    PlacedService,
+)
+from trefoilsaddle.gateway.findings import Finding, FindingCode
 from trefoilsaddle.platform.durations import Duration
 from trefoilsaddle.platform.models import WireModel
 from trefoilsaddle.results import ResultCode
 
 _IDEMPOTENT = 'idempotent'
 _VERSION_PREFIX = 'r'
+# Type of pydantic's error for input that is not JSON, and what it puts before the
+# text of a `ValueError`.
+_JSON_ERROR = 'json_invalid'
+_MESSAGE_PREFIX = 'Value error, '
+_WHOLE_DOCUMENT = 'document'
 
 
 def _read_version(text: object) -> int:
@@ -106,19 +117,59 @@
     return _build_configuration(wire, encoded)
 
 
+def decode_document(encoded: bytes) -> ConfigurationDocument | list[Finding]:
+    """Decode a configuration to be checked; return all errors of its fields."""
+    try:
+        wire = _WireConfiguration.model_validate_json(encoded)
+    except ValidationError as error:
+        return [
+            _build_finding(found['type'], found['loc'], found['msg'])
+            for found in error.errors(include_input=False)
+        ]
+    return _build_document(wire)
+
+
+def _build_finding(
+    kind: str, path: tuple[int | str, ...], message: str
+) -> Finding:
+    code = FindingCode.field_invalid
+    if kind == _JSON_ERROR:
+        code = FindingCode.not_json
+    steps = (
+        f'[{step}]' if isinstance(step, int) else f'.{step}' for step in path
+    )
+    place = ''.join(steps).removeprefix('.') or _WHOLE_DOCUMENT
+    return Finding(code, place, message.removeprefix(_MESSAGE_PREFIX))
+
+
+def _build_document(wire: _WireConfiguration) -> ConfigurationDocument:
+    routes = (
+        PlacedRoute(
+            f'listeners[{position}].rules[{number}]',
+            _build_route(listener.host, rule),
+        )
+        for position, listener in enumerate(wire.listeners)
+        for number, rule in enumerate(listener.rules)
+    )
+    services = (
+        PlacedService(f'clusters[{position}]', _build_rules(cluster))
+        for position, cluster in enumerate(wire.clusters)
+    )
+    return ConfigurationDocument(
+        version=Version(wire.version),
+        version_place='version',
+        limits=_build_limits(wire.limits),
+        limits_place='limits',
+        routes=tuple(routes),
+        services=tuple(services),
+    )
+
+
 def _build_configuration(
     wire: _WireConfiguration,
     encoded: bytes,
 ) -> Configuration:
-    services = [
-        ServiceRules(
-            ServiceName(cluster.name),
-            cluster.connections,
-            cluster.sharded,
-            cluster.cold_rate,
-        )
-        for cluster in wire.clusters
-    ]
+    services = [_build_rules(cluster) for cluster in wire.clusters]
     return Configuration(
         version=Version(wire.version),
         limits=_build_limits(wire.limits),
@@ -128,6 +179,15 @@
     )
 
 
+def _build_rules(cluster: _WireCluster) -> ServiceRules:
+    return ServiceRules(
+        ServiceName(cluster.name),
+        cluster.connections,
+        cluster.sharded,
+        cluster.cold_rate,
+    )
+
+
 def _group_routes(
     listeners: list[_WireListener],
 ) -> dict[str, tuple[Route, ...]]:
