Estimate the work of a route at a server

A gateway keeps decayed means of requests that found a free slot, by route and by server, with the told mean scaled by the route's work as the prior; admission adds the request's own time to the wait behind others.

--- a/trefoilsaddle/gateway/admission.py
+++ b/trefoilsaddle/gateway/admission.py
@@ -24,7 +24,7 @@
 _MIN_DEPTH = 1.5
 _MAX_DEPTH = 3
 # A request's own time at a server that is still within the goal, as a multiple of
-# the mean: half as long again for two thirds of them.
+# what is expected: half as long again for two thirds of them.
 _OWN_TIME_FACTOR = 1.5
 _MIN_TIME = Seconds(0.001)
 # Time over which the room that is left is given out; the loads are up to half as
@@ -65,21 +65,24 @@
 
     busy: float
     slots: int
-    # Mean time of one request.
+    # Mean time of the requests at the server.
     mean_time: Seconds
+    # Expected time of the request itself once it has a slot.
+    own_time: Seconds
 
 
-def find_admitted_depth(demand: Demand, mean_time: Seconds) -> float:
+def find_admitted_depth(demand: Demand, room: ServerRoom) -> float:
     """Return how many requests a slot may hold, including waiting ones."""
-    mean = max(mean_time, _MIN_TIME)
-    depth = demand.find_limit() / mean + 1 - _OWN_TIME_FACTOR
+    mean = max(room.mean_time, _MIN_TIME)
+    own = max(room.own_time, _MIN_TIME) * _OWN_TIME_FACTOR
+    depth = (demand.find_limit() - own) / mean + 1
     return min(max(depth, _MIN_DEPTH), _MAX_DEPTH)
 
 
 def answers_in_time(demand: Demand, room: ServerRoom) -> bool:
     """Return whether a server is expected to answer before the request ends."""
     waiting = max(room.busy + 1 - room.slots, 0) / room.slots
-    return room.mean_time * (waiting + 1) <= demand.left
+    return room.mean_time * waiting + room.own_time <= demand.left
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/admitting.py
+++ b/trefoilsaddle/gateway/admitting.py
@@ -9,9 +9,11 @@
     ServerRoom,
     find_admitted_depth,
 )
+from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.serviceshares import ServerGroup
 from trefoilsaddle.gateway.state import Gateway, OpenCall
+from trefoilsaddle.gateway.workestimates import RouteWork
 
 # Time that callers who return have lost at least; others differ by less.
 _MIN_RETURN_TIME = Seconds(0.08)
@@ -50,6 +52,28 @@
     )
 
 
+def record_work(
+    gateway: Gateway,
+    call: OpenCall,
+    server: Server,
+    elapsed: Seconds,
+    now: Seconds,
+) -> None:
+    """Record the time of a request that found a free slot."""
+    if reports_load(gateway, call):
+        gateway.work.add_sample(call.route.name, server, elapsed, now)
+
+
+def estimate_work(
+    gateway: Gateway, call: OpenCall, server: Server, now: Seconds
+) -> Seconds:
+    """Return the expected time of a request that finds a free slot."""
+    told = gateway.pools.find(server.life).service_time
+    if not reports_load(gateway, call):
+        return told
+    return gateway.work.estimate(call.route.name, server, told, now)
+
+
 def find_wait_for_share(
     gateway: Gateway,
     call: OpenCall,
@@ -61,7 +85,16 @@
     if now - pools.updated_at > pools.update_lifetime:
         return Seconds(0)
     demand = build_demand(gateway, call, now)
-    capacity = _sum_capacity(gateway, demand, servers)
+    capacity = Capacity()
+    for server in servers:
+        pool = gateway.pools.find(server.life)
+        room = ServerRoom(
+            pool.fleet_busy,
+            server.slots,
+            pool.service_time,
+            estimate_work(gateway, call, server, now),
+        )
+        capacity = capacity.add(room, find_admitted_depth(demand, room))
     share = gateway.shares.find_rate(_find_group(call))
     part = gateway.shares.find_demand(call.service)
     rate = capacity.find_rate() * part.find(gateway.count_gateways())
@@ -83,6 +116,7 @@
         return
     services = gateway.configuration.services.keys()
     gateway.shares.keep_only(set(services))
+    gateway.work.keep_only(_list_works(gateway.configuration))
     for service in gateway.pools.reporting & services:
         pools = [
             gateway.pools.find(server.life)
@@ -93,16 +127,14 @@
         gateway.shares.find_demand(service).add(own, fleet)
 
 
-def _sum_capacity(
-    gateway: Gateway, demand: Demand, servers: Iterable[Server]
-) -> Capacity:
-    capacity = Capacity()
-    for server in servers:
-        pool = gateway.pools.find(server.life)
-        room = ServerRoom(pool.fleet_busy, server.slots, pool.service_time)
-        depth = find_admitted_depth(demand, pool.service_time)
-        capacity = capacity.add(room, depth)
-    return capacity
+def _list_works(configuration: Configuration) -> set[RouteWork]:
+    works: set[RouteWork] = set()
+    for routes in configuration.routes.values():
+        for route in routes:
+            works.update(
+                RouteWork(route.name, part.service) for part in route.services
+            )
+    return works
 
 
 def _find_group(call: OpenCall) -> ServerGroup:
--- a/trefoilsaddle/gateway/attempts.py
+++ b/trefoilsaddle/gateway/attempts.py
@@ -5,6 +5,7 @@
 """
 
 from trefoilsaddle.core.units import Seconds
+from trefoilsaddle.gateway.admitting import record_work
 from trefoilsaddle.gateway.choosing import build_candidate
 from trefoilsaddle.gateway.effects import CountMetric, Effects
 from trefoilsaddle.gateway.ending import (
@@ -156,7 +157,9 @@
     pool = gateway.pools.find(server.life)
     pool.count_result(success=not failed)
     if call.uncontended and not failed:
-        pool.add_sample(Seconds(now - call.sent_at))
+        elapsed = Seconds(now - call.sent_at)
+        pool.add_sample(elapsed)
+        record_work(gateway, call, server, elapsed, now)
     if not failed:
         return deliver(gateway, call, now, event.attempt, event.status)
     call.failed = FailedAnswer(event.attempt, event.status)
--- a/trefoilsaddle/gateway/choosing.py
+++ b/trefoilsaddle/gateway/choosing.py
@@ -11,7 +11,11 @@
     answers_in_time,
     find_admitted_depth,
 )
-from trefoilsaddle.gateway.admitting import build_demand, reports_load
+from trefoilsaddle.gateway.admitting import (
+    build_demand,
+    estimate_work,
+    reports_load,
+)
 from trefoilsaddle.gateway.configuration import Route
 from trefoilsaddle.gateway.lifecycle import find_exit_time
 from trefoilsaddle.gateway.locality import find_region, is_allowed
@@ -58,6 +62,18 @@
     max_depth: float = _MAX_DEPTH
     # The request, if the server reports its load.
     demand: Demand | None = None
+    # Expected time of the request once it has a slot.
+    own_time: Seconds = Seconds(0)
+
+    @property
+    def room(self) -> ServerRoom:
+        """Return the server as admission sees it."""
+        return ServerRoom(
+            self.busy,
+            self.server.slots,
+            self.pool.service_time,
+            self.own_time,
+        )
 
 
 def choose_service(gateway: Gateway, route: Route) -> ServiceName:
@@ -190,6 +206,7 @@
         cost + _find_distance_cost(gateway, server),
         _MAX_DEPTH_RESETTING if resets else _MAX_DEPTH,
         demand,
+        estimate_work(gateway, call, server, now),
     )
 
 
@@ -202,12 +219,7 @@
     if candidate.busy + 1 > max(room, 1):
         return False
     return candidate.demand is None or answers_in_time(
-        candidate.demand,
-        ServerRoom(
-            candidate.busy,
-            candidate.server.slots,
-            candidate.pool.service_time,
-        ),
+        candidate.demand, candidate.room
     )
 
 
@@ -241,9 +253,7 @@
 def find_depth(call: OpenCall, candidate: Candidate) -> float:
     """Return how many requests a slot may hold, including waiting ones."""
     if candidate.demand is not None:
-        return find_admitted_depth(
-            candidate.demand, candidate.pool.service_time
-        )
+        return find_admitted_depth(candidate.demand, candidate.room)
     time = max(candidate.pool.service_time, _MIN_TIME)
     depth = call.route.goal * _GOAL_FRACTION / time
     rank = min(call.route.rank, len(_RANK_FRACTIONS) - 1)
--- a/trefoilsaddle/gateway/reporting.py
+++ b/trefoilsaddle/gateway/reporting.py
@@ -33,4 +33,5 @@
         gateway.departures_handled = gateway.registry.departures
     gateway.limits.remove_gone(known)
     gateway.cold_servers.remove_gone(known)
+    gateway.work.remove_gone(known)
     gateway.control.suspicions.remove_gone(known)
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -39,6 +39,7 @@
     StoredTable,
     TablePosition,
 )
+from trefoilsaddle.gateway.workestimates import WorkEstimates
 from trefoilsaddle.gateway.zones import NO_DRAINED_ZONES, DrainedZones
 from trefoilsaddle.results import ResultCode
 
@@ -260,6 +261,8 @@
     # This gateway's part of what may be sent to the servers of services that report
     # their load.
     shares: ServiceShares = field(default_factory=ServiceShares)
+    # Times of the requests to them, by route and server.
+    work: WorkEstimates = field(default_factory=WorkEstimates)
     # Longest time that callers of a route have had left.
     longest_left: dict[str, Seconds] = field(default_factory=dict)
     # State of the smooth weighted round robin of each route with several
--- a/trefoilsaddle/gateway/statedump.py
+++ b/trefoilsaddle/gateway/statedump.py
@@ -51,6 +51,15 @@
             for topic, state in gateway.topics.items()
         },
         'servers': _describe_servers(gateway, now),
+        'work': [
+            {
+                'service': work.service,
+                'route': work.route,
+                'mean': round(mean.total / mean.weight, 3),
+                'samples': round(mean.weight, 1),
+            }
+            for work, mean in gateway.work.routes.items()
+        ],
         'owners': {
             service: _describe_owners(owners)
             for service, owners in gateway.owners.items()
