--- a/tests/test_gatewayworkestimates.py
+++ b/tests/test_gatewayworkestimates.py
@@ -14,6 +14,7 @@
     build_scene,
 )
 from trefoilsaddle.core.units import (
+    CallId,
     Rank,
     Seconds,
     ServerId,
@@ -23,13 +24,17 @@
 )
 from trefoilsaddle.gateway.admission import (
     Demand,
+    RateShare,
     ServerRoom,
     answers_in_time,
     find_admitted_depth,
 )
+from trefoilsaddle.gateway.admitting import find_wait_for_share
 from trefoilsaddle.gateway.configuration import Configuration
+from trefoilsaddle.gateway.events import RequestHead
 from trefoilsaddle.gateway.servers import Server, ServerIncarnation
-from trefoilsaddle.gateway.state import Gateway
+from trefoilsaddle.gateway.serviceshares import ServerGroup
+from trefoilsaddle.gateway.state import Gateway, OpenCall
 from trefoilsaddle.gateway.statedump import describe_gateway
 from trefoilsaddle.gateway.workestimates import RouteWork, WorkEstimates
 
@@ -242,6 +247,75 @@
     assert described[0]['samples'] > 1
 
 
+def _list_checkout(gateway: Gateway) -> list[Server]:
+    return list(gateway.registry.list_service(ServiceName(CHECKOUT)))
+
+
+def _add_work(gateway: Gateway, elapsed: float, now: Seconds) -> None:
+    for server in _list_checkout(gateway):
+        for _ in range(200):
+            gateway.work.add_sample('pay', server, Seconds(elapsed), now)
+
+
+# Time of earlier requests of the route, the mean that the servers are told to have,
+# and whether a request whose caller waits for 1 s is sent.
+@pytest.mark.parametrize(
+    ('elapsed', 'told', 'sent'),
+    [(0.15, 0.15, True), (1.5, 0.15, False), (0.15, 1.5, True)],
+)
+def test_request_that_cannot_end_in_time_is_refused(
+    elapsed: float, told: float, sent: bool
+) -> None:
+    """Compare the time left with the route's work, not with the told mean."""
+    world = _build_world(reports=True)
+    gateway = _send(world)
+    _add_work(gateway, elapsed, world.now)
+    for server in _list_checkout(gateway):
+        gateway.pools.find(server.life).service_time = Seconds(told)
+    call = world.call(GATEWAYS[0], '/pay/1', None, Seconds(1))
+    assert (call in gateway.calls) == sent
+    assert world.results[call].not_run != sent
+
+
+# Time of earlier requests of the route, and whether a request has to wait for this
+# gateway's part of the room while servers hold one and a half requests per slot.
+@pytest.mark.parametrize(('elapsed', 'waits'), [(0.15, False), (0.4, True)])
+def test_room_for_requests_follows_their_work(
+    elapsed: float, waits: bool
+) -> None:
+    """Count less room for requests that leave less time to wait."""
+    world = _build_world(reports=True)
+    gateway = _send(world)
+    _add_work(gateway, elapsed, world.now)
+    servers = _list_checkout(gateway)
+    for server in servers:
+        pool = gateway.pools.find(server.life)
+        pool.service_time = Seconds(0.15)
+        pool.fleet_busy = server.slots * 1.5
+    call = _open_call(gateway, world.now)
+    gateway.shares.rates[ServerGroup(call.service, frozenset())] = RateShare(
+        0, world.now
+    )
+    wait = find_wait_for_share(gateway, call, servers, world.now)
+    assert bool(wait) == waits
+
+
+def _open_call(gateway: Gateway, now: Seconds) -> OpenCall:
+    configuration = gateway.configuration
+    assert configuration is not None
+    route = configuration.find_route('shop.example', '/pay/1')
+    assert route is not None
+    head = RequestHead('1', route.host, '/pay/1', None, Seconds(2), 0)
+    return OpenCall(
+        CallId(1),
+        head,
+        route,
+        ServiceName(CHECKOUT),
+        now,
+        Seconds(now + route.timeout),
+    )
+
+
 # Guards against a changed behaviour of services without load reports.
 def test_services_without_reports_are_served_as_before() -> None:
     """Record nothing."""
