--- a/tests/test_gatewayadmission.py
+++ b/tests/test_gatewayadmission.py
@@ -51,7 +51,8 @@
 ) -> None:
     """Derive the depth from what is shorter, the goal or the time left."""
     demand = Demand(Seconds(goal), Seconds(left))
-    assert find_admitted_depth(demand, Seconds(mean)) == pytest.approx(depth)
+    room = ServerRoom(0, 6, Seconds(mean), Seconds(mean))
+    assert find_admitted_depth(demand, room) == pytest.approx(depth)
 
 
 @pytest.mark.parametrize(
@@ -62,7 +63,7 @@
     busy: float, left: float, *, in_time: bool
 ) -> None:
     """Compare the wait and the work with the time that is left."""
-    room = ServerRoom(busy, slots=6, mean_time=Seconds(0.3))
+    room = ServerRoom(busy, 6, Seconds(0.3), Seconds(0.3))
     demand = replace(_DEMAND, left=Seconds(left))
     assert answers_in_time(demand, room) == in_time
 
@@ -109,7 +110,7 @@
     busy: float, rate: float, *, scarce: bool
 ) -> None:
     """Give out what the slots complete, and the room over a second."""
-    room = ServerRoom(busy, slots=6, mean_time=Seconds(0.15))
+    room = ServerRoom(busy, 6, Seconds(0.15), Seconds(0.15))
     capacity = Capacity().add(room, 3)
     assert capacity.is_scarce() == scarce
     assert capacity.find_rate() == pytest.approx(rate)
