Read updates that tell no drained zones

Cause: an update without the field was refused as malformed, so that a gateway could not follow a controller or relay of an earlier version. The field is optional now. tests/test_gatewaycodec.py::test_update_without_drained_zones_is_read fails without it.

--- a/tests/test_gatewaycodec.py
+++ b/tests/test_gatewaycodec.py
@@ -138,6 +138,24 @@
     assert decode_peer_message(encoded) == unstated
 
 
+# Guards against updates that are refused while gateways are replaced one by one:
+# those of earlier versions tell no drained zones.
+def test_update_without_drained_zones_is_read(tmp_path: Path) -> None:
+    """Decode the update of a gateway that does not know of them."""
+    path = tmp_path / 'earlier.capnp'
+    schema = _SCHEMA_PATH.read_text()
+    path.write_text(schema.replace('  drained @20 :DrainedZones;\n', ''))
+    # Its schemas are freed with it.
+    parser = capnp.SchemaParser()
+    earlier = parser.load(str(path)).PeerMessage
+    news = _build_news(1, 1)
+    message = _SCHEMA.PeerMessage.from_bytes_packed(encode_peer_message(news))
+    fields = message.to_dict()
+    fields['news'].pop('drained', None)
+    encoded = earlier.new_message(**fields).to_bytes_packed()
+    assert decode_peer_message(encoded) == news
+
+
 def _write_short_column(builder: Any) -> None:
     loads = builder.init('news').init('loads')
     loads.tag = [1, 2]
--- a/trefoilsaddle/gateway/peermessages.py
+++ b/trefoilsaddle/gateway/peermessages.py
@@ -21,7 +21,7 @@
     OwnerEntry,
     TablePosition,
 )
-from trefoilsaddle.gateway.zones import NO_DRAINED_ZONES, DrainedZones
+from trefoilsaddle.gateway.zones import DrainedZones
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,8 +175,9 @@
     # in which that offset was given out.
     configuration_end: Offset = NO_OFFSET
     era: StoreEra = NO_ERA
-    # Availability zones that operators drain.
-    drained: DrainedZones = NO_DRAINED_ZONES
+    # Availability zones that operators drain; gateways of earlier versions do not
+    # tell them.
+    drained: DrainedZones | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/updates.py
+++ b/trefoilsaddle/gateway/updates.py
@@ -147,7 +147,7 @@
     changed = news.owners or news.servers or news.removed
     connected = gateway.connected
     newer = news.configuration != connected.configuration
-    drained = news.drained.zones != connected.drained.zones
+    drained = gateway.drained.zones != connected.drained.zones
     return bool(changed) or newer or drained
 
 
--- a/trefoilsaddle/gateway/zonedrain.py
+++ b/trefoilsaddle/gateway/zonedrain.py
@@ -32,7 +32,7 @@
             topic=Topic.configuration, verdict=ReadVerdict.records
         ) if not gateway.is_outdated(event.era):
             return _apply(gateway, now, _find_read_zones(gateway, event))
-        case NewsReceived():
+        case NewsReceived() if event.news.drained is not None:
             return _apply(gateway, now, event.news.drained)
     return []
 
