--- a/tests/test_gatewayzonedrain.py
+++ b/tests/test_gatewayzonedrain.py
@@ -1,6 +1,7 @@
 """Test that a drained zone gets no requests, and its keys stay served."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from random import Random
 
@@ -8,6 +9,8 @@
 
 from measure.gatewayworld import World
 from measure.worldoptions import ZONE, Machine
+from measure.worldpeers import Peers
+from measure.worldprocess import Process
 from measure.worldservers import WorldServer
 from tests.fleetload import KEYED_PATH, PLAIN_PATH, FleetLoad
 from tests.gatewayscenes import (
@@ -18,6 +21,7 @@
 )
 from tests.regionscenes import WEST, WEST_ZONE
 from trefoilsaddle.core.units import NodeId, Seconds, ServerId, ZoneName
+from trefoilsaddle.gateway.effects import SendNews
 
 _ZONES = (ZONE, ZoneName('east-2'), WEST_ZONE)
 # Time after the request to drain from which nothing new may reach the zone
@@ -26,6 +30,15 @@
 _NAMES = tuple(f'gate-{number}' for number in range(6))
 
 
+class _EarlierPeers(Peers):
+    """Send updates like a gateway that does not know of drained zones."""
+
+    def send_news(self, process: Process, effect: SendNews) -> None:
+        """Send an update that tells no drained zones."""
+        news = replace(effect.news, drained=None)
+        super().send_news(process, replace(effect, news=news))
+
+
 def _build_world() -> World:
     world = World(Random(1))
     world.regions[_ZONES[1]] = world.regions[ZONE]
@@ -89,6 +102,11 @@
         world.processes[NodeId(name)].peers_cut = True
 
 
+def _tell_no_drains(world: World) -> None:
+    # The controller and the relays are of an earlier version.
+    world.peers = _EarlierPeers(world, world.dials)
+
+
 def _restart_servers(world: World) -> None:
     for server in _list_zone(world, ZONE):
         world.crash_server(server)
@@ -112,6 +130,7 @@
         _lose_store,
         _cut_gateways,
         _restart_servers,
+        _tell_no_drains,
     ],
 )
 def test_drained_zone_gets_nothing_within_the_bound(
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -310,8 +310,9 @@
     if is_linked(gateway, now):
         link.controller_seen_at = now
     built_at = link.clock.find_built_at(news.stamp, now)
-    if news.configuration <= gateway.version:
-        # Otherwise the version here is an old one, whatever its age.
+    if news.configuration <= gateway.version and news.drained is not None:
+        # Otherwise the version here is an old one, whatever its age; and a
+        # gateway of an earlier version does not tell the drained zones.
         link.configuration_read_at = Seconds(built_at - news.configuration_age)
     return [*effects, *_check_configuration(gateway, now, news)]
 
@@ -382,6 +383,9 @@
     state = gateway.topics[Topic.configuration]
     if state.next_offset is None or news.era != gateway.era or state.reading:
         return
+    if news.drained is None:
+        # A drain may be among the records.
+        return
     state.next_offset = max(state.next_offset, news.configuration_end)
 
 
