Bound the use of a drained zone's keys from the drain, not from its discovery

Such use ends 4.5 s after the time as of which the zone was last known to be in use, and at once if that is not known. tests/test_gatewayzonedrain.py::test_gateway_that_starts_during_a_drain_keeps_the_bound fails without it.

--- a/tests/test_gatewayzonedrain.py
+++ b/tests/test_gatewayzonedrain.py
@@ -148,6 +148,29 @@
     assert not list_unowned(world)
 
 
+def _restart_some(world: World) -> None:
+    for name in _NAMES[1::3]:
+        if world.processes[NodeId(name)].alive:
+            world.start_gateway(name)
+
+
+# Guards against a gateway that counts the drain from its own start: the keys of the
+# zone had not moved yet, as the store could record no new owners.
+def test_gateway_that_starts_during_a_drain_keeps_the_bound() -> None:
+    """Send nothing to the zone from gateways that start just before the bound."""
+    world = _build_world()
+    FleetLoad(world, _NAMES, KEYED_PATH, 300).begin(Seconds(9))
+    world.run(2)
+    world.store.drain_zone(ZONE)
+    since = Seconds(world.now + _BOUND)
+    world.after(0.3, partial(_kill_controller, world))
+    world.after(1.5, partial(_set_store, world, down=True))
+    world.after(4.6, partial(_set_store, world, down=False))
+    world.after(4.9, partial(_restart_some, world))
+    world.run(8)
+    assert not _count_arrivals(world, ZONE, since)
+
+
 def test_two_zones_are_drained_at_once() -> None:
     """Use only the zone that is left."""
     world = _build_world()
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field, replace
 from functools import lru_cache
+from math import inf
 from typing import NewType
 from zlib import crc32
 
@@ -19,10 +20,6 @@
 # this gateway knows up to a second later.
 MAX_DRAINING_USE = Seconds(1.2)
 
-# The same for servers of a drained zone, which get no new work 5 s after the
-# operator's request (`evacuate`); a gateway knows of it within 2 s.
-_MAX_DRAINED_ZONE_USE = Seconds(2.2)
-
 # Time after which the store no longer lists a silent server: three heartbeats of
 # up to 1.5 s, and the interval of reads.
 _WITHHOLDING_TIME = Seconds(5)
@@ -149,6 +146,11 @@
     """Treat the servers of drained zones as draining; keep their own entries."""
 
     drained: frozenset[ZoneName] = frozenset()
+    # Time from which the servers of each drained zone get no requests for the keys
+    # that they hold.
+    ends: dict[ZoneName, Seconds] = field(default_factory=dict)
+    # Time as of which the drained zones are known; None before the first read.
+    known_at: Seconds | None = None
     # Entries of the servers there that have not asked to drain themselves.
     declared: dict[ServerId, Server] = field(default_factory=dict)
 
@@ -219,11 +221,12 @@
 
     def may_serve(self, server: Server, now: Seconds) -> bool:
         """Return whether a server may still get requests for its keys."""
-        leaving = self.draining_since.get(server.life, now)
-        longest = MAX_DRAINING_USE
+        if now >= self.zones.ends.get(server.zone, inf):
+            return False
         if server.life.server in self.zones.declared:
-            longest = _MAX_DRAINED_ZONE_USE
-        return now - leaving < longest
+            return True
+        leaving = self.draining_since.get(server.life, now)
+        return now - leaving < MAX_DRAINING_USE
 
     def list_service(self, service: ServiceName) -> Iterator[Server]:
         """Yield the servers of a service."""
--- a/trefoilsaddle/gateway/zonedrain.py
+++ b/trefoilsaddle/gateway/zonedrain.py
@@ -16,10 +16,17 @@
     TopicRead,
 )
 from trefoilsaddle.gateway.loglines import log_event
-from trefoilsaddle.gateway.servers import ServerRegistry
+from trefoilsaddle.gateway.peermessages import News
+from trefoilsaddle.gateway.servers import ServerRegistry, ZoneServers
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.zones import DrainedZones, ZoneDrain
 
+# The servers of a drained zone get no new work 5 s after the operator's request
+# (`evacuate`).  A gateway that knows of it in time sends them requests for their
+# keys for the shorter time while the controller moves these; one that learns of
+# it late counts from when it last knew that the zone was in use.
+_MAX_USE = Seconds(2.2)
+_MAX_USE_SINCE_KNOWN = Seconds(4.5)
 # Servers may be cold at the end of a drain.  Their entries say so within a
 # heartbeat of 0.87 s, and reach a gateway within a further second.
 _MAX_ENTRY_DELAY = Seconds(2)
@@ -31,9 +38,11 @@
         case TopicRead(
             topic=Topic.configuration, verdict=ReadVerdict.records
         ) if not gateway.is_outdated(event.era):
-            return _apply(gateway, now, _find_read_zones(gateway, event))
+            zones = _find_read_zones(gateway, event)
+            return _apply(gateway, now, zones, event.asked_at)
         case NewsReceived() if event.news.drained is not None:
-            return _apply(gateway, now, event.news.drained)
+            known_at = _find_told_at(gateway, now, event.news)
+            return _apply(gateway, now, event.news.drained, known_at)
     return []
 
 
@@ -51,25 +60,47 @@
     return DrainedZones(tuple(sorted(zones)), event.next_offset, event.era)
 
 
-def _apply(gateway: Gateway, now: Seconds, drained: DrainedZones) -> Effects:
+def _find_told_at(gateway: Gateway, now: Seconds, news: News) -> Seconds:
+    """Return the time at which the sender had read what it tells."""
+    built_at = gateway.link.clock.find_built_at(news.stamp, now)
+    return Seconds(built_at - news.configuration_age)
+
+
+def _apply(
+    gateway: Gateway, now: Seconds, drained: DrainedZones, known_at: Seconds
+) -> Effects:
     known = gateway.drained
     if drained.position < known.position:
         return []
     gateway.drained = drained
+    registry = gateway.registry
+    if drained.zones != known.zones:
+        registry.zones.ends = _find_ends(registry.zones, drained, now)
+    registry.zones.known_at = max(registry.zones.known_at or known_at, known_at)
     if drained.zones == known.zones:
         return []
-    _drain_servers(gateway.registry, frozenset(drained.zones), now)
+    _drain_servers(registry, frozenset(drained.zones), now)
     line = log_event(
         Component.forwarding,
         'drained zones changed',
         zones=' '.join(drained.zones),
         before=' '.join(known.zones),
         offset=drained.offset,
-        servers=len(gateway.registry.zones.declared),
+        servers=len(registry.zones.declared),
     )
     return [line, CountMetric('drained_zones_changed')]
 
 
+def _find_ends(
+    zones: ZoneServers, drained: DrainedZones, now: Seconds
+) -> dict[ZoneName, Seconds]:
+    end = now
+    if zones.known_at is not None:
+        latest = zones.known_at + _MAX_USE_SINCE_KNOWN
+        end = Seconds(min(now + _MAX_USE, latest))
+    return {zone: zones.ends.get(zone, end) for zone in drained.zones}
+
+
 def _drain_servers(
     registry: ServerRegistry, drained: frozenset[ZoneName], now: Seconds
 ) -> None:
