Keep the keys of cold servers that no other server may hold

Cause: a cold server was to give up its keys, and got none, if any other server of its service was warm, though that one was in a region where it may hold no keys, was suspected or awaited its removal: the keys had no owner while the server was cold. Only servers that would get keys count. Two tests of tests/test_gatewayslowstart.py fail without it.

--- a/tests/test_gatewayslowstart.py
+++ b/tests/test_gatewayslowstart.py
@@ -3,10 +3,12 @@
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
+from random import Random
 
 import pytest
 
 from measure.gatewayworld import World, build_world
+from measure.worldoptions import REGION, ZONE
 from measure.worldservers import WorldServer
 from tests.fleetload import (
     KEYED_PATH,
@@ -14,7 +16,13 @@
     FleetLoad,
     name_gateways,
 )
-from tests.gatewayscenes import CATALOGUE, CHECKOUT, build_configuration
+from tests.gatewayscenes import (
+    CATALOGUE,
+    CHECKOUT,
+    build_configuration,
+    list_unowned,
+)
+from tests.regionscenes import WEST, WEST_ZONE
 from trefoilsaddle.core.units import NodeId, Seconds
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.events import Topic
@@ -26,6 +34,7 @@
 _BOUND = ColdServerBound(1.5, 8)
 _ALLOWED = _RATE * _BOUND.factor + _BOUND.slack
 _WARM_UP = Seconds(3)
+_LONG_WARM_UP = Seconds(20)
 _WINDOW = Seconds(1)
 _GATEWAYS = 24
 _NAMES = name_gateways(_GATEWAYS)
@@ -162,6 +171,58 @@
     assert not held
 
 
+def _build_regions(servers: int) -> FleetLoad:
+    """Start a fleet whose keys are held in one of two regions."""
+    world = World(Random(1))
+    world.regions[WEST_ZONE] = WEST
+    configuration = _set_rate(build_configuration())
+    routes = tuple(
+        replace(route, regions=frozenset((REGION,)))
+        for route in configuration.routes['shop.example']
+    )
+    routed = replace(configuration, routes={'shop.example': routes})
+    world.store.write_configuration(routed)
+    world.adjust = _set_bound
+    for number in range(servers):
+        world.add_server(f'east-{number}', CATALOGUE)
+        world.add_server(f'west-{number}', CATALOGUE, zone=WEST_ZONE)
+    names = name_gateways(4)
+    for name in names:
+        world.start_gateway(name)
+    world.run(6)
+    return FleetLoad(world, names, KEYED_PATH, 20)
+
+
+# Guards against keys without an owner while the only servers that may hold them are
+# cold: those of another region, which may not, are not.
+def test_cold_servers_keep_keys_that_no_other_server_may_hold() -> None:
+    """Serve the keys within the rate of the cold servers."""
+    load = _build_regions(servers=3)
+    world = load.world
+    cold = [entry for entry in world.servers if entry.entry.zone == ZONE]
+    for server in cold:
+        _write_cold(world, server)
+    world.run(2)
+    assert not list_unowned(world)
+    assert all(server.holdings for server in cold)
+
+
+# Guards against keys without an owner until the entry of a crashed server lapses:
+# it is the only one that is not cold.
+def test_cold_server_gets_the_keys_of_a_server_that_does_not_answer() -> None:
+    """Assign the keys to a cold server rather than to none."""
+    world = _build_load(KEYED_PATH, rate=20, servers=2).world
+    cold, lost = (
+        server for server in world.servers if server.entry.service == CATALOGUE
+    )
+    cold.entry = replace(cold.entry, warm_up_left=_LONG_WARM_UP)
+    world.store.write_server(cold.entry)
+    world.run(2)
+    lost.cut = True
+    world.run(7)
+    assert not list_unowned(world)
+
+
 # Guards against a zone that is not used again after it came back cold, and against
 # refusals for good: all servers of a service are cold.
 def test_cold_servers_alone_serve_within_their_rate() -> None:
--- a/trefoilsaddle/gateway/slowstart.py
+++ b/trefoilsaddle/gateway/slowstart.py
@@ -9,6 +9,7 @@
 
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.coldservers import MAX_SAVED
+from trefoilsaddle.gateway.locality import may_hold_keys
 from trefoilsaddle.gateway.senders import find_sender_share
 from trefoilsaddle.gateway.servers import Server, ServerIncarnation
 from trefoilsaddle.gateway.state import Gateway
@@ -30,15 +31,28 @@
 
 
 def is_avoidable(gateway: Gateway, server: Server, now: Seconds) -> bool:
-    """Return whether a server is cold and another one of its service is not."""
+    """Return whether a server is cold and another may hold its keys."""
     if not is_cold(gateway, server, now):
         return False
     return any(
-        not other.draining and not is_cold(gateway, other, now)
+        not is_cold(gateway, other, now) and _can_hold_keys(gateway, other, now)
         for other in gateway.registry.list_service(server.service)
     )
 
 
+def _can_hold_keys(gateway: Gateway, server: Server, now: Seconds) -> bool:
+    """Return whether a server would get keys now.
+
+    Those of a cold server are served within its rate until another one can.
+    """
+    deferred = server.life.server in gateway.registry.deferred_removals
+    if server.draining or deferred or not may_hold_keys(gateway, server):
+        return False
+    # Only the controller suspects servers.
+    suspicions = gateway.control.suspicions
+    return not suspicions.is_suspected(server.life, now)
+
+
 def find_wait(
     gateway: Gateway, incarnation: ServerIncarnation, now: Seconds
 ) -> Seconds:
