Place waiting and repeated requests by the regions in force

Cause: a request kept the regions of the version that was in force at its arrival, so that a retry or a request that waited for an owner was sent outside the regions of a newer version. Two tests of tests/test_gatewaylocality.py fail without it.

--- a/tests/test_gatewaylocality.py
+++ b/tests/test_gatewaylocality.py
@@ -11,6 +11,7 @@
 from tests.gatewayscenes import CATALOGUE, CHECKOUT, build_configuration
 from tests.regionscenes import WEST, WEST_ZONE
 from trefoilsaddle.core.units import (
+    NodeId,
     RegionName,
     Seconds,
     ServerId,
@@ -18,6 +19,12 @@
     Version,
 )
 from trefoilsaddle.gateway.configuration import Configuration
+from trefoilsaddle.gateway.events import (
+    AttemptEnded,
+    AttemptVerdict,
+    TimerExpired,
+    TimerKind,
+)
 from trefoilsaddle.results import ResultCode
 
 _NOWHERE = RegionName('south')
@@ -112,6 +119,46 @@
     assert not _count_arrivals(world, CHECKOUT, WEST)
 
 
+# Guards against a request that is sent again by the regions of the version that
+# was in force at its arrival.
+def test_retry_keeps_to_the_regions_in_force() -> None:
+    """Send a request again where the newer version allows."""
+    world = _build_world({'/pay/': frozenset((REGION,))})
+    process = world.processes[NodeId('east-0')]
+    call = world.call('east-0', '/pay/1')
+    paths = {'/pay/': frozenset((WEST,))}
+    process.gateway.configuration = _limit_routes(paths, version=2)
+    ended = AttemptEnded(call, 1, AttemptVerdict.unsent, 0)
+    world.feed(process, ended)
+    world.run(0.05)
+    assert _count_arrivals(world, CHECKOUT, REGION) == 1
+    assert _count_arrivals(world, CHECKOUT, WEST) == 1
+
+
+# Guards against the same for a request that waited for the owner of its key.
+def test_parked_request_keeps_to_the_regions_in_force() -> None:
+    """Refuse it if the owner that is found is not where the version allows."""
+    world = _build_world({'/book/': frozenset((REGION,))})
+    # The controller would begin to move the key at once.
+    process = next(
+        process
+        for process in world.processes.values()
+        if not process.gateway.control.leading
+    )
+    gateway = process.gateway
+    service = ServiceName(CATALOGUE)
+    owners = gateway.owners.pop(service)
+    call = world.call(process.node, '/book/1', key=7)
+    assert call in gateway.parked
+    paths = {'/book/': frozenset((WEST,))}
+    gateway.configuration = _limit_routes(paths, version=2)
+    gateway.replace_owners(service, owners.owners, owners.position)
+    world.feed(process, TimerExpired(TimerKind.review))
+    world.run(0.05)
+    assert world.results[call].code == ResultCode.region_unavailable
+    assert not _count_arrivals(world, CATALOGUE, REGION)
+
+
 # Guards against keys whose owner may not run the requests of a route.
 def test_keys_are_held_where_all_routes_allow() -> None:
     """Place ranges in the common region, and move them there after a change."""
--- a/trefoilsaddle/gateway/attempts.py
+++ b/trefoilsaddle/gateway/attempts.py
@@ -19,7 +19,7 @@
 from trefoilsaddle.gateway.placing import (
     CHANGE_RETRY_AFTER,
     FULL_SERVER_DEPTH,
-    place,
+    place_again,
 )
 from trefoilsaddle.gateway.servers import Server
 from trefoilsaddle.gateway.sharing import find_slack_share, find_wait_for_server
@@ -194,7 +194,7 @@
         retries=len(budget.retries),
     )
     again = CountMetric('tried_again', code.name)
-    return [line, again, *place(gateway, call, now)]
+    return [line, again, *place_again(gateway, call, now)]
 
 
 def _end_attempts(
--- a/trefoilsaddle/gateway/placing.py
+++ b/trefoilsaddle/gateway/placing.py
@@ -4,6 +4,8 @@
 would answer in time is refused at once.
 """
 
+from dataclasses import replace
+
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.admitting import (
     find_wait_for_share,
@@ -58,10 +60,23 @@
     """Try to send parked requests again, or refuse them."""
     effects: Effects = []
     for call in list(gateway.parked.values()):
-        effects.extend(place(gateway, call, now))
+        effects.extend(place_again(gateway, call, now))
     return effects
 
 
+def place_again(gateway: Gateway, call: OpenCall, now: Seconds) -> Effects:
+    """Place a request that has waited or was sent before.
+
+    The regions of the version in force count, which may be newer.
+    """
+    configuration = gateway.configuration
+    if configuration is not None:
+        route = configuration.find_route(call.head.host, call.head.path)
+        if route is not None and route.regions != call.route.regions:
+            call.route = replace(call.route, regions=route.regions)
+    return place(gateway, call, now)
+
+
 def place(gateway: Gateway, call: OpenCall, now: Seconds) -> Effects:
     """Send a request to a server, park it or refuse it."""
     configuration = gateway.configuration
