Take servers that have just started to be cold

A server that appears after all entries were listed is taken to be cold for 3 s, if its service states a rate for cold servers; those of a gateway's first list and those whose entries lapsed are not. tests/test_gatewayslowstart.py::test_server_whose_third_entry_says_cold_keeps_to_the_bound fails without it.

--- a/tests/test_gatewayslowstart.py
+++ b/tests/test_gatewayslowstart.py
@@ -34,6 +34,7 @@
 _BOUND = ColdServerBound(1.5, 8)
 _ALLOWED = _RATE * _BOUND.factor + _BOUND.slack
 _WARM_UP = Seconds(3)
+_HEARTBEAT = Seconds(0.87)
 _LONG_WARM_UP = Seconds(20)
 _WINDOW = Seconds(1)
 _GATEWAYS = 24
@@ -149,6 +150,41 @@
     assert _count_most(cold, since) <= _ALLOWED
 
 
+# Guards against a burst on a server that has just started: its first entries do not
+# say yet that it is cold.
+@pytest.mark.parametrize('path', [PLAIN_PATH, KEYED_PATH])
+def test_server_whose_third_entry_says_cold_keeps_to_the_bound(
+    path: str,
+) -> None:
+    """Count the requests in each second from its start."""
+    load = _build_load(path, rate=400)
+    service = CATALOGUE if path == KEYED_PATH else CHECKOUT
+    world = load.world
+    load.begin(Seconds(6))
+    world.run(1)
+    since = world.now
+    cold = world.add_server('cold-0', service, born=50)
+    world.after(2 * _HEARTBEAT, partial(_write_cold, world, cold))
+    world.run(4.5)
+    # It gets no keys while others may hold them.
+    assert bool(cold.arrivals) == (path == PLAIN_PATH)
+    assert _count_most(cold, since) <= _ALLOWED
+
+
+# Guards against the same limit for servers that are not new: their entries lapsed
+# with the store, or the gateway is.
+def test_known_servers_are_not_taken_to_be_cold() -> None:
+    """Use warm servers in full after a gateway has started."""
+    load = _build_load(PLAIN_PATH, rate=25, servers=2)
+    world = load.world
+    load.restart(load.names)
+    world.run(3)
+    load.begin(Seconds(2))
+    world.run(4)
+    answered = [world.results[call].served for call in load.sent]
+    assert all(answered)
+
+
 # Guards against keys at a server that turns cold while it holds them.
 def test_keys_leave_a_server_that_turns_cold() -> None:
     """Move its keys to servers that are not cold, and serve them there."""
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -20,6 +20,11 @@
 # this gateway knows up to a second later.
 MAX_DRAINING_USE = Seconds(1.2)
 
+# Time for which a server that has just started is taken to be cold: its entries may
+# say so only with the third heartbeat of 0.87 s, which reaches a gateway within a
+# further second.
+_START_TIME = Seconds(3)
+
 # Time after which the store no longer lists a silent server: three heartbeats of
 # up to 1.5 s, and the interval of reads.
 _WITHHOLDING_TIME = Seconds(5)
@@ -196,6 +201,8 @@
     first_seen_at: dict[ServerIncarnation, Seconds] = field(
         default_factory=dict
     )
+    # True once all entries were listed: those seen later are of new servers.
+    listed: bool = False
     cold: ColdTimes = field(default_factory=ColdTimes)
     # Time at which an incarnation was first seen draining.
     draining_since: dict[ServerIncarnation, Seconds] = field(
@@ -275,6 +282,8 @@
         self.departed.discard_withheld(name)
         if known is not None:
             self._replace(known, server)
+        if _is_new(self, server):
+            self.cold.extend(server.life, Seconds(now + _START_TIME))
         server = self.zones.apply(server)
         self.servers[name] = server
         self.by_tag[server.life.tag] = server
@@ -336,6 +345,7 @@
         now: Seconds,
     ) -> list[ServerId]:
         """Remove the entries that a complete listing lacks; return them."""
+        self.listed = True
         absent = (
             self.servers.keys() | self.departed.withheld.keys()
         ).difference(present)
@@ -372,6 +382,14 @@
         self.by_service.get(server.service, {}).pop(name, None)
 
 
+def _is_new(registry: ServerRegistry, server: Server) -> bool:
+    """Return whether a server has started since all entries were listed."""
+    if not registry.listed or server.life in registry.first_seen_at:
+        return False
+    last = registry.departed.newest.get(server.life.server)
+    return last is None or last.life != server.life
+
+
 def _is_rewritten(registry: ServerRegistry, entry: Server) -> bool:
     known = registry.servers.get(entry.life.server)
     if known is None or registry.zones.find_declared(known) != entry:
