--- a/tests/test_gatewayzonedrain.py
+++ b/tests/test_gatewayzonedrain.py
@@ -1,6 +1,7 @@
 """Test that a drained zone gets no requests, and its keys stay served."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from random import Random
 
@@ -8,6 +9,8 @@
 
 from measure.gatewayworld import World
 from measure.worldoptions import ZONE, Machine
+from measure.worldpeers import Peers
+from measure.worldprocess import Process
 from measure.worldservers import WorldServer
 from tests.fleetload import KEYED_PATH, PLAIN_PATH, FleetLoad
 from tests.gatewayscenes import (
@@ -18,6 +21,7 @@
 )
 from tests.regionscenes import WEST, WEST_ZONE
 from trefoilsaddle.core.units import NodeId, Seconds, ServerId, ZoneName
+from trefoilsaddle.gateway.effects import SendNews
 
 _ZONES = (ZONE, ZoneName('east-2'), WEST_ZONE)
 # Time after the request to drain from which nothing new may reach the zone
@@ -26,6 +30,15 @@
 _NAMES = tuple(f'gate-{number}' for number in range(6))
 
 
+class _EarlierPeers(Peers):
+    """Send updates like a gateway that does not know of drained zones."""
+
+    def send_news(self, process: Process, effect: SendNews) -> None:
+        """Send an update that tells no drained zones."""
+        news = replace(effect.news, drained=None)
+        super().send_news(process, replace(effect, news=news))
+
+
 def _build_world() -> World:
     world = World(Random(1))
     world.regions[_ZONES[1]] = world.regions[ZONE]
@@ -89,6 +102,11 @@
         world.processes[NodeId(name)].peers_cut = True
 
 
+def _tell_no_drains(world: World) -> None:
+    # The controller and the relays are of an earlier version.
+    world.peers = _EarlierPeers(world, world.dials)
+
+
 def _restart_servers(world: World) -> None:
     for server in _list_zone(world, ZONE):
         world.crash_server(server)
@@ -112,6 +130,7 @@
         _lose_store,
         _cut_gateways,
         _restart_servers,
+        _tell_no_drains,
     ],
 )
 def test_drained_zone_gets_nothing_within_the_bound(
@@ -129,6 +148,29 @@
     assert not list_unowned(world)
 
 
+def _restart_some(world: World) -> None:
+    for name in _NAMES[1::3]:
+        if world.processes[NodeId(name)].alive:
+            world.start_gateway(name)
+
+
+# Guards against a gateway that counts the drain from its own start: the keys of the
+# zone had not moved yet, as the store could record no new owners.
+def test_gateway_that_starts_during_a_drain_keeps_the_bound() -> None:
+    """Send nothing to the zone from gateways that start just before the bound."""
+    world = _build_world()
+    FleetLoad(world, _NAMES, KEYED_PATH, 300).begin(Seconds(9))
+    world.run(2)
+    world.store.drain_zone(ZONE)
+    since = Seconds(world.now + _BOUND)
+    world.after(0.3, partial(_kill_controller, world))
+    world.after(1.5, partial(_set_store, world, down=True))
+    world.after(4.6, partial(_set_store, world, down=False))
+    world.after(4.9, partial(_restart_some, world))
+    world.run(8)
+    assert not _count_arrivals(world, ZONE, since)
+
+
 def test_two_zones_are_drained_at_once() -> None:
     """Use only the zone that is left."""
     world = _build_world()
--- a/trefoilsaddle/gateway/servers.py
+++ b/trefoilsaddle/gateway/servers.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field, replace
 from functools import lru_cache
+from math import inf
 from typing import NewType
 from zlib import crc32
 
@@ -19,9 +20,10 @@
 # this gateway knows up to a second later.
 MAX_DRAINING_USE = Seconds(1.2)
 
-# The same for servers of a drained zone, which get no new work 5 s after the
-# operator's request (`evacuate`); a gateway knows of it within 2 s.
-_MAX_DRAINED_ZONE_USE = Seconds(2.2)
+# Time for which a server that has just started is taken to be cold: its entries may
+# say so only with the third heartbeat of 0.87 s, which reaches a gateway within a
+# further second.
+_START_TIME = Seconds(3)
 
 # Time after which the store no longer lists a silent server: three heartbeats of
 # up to 1.5 s, and the interval of reads.
@@ -149,6 +151,11 @@
     """Treat the servers of drained zones as draining; keep their own entries."""
 
     drained: frozenset[ZoneName] = frozenset()
+    # Time from which the servers of each drained zone get no requests for the keys
+    # that they hold.
+    ends: dict[ZoneName, Seconds] = field(default_factory=dict)
+    # Time as of which the drained zones are known; None before the first read.
+    known_at: Seconds | None = None
     # Entries of the servers there that have not asked to drain themselves.
     declared: dict[ServerId, Server] = field(default_factory=dict)
 
@@ -194,6 +201,8 @@
     first_seen_at: dict[ServerIncarnation, Seconds] = field(
         default_factory=dict
     )
+    # True once all entries were listed: those seen later are of new servers.
+    listed: bool = False
     cold: ColdTimes = field(default_factory=ColdTimes)
     # Time at which an incarnation was first seen draining.
     draining_since: dict[ServerIncarnation, Seconds] = field(
@@ -219,11 +228,12 @@
 
     def may_serve(self, server: Server, now: Seconds) -> bool:
         """Return whether a server may still get requests for its keys."""
-        leaving = self.draining_since.get(server.life, now)
-        longest = MAX_DRAINING_USE
+        if now >= self.zones.ends.get(server.zone, inf):
+            return False
         if server.life.server in self.zones.declared:
-            longest = _MAX_DRAINED_ZONE_USE
-        return now - leaving < longest
+            return True
+        leaving = self.draining_since.get(server.life, now)
+        return now - leaving < MAX_DRAINING_USE
 
     def list_service(self, service: ServiceName) -> Iterator[Server]:
         """Yield the servers of a service."""
@@ -272,6 +282,8 @@
         self.departed.discard_withheld(name)
         if known is not None:
             self._replace(known, server)
+        if _is_new(self, server):
+            self.cold.extend(server.life, Seconds(now + _START_TIME))
         server = self.zones.apply(server)
         self.servers[name] = server
         self.by_tag[server.life.tag] = server
@@ -333,6 +345,7 @@
         now: Seconds,
     ) -> list[ServerId]:
         """Remove the entries that a complete listing lacks; return them."""
+        self.listed = True
         absent = (
             self.servers.keys() | self.departed.withheld.keys()
         ).difference(present)
@@ -369,6 +382,14 @@
         self.by_service.get(server.service, {}).pop(name, None)
 
 
+def _is_new(registry: ServerRegistry, server: Server) -> bool:
+    """Return whether a server has started since all entries were listed."""
+    if not registry.listed or server.life in registry.first_seen_at:
+        return False
+    last = registry.departed.newest.get(server.life.server)
+    return last is None or last.life != server.life
+
+
 def _is_rewritten(registry: ServerRegistry, entry: Server) -> bool:
     known = registry.servers.get(entry.life.server)
     if known is None or registry.zones.find_declared(known) != entry:
