Take no late answer for the answer to an order

Cause: answers to grants and releases name no call, and were matched by their position on a shared connection. A second copy of the answer to a renewal, sent when the answer to the next call was due, counted as the answer to a release, and the keys were granted while their holder was at work on them. In the same way a copied refusal counted as the answer to a grant in force.

Change: each release has a new connection, which is closed after its answer; grants keep theirs, as a new one waits for a slot of a busy server. Only a 200 to a grant keeps a connection. A 200 counts for a release only with X-Handover, and for a grant only without. Without a matcher nothing is sent on a connection that has brought bytes before (the call counts as unsent), and a connection is not kept after a timeout, also if the answer was read in the extra time.

--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -35,10 +35,10 @@
 
 
 class AnswerMatcher(Protocol):
-    """Check whether an answer belongs to the request."""
+    """Check an answer, for example whether it belongs to the request."""
 
     def __call__(self, answer: HttpAnswer) -> bool:
-        """Return whether the answer belongs to the request."""
+        """Return whether the answer passes the check."""
 
 
 @dataclass(slots=True)
@@ -145,8 +145,11 @@
     The budget limits the size of the answer.  An answer that has arrived is
     also read after the timeout, which may have expired because the event loop
     of this process was busy.  Answers that do not match belong to earlier
-    requests: they are dropped, and the connection is not reused.
+    requests: they are dropped, and the connection is not reused.  Without a
+    matcher nothing is sent on a connection that has brought bytes before.
     """
+    if matches is None and not is_idle(stream):
+        return ExchangeResult(Fault.unsent, reusable=False)
     with budget.reserve() as reservation:
         reader = _Reader(stream, request, reservation, progress or Progress())
         return await _exchange(reader, matches, timeout)
@@ -193,6 +196,8 @@
     if reader.sent and not is_idle(reader.stream):
         with trio.move_on_after(_LATE_READ_TIMEOUT):
             ended = await _read_matching(reader, matches)
+    # The server may send more for a request that took so long.
+    ended.reusable = False
     return ended
 
 
--- a/trefoilsaddle/http/pool.py
+++ b/trefoilsaddle/http/pool.py
@@ -101,11 +101,13 @@
         matches: AnswerMatcher | None = None,
         progress: Progress | None = None,
         timeout: float = inf,
+        keeps: AnswerMatcher | None = None,
     ) -> HttpAnswer | Fault:
         """Send a request once on an open connection, then pool that again.
 
         On a timeout or cancellation the connection is reset, so that the
-        server drops the request and unsent bytes are discarded.
+        server drops the request and unsent bytes are discarded.  The same
+        happens after an answer with which `keeps` does not keep it.
         """
         progress = progress or Progress()
         progress.record_connected()
@@ -116,8 +118,11 @@
                 stream, request, self.budget, matches, progress, timeout
             )
             stack.pop_all()
+        answer = ended.answer
+        if keeps is not None and isinstance(answer, HttpAnswer):
+            ended.reusable = ended.reusable and keeps(answer)
         self._return_to_pool(stream, ended)
-        return ended.answer
+        return answer
 
     def sweep(self) -> None:
         """Close idle connections that can no longer be reused."""
--- a/trefoilsaddle/platform/orders.py
+++ b/trefoilsaddle/platform/orders.py
@@ -27,7 +27,8 @@
 
 # Seconds.  Only connections with a short idle time are reused: if the server
 # closes one just as a call is sent, the outcome of the call is unknown.  A new
-# connection waits for a slot of a busy server, so pooled ones are preferred.
+# connection waits for a slot of a busy server, so grants prefer pooled ones.
+# Releases are rare, and each has a connection of its own.
 _MAX_IDLE_TIME = Seconds(2)
 # Limits in bytes on one answer and on all answers together.  An answer holds
 # little more than its status; the total fits the headers of 64 calls.
@@ -97,14 +98,19 @@
             server.life,
             effect.fence,
             release=False,
-            verdict=_evaluate_answer(answer),
+            verdict=_evaluate_answer(answer, release=False),
             handover='',
             times=_build_times(progress),
             statement=_read_statement(progress),
         )
 
     async def release(self, effect: ReleaseKeys) -> OrderEnded:
-        """Revoke a key range; return when the server has ended its work."""
+        """Revoke a key range; return when the server has ended its work.
+
+        Answers name no call.  The call has a connection of its own, so that no
+        late answer to an earlier call counts as its answer: the keys would be
+        granted to another server while this one is at work on them.
+        """
         progress = Progress()
         answer = await self._call(
             _Receiver(effect.incarnation, effect.host, effect.port),
@@ -112,6 +118,7 @@
             _build_body(effect.keys, effect.fence),
             self._release_timeout,
             progress,
+            new=True,
         )
         handover = None
         if isinstance(answer, HttpAnswer):
@@ -122,7 +129,7 @@
             effect.incarnation,
             effect.fence,
             release=True,
-            verdict=_evaluate_answer(answer),
+            verdict=_evaluate_answer(answer, release=True),
             handover='' if handover is None else handover.decode('latin-1'),
             times=_build_times(progress),
             statement=_read_statement(progress),
@@ -135,6 +142,8 @@
         body: dict[str, object],
         timeout: Seconds,
         progress: Progress,
+        *,
+        new: bool = False,
     ) -> HttpAnswer | Fault:
         address = f'{receiver.host}:{receiver.port}'
         pool = self._pools.get(address)
@@ -159,13 +168,17 @@
             ),
             encoded,
         )
-        stream = await pool.open(_MAX_IDLE_TIME)
+        stream = await pool.open(_MAX_IDLE_TIME, new=new)
         if stream is None:
             return Fault.unsent
         # The timeout starts with the sending: a call that was not sent cannot
         # be carried out.
         return await pool.exchange_on(
-            stream, request, progress=progress, timeout=timeout
+            stream,
+            request,
+            progress=progress,
+            timeout=timeout,
+            keeps=_is_repeatable,
         )
 
 
@@ -191,13 +204,32 @@
     }
 
 
-def _evaluate_answer(answer: HttpAnswer | Fault) -> OrderVerdict:
+def _is_repeatable(answer: HttpAnswer) -> bool:
+    """Return whether a late copy of an answer could do no harm to a grant.
+
+    A copied refusal would end the hold of a grant that is in force, or make
+    the controller step down.  A copied 200 only makes the controller count on
+    a grant for longer than its server does.
+    """
+    return answer.status == HTTPStatus.OK and not _is_released(answer)
+
+
+def _is_released(answer: HttpAnswer) -> bool:
+    """Return whether only the answer to a release can be like this."""
+    return answer.find_header(names.HANDOVER) is not None
+
+
+def _evaluate_answer(
+    answer: HttpAnswer | Fault, *, release: bool
+) -> OrderVerdict:
     if answer == Fault.unsent:
         return OrderVerdict.rejected
     if isinstance(answer, Fault):
         return OrderVerdict.unknown
     if answer.status == HTTPStatus.OK:
-        return OrderVerdict.done
+        # Otherwise it is the answer to another call.
+        own = _is_released(answer) == release
+        return OrderVerdict.done if own else OrderVerdict.unknown
     if answer.status == HTTPStatus.CONFLICT:
         return OrderVerdict.fenced
     if answer.status in _NOT_RUN_STATUSES:
