Keep a reset answer without a length from passing as whole

Cause: the kernel reports a reset once per socket. While a long request was still being written, the writing task could get the report and drop it; the reader then found an end of the stream, which completes an answer without a length. Half of such answers reached the caller as a whole 200.

Change: the writer keeps how it failed. An answer that ends with its connection counts only if the connection is half-closed without a reset, or if the writer did not meet a reset before that end: EPIPE is reported for a reset behind the end, ECONNRESET or a timeout for one without it.

--- a/tests/test_gatewayexchange.py
+++ b/tests/test_gatewayexchange.py
@@ -1,7 +1,10 @@
 """Test that only a complete answer to the own request is returned."""
 
 import errno
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 
 import pytest
 import trio
@@ -247,6 +250,88 @@
     scope.cancel()
 
 
+_LONG = 8_000_000
+_REPEATS = 12
+
+
+async def _read_part(stream: trio.SocketStream) -> None:
+    """Read the head of a long request and let the writer wait."""
+    await stream.receive_some(4096)
+    await trio.sleep(0.01)
+
+
+async def _reset_halfway(stream: trio.SocketStream) -> None:
+    await _read_part(stream)
+    await stream.send_all(_LENGTHLESS[:-3])
+    await trio.sleep(0.01)
+    sockets.abort(stream)
+
+
+async def _end_and_reset(stream: trio.SocketStream) -> None:
+    await _read_part(stream)
+    await stream.send_all(_LENGTHLESS)
+    await stream.send_eof()
+    sockets.abort(stream)
+
+
+async def _end_and_read(stream: trio.SocketStream) -> None:
+    await _read_part(stream)
+    await stream.send_all(_LENGTHLESS)
+    await stream.send_eof()
+    # Fails once the client resets the connection.
+    with suppress(trio.BrokenResourceError):
+        chunk = await stream.receive_some()
+        while chunk:
+            chunk = await stream.receive_some()
+
+
+async def _end_and_wait(stream: trio.SocketStream) -> None:
+    await _read_part(stream)
+    await stream.send_all(_LENGTHLESS)
+    await stream.send_eof()
+    await trio.sleep(_LIVENESS_BOUND)
+
+
+_ENDS = {
+    'reset-halfway': (_reset_halfway, Fault.lost),
+    'end-and-reset': (_end_and_reset, b'all of it'),
+    'end-and-read': (_end_and_read, b'all of it'),
+    'end-and-wait': (_end_and_wait, b'all of it'),
+}
+
+
+# Guards against an answer without a length that passes as a whole one although
+# it was reset: the kernel reports the reset once, to the writer of the request.
+# Which task gets the report varies, so each case is repeated.
+@pytest.mark.parametrize(('end', 'expected'), _ENDS.values(), ids=_ENDS)
+def test_answer_without_a_length_is_whole_only_after_an_end(
+    end: Callable[[trio.SocketStream], Awaitable[None]],
+    expected: Fault | bytes,
+) -> None:
+    """Answer a long request early, without a length."""
+
+    async def run() -> list[Fault | bytes]:
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(
+                partial(trio.serve_tcp, end, 0, host='127.0.0.1')
+            )
+            port = listeners[0].socket.getsockname()[1]
+            pool = ConnectionPool('127.0.0.1', port, Seconds(5))
+            request = _build_request(b'x' * _LONG)
+            ends = []
+            for _ in range(_REPEATS):
+                with trio.fail_after(_LIVENESS_BOUND):
+                    answer = await pool.exchange(request, Seconds(3), _matches)
+                ends.append(
+                    answer if isinstance(answer, Fault) else answer.body
+                )
+            nursery.cancel_scope.cancel()
+        return ends
+
+    ends = trio.run(run)
+    assert all(each == expected for each in ends)
+
+
 async def _refuse(stream: trio.SocketStream) -> None:
     """Reset a new connection, as a server with too many of them does."""
     sockets.abort(stream)
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -15,7 +15,11 @@
 )
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.progress import Progress
-from trefoilsaddle.http.sockets import is_idle
+from trefoilsaddle.http.sockets import (
+    is_ended_by_peer,
+    is_idle,
+    is_reset_after_end,
+)
 
 _CHUNK_BYTES = 65_536
 # Limit on an incomplete head, chunk header or trailer section: the platform's
@@ -58,7 +62,11 @@
     reservation: AnswerReservation
     progress: Progress
     parser: h11.Connection = field(init=False)
+    # Set when the whole request was written, or when that failed.
+    written: trio.Event = field(default_factory=trio.Event)
     sent: bool = False
+    # True if writing failed, and the connection was reset before its end.
+    reset: bool = False
 
     def __post_init__(self) -> None:
         self.parser = _build_parser()
@@ -80,8 +88,16 @@
     def record_sent(self) -> None:
         """Record that the whole request was written."""
         self.sent = True
+        self.written.set()
         self.progress.record_written()
 
+    def record_unsent(self, error: Exception) -> None:
+        """Record that the rest of the request could not be written."""
+        # The kernel reports a reset once, here or to the reader, which then
+        # finds the end of the stream.
+        self.reset = not is_reset_after_end(error)
+        self.written.set()
+
     def restart(self) -> None:
         """Prepare to read the next answer, after a stale one."""
         rest, _ = self.parser.trailing_data
@@ -120,7 +136,20 @@
         while isinstance(event, h11.Data):
             body += event.data
             event = await self._next_event()
-        return bytes(body) if isinstance(event, h11.EndOfMessage) else None
+        if not isinstance(event, h11.EndOfMessage):
+            return None
+        # Without a length only the end of the connection ends the body.
+        ended = self.parser.trailing_data[1]
+        if ended and await self._is_reset():
+            return None
+        return bytes(body)
+
+    async def _is_reset(self) -> bool:
+        """Return whether the end of the stream was a reset."""
+        if not is_ended_by_peer(self.stream):
+            # Nothing more can be written, so the writing ends at once.
+            await self.written.wait()
+        return self.reset
 
     async def _next_event(self) -> object:
         while True:
@@ -226,8 +255,9 @@
 async def _send(reader: _Reader, encoded: bytes) -> None:
     try:
         await reader.stream.send_all(encoded)
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
+    except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
         # The answer may have arrived before the server closed.
+        reader.record_unsent(error)
         return
     reader.record_sent()
 
--- a/trefoilsaddle/http/sockets.py
+++ b/trefoilsaddle/http/sockets.py
@@ -1,5 +1,6 @@
 """Open, check and close TCP connections."""
 
+import errno
 import select
 import socket
 import struct
@@ -16,6 +17,9 @@
 _MAX_UNACKNOWLEDGED_BY_CALLER_MS = 12_000
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _BACKLOG = 1024
+# State of a TCP connection, in the first byte of its information: the other
+# end has sent its end of the stream, and no reset.
+_CLOSE_WAIT = 8
 # Wait for a refusal after a connection was established, in round trips, and the
 # time that the other end may take.
 _SETTLE_FACTOR = 1.25
@@ -77,6 +81,25 @@
     return not poll.poll(0)
 
 
+def is_ended_by_peer(stream: trio.SocketStream) -> bool:
+    """Return whether the other end has ended the stream without a reset.
+
+    False once a reset has followed as well.
+    """
+    state = stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return state[0] == _CLOSE_WAIT
+
+
+def is_reset_after_end(error: Exception) -> bool:
+    """Return whether writing failed after the other end ended the stream.
+
+    The kernel reports EPIPE for a reset behind the end of the stream, which
+    follows if the other end reads no more, and ECONNRESET without such an end.
+    """
+    cause = error.__cause__
+    return isinstance(cause, OSError) and cause.errno == errno.EPIPE
+
+
 async def is_closed_within(
     stream: trio.SocketStream, round_trip: float
 ) -> bool:
