Treat an answer with a status outside 200 to 599 as lost

Cause: the parser takes 200 to 999 as the status of a final answer, and the gateway passed 600 to 999 on to the caller, or believed X-Not-Executed in such an answer and sent the request again. A server in trouble sends such statuses, and the request may have run.

Change: the exchange returns a lost answer for any final status outside 200 to 599, to callers' requests, orders and store calls alike, and reads no statement from its head. Statuses 000 to 099, 1xx as the last answer and endless 100s were lost before, as the parser refuses them or they exceed a limit; tests hold that now. The gateway's own refusals are unchanged.

--- a/tests/test_gatewayexchange.py
+++ b/tests/test_gatewayexchange.py
@@ -43,6 +43,11 @@
     'cut-short': _Case(Step(_OWN[:-2], close=True), None),
     'closed-without-answer': _Case(Step(close=True), None),
     'not-http': _Case(Step(b'garbage\r\n\r\n', close=True), None),
+    # Not 200 to 599, so the request may have run.
+    'status-000': _Case(Step(whole(b'mine', _ID, status=b'000 None')), None),
+    'status-099': _Case(Step(whole(b'mine', _ID, status=b'099 None')), None),
+    'status-600': _Case(Step(whole(b'mine', _ID, status=b'600 None')), None),
+    'status-999': _Case(Step(whole(b'mine', _ID, status=b'999 None')), None),
     'extra-bytes-behind': _Case(Step(_OWN + b'more'), b'mine'),
     'second-answer-behind': _Case(Step(_OWN + _OWN), b'mine'),
     'stale-answer-first': _Case(Step(_STALE + _OWN), b'mine'),
--- a/tests/test_platformstandins.py
+++ b/tests/test_platformstandins.py
@@ -10,7 +10,13 @@
 import trio
 
 from standins.platform import ServerStandIn, StoreStandIn
-from tests.scriptedserver import find_ports
+from tests.scriptedserver import (
+    ScriptedServer,
+    Step,
+    find_ports,
+    serve_script,
+    whole,
+)
 from trefoilsaddle.clock import SystemClock
 from trefoilsaddle.core.units import (
     NodeId,
@@ -358,6 +364,14 @@
     ).encode()
 
 
+_RULE = {
+    'name': 'r',
+    'kind': 'idempotent',
+    'targetLatency': '600ms',
+    'priority': 1,
+    'match': {'pathPrefix': '/reads/'},
+    'action': {'service': 'guide', 'timeout': '2s', 'attempts': 2},
+}
 _CONFIGURATION = {
     'version': 'r3',
     'limits': {
@@ -370,18 +384,7 @@
         {
             'host': 'shop.example',
             'rules': [
-                {
-                    'name': 'r',
-                    'kind': 'idempotent',
-                    'targetLatency': '600ms',
-                    'priority': 1,
-                    'match': {'pathPrefix': '/reads/'},
-                    'action': {
-                        'service': 'guide',
-                        'timeout': '2s',
-                        'attempts': 2,
-                    },
-                },
+                _RULE,
             ],
         },
     ],
@@ -456,6 +459,66 @@
     trio.run(run)
 
 
+_OWN_HEADERS = (b'x-attempt-id: mine', b'x-upstream-seal: seal')
+_SHED_HEADERS = (b'x-attempt-id: mine', b'x-not-executed: 1')
+_ENDLESS_INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
+# Each step of the server, and the status that the caller gets.  502 tells that
+# the request may have run.
+_STATUSES = {
+    '200': (Step(whole(b'mine', *_OWN_HEADERS)), 200),
+    '599': (Step(whole(b'mine', *_OWN_HEADERS, status=b'599 Bad')), 599),
+    '000': (Step(whole(b'mine', *_OWN_HEADERS, status=b'000 Bad')), 502),
+    '099': (Step(whole(b'mine', *_OWN_HEADERS, status=b'099 Bad')), 502),
+    '100-endless': (Step(endless=_ENDLESS_INTERIM), 502),
+    '102-last': (
+        Step(whole(b'', *_OWN_HEADERS, status=b'102 Bad'), close=True),
+        502,
+    ),
+    '600': (Step(whole(b'mine', *_OWN_HEADERS, status=b'600 Bad')), 502),
+    '600-shed': (Step(whole(b'', *_SHED_HEADERS, status=b'600 Bad')), 502),
+    '999': (Step(whole(b'mine', *_OWN_HEADERS, status=b'999 Bad')), 502),
+}
+
+
+def _build_plain_configuration() -> bytes:
+    """Send each request once, to any server."""
+    once = {'service': 'guide', 'timeout': '2s', 'attempts': 1}
+    plain = {**_RULE, 'kind': 'non_idempotent', 'action': once}
+    listeners = [{'host': 'shop.example', 'rules': [plain]}]
+    clusters = [{'name': 'guide', 'maxConns': 130}]
+    changed = {'listeners': listeners, 'clusters': clusters}
+    return json.dumps({**_CONFIGURATION, **changed}).encode()
+
+
+# Guards against a status that is none being passed on to a caller: the server
+# is in trouble, and the request may have run.
+@pytest.mark.parametrize(('step', 'status'), _STATUSES.values(), ids=_STATUSES)
+def test_answer_without_a_valid_status_is_lost(
+    tmp_path: Path, step: Step, status: int
+) -> None:
+    """Answer that the outcome is unknown."""
+    server = ScriptedServer([step])
+
+    async def run() -> HttpAnswer:
+        store = StoreStandIn()
+        async with serve_script(server), trio.open_nursery() as nursery:
+            store_port = await nursery.start(store.serve)
+            store.put('keyed.op', 'config', _build_plain_configuration())
+            entry = _write_entry('guide', server.port)
+            store.put('keyed.servers', 'i-1', entry)
+            ports = await find_ports(3)
+            settings = _write_settings(tmp_path, ports, store_port)
+            nursery.start_soon(_run_gateway, settings, tmp_path)
+            await _wait_until_ready(ports[1])
+            answer = await _ask_until_served(ports[0], b'/reads/1')
+            nursery.cancel_scope.cancel()
+        return answer
+
+    answer = trio.run(run)
+    assert answer.status == status
+    assert len(server.requests) == 1
+
+
 def _write_settings(
     folder: Path,
     ports: list[int],
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -28,6 +28,9 @@
 # Limit on informational responses (1xx) before an answer; servers send one or
 # two.
 _MAX_INFORMATIONAL = 8
+# Statuses of final responses.  A response with any other status is none (RFC
+# 9110, section 15): the server is in trouble, and the request may have run.
+_FINAL_STATUSES = range(200, 600)
 # Bytes.  Larger requests are sent while the answer is being read: a server may
 # answer before it has read the whole request, and then read no more of it.
 _MAX_UNREAD_SEND = 4096
@@ -117,6 +120,8 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             return Fault.lost
+        if event.status_code not in _FINAL_STATUSES:
+            return Fault.lost
         head = HttpAnswer(event.status_code, tuple(event.headers))
         self.progress.head = head
         body = await self._read_body()
