Free the buffers of an exchange whose answer is malformed

Cause: h11 raises its error from a method of the error, so that a frame of the traceback refers to the error. This cycle held the frames of the exchange with the request and its encoded copy until the collector ran, whose threshold is a number of objects: hundreds of requests, two bodies each.

Change: the exchange drops the traceback where it catches the error, and goes on with a value instead of an exception.

--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -157,14 +157,25 @@
         return self.reset
 
     async def _next_event(self) -> object:
+        """Return the next event, or None if the bytes are no answer."""
         while True:
-            event = self.parser.next_event()
+            event = self._parse_event()
             if event is not h11.NEED_DATA:
                 return event
             received = await self.stream.receive_some(_CHUNK_BYTES)
             self.reservation.add(len(received))
             self.parser.receive_data(received)
 
+    def _parse_event(self) -> object:
+        try:
+            return self.parser.next_event()
+        except h11.RemoteProtocolError as error:
+            # A frame of the traceback refers to the exception.  The cycle would
+            # keep the request and its encoded copy until the collector runs,
+            # which counts objects and not bytes.
+            error.__traceback__ = None
+        return None
+
 
 async def exchange(
     stream: trio.SocketStream,
@@ -204,11 +215,7 @@
         return await _exchange_in_time(reader, encoded, matches, timeout)
     except TooLargeError:
         return ExchangeResult(Fault.too_large, reusable=False)
-    except (
-        trio.BrokenResourceError,
-        trio.ClosedResourceError,
-        h11.RemoteProtocolError,
-    ):
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
         return ExchangeResult(Fault.lost, reusable=False)
 
 
@@ -251,7 +258,7 @@
             ended = await _read_matching(reader, matches)
         except TooLargeError:
             ended = ExchangeResult(Fault.too_large, reusable=False)
-        except (trio.BrokenResourceError, h11.RemoteProtocolError):
+        except trio.BrokenResourceError:
             ended = ExchangeResult(Fault.lost, reusable=False)
         nursery.cancel_scope.cancel()
     return ended
