Bound the work on answers in one turn of the event loop

Cause: a read of 64 KB can hold 10,900 one-byte chunks, or a head or trailer section of 7,000 fields, and the exchange took one event after the other from the parser without letting other tasks run: a quarter of a second, or 70 ms, for each such connection in each turn of the loop.

Change: after 32 events of its parser an exchange waits for its turn; one exchange of a budget goes on in each turn of the loop, in the order of arrival, so that many such answers delay the loop no more than one. Heads are read 4 KB at a time and bodies in chunks 16 KB, so that a section is given up at the limit of 16 KB on incomplete ones before it is parsed. The parser for the next answer after a stale one is prepared without the body of the request.

--- a/trefoilsaddle/http/budget.py
+++ b/trefoilsaddle/http/budget.py
@@ -1,7 +1,9 @@
-"""Limit the memory used by answers, and count their bytes."""
+"""Limit the memory and the time used by answers, and count their bytes."""
 
 from dataclasses import dataclass, field
 
+import trio
+
 from trefoilsaddle.traffic import ByteCount
 
 # Default limit on one answer, in bytes received: the embedded client also
@@ -18,7 +20,7 @@
 
 @dataclass(slots=True)
 class AnswerBudget:
-    """Limit the bytes of one answer and of all answers in memory."""
+    """Limit the bytes of answers in memory, and the work on them at a time."""
 
     # Limit on one answer, in bytes.
     max_answer: int = MAX_ANSWER_BYTES
@@ -27,6 +29,17 @@
     held: int = 0
     # Bytes of the requests and answers of all exchanges so far.
     traffic: ByteCount = field(default_factory=ByteCount)
+    # Passed on in the order of arrival, to one task in each turn of the loop.
+    _turn: trio.Lock = field(default_factory=trio.Lock)
+
+    async def wait_for_turn(self) -> None:
+        """Let other tasks run, before an answer takes more work.
+
+        Answers that take much work are continued one in each turn of the event
+        loop, so that many of them delay it no more than one does.
+        """
+        async with self._turn:
+            return
 
     def hold(self, count: int) -> 'AnswerReservation':
         """Count bytes already in memory until the block ends."""
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -22,6 +22,14 @@
 )
 
 _CHUNK_BYTES = 65_536
+# Limit on one read of a head: little more than the limit on an incomplete one
+# is parsed at once, as the fields of 64 KB take 70 ms.
+_HEAD_CHUNK_BYTES = 4096
+# The same for a body in chunks, whose trailers may be as long.
+_CHUNKED_CHUNK_BYTES = 16_384
+# Limit on the events of the parser between two turns of the event loop; they
+# take about 1 ms.  64 KB of one-byte chunks are 10,900 events.
+_MAX_EVENTS_IN_TURN = 32
 # Limit on an incomplete head, chunk header or trailer section: the platform's
 # limit on a caller's head.
 _MAX_HEAD_BYTES = 16_384
@@ -37,6 +45,8 @@
 # Extra time to read an answer that has started to arrive when the timeout
 # expires.
 _LATE_READ_TIMEOUT = Seconds(0.05)
+_HOST = b'host'
+_CODING = b'transfer-encoding'
 # Limit on the answers to earlier requests that are skipped on a connection.
 _MAX_STALE = 2
 
@@ -70,6 +80,10 @@
     sent: bool = False
     # True if writing failed, and the connection was reset before its end.
     reset: bool = False
+    # Events of the parsers so far.
+    events: int = 0
+    # Limit on the next read.
+    chunk_bytes: int = _HEAD_CHUNK_BYTES
 
     def __post_init__(self) -> None:
         self.parser = _build_parser()
@@ -105,7 +119,17 @@
         """Prepare to read the next answer, after a stale one."""
         rest, _ = self.parser.trailing_data
         self.parser = _build_parser()
-        self.encode()
+        self.chunk_bytes = _HEAD_CHUNK_BYTES
+        # The parser needs the method of the request, but none of its body.
+        host = (_HOST, b'')
+        self.parser.send(
+            h11.Request(
+                method=self.request.method,
+                target=self.request.target,
+                headers=[host],
+            )
+        )
+        self.parser.send(h11.EndOfMessage())
         if rest:
             self.parser.receive_data(rest)
 
@@ -124,6 +148,8 @@
             return Fault.lost
         head = HttpAnswer(event.status_code, tuple(event.headers))
         self.progress.head = head
+        chunked = head.find_header(_CODING) is not None
+        self.chunk_bytes = _CHUNKED_CHUNK_BYTES if chunked else _CHUNK_BYTES
         body = await self._read_body()
         return Fault.lost if body is None else replace(head, body=body)
 
@@ -161,11 +187,17 @@
         while True:
             event = self._parse_event()
             if event is not h11.NEED_DATA:
+                await self._count_event()
                 return event
-            received = await self.stream.receive_some(_CHUNK_BYTES)
+            received = await self.stream.receive_some(self.chunk_bytes)
             self.reservation.add(len(received))
             self.parser.receive_data(received)
 
+    async def _count_event(self) -> None:
+        self.events += 1
+        if self.events % _MAX_EVENTS_IN_TURN == 0:
+            await self.reservation.budget.wait_for_turn()
+
     def _parse_event(self) -> object:
         try:
             return self.parser.next_event()
