Take no late answer of the store for the answer to an append

Cause: answers of the store name no call either, and were matched by position on connections that all kinds of calls share. A second copy of any 200 counted as the answer to an append, so that a controller acted on a table that was not stored; a copied refusal hid one that was.

Change: connections to the store are shared only by calls to one path on one topic, and kept only after a 200. A 200 to an append counts if it is JSON and states no other offset than the expected one; else the outcome is unknown, and the next try finds out. The idle connections to the store are swept like the others. Whether a pool keeps a connection after an answer is now an attribute of the pool.

--- a/trefoilsaddle/http/pool.py
+++ b/trefoilsaddle/http/pool.py
@@ -47,6 +47,8 @@
     max_idle_connections: int = _MAX_IDLE_CONNECTIONS
     # Limits the memory of answers; may be shared by several pools.
     budget: AnswerBudget = field(default_factory=AnswerBudget)
+    # Whether a connection may be used again after an answer on it.
+    keeps: AnswerMatcher = field(default=lambda answer: True)
     # Number of connections opened so far.
     opened: int = 0
     idle: list[_IdleConnection] = field(default_factory=list)
@@ -101,13 +103,11 @@
         matches: AnswerMatcher | None = None,
         progress: Progress | None = None,
         timeout: float = inf,
-        keeps: AnswerMatcher | None = None,
     ) -> HttpAnswer | Fault:
         """Send a request once on an open connection, then pool that again.
 
         On a timeout or cancellation the connection is reset, so that the
-        server drops the request and unsent bytes are discarded.  The same
-        happens after an answer with which `keeps` does not keep it.
+        server drops the request and unsent bytes are discarded.
         """
         progress = progress or Progress()
         progress.record_connected()
@@ -118,11 +118,8 @@
                 stream, request, self.budget, matches, progress, timeout
             )
             stack.pop_all()
-        answer = ended.answer
-        if keeps is not None and isinstance(answer, HttpAnswer):
-            ended.reusable = ended.reusable and keeps(answer)
         self._return_to_pool(stream, ended)
-        return answer
+        return ended.answer
 
     def sweep(self) -> None:
         """Close idle connections that can no longer be reused."""
@@ -159,7 +156,10 @@
         self, stream: trio.SocketStream, ended: ExchangeResult
     ) -> None:
         answer = ended.answer
-        if not ended.reusable or isinstance(answer, Fault):
+        if isinstance(answer, Fault) or not ended.reusable:
+            sockets.abort(stream)
+            return
+        if not self.keeps(answer):
             sockets.abort(stream)
             return
         now = trio.current_time()
--- a/trefoilsaddle/platform/orders.py
+++ b/trefoilsaddle/platform/orders.py
@@ -153,6 +153,7 @@
                 receiver.port,
                 CONNECT_TIMEOUT,
                 budget=self._budget,
+                keeps=_is_repeatable,
             )
             self._pools[address] = pool
         encoded = json.dumps(body).encode()
@@ -174,11 +175,7 @@
         # The timeout starts with the sending: a call that was not sent cannot
         # be carried out.
         return await pool.exchange_on(
-            stream,
-            request,
-            progress=progress,
-            timeout=timeout,
-            keeps=_is_repeatable,
+            stream, request, progress=progress, timeout=timeout
         )
 
 
--- a/trefoilsaddle/platform/store.py
+++ b/trefoilsaddle/platform/store.py
@@ -2,7 +2,7 @@
 
 import json
 from base64 import b64decode
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
 from types import MappingProxyType
@@ -115,6 +115,11 @@
     first: int
 
 
+class _WireAppended(WireModel):
+    # Offset of the first record that was appended.
+    offset: int | None = None
+
+
 class _WireNewest(WireModel):
     # One page of the newest records by key.
     records: list[_WireItem] = Field(alias='items')
@@ -149,12 +154,19 @@
         """Prepare the pool; `member` identifies this process in the group."""
         self._controller_partition = partitions - 1
         self._clock = clock
-        budget = AnswerBudget(_MAX_ANSWER_BYTES)
-        self.traffic = budget.traffic
-        self._pool = ConnectionPool(host, port, _CONNECT_TIMEOUT, budget=budget)
+        self._budget = AnswerBudget(_MAX_ANSWER_BYTES)
+        self.traffic = self._budget.traffic
+        self._address = (host, port)
+        # Answers name no call: connections are shared only by calls to one path
+        # on one topic, so that a late answer is none to a call of another kind.
+        self._pools: dict[tuple[str, object], ConnectionPool] = {}
         self._host = f'{host}:{port}'.encode()
         self._member = member
 
+    def list_pools(self) -> Iterable[ConnectionPool]:
+        """Return the connection pools of all kinds of calls."""
+        return self._pools.values()
+
     async def read(self, effect: ReadTopic) -> TopicRead:
         """Read a topic from an offset, or the newest record of each key."""
         asked_at = self._clock.read_monotonic()
@@ -173,7 +185,7 @@
             'at': effect.expected,
         }
         answer = await self._call(b'POST', _APPEND, query, body)
-        verdict = _evaluate_append(answer)
+        verdict = _evaluate_append(answer, effect.expected)
         era = _find_era(answer)
         if verdict == AppendVerdict.conflict and era == table.era:
             verdict = await self._check_stored(effect, encoded)
@@ -368,17 +380,43 @@
         if isinstance(body, dict):
             headers.append(JSON_TYPE)
         request = HttpRequest(method, target.encode(), tuple(headers), encoded)
+        pool = self._find_pool(path, query.get('topic'))
         with trio.move_on_after(timeout):
-            return await self._pool.exchange(request)
+            return await pool.exchange(request)
         return Fault.lost
 
+    def _find_pool(self, path: str, topic: object) -> ConnectionPool:
+        pool = self._pools.get((path, topic))
+        if pool is None:
+            host, port = self._address
+            pool = ConnectionPool(
+                host,
+                port,
+                _CONNECT_TIMEOUT,
+                budget=self._budget,
+                keeps=_is_repeatable,
+            )
+            self._pools[path, topic] = pool
+        return pool
+
+
+def _is_repeatable(answer: HttpAnswer) -> bool:
+    """Return whether a late copy of an answer cannot pass as a refusal."""
+    return answer.status == HTTPStatus.OK
 
-def _evaluate_append(answer: HttpAnswer | Fault) -> AppendVerdict:
+
+def _evaluate_append(
+    answer: HttpAnswer | Fault, expected: Offset
+) -> AppendVerdict:
     if answer == Fault.unsent:
         return AppendVerdict.refused
     if isinstance(answer, Fault):
         return AppendVerdict.unknown
     if answer.status == HTTPStatus.OK:
+        appended = _read_body(answer, _WireAppended)
+        if appended is None or appended.offset not in {None, expected}:
+            # It is the answer to another call.
+            return AppendVerdict.unknown
         return AppendVerdict.stored
     if answer.status == HTTPStatus.PRECONDITION_FAILED:
         return AppendVerdict.conflict
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -125,6 +125,7 @@
         for list_pools in (
             self.calls.servers.pools.values,
             self._list_order_pools,
+            self._store.list_pools,
         ):
             sweep = partial(sweep_pools, list_pools)
             self._nursery.start_soon(keep_running, 'sweep', sweep)
