--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -15,30 +15,47 @@
 )
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.progress import Progress
-from trefoilsaddle.http.sockets import is_idle
+from trefoilsaddle.http.sockets import (
+    is_ended_by_peer,
+    is_idle,
+    is_reset_after_end,
+)
 
 _CHUNK_BYTES = 65_536
+# Limit on one read of a head: little more than the limit on an incomplete one
+# is parsed at once, as the fields of 64 KB take 70 ms.
+_HEAD_CHUNK_BYTES = 4096
+# The same for a body in chunks, whose trailers may be as long.
+_CHUNKED_CHUNK_BYTES = 16_384
+# Limit on the events of the parser between two turns of the event loop; they
+# take about 1 ms.  64 KB of one-byte chunks are 10,900 events.
+_MAX_EVENTS_IN_TURN = 32
 # Limit on an incomplete head, chunk header or trailer section: the platform's
 # limit on a caller's head.
 _MAX_HEAD_BYTES = 16_384
 # Limit on informational responses (1xx) before an answer; servers send one or
 # two.
 _MAX_INFORMATIONAL = 8
+# Statuses of final responses.  A response with any other status is none (RFC
+# 9110, section 15): the server is in trouble, and the request may have run.
+_FINAL_STATUSES = range(200, 600)
 # Bytes.  Larger requests are sent while the answer is being read: a server may
 # answer before it has read the whole request, and then read no more of it.
 _MAX_UNREAD_SEND = 4096
 # Extra time to read an answer that has started to arrive when the timeout
 # expires.
 _LATE_READ_TIMEOUT = Seconds(0.05)
+_HOST = b'host'
+_CODING = b'transfer-encoding'
 # Limit on the answers to earlier requests that are skipped on a connection.
 _MAX_STALE = 2
 
 
 class AnswerMatcher(Protocol):
-    """Check whether an answer belongs to the request."""
+    """Check an answer, for example whether it belongs to the request."""
 
     def __call__(self, answer: HttpAnswer) -> bool:
-        """Return whether the answer belongs to the request."""
+        """Return whether the answer passes the check."""
 
 
 @dataclass(slots=True)
@@ -58,7 +75,15 @@
     reservation: AnswerReservation
     progress: Progress
     parser: h11.Connection = field(init=False)
+    # Set when the whole request was written, or when that failed.
+    written: trio.Event = field(default_factory=trio.Event)
     sent: bool = False
+    # True if writing failed, and the connection was reset before its end.
+    reset: bool = False
+    # Events of the parsers so far.
+    events: int = 0
+    # Limit on the next read.
+    chunk_bytes: int = _HEAD_CHUNK_BYTES
 
     def __post_init__(self) -> None:
         self.parser = _build_parser()
@@ -80,13 +105,31 @@
     def record_sent(self) -> None:
         """Record that the whole request was written."""
         self.sent = True
+        self.written.set()
         self.progress.record_written()
 
+    def record_unsent(self, error: Exception) -> None:
+        """Record that the rest of the request could not be written."""
+        # The kernel reports a reset once, here or to the reader, which then
+        # finds the end of the stream.
+        self.reset = not is_reset_after_end(error)
+        self.written.set()
+
     def restart(self) -> None:
         """Prepare to read the next answer, after a stale one."""
         rest, _ = self.parser.trailing_data
         self.parser = _build_parser()
-        self.encode()
+        self.chunk_bytes = _HEAD_CHUNK_BYTES
+        # The parser needs the method of the request, but none of its body.
+        host = (_HOST, b'')
+        self.parser.send(
+            h11.Request(
+                method=self.request.method,
+                target=self.request.target,
+                headers=[host],
+            )
+        )
+        self.parser.send(h11.EndOfMessage())
         if rest:
             self.parser.receive_data(rest)
 
@@ -101,8 +144,12 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             return Fault.lost
+        if event.status_code not in _FINAL_STATUSES:
+            return Fault.lost
         head = HttpAnswer(event.status_code, tuple(event.headers))
         self.progress.head = head
+        chunked = head.find_header(_CODING) is not None
+        self.chunk_bytes = _CHUNKED_CHUNK_BYTES if chunked else _CHUNK_BYTES
         body = await self._read_body()
         return Fault.lost if body is None else replace(head, body=body)
 
@@ -120,17 +167,47 @@
         while isinstance(event, h11.Data):
             body += event.data
             event = await self._next_event()
-        return bytes(body) if isinstance(event, h11.EndOfMessage) else None
+        if not isinstance(event, h11.EndOfMessage):
+            return None
+        # Without a length only the end of the connection ends the body.
+        ended = self.parser.trailing_data[1]
+        if ended and await self._is_reset():
+            return None
+        return bytes(body)
+
+    async def _is_reset(self) -> bool:
+        """Return whether the end of the stream was a reset."""
+        if not is_ended_by_peer(self.stream):
+            # Nothing more can be written, so the writing ends at once.
+            await self.written.wait()
+        return self.reset
 
     async def _next_event(self) -> object:
+        """Return the next event, or None if the bytes are no answer."""
         while True:
-            event = self.parser.next_event()
+            event = self._parse_event()
             if event is not h11.NEED_DATA:
+                await self._count_event()
                 return event
-            received = await self.stream.receive_some(_CHUNK_BYTES)
+            received = await self.stream.receive_some(self.chunk_bytes)
             self.reservation.add(len(received))
             self.parser.receive_data(received)
 
+    async def _count_event(self) -> None:
+        self.events += 1
+        if self.events % _MAX_EVENTS_IN_TURN == 0:
+            await self.reservation.budget.wait_for_turn()
+
+    def _parse_event(self) -> object:
+        try:
+            return self.parser.next_event()
+        except h11.RemoteProtocolError as error:
+            # A frame of the traceback refers to the exception.  The cycle would
+            # keep the request and its encoded copy until the collector runs,
+            # which counts objects and not bytes.
+            error.__traceback__ = None
+        return None
+
 
 async def exchange(
     stream: trio.SocketStream,
@@ -145,8 +222,11 @@
     The budget limits the size of the answer.  An answer that has arrived is
     also read after the timeout, which may have expired because the event loop
     of this process was busy.  Answers that do not match belong to earlier
-    requests: they are dropped, and the connection is not reused.
+    requests: they are dropped, and the connection is not reused.  Without a
+    matcher nothing is sent on a connection that has brought bytes before.
     """
+    if matches is None and not is_idle(stream):
+        return ExchangeResult(Fault.unsent, reusable=False)
     with budget.reserve() as reservation:
         reader = _Reader(stream, request, reservation, progress or Progress())
         return await _exchange(reader, matches, timeout)
@@ -167,11 +247,7 @@
         return await _exchange_in_time(reader, encoded, matches, timeout)
     except TooLargeError:
         return ExchangeResult(Fault.too_large, reusable=False)
-    except (
-        trio.BrokenResourceError,
-        trio.ClosedResourceError,
-        h11.RemoteProtocolError,
-    ):
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
         return ExchangeResult(Fault.lost, reusable=False)
 
 
@@ -193,6 +269,8 @@
     if reader.sent and not is_idle(reader.stream):
         with trio.move_on_after(_LATE_READ_TIMEOUT):
             ended = await _read_matching(reader, matches)
+    # The server may send more for a request that took so long.
+    ended.reusable = False
     return ended
 
 
@@ -212,7 +290,7 @@
             ended = await _read_matching(reader, matches)
         except TooLargeError:
             ended = ExchangeResult(Fault.too_large, reusable=False)
-        except (trio.BrokenResourceError, h11.RemoteProtocolError):
+        except trio.BrokenResourceError:
             ended = ExchangeResult(Fault.lost, reusable=False)
         nursery.cancel_scope.cancel()
     return ended
@@ -221,8 +299,9 @@
 async def _send(reader: _Reader, encoded: bytes) -> None:
     try:
         await reader.stream.send_all(encoded)
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
+    except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
         # The answer may have arrived before the server closed.
+        reader.record_unsent(error)
         return
     reader.record_sent()
 
--- a/trefoilsaddle/http/pool.py
+++ b/trefoilsaddle/http/pool.py
@@ -47,6 +47,8 @@
     max_idle_connections: int = _MAX_IDLE_CONNECTIONS
     # Limits the memory of answers; may be shared by several pools.
     budget: AnswerBudget = field(default_factory=AnswerBudget)
+    # Whether a connection may be used again after an answer on it.
+    keeps: AnswerMatcher = field(default=lambda answer: True)
     # Number of connections opened so far.
     opened: int = 0
     idle: list[_IdleConnection] = field(default_factory=list)
@@ -154,7 +156,10 @@
         self, stream: trio.SocketStream, ended: ExchangeResult
     ) -> None:
         answer = ended.answer
-        if not ended.reusable or isinstance(answer, Fault):
+        if isinstance(answer, Fault) or not ended.reusable:
+            sockets.abort(stream)
+            return
+        if not self.keeps(answer):
             sockets.abort(stream)
             return
         now = trio.current_time()
