--- a/trefoilsaddle/http/sockets.py
+++ b/trefoilsaddle/http/sockets.py
@@ -86,7 +86,11 @@
 
     False once a reset has followed as well.
     """
-    state = stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    try:
+        state = stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        # Not every system tells the state.
+        return False
     return state[0] == _CLOSE_WAIT
 
 
