--- a/tests/test_gatewaycontainment.py
+++ b/tests/test_gatewaycontainment.py
@@ -19,6 +19,7 @@
     Effect,
     GrantKeys,
     JoinGroup,
+    ProbeServer,
     ReadTopic,
     ReleaseKeys,
     WriteDecision,
@@ -31,6 +32,7 @@
     OrderEnded,
     OrderVerdict,
     ReadVerdict,
+    ServerProbed,
     Topic,
     TopicRead,
 )
@@ -110,6 +112,11 @@
         build_unknown,
         lambda ended: isinstance(ended, JoinEnded) and not ended.answered,
     ),
+    'probe': (
+        ProbeServer(_SERVER, '/health'),
+        build_unknown,
+        lambda ended: ended == ServerProbed(_SERVER.life, Seconds(0)),
+    ),
     'grant': (
         _GRANT,
         build_ungranted,
--- a/tests/test_platformadapter.py
+++ b/tests/test_platformadapter.py
@@ -204,6 +204,21 @@
     assert getattr(route, 'name', None) == name
 
 
+# Guards against a configuration that is refused for a health path of another form,
+# and against a request line with spaces.
+@pytest.mark.parametrize(
+    ('stated', 'path'),
+    [('/health', '/health'), ('/a b', ''), (None, ''), (7, ''), ('x', '')],
+)
+def test_health_path_is_decoded(stated: object, path: str) -> None:
+    """Decode a path, and take anything else for none."""
+    cluster = {'name': 'pay', 'maxConns': 40, 'healthPath': stated}
+    wire = {**_CONFIGURATION, 'clusters': [cluster]}
+    decoded = decode_configuration(json.dumps(wire).encode())
+    assert isinstance(decoded, Configuration)
+    assert decoded.services[ServiceName('pay')].health_path == path
+
+
 def test_configuration_is_decoded() -> None:
     """Decode versions, weights, times and services."""
     configuration = _decode()
--- a/tests/test_platformstandins.py
+++ b/tests/test_platformstandins.py
@@ -4,13 +4,20 @@
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from itertools import repeat
 from pathlib import Path
 
 import pytest
 import trio
 
 from standins.platform import ServerStandIn, StoreStandIn
-from tests.scriptedserver import find_ports
+from tests.scriptedserver import (
+    ScriptedServer,
+    Step,
+    find_ports,
+    serve_script,
+    whole,
+)
 from trefoilsaddle.clock import SystemClock
 from trefoilsaddle.core.units import (
     NodeId,
@@ -76,6 +83,8 @@
     predecessors=(_ADDRESS,),
     era=_ERA,
 )
+# More than a gateway asks for in a test.
+_MANY = 1000
 _NO_WAIT = Seconds(0)
 _Use = Callable[[StoreStandIn, PlatformStore], Awaitable[None]]
 
@@ -541,6 +550,44 @@
     trio.run(run)
 
 
+# Guards against a sign of a cold server that is decided on, but never asked for.
+def test_gateway_asks_servers_for_their_health(tmp_path: Path) -> None:
+    """Ask a server again and again, on a path that the configuration states."""
+    cluster = {
+        'name': 'guide',
+        'maxConns': 130,
+        'sharded': True,
+        'warmupPerS': 7.4,
+        'healthPath': '/health',
+    }
+    configuration = {**_CONFIGURATION, 'clusters': [cluster]}
+    answer = whole(b'{}', b'x-instance-id: i-1', b'x-warmup-ms: 2500')
+    server = ScriptedServer(list(repeat(Step(answer), _MANY)))
+
+    async def run() -> None:
+        store = StoreStandIn()
+        async with serve_script(server), trio.open_nursery() as nursery:
+            store_port = await nursery.start(store.serve)
+            store.put('keyed.op', 'config', json.dumps(configuration).encode())
+            entry = _write_entry('guide', server.port)
+            store.put('keyed.servers', 'i-1', entry)
+            ports = await find_ports(3)
+            settings = _write_settings(tmp_path, ports, store_port)
+            nursery.start_soon(_run_gateway, settings, tmp_path)
+            with trio.fail_after(20):
+                while _count_probes(server) < 3:
+                    await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+def _count_probes(server: ScriptedServer) -> int:
+    return sum(
+        request.startswith(b'GET /health ') for request in server.requests
+    )
+
+
 # Guards against a gateway that handles no event after one that failed.
 def test_event_that_fails_is_logged_and_left(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
--- a/trefoilsaddle/gateway/configuration.py
+++ b/trefoilsaddle/gateway/configuration.py
@@ -66,6 +66,8 @@
     keyed: bool
     # Requests per second that a cold server tolerates; zero if not limited.
     cold_rate: float = 0
+    # Path of the servers' health responses; empty if there is none.
+    health_path: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/gateway/effects.py
+++ b/trefoilsaddle/gateway/effects.py
@@ -251,6 +251,14 @@
     announcement: ControllerAnnouncement
 
 
+@dataclass(frozen=True, slots=True)
+class ProbeServer:
+    """Ask a server for its health."""
+
+    server: Server
+    path: str
+
+
 @dataclass(frozen=True, slots=True)
 class SetReady:
     """Set whether the gateway reports itself ready for callers."""
@@ -308,6 +316,7 @@
     | _PeerEffect
     | GrantKeys
     | ReleaseKeys
+    | ProbeServer
     | SetReady
     | ExitProcess
     | CountMetric
--- a/trefoilsaddle/gateway/events.py
+++ b/trefoilsaddle/gateway/events.py
@@ -350,6 +350,17 @@
     """Report that the connection to the controller was lost."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerProbed:
+    """Report what a server's health response states."""
+
+    incarnation: ServerIncarnation
+    # Time for which the server stays cold; zero if it states none.
+    warm_up_left: Seconds
+
+
+_ServerEvent = OrderEnded | ServerProbed
+
 _ProcessEvent = Started | StopRequested | DumpRequested | TimerExpired
 
 _StoreEvent = TopicRead | JoinEnded | AppendEnded
@@ -370,4 +381,4 @@
     | ControllerAnnounced
 )
 
-Event = _ProcessEvent | _StoreEvent | _CallEvent | _PeerEvent | OrderEnded
+Event = _ProcessEvent | _StoreEvent | _CallEvent | _PeerEvent | _ServerEvent
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -20,6 +20,7 @@
 from trefoilsaddle.gateway.configuration import Configuration, Route
 from trefoilsaddle.gateway.control import ControlState
 from trefoilsaddle.gateway.events import RequestHead, Topic
+from trefoilsaddle.gateway.healthprobes import HealthProbes
 from trefoilsaddle.gateway.keys import Key
 from trefoilsaddle.gateway.limits import RateLimits
 from trefoilsaddle.gateway.options import GatewayOptions
@@ -237,6 +238,7 @@
     registry: ServerRegistry = field(default_factory=ServerRegistry)
     limits: RateLimits = field(default_factory=RateLimits)
     cold_servers: ColdServers = field(default_factory=ColdServers)
+    probes: HealthProbes = field(default_factory=HealthProbes)
     drained: DrainedZones = NO_DRAINED_ZONES
     topics: dict[Topic, TopicState] = field(
         default_factory=lambda: {topic: TopicState() for topic in Topic},
--- a/trefoilsaddle/platform/configuration.py
+++ b/trefoilsaddle/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decode the operator's configuration, `op/config`."""
 
+import re
 from typing import Annotated
 
 from pydantic import BeforeValidator, Field, ValidationError
@@ -25,6 +26,7 @@
 
 _IDEMPOTENT = 'idempotent'
 _VERSION_PREFIX = 'r'
+_PATH = re.compile('/[!-~]*')
 
 
 def _read_version(text: object) -> int:
@@ -33,6 +35,14 @@
     return int(text.removeprefix(_VERSION_PREFIX))
 
 
+def _read_path(text: object) -> str:
+    # Servers are only asked for their health to learn more about them: what is
+    # no path costs nothing but that.
+    if isinstance(text, str) and _PATH.fullmatch(text):
+        return text
+    return ''
+
+
 class _WirePart(WireModel):
     service: str
     weight: float = Field(ge=0, strict=False)
@@ -77,6 +87,10 @@
     cold_rate: float = Field(
         default=0, alias='warmupPerS', strict=False, ge=0, allow_inf_nan=False
     )
+    # Path of the servers' health responses.
+    health_path: Annotated[str, BeforeValidator(_read_path)] = Field(
+        default='', alias='healthPath'
+    )
 
 
 class _WireLimits(WireModel):
@@ -116,6 +130,7 @@
             cluster.connections,
             cluster.sharded,
             cluster.cold_rate,
+            cluster.health_path,
         )
         for cluster in wire.clusters
     ]
--- a/trefoilsaddle/platform/headers.py
+++ b/trefoilsaddle/platform/headers.py
@@ -18,6 +18,10 @@
 LEAVING = b'server-leaving'
 # Requests running and waiting at the server, its slots, and how long work takes.
 LOAD = b'x-upstream-load'
+# Time for which the server stays cold, in milliseconds, and its ID; both in health
+# responses.
+WARM_UP = b'x-warmup-ms'
+INSTANCE = b'x-instance-id'
 KEY = b'x-shard-key'
 # Handover token that the former owner of the keys leaves for the next one.
 HANDOVER = b'x-handover'
--- a/trefoilsaddle/ports.py
+++ b/trefoilsaddle/ports.py
@@ -13,6 +13,7 @@
     AppendTable,
     GrantKeys,
     JoinGroup,
+    ProbeServer,
     ReadTopic,
     ReleaseKeys,
     SendAttempt,
@@ -23,6 +24,7 @@
     JoinEnded,
     OrderEnded,
     RequestHead,
+    ServerProbed,
     TopicRead,
 )
 from trefoilsaddle.gateway.statements import ServerStatement
@@ -66,6 +68,14 @@
         """Revoke a key range; return when the server has ended its work."""
 
 
+class Probes(ABC):
+    """Ask servers for their health."""
+
+    @abstractmethod
+    async def probe(self, effect: ProbeServer) -> ServerProbed:
+        """Ask a server for its health; no answer states nothing."""
+
+
 @dataclass(frozen=True, slots=True)
 class RefusalText:
     """Hold the content of an answer that the gateway gives itself."""
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -24,6 +24,7 @@
     JoinGroup,
     LeaveGroup,
     ObserveTime,
+    ProbeServer,
     ReadTopic,
     ReleaseKeys,
     SendAttempt,
@@ -42,6 +43,7 @@
 from trefoilsaddle.gatewaymetrics import GatewayMetrics
 from trefoilsaddle.platform.dialect import PlatformDialect
 from trefoilsaddle.platform.orders import PlatformOrders
+from trefoilsaddle.platform.probes import PlatformProbes
 from trefoilsaddle.platform.settings import GatewaySettings
 from trefoilsaddle.platform.store import PlatformStore
 from trefoilsaddle.programs.containment import Containment
@@ -98,6 +100,7 @@
             options.release_timeout,
         )
         self._list_order_pools = orders.list_pools
+        self._probes = PlatformProbes()
         self.containment = Containment(self.write)
         self._orders = OrderRunner(
             orders, self.metrics, self.feed, nursery, self.containment
@@ -111,6 +114,7 @@
         counts = {
             'store': self._store.traffic,
             'orders': orders.traffic,
+            'probes': self._probes.traffic,
             'servers': self.calls.servers.budget.traffic,
             'controller': self._link.traffic,
             'gateways': self.controller.traffic,
@@ -125,6 +129,7 @@
         for list_pools in (
             self.calls.servers.pools.values,
             self._list_order_pools,
+            self._probes.list_pools,
         ):
             sweep = partial(sweep_pools, list_pools)
             self._nursery.start_soon(keep_running, 'sweep', sweep)
@@ -183,6 +188,7 @@
             LeaveGroup: self._leave,
             GrantKeys: self._orders.grant,
             ReleaseKeys: self._orders.release,
+            ProbeServer: self._start(self._probes.probe),
             SetReady: self._set_ready,
             ExitProcess: self._exit,
             CountMetric: self._count,
--- a/trefoilsaddle/programs/unknownresults.py
+++ b/trefoilsaddle/programs/unknownresults.py
@@ -10,6 +10,7 @@
     Effect,
     GrantKeys,
     JoinGroup,
+    ProbeServer,
     ReadTopic,
     ReleaseKeys,
 )
@@ -21,6 +22,7 @@
     OrderEnded,
     OrderVerdict,
     ReadVerdict,
+    ServerProbed,
     TopicRead,
 )
 
@@ -29,7 +31,7 @@
 
 
 def build_unknown(effect: Effect) -> Event:
-    """Build the event of a call to the store without an answer."""
+    """Build the event of a call to the store, or of a probe, without an answer."""
     return _BUILDERS[type(effect)](effect)
 
 
@@ -84,10 +86,16 @@
     )
 
 
+def _build_unprobed(effect: ProbeServer) -> ServerProbed:
+    """Build the event of a probe without an answer."""
+    return ServerProbed(effect.server.life, Seconds(0))
+
+
 _BUILDERS: Mapping[type[Effect], Callable[[Any], Event]] = MappingProxyType(
     {
         ReadTopic: _build_unread,
         AppendTable: _build_unstored,
         JoinGroup: _build_unjoined,
+        ProbeServer: _build_unprobed,
     }
 )
