--- a/trefoilsaddle/platform/configuration.py
+++ b/trefoilsaddle/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decode the operator's configuration, `op/config`."""
 
+import re
 from typing import Annotated
 
 from pydantic import BeforeValidator, Field, ValidationError
@@ -36,6 +37,7 @@
 _JSON_ERROR = 'json_invalid'
 _MESSAGE_PREFIX = 'Value error, '
 _WHOLE_DOCUMENT = 'document'
+_PATH = re.compile('/[!-~]*')
 
 
 def _read_version(text: object) -> int:
@@ -44,6 +46,14 @@
     return int(text.removeprefix(_VERSION_PREFIX))
 
 
+def _read_path(text: object) -> str:
+    # Servers are only asked for their health to learn more about them: what is
+    # no path costs nothing but that.
+    if isinstance(text, str) and _PATH.fullmatch(text):
+        return text
+    return ''
+
+
 class _WirePart(WireModel):
     service: str
     weight: float = Field(ge=0, strict=False)
@@ -88,6 +98,10 @@
     cold_rate: float = Field(
         default=0, alias='warmupPerS', strict=False, ge=0, allow_inf_nan=False
     )
+    # Path of the servers' health responses.
+    health_path: Annotated[str, BeforeValidator(_read_path)] = Field(
+        default='', alias='healthPath'
+    )
 
 
 class _WireLimits(WireModel):
@@ -185,6 +199,7 @@
         cluster.connections,
         cluster.sharded,
         cluster.cold_rate,
+        cluster.health_path,
     )
 
 
