Keep the bound of cold servers where it has no slack

Cause: what a sender saves up came on top of the rate, so that 8 requests in a second reached a cold server whose bound was 7.4, as with settings that state no warmupOver and warmupSlack.

--- a/tests/test_gatewayslowstart.py
+++ b/tests/test_gatewayslowstart.py
@@ -284,6 +284,22 @@
     assert sum(late[:60]) >= 55
 
 
+# Guards against a request more than the bound where the settings allow nothing
+# beyond the rate: what a gateway saves up comes on top of it.
+def test_bound_without_slack_is_kept() -> None:
+    """Send no more than the rate in any second."""
+    names = name_gateways(3)
+    world = build_world(_set_rate(build_configuration()), names)
+    cold = world.add_server('pay-0', CHECKOUT)
+    world.run(5)
+    _write_cold(world, cold)
+    world.run(1)
+    since = world.now
+    FleetLoad(world, names, PLAIN_PATH, 1500).begin(Seconds(2))
+    world.run(1.9)
+    assert 4 <= _count_most(cold, since) <= _RATE
+
+
 # Guards against a change for services whose configuration states no rate.
 def test_service_without_a_rate_is_not_limited() -> None:
     """Send as many requests to a cold server as to others."""
--- a/trefoilsaddle/gateway/slowstart.py
+++ b/trefoilsaddle/gateway/slowstart.py
@@ -66,7 +66,8 @@
         return Seconds(0)
     senders = _count_senders(gateway, rate)
     share = find_sender_share(gateway, incarnation.tag, senders, now)
-    wait = gateway.cold_servers.find_wait(incarnation, rate * share, now)
+    usable = _find_usable_rate(gateway, rate, senders)
+    wait = gateway.cold_servers.find_wait(incarnation, usable * share, now)
     return Seconds(min(wait, cold_until - now, _MAX_WAIT))
 
 
@@ -78,6 +79,14 @@
     return 0 if rules is None else rules.cold_rate
 
 
+def _find_usable_rate(gateway: Gateway, rate: float, senders: int) -> float:
+    """Return the rate that stays within the bound with what is saved up."""
+    bound = gateway.options.cold_servers
+    most = bound.factor * rate + bound.slack
+    # One request a second is within any bound that allows one.
+    return min(rate, max(most - senders * MAX_SAVED, 1))
+
+
 def _count_senders(gateway: Gateway, rate: float) -> int:
     bound = gateway.options.cold_servers
     spare = (bound.factor - 1) * rate + bound.slack - _MARGIN
