Send to cold servers only once all gateways are counted

Cause: a gateway used its part of a cold server's rate as soon as it was linked, while a new controller listed few members yet: the parts summed up to 2 times the rate in the test, after half of the gateways came back from a cut.

--- a/tests/test_gatewayslowstart.py
+++ b/tests/test_gatewayslowstart.py
@@ -24,6 +24,7 @@
 )
 from tests.regionscenes import WEST, WEST_ZONE
 from trefoilsaddle.core.units import NodeId, Seconds
+from trefoilsaddle.gateway import slowstart
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.events import Topic
 from trefoilsaddle.gateway.options import ColdServerBound, GatewayOptions
@@ -284,6 +285,32 @@
     assert sum(late[:60]) >= 55
 
 
+# Guards against gateways that each take themselves for the only sender: a new
+# controller lists those that have reported already, one after the other.
+def test_parts_of_the_rate_never_exceed_it() -> None:
+    """Send nothing by a list of members that is not complete yet."""
+    load = _build_load(PLAIN_PATH, rate=1)
+    world = load.world
+    cold = _start_cold(world, CHECKOUT)
+    world.run(1)
+    load.cut_half(away=True)
+    world.after(6, partial(load.cut_half, away=False))
+    end = world.now + 10
+    totals: list[float] = []
+    while world.now < end:
+        world.run(0.02)
+        totals.append(_sum_shares(world, cold))
+    assert max(totals) == pytest.approx(1)
+
+
+def _sum_shares(world: World, cold: WorldServer) -> float:
+    """Return the sum of all gateways' parts of a cold server's rate."""
+    return sum(
+        slowstart.find_share(process.gateway, cold.entry.life.tag, 8, world.now)
+        for process in world.processes.values()
+    )
+
+
 # Guards against a request more than the bound where the settings allow nothing
 # beyond the rate: what a gateway saves up comes on top of it.
 def test_bound_without_slack_is_kept() -> None:
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -237,6 +237,10 @@
     link = gateway.link
     if not is_linked(gateway, now):
         link.linked_at = now
+        link.counted_by = None
+    if link.counted_by != news.run:
+        link.counted_by = news.run
+        link.counted_since = now
     built_at = link.clock.find_built_at(news.stamp, now)
     link.told_at = built_at
     link.was_told = True
--- a/trefoilsaddle/gateway/slowstart.py
+++ b/trefoilsaddle/gateway/slowstart.py
@@ -11,12 +11,15 @@
 from trefoilsaddle.gateway.coldservers import MAX_SAVED
 from trefoilsaddle.gateway.locality import may_hold_keys
 from trefoilsaddle.gateway.senders import find_sender_share
-from trefoilsaddle.gateway.servers import Server, ServerIncarnation
+from trefoilsaddle.gateway.servers import Server, ServerIncarnation, ServerTag
 from trefoilsaddle.gateway.state import Gateway
 
 # Senders by which the choices of two gateways may differ while one of them does
 # not know the newest members, and requests on their way for longer than others.
 _MARGIN = 3
+# Time within which a controller lists all gateways to each of them: they connect
+# within a second, and updates with the members are sent twice a second.
+_COUNTING_TIME = Seconds(2)
 # Longest retry time of a request that only a cold server can run: its keys move to
 # another server meanwhile.
 _MAX_WAIT = Seconds(1)
@@ -65,7 +68,7 @@
     if not rate:
         return Seconds(0)
     senders = _count_senders(gateway, rate)
-    share = find_sender_share(gateway, incarnation.tag, senders, now)
+    share = find_share(gateway, incarnation.tag, senders, now)
     usable = _find_usable_rate(gateway, rate, senders)
     wait = gateway.cold_servers.find_wait(incarnation, usable * share, now)
     return Seconds(min(wait, cold_until - now, _MAX_WAIT))
@@ -79,6 +82,19 @@
     return 0 if rules is None else rules.cold_rate
 
 
+def find_share(
+    gateway: Gateway, tag: ServerTag, senders: int, now: Seconds
+) -> float:
+    """Return this gateway's part of the rate of a cold server.
+
+    It has none until the controller has had the time to list all gateways.
+    """
+    counted_since = gateway.link.counted_since
+    if counted_since is None or now - counted_since < _COUNTING_TIME:
+        return 0
+    return find_sender_share(gateway, tag, senders, now)
+
+
 def _find_usable_rate(gateway: Gateway, rate: float, senders: int) -> float:
     """Return the rate that stays within the bound with what is saved up."""
     bound = gateway.options.cold_servers
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -142,6 +142,9 @@
     late_line_at: Seconds = Seconds(0)
     # Time of the first update since the connection was made.
     linked_at: Seconds | None = None
+    # Controller whose list of members is used, by its run, and since when.
+    counted_by: int | None = None
+    counted_since: Seconds | None = None
     # Term that the controller stated in its last update; zero before the first.
     term: int = 0
     # Time at which the controller had read the servers' entries it sent.
