Name the region as the reason where its servers are all draining

Cause: a request whose allowed region has only draining servers, as in a drained zone, was refused as if no server could be reached. Case _drain_allowed of tests/test_gatewaylocality.py fails without it.

--- a/tests/test_gatewaylocality.py
+++ b/tests/test_gatewaylocality.py
@@ -104,9 +104,15 @@
     world.store.write_configuration(_limit_routes(paths, version=2))
 
 
+def _drain_allowed(world: World) -> None:
+    world.store.drain_zone(ZONE)
+
+
 # Guards against a second choice outside the regions once those inside are gone, and
 # against a region name that no zone has.
-@pytest.mark.parametrize('cause', [_crash_allowed, _change_configuration])
+@pytest.mark.parametrize(
+    'cause', [_crash_allowed, _drain_allowed, _change_configuration]
+)
 def test_request_without_an_allowed_server_is_refused_at_once(
     cause: Callable[[World], None],
 ) -> None:
--- a/trefoilsaddle/gateway/ending.py
+++ b/trefoilsaddle/gateway/ending.py
@@ -126,7 +126,8 @@
 def _refuse_unavailable(
     gateway: Gateway, call: OpenCall, now: Seconds
 ) -> Effects:
-    if not has_allowed_server(gateway, call.route, call.service):
+    allowed = has_allowed_server(gateway, call.route, call.service)
+    if call.route.regions and not allowed:
         if any(gateway.registry.list_service(call.service)):
             return refuse_region(gateway, call, now)
     waits = [
--- a/trefoilsaddle/gateway/locality.py
+++ b/trefoilsaddle/gateway/locality.py
@@ -26,9 +26,9 @@
 def has_allowed_server(
     gateway: Gateway, route: Route, service: ServiceName
 ) -> bool:
-    """Return whether a server of a service may run a route's requests."""
+    """Return whether a server of a service may run a route's new requests."""
     return any(
-        is_allowed(gateway, route, server)
+        not server.draining and is_allowed(gateway, route, server)
         for server in gateway.registry.list_service(service)
     )
 
