Bound the memory and descriptors that callers can take

Cause: bodies of requests had no common bound, and each existed up to four times (parser's buffer, bytearray, bytes, serialized request); the exception of a failed parser kept it in a reference cycle; an answered request was kept until the next one on its connection; connections had no bound; a body of tiny chunks was parsed without a turn for others.

Change: a budget for all bodies from limits.memoryMb, with a reserve for small ones (http/requestbodies.py). Announced lengths are refused before reading, 413 or 503 memory_bound with Retry-After; chunked bodies count as they arrive. If there is no room, unfinished bodies give way, the oldest first. A connection holds one large body. Large bodies are read into one mapping and sent from it. At most 32 parts are parsed in a turn. Callers' connections are bounded from limits.maxFds (http/connections.py). Answers in memory are also bounded by limits.memoryMb. A refused connection discards bytes for up to 3 s, as its caller may read only then.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -139,15 +139,15 @@
         fields = {name: found[0] for name, found in parse_qs(query).items()}
         match path.rpartition('/')[2]:
             case 'log-append':
-                return self._handle_append(fields, request.body)
+                return self._handle_append(fields, bytes(request.body))
             case 'log-read':
                 return await self._handle_read(fields)
             case 'log-newest':
                 return self._handle_read_newest(fields)
             case 'log-join':
-                return self._handle_join(json.loads(request.body))
+                return self._handle_join(json.loads(bytes(request.body)))
             case 'log-leave':
-                return self._handle_leave(json.loads(request.body))
+                return self._handle_leave(json.loads(bytes(request.body)))
         return HttpAnswer(404, ())
 
     def _store_record(self, topic: str, record: bytes) -> None:
@@ -277,9 +277,9 @@
         if named not in {None, self.name.encode()}:
             return HttpAnswer(421, ())
         if request.target == b'/trefoilsaddle/grant':
-            return self._handle_grant(json.loads(request.body))
+            return self._handle_grant(json.loads(bytes(request.body)))
         if request.target == b'/trefoilsaddle/release':
-            self.releases.append(json.loads(request.body))
+            self.releases.append(json.loads(bytes(request.body)))
             return HttpAnswer(200, ((b'x-handover', b'left'),))
         self.requests.append(request)
         echoed = dict(request.headers)
--- a/tests/callerservice.py
+++ b/tests/callerservice.py
@@ -7,6 +7,7 @@
 
 from trefoilsaddle.http.callers import CallerConnection
 from trefoilsaddle.http.pipeline import CallerService
+from trefoilsaddle.http.requestbodies import BodyBudget, build_body_budget
 from trefoilsaddle.http.unanswered import UnansweredCount
 
 _HOST = '127.0.0.1'
@@ -16,19 +17,25 @@
 
 
 def serve_caller(
-    service: CallerService, use: _Use, count: UnansweredCount | None = None
+    service: CallerService,
+    use: _Use,
+    count: UnansweredCount | None = None,
+    bodies: BodyBudget | None = None,
 ) -> None:
     """Let a test use a connection to the service."""
-    trio.run(_run, service, use, count or UnansweredCount())
+    serve = partial(
+        _serve,
+        service,
+        count or UnansweredCount(),
+        bodies or build_body_budget(),
+    )
+    trio.run(_run, serve, use)
 
 
-async def _run(
-    service: CallerService, use: _Use, count: UnansweredCount
-) -> None:
+async def _run(serve: _Use, use: _Use) -> None:
     listeners = await trio.open_tcp_listeners(0, host=_HOST)
     port = listeners[0].socket.getsockname()[1]
     async with trio.open_nursery() as nursery:
-        serve = partial(_serve, service, count)
         nursery.start_soon(trio.serve_listeners, serve, listeners)
         with trio.fail_after(_LIVENESS_BOUND):
             stream = await trio.open_tcp_stream(_HOST, port)
@@ -37,6 +44,10 @@
 
 
 async def _serve(
-    service: CallerService, count: UnansweredCount, stream: trio.SocketStream
+    service: CallerService,
+    count: UnansweredCount,
+    bodies: BodyBudget,
+    stream: trio.SocketStream,
 ) -> None:
-    await CallerConnection(service, stream, count=count).serve()
+    connection = CallerConnection(service, stream, count=count, bodies=bodies)
+    await connection.serve()
--- a/tests/test_platformadapter.py
+++ b/tests/test_platformadapter.py
@@ -468,6 +468,8 @@
 cpuShare = 0.5
 cores = 3
 linkMbps = 10.0
+memoryMb = 160
+maxFds = 1638
 """
 _BAD_SETTINGS = {
     'zone': _SETTINGS.replace('zone = "a"', 'zone = 1'),
@@ -480,6 +482,8 @@
     'platform.address': _SETTINGS.replace('10.200.1.7:8541', '10.200.1.7:x'),
     'limits.cpuShare': _SETTINGS.replace('cpuShare = 0.5', 'cpuShare = 0'),
     'limits.cores': _SETTINGS.replace('cores = 3', 'cores = -1'),
+    'limits.memoryMb': _SETTINGS.replace('= 160', '= 0'),
+    'limits.maxFds': _SETTINGS.replace('= 1638', '= "many"'),
     'internalPorts': _SETTINGS.replace('[7540, 7555]', '[]'),
 }
 
@@ -496,6 +500,8 @@
     assert settings.options.speed == 1.5
     assert settings.options.order_time == pytest.approx(0.0019, abs=0.0001)
     assert settings.options.link_rate == 10
+    assert settings.memory == 160_000_000
+    assert settings.descriptors == 1638
     assert settings.metrics.port == 7541
     assert settings.options.retry_budget.slack == 64
     assert settings.options.stop_timeout == Seconds(6)
--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -22,8 +22,10 @@
 from trefoilsaddle.http import sockets
 from trefoilsaddle.http.budget import AnswerBudget
 from trefoilsaddle.http.connectionend import EndReason, find_reason
+from trefoilsaddle.http.connections import Activity, Standing
 from trefoilsaddle.http.messages import Headers, HttpAnswer
 from trefoilsaddle.http.pipeline import CallerService, Exchange, Pipeline
+from trefoilsaddle.http.requestbodies import BodyBudget, build_body_budget
 from trefoilsaddle.http.requests import (
     BadInput,
     ReceivedRequest,
@@ -39,10 +41,15 @@
 # end closes.  Bytes that arrive meanwhile are discarded: unread ones would reset
 # the connection, and with it the answer.
 _LINGER_TIMEOUT = Seconds(1)
+# The same after a refusal: many callers read it only once they have sent the
+# whole body.
+_REFUSED_LINGER_TIMEOUT = Seconds(3)
 _CHUNK_BYTES = 65_536
+# Larger answers are sent without being copied behind their heads.
+_MAX_JOINED = 65_536
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class CallerConnection:
     """Serve the requests of one connection, and answer them in order."""
 
@@ -52,6 +59,8 @@
     budget: AnswerBudget = field(default_factory=AnswerBudget)
     # Counts the unanswered requests of this and other connections.
     count: UnansweredCount = field(default_factory=UnansweredCount)
+    # Limits the memory of the bodies of requests.
+    bodies: BodyBudget = field(default_factory=build_body_budget)
     _reader: RequestReader = field(init=False)
     _pipeline: Pipeline = field(init=False)
     # Set when the reader has read a request or has ended.
@@ -66,12 +75,19 @@
     _pause: trio.CancelScope = field(default_factory=trio.CancelScope)
     # Why the connection ends; the first reason counts.
     _reason: EndReason | None = None
+    # Cancelled to close the connection.
+    _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    # Time since which it has had no complete request.
+    _waiting_since: float = field(default_factory=trio.current_time)
 
     def __post_init__(self) -> None:
         """Prepare to read the first request."""
         self._pipeline = Pipeline(self.service, self.budget, self.count)
         self._reader = RequestReader(
-            self.stream, self.service.read_limits, self._wait_until_idle
+            self.stream,
+            self.service.read_limits,
+            self._wait_until_idle,
+            self.bodies,
         )
 
     async def serve(self) -> None:
@@ -80,12 +96,31 @@
             stack.callback(sockets.close, self.stream)
             stack.callback(self._pipeline.close)
             stack.callback(self._report_end)
+            stack.enter_context(self._scope)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read_requests, nursery)
                 await self._answer_requests(nursery)
                 nursery.cancel_scope.cancel()
             if self._closed:
-                await _wait_until_closed(self.stream)
+                refused = self._reason is EndReason.refused
+                await _wait_until_closed(
+                    self.stream,
+                    _REFUSED_LINGER_TIMEOUT if refused else _LINGER_TIMEOUT,
+                )
+
+    def find_standing(self) -> Standing:
+        """Return what the connection is doing, and since when."""
+        activity = Activity.waiting
+        if self._closed:
+            activity = Activity.ending
+        elif self._pipeline.first is not None:
+            activity = Activity.serving
+        return Standing(activity, self._waiting_since)
+
+    def displace(self) -> None:
+        """Close the connection in favour of others."""
+        self._set_reason(EndReason.displaced)
+        self._scope.cancel()
 
     def _report_end(self) -> None:
         reason = self._reason or EndReason.interrupted
@@ -97,7 +132,7 @@
     # Reading.
 
     async def _read_requests(self, nursery: trio.Nursery) -> None:
-        self._limit_idle_time()
+        self._reader.limit_idle_time()
         more = True
         while more:
             try:
@@ -138,10 +173,6 @@
         self._ending = self._ending or not self._reader.has_rest()
         return self._ending
 
-    def _limit_idle_time(self) -> None:
-        timeout = self.service.read_limits().idle_timeout
-        self._reader.set_idle_limit(trio.current_time() + timeout)
-
     async def _wait_until_idle(self) -> None:
         while self._pipeline.first is not None:
             self._idle = trio.Event()
@@ -152,35 +183,41 @@
     async def _answer_requests(self, nursery: trio.Nursery) -> None:
         more = True
         while more:
-            exchange = await self._wait_for_first()
-            if exchange is None:
-                return
-            try:
-                more = await self._answer_first(exchange)
-            except (
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-            ) as error:
-                # The caller has gone; cancelling `answer` tells the service.
-                self._set_reason(find_reason(error))
-                return
-            except h11.LocalProtocolError:
-                self._set_reason(EndReason.invalid_answer)
-                return
-            if more:
-                self._finish_first(nursery)
-
-    async def _wait_for_first(self) -> Exchange | None:
-        while self._pipeline.first is None and not self._pipeline.left:
-            self._changed = trio.Event()
-            await self._changed.wait()
-        return self._pipeline.first
+            # The request must not be kept while the next one is awaited.
+            while self._pipeline.first is None and not self._pipeline.left:
+                self._changed = trio.Event()
+                await self._changed.wait()
+            more = await self._answer_next(nursery)
+
+    async def _answer_next(self, nursery: trio.Nursery) -> bool:
+        exchange = self._pipeline.first
+        if exchange is None:
+            return False
+        try:
+            more = await self._answer_first(exchange)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ) as error:
+            # The caller has gone; cancelling `answer` tells the service.
+            self._set_reason(find_reason(error))
+            return False
+        except h11.LocalProtocolError:
+            self._set_reason(EndReason.invalid_answer)
+            return False
+        if more:
+            self._finish_first(nursery)
+        return more
 
     async def _answer_first(self, exchange: Exchange) -> bool:
         received = exchange.received
         if isinstance(received.request, BadInput):
             self._set_reason(EndReason.refused)
-            await self._refuse(received, received.request)
+            self.service.record_refusal(received.request)
+            if received.parser.our_state is not h11.ERROR:
+                self._closed = True
+                refusal = self.service.refuse(received.request)
+                await self._write(received, _add_close(refusal))
             return False
         if exchange.started:
             await exchange.answered.wait()
@@ -203,7 +240,8 @@
         self._pause.cancel()
         if self._pipeline.first is None:
             self._idle.set()
-            self._limit_idle_time()
+            self._waiting_since = trio.current_time()
+            self._reader.limit_idle_time()
 
     async def _write(
         self, received: ReceivedRequest, answer: HttpAnswer
@@ -217,34 +255,33 @@
         if self._pipeline.may_close():
             headers.append(_CLOSE)
             self._closed = True
-        parts = [parser.send(_build_head(answer, tuple(headers)))]
-        parts.append(parser.send(h11.Data(data=body)))
-        parts.append(parser.send(h11.EndOfMessage()))
+        head = parser.send(_build_head(answer, tuple(headers))) or b''
+        # The body has a length, so that it is sent as it is.
+        parser.send(h11.Data(data=body))
+        parser.send(h11.EndOfMessage())
         scope = trio.move_on_after(_WRITE_TIMEOUT)
         with scope:
-            await self.stream.send_all(b''.join(part for part in parts if part))
+            if len(body) > _MAX_JOINED:
+                await self.stream.send_all(head)
+                await self.stream.send_all(body)
+            else:
+                await self.stream.send_all(head + body)
         if scope.cancelled_caught:
             self._set_reason(EndReason.write_timeout)
             sockets.abort(self.stream)
             raise trio.ClosedResourceError
 
-    async def _refuse(self, received: ReceivedRequest, bad: BadInput) -> None:
-        answer = self.service.refuse(bad)
-        closing = HttpAnswer(
-            answer.status,
-            (*answer.headers, _CLOSE),
-            answer.body,
-        )
-        if received.parser.our_state is h11.ERROR:
-            return
-        self._closed = True
-        await self._write(received, closing)
+
+def _add_close(answer: HttpAnswer) -> HttpAnswer:
+    return HttpAnswer(answer.status, (*answer.headers, _CLOSE), answer.body)
 
 
-async def _wait_until_closed(stream: trio.SocketStream) -> None:
+async def _wait_until_closed(
+    stream: trio.SocketStream, timeout: Seconds
+) -> None:
     """Let the caller read the last answer and close the connection."""
     with (
-        trio.move_on_after(_LINGER_TIMEOUT),
+        trio.move_on_after(timeout),
         suppress(trio.BrokenResourceError, trio.ClosedResourceError),
     ):
         await stream.send_eof()
--- a/trefoilsaddle/http/connectionend.py
+++ b/trefoilsaddle/http/connectionend.py
@@ -23,6 +23,8 @@
     refused = 'refused'
     no_answer = 'no answer'
     invalid_answer = 'invalid answer'
+    # Closed in favour of others, at the limit on connections.
+    displaced = 'displaced'
     # The process ends, or a task of the connection failed.
     interrupted = 'interrupted'
 
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field, replace
 from math import inf
-from typing import Protocol
+from typing import Protocol, cast
 
 import h11
 import trio
@@ -63,8 +63,11 @@
     def __post_init__(self) -> None:
         self.parser = _build_parser()
 
-    def encode(self) -> bytes:
-        """Serialize the request and prepare the parser for its answer."""
+    def encode(self) -> tuple[bytes | memoryview, ...]:
+        """Serialize the request and prepare the parser for its answer.
+
+        A large body is a part of its own, which is not copied.
+        """
         request = self.request
         head = h11.Request(
             method=request.method,
@@ -73,9 +76,13 @@
         )
         parts = [self.parser.send(head)]
         if request.body:
-            parts.append(self.parser.send(h11.Data(data=request.body)))
+            # The parser accepts any object with a length.
+            body = h11.Data(data=cast(bytes, request.body))
+            parts.extend(self.parser.send_with_data_passthrough(body) or ())
         parts.append(self.parser.send(h11.EndOfMessage()))
-        return b''.join(part for part in parts if part)
+        if len(request.body) > _MAX_UNREAD_SEND:
+            return tuple(part for part in parts if part)
+        return (b''.join(part for part in parts if part),)
 
     def record_sent(self) -> None:
         """Record that the whole request was written."""
@@ -162,7 +169,8 @@
     except h11.LocalProtocolError:
         # The request is not valid HTTP, so no byte was sent.
         return ExchangeResult(Fault.unsent, reusable=True)
-    reader.reservation.budget.traffic.count_sent(len(encoded))
+    size = sum(len(part) for part in encoded)
+    reader.reservation.budget.traffic.count_sent(size)
     try:
         return await _exchange_in_time(reader, encoded, matches, timeout)
     except TooLargeError:
@@ -177,7 +185,7 @@
 
 async def _exchange_in_time(
     reader: _Reader,
-    encoded: bytes,
+    encoded: tuple[bytes | memoryview, ...],
     matches: AnswerMatcher | None,
     timeout: float,
 ) -> ExchangeResult:
@@ -198,11 +206,11 @@
 
 async def _send_and_read(
     reader: _Reader,
-    encoded: bytes,
+    encoded: tuple[bytes | memoryview, ...],
     matches: AnswerMatcher | None,
 ) -> ExchangeResult:
-    if len(encoded) <= _MAX_UNREAD_SEND:
-        await reader.stream.send_all(encoded)
+    if len(encoded) == 1 and len(encoded[0]) <= _MAX_UNREAD_SEND:
+        await reader.stream.send_all(encoded[0])
         reader.record_sent()
         return await _read_matching(reader, matches)
     ended = ExchangeResult(Fault.lost, reusable=False)
@@ -218,15 +226,27 @@
     return ended
 
 
-async def _send(reader: _Reader, encoded: bytes) -> None:
+async def _send(
+    reader: _Reader, encoded: tuple[bytes | memoryview, ...]
+) -> None:
     try:
-        await reader.stream.send_all(encoded)
+        await _send_parts(reader.stream, encoded)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         # The answer may have arrived before the server closed.
         return
     reader.record_sent()
 
 
+async def _send_parts(
+    stream: trio.SocketStream, encoded: tuple[bytes | memoryview, ...]
+) -> None:
+    parts = iter(encoded)
+    part = next(parts, None)
+    while part is not None:
+        await stream.send_all(part)
+        part = next(parts, None)
+
+
 async def _read_matching(
     reader: _Reader,
     matches: AnswerMatcher | None,
--- a/trefoilsaddle/http/messages.py
+++ b/trefoilsaddle/http/messages.py
@@ -31,7 +31,8 @@
     method: bytes
     target: bytes = field(repr=False)
     headers: Headers = field(repr=False)
-    body: bytes = field(repr=False, default=b'')
+    # Large bodies are read-only views, so that they are not copied.
+    body: bytes | memoryview = field(repr=False, default=b'')
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilsaddle/http/pipeline.py
+++ b/trefoilsaddle/http/pipeline.py
@@ -53,6 +53,9 @@
     def record_end(self, end: ConnectionEnd) -> None:
         """Take note of how a connection ended."""
 
+    def record_refusal(self, bad: BadInput) -> None:
+        """Take note of a request that was refused before it was complete."""
+
 
 @dataclass(slots=True)
 class Exchange:
@@ -69,6 +72,11 @@
     answered: trio.Event = field(default_factory=trio.Event)
     written: trio.Event = field(default_factory=trio.Event)
 
+    def release(self) -> None:
+        """Release the room of the request's body."""
+        if self.received.lease is not None:
+            self.received.lease.close()
+
     def count_bytes(self) -> int:
         """Return the bytes of the request's body."""
         request = self.received.request
@@ -120,7 +128,9 @@
 
     def remove_first(self, nursery: trio.Nursery) -> None:
         """Remove the request whose answer has been written."""
-        self.unanswered.popleft().written.set()
+        exchange = self.unanswered.popleft()
+        exchange.written.set()
+        exchange.release()
         self.count.remove(1)
         self._start_ahead(nursery)
 
@@ -146,6 +156,8 @@
     def close(self) -> None:
         """Remove all requests: the connection has ended."""
         self.count.remove(len(self.unanswered))
+        for exchange in self.unanswered:
+            exchange.release()
         self.unanswered.clear()
 
     def describe_end(self, reason: EndReason) -> ConnectionEnd:
--- a/trefoilsaddle/http/requests.py
+++ b/trefoilsaddle/http/requests.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from math import inf
@@ -16,9 +17,24 @@
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.configuration import CallerLimits
 from trefoilsaddle.http.messages import HttpRequest, find_header
+from trefoilsaddle.http.requestbodies import (
+    MIN_AGE,
+    BodyBudget,
+    BodyBuffer,
+    BodyLease,
+    ConnectionShare,
+)
 from trefoilsaddle.results import ResultCode
 
 _CHUNK_BYTES = 65_536
+# Bytes of a head, or of a chunked body, that a parser gets at once.  What it
+# does not use stays in its buffer until the request is answered.
+_HEAD_PIECE = 1024
+_CHUNKED_PIECE = 8192
+# Parts of a body between two turns of the event loop: 0.02 ms each.
+_PARTS_IN_TURN = 32
+# Bytes of the unanswered bodies of one connection, or one larger body.
+_MAX_SHARE = 262_144
 _LENGTH = b'content-length'
 _HEAD = b'HEAD'
 # Limit on receiving a whole body; requests time out earlier than that.
@@ -31,6 +47,7 @@
 
     code: ResultCode
     status: HTTPStatus
+    retry_after: Seconds = Seconds(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +60,8 @@
     at: float
     # True if its answer has no body.
     head_only: bool = False
+    # Room of its body, which is released when it is answered.
+    lease: BodyLease | None = None
 
     @property
     def is_last(self) -> bool:
@@ -58,10 +77,16 @@
 
     stream: trio.SocketStream
     read_limits: Callable[[], CallerLimits]
-    # Called before the interim answer to a request whose body waits for it.
+    # Called before a body is read that has to wait for earlier answers.
     wait_for_turn: Callable[[], Awaitable[None]]
+    # Limits the memory of the bodies of all connections.
+    budget: BodyBudget
     # Time at which a connection without requests is closed.
     idle_until: float = inf
+    # Counts the bodies of this connection.
+    share: ConnectionShare = field(default_factory=ConnectionShare)
+    # Room of the body of the request that was read last.
+    lease: BodyLease | None = None
     _head_only: bool = False
     _rest: bytes = b''
     _idle_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
@@ -79,40 +104,66 @@
         parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
-        parser.receive_data(self._rest)
-        self._rest = b''
         self._head_only = False
         try:
             request = await self._read_request(parser, limits)
         except h11.RemoteProtocolError as error:
+            # The traceback refers to the error itself and to the parser.
+            error.__traceback__ = None
             request = _build_bad_input(error)
         if request is None:
             return None
-        self._rest = parser.trailing_data[0]
+        self._rest = parser.trailing_data[0] + self._rest
+        # The lease refers to the body, which must not outlive its answer.
+        lease = self.lease
+        self.lease = None
         return ReceivedRequest(
-            request, parser, trio.current_time(), self._head_only
+            request, parser, trio.current_time(), self._head_only, lease
         )
 
+    async def fetch(self, limit: int) -> bytes:
+        """Return up to some received bytes; none at the end."""
+        if not self._rest:
+            self._rest = bytes(await self.stream.receive_some(_CHUNK_BYTES))
+        return self._take(limit)
+
+    def open_lease(self, give_way: Callable[[], None]) -> BodyLease:
+        """Begin to count a body of this connection."""
+        return self.budget.open(self.share, trio.current_time(), give_way)
+
+    def count_rest(self) -> int:
+        """Return the number of received bytes that no parser has."""
+        return len(self._rest)
+
     def has_rest(self) -> bool:
         """Return whether bytes behind the last request have arrived."""
         return bool(self._rest)
 
     async def wait_for_end(self, scope: trio.CancelScope) -> bool:
         """Keep early bytes until the scope ends; return False if all came."""
-        with scope:
+        lease = self.open_lease(scope.cancel)
+        # What is kept does not give way.
+        lease.finish()
+        with ExitStack() as stack:
+            stack.callback(lease.close)
+            stack.enter_context(scope)
             while len(self._rest) < _CHUNK_BYTES:
-                received = await self.stream.receive_some(_CHUNK_BYTES)
+                left = _CHUNK_BYTES - len(self._rest)
+                received = await self.stream.receive_some(left)
                 if not received:
                     return False
                 self._rest += received
+                if not lease.resize(len(self._rest), trio.current_time()):
+                    break
             # A caller that has sent so much is not read any further.
             await trio.sleep_forever()
         return True
 
-    def set_idle_limit(self, until: float) -> None:
-        """Set the time at which a wait for a first byte ends."""
-        self.idle_until = until
-        self._idle_scope.deadline = until
+    def limit_idle_time(self) -> None:
+        """Limit a wait for a first byte from now on."""
+        timeout = self.read_limits().idle_timeout
+        self.idle_until = trio.current_time() + timeout
+        self._idle_scope.deadline = self.idle_until
 
     async def _wait_for_bytes(self) -> bool:
         self._idle_scope = trio.CancelScope(deadline=self.idle_until)
@@ -124,11 +175,14 @@
         self, parser: h11.Connection, limits: CallerLimits
     ) -> HttpRequest | BadInput | None:
         # Most requests arrive in one segment and need no time limit.
-        head: object = parser.next_event()
+        head: object = h11.NEED_DATA
+        while head is h11.NEED_DATA and self._rest:
+            parser.receive_data(self._take(_HEAD_PIECE))
+            head = parser.next_event()
         if head is h11.NEED_DATA:
             scope = trio.move_on_after(limits.header_timeout)
             with scope:
-                head = await self._receive_event(parser)
+                head = await self._receive_head(parser)
             if scope.cancelled_caught:
                 return BadInput(
                     ResultCode.header_slow, HTTPStatus.REQUEST_TIMEOUT
@@ -139,81 +193,167 @@
         bad = _check_head(head, limits)
         if bad is not None:
             return bad
-        if parser.they_are_waiting_for_100_continue:
-            await self._write_continue(parser)
-        return await self._read_body(parser, head, limits)
-
-    async def _read_body(
-        self,
-        parser: h11.Connection,
-        head: h11.Request,
-        limits: CallerLimits,
+        event = parser.next_event()
+        if isinstance(event, h11.EndOfMessage):
+            return HttpRequest(head.method, head.target, tuple(head.headers))
+        expected = _find_length(head)
+        await self._wait_for_share(parser, expected or 0)
+        reading = _BodyReading(self, parser, limits, expected)
+        return await reading.read(head, event)
+
+    async def _receive_head(self, parser: h11.Connection) -> object:
+        event: object = h11.NEED_DATA
+        while event is h11.NEED_DATA:
+            parser.receive_data(await self.fetch(_HEAD_PIECE))
+            event = parser.next_event()
+        return event
+
+    async def _wait_for_share(
+        self, parser: h11.Connection, length: int
+    ) -> None:
+        held = self.share.held
+        exceeded = held > 0 and held + length > _MAX_SHARE
+        if exceeded or parser.they_are_waiting_for_100_continue:
+            await self.wait_for_turn()
+
+    def _take(self, limit: int) -> bytes:
+        taken = self._rest[:limit]
+        self._rest = self._rest[limit:]
+        return taken
+
+
+@dataclass(slots=True)
+class _BodyReading:
+    """Read the body of one request within the budget."""
+
+    reader: RequestReader
+    parser: h11.Connection
+    limits: CallerLimits
+    # None if the length was not announced.
+    expected: int | None
+    buffer: BodyBuffer = field(init=False)
+    lease: BodyLease = field(init=False)
+    # Cancelled if the body takes too long or has to give way.
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    def __post_init__(self) -> None:
+        """Begin to count the body."""
+        self.buffer = BodyBuffer(self.expected or 0)
+        self.lease = self.reader.open_lease(self._give_way)
+
+    async def read(
+        self, head: h11.Request, event: object
     ) -> HttpRequest | BadInput | None:
-        body = bytearray()
-        event: object = parser.next_event()
-        scope = trio.CancelScope()
-        if not isinstance(event, h11.EndOfMessage):
-            scope = trio.move_on_after(_BODY_TIMEOUT)
-            with scope:
-                event = await self._receive_body(parser, event, body, limits)
-        if scope.cancelled_caught:
-            return BadInput(ResultCode.body_slow, HTTPStatus.REQUEST_TIMEOUT)
-        if len(body) > limits.body_bytes:
-            return _TOO_LARGE
-        if not isinstance(event, h11.EndOfMessage):
-            return None
+        """Return the whole request; None if the caller has closed."""
+        with ExitStack() as stack:
+            stack.callback(self.lease.close)
+            stack.callback(self.buffer.drop)
+            ended = await self._receive_in_time(event)
+            if isinstance(ended, BadInput):
+                return ended
+            if not isinstance(ended, h11.EndOfMessage):
+                return None
+            stack.pop_all()
+        self.lease.resize(self.buffer.length, trio.current_time())
+        self.lease.finish()
+        self.reader.lease = self.lease
         headers = tuple(head.headers)
-        return HttpRequest(head.method, head.target, headers, bytes(body))
-
-    async def _receive_body(
-        self,
-        parser: h11.Connection,
-        event: object,
-        body: bytearray,
-        limits: CallerLimits,
-    ) -> object:
-        """Add a body up to its limit; return the event that ends it."""
-        if event is h11.NEED_DATA:
-            event = await self._receive_event(parser)
-        while isinstance(event, h11.Data) and len(body) <= limits.body_bytes:
-            body += event.data
-            event = await self._receive_event(parser)
+        body = self.buffer.finish()
+        return HttpRequest(head.method, head.target, headers, body)
+
+    def _give_way(self) -> None:
+        self.buffer.drop()
+        self.scope.cancel()
+
+    async def _receive_in_time(self, event: object) -> object:
+        # A part of the body may have arrived with the head.
+        if not self._resize(self.expected or _HEAD_PIECE):
+            return NO_ROOM
+        self.scope.deadline = trio.current_time() + _BODY_TIMEOUT
+        with self.scope:
+            if self.parser.they_are_waiting_for_100_continue:
+                await self._write_continue()
+            return await self._receive(event)
+        return NO_ROOM if self.lease.evicted else _TOO_SLOW
+
+    async def _receive(self, event: object) -> object:
+        """Return the event that ends the body, or why it is refused."""
+        parts = 0
+        while event is h11.NEED_DATA or isinstance(event, h11.Data):
+            if isinstance(event, h11.Data):
+                parts += 1
+                bad = self._add(event.data)
+            else:
+                bad = await self._fetch()
+            if bad is not None:
+                return bad
+            if parts >= _PARTS_IN_TURN:
+                parts = 0
+                await self.reader.budget.take_turn()
+            event = self.parser.next_event()
         return event
 
-    async def _receive_event(self, parser: h11.Connection) -> object:
-        while True:
-            event = parser.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            received = await self.stream.receive_some(_CHUNK_BYTES)
-            parser.receive_data(received)
-
-    async def _write_continue(self, parser: h11.Connection) -> None:
-        await self.wait_for_turn()
+    def _add(self, received: bytes) -> BadInput | None:
+        if self.lease.evicted:
+            return NO_ROOM
+        if self.buffer.length + len(received) > self.limits.body_bytes:
+            return _TOO_LARGE
+        self.buffer.add(received)
+        return None
+
+    async def _fetch(self) -> BadInput | None:
+        """Pass received bytes to the parser, none behind the body."""
+        if self.expected is not None:
+            left = self.expected - self.buffer.length
+            self.parser.receive_data(await self.reader.fetch(left))
+            return None
+        share = self.reader.share
+        if share.held > max(_MAX_SHARE, self.lease.size):
+            await self.reader.wait_for_turn()
+        piece = await self.reader.fetch(_CHUNKED_PIECE)
+        kept = len(piece) + self.reader.count_rest()
+        if not self._resize(self.buffer.length + kept):
+            return NO_ROOM
+        self.parser.receive_data(piece)
+        return None
+
+    def _resize(self, size: int) -> bool:
+        return self.lease.resize(size, trio.current_time())
+
+    async def _write_continue(self) -> None:
         head = h11.InformationalResponse(status_code=100, headers=[])
-        encoded = parser.send(head)
+        encoded = self.parser.send(head)
         if encoded:
-            await self.stream.send_all(encoded)
+            await self.reader.stream.send_all(encoded)
 
 
 _TOO_LARGE = BadInput(
     ResultCode.body_too_large, HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 )
+_TOO_SLOW = BadInput(ResultCode.body_slow, HTTPStatus.REQUEST_TIMEOUT)
+# Bodies that are sent too slowly give way by then.
+NO_ROOM = BadInput(
+    ResultCode.memory_bound, HTTPStatus.SERVICE_UNAVAILABLE, MIN_AGE
+)
 
 
 def _check_head(head: h11.Request, limits: CallerLimits) -> BadInput | None:
-    headers = tuple(head.headers)
     if _measure_head(head) > limits.header_bytes:
         return BadInput(
             ResultCode.header_too_large,
             HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
         )
-    declared = find_header(headers, _LENGTH)
-    if declared is not None and int(declared) > limits.body_bytes:
+    length = _find_length(head)
+    if length is not None and length > limits.body_bytes:
         return _TOO_LARGE
     return None
 
 
+def _find_length(head: h11.Request) -> int | None:
+    declared = find_header(tuple(head.headers), _LENGTH)
+    return None if declared is None else int(declared)
+
+
 def _measure_head(head: h11.Request) -> int:
     # The parser limits only heads that arrive in several chunks.
     size = len(head.method) + len(head.target)
--- a/trefoilsaddle/platform/settings.py
+++ b/trefoilsaddle/platform/settings.py
@@ -23,6 +23,7 @@
 # the call and 0.3 ms for checking 97 ranges were measured, and a quarter of the
 # machine is reserved for these calls.
 _ORDER_PROCESSOR_TIME = 0.0028
+_MEGABYTE = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +81,9 @@
     cores: float = Field(default=2, strict=False, gt=0)
     # Bandwidth of the machine's link in Mbit/s, in each direction.
     link_rate: float = Field(default=1000, alias='linkMbps', strict=False)
+    # Memory in MB, above which the machine ends the process, and descriptors.
+    memory: float = Field(default=300, alias='memoryMb', strict=False, gt=0)
+    descriptors: int = Field(default=4096, alias='maxFds', gt=0)
 
 
 class _WireSettings(WireModel):
@@ -110,6 +114,9 @@
     store: Address
     # Number of partitions of each topic.
     partitions: int
+    # Bytes of memory, and number of descriptors, of the machine.
+    memory: int
+    descriptors: int
 
 
 def read_settings(path: Path, run: int) -> GatewaySettings | Failure:
@@ -140,6 +147,8 @@
         metrics=Address(wire.ip, metrics),
         store=wire.platform.address,
         partitions=wire.platform.parts,
+        memory=int(wire.limits.memory * _MEGABYTE),
+        descriptors=wire.limits.descriptors,
     )
 
 
--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -1,5 +1,7 @@
 """Run a gateway process: listeners, signals and settings."""
 
+from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
 from functools import partial
 from pathlib import Path
 from random import SystemRandom
@@ -19,7 +21,9 @@
 from trefoilsaddle.http import sockets
 from trefoilsaddle.http.budget import AnswerBudget
 from trefoilsaddle.http.callers import CallerConnection
+from trefoilsaddle.http.connections import OpenConnections
 from trefoilsaddle.http.pipeline import CallerService
+from trefoilsaddle.http.requestbodies import BodyBudget, build_body_budget
 from trefoilsaddle.http.unanswered import UnansweredCount
 from trefoilsaddle.platform.settings import (
     Address,
@@ -32,6 +36,7 @@
 from trefoilsaddle.results import ResultCode
 
 _RUN_BITS = 48
+_Serve = Callable[[trio.SocketStream], Awaitable[None]]
 
 
 def run_gateway(path: Path) -> Failure | None:
@@ -74,30 +79,37 @@
     settings: GatewaySettings,
     nursery: trio.Nursery,
 ) -> Failure | None:
+    for address, serve_connection in _list_served(shell, settings):
+        listener = sockets.listen(address.host, address.port)
+        if listener is None:
+            reason = f'{address.host}:{address.port} is not free'
+            return Failure(ResultCode.settings_invalid, reason)
+        serve = partial(shell.containment.run, 'connection', serve_connection)
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+    return None
+
+
+def _list_served(
+    shell: GatewayShell, settings: GatewaySettings
+) -> tuple[tuple[Address, _Serve], ...]:
+    """List the addresses of the process and what serves connections there."""
     calls = shell.calls
     budget = calls.servers.budget
+    serve = partial(serve_caller, bodies=shell.bodies)
     # Probes do not hold a process that stops.
     serve_probe = partial(
-        serve_caller, ReadinessService(shell), budget, UnansweredCount()
+        serve, ReadinessService(shell), budget, UnansweredCount()
+    )
+    serve_call = partial(
+        serve, calls, budget, calls.unanswered, opened=shell.callers
     )
     peers = Address(settings.options.host, settings.options.port)
-    served = (
-        (
-            settings.callers,
-            partial(serve_caller, calls, budget, calls.unanswered),
-        ),
+    return (
+        (settings.callers, serve_call),
         (settings.ready, serve_probe),
         (settings.metrics, serve_probe),
         (peers, shell.controller.serve),
     )
-    for address, serve_connection in served:
-        listener = sockets.listen(address.host, address.port)
-        if listener is None:
-            reason = f'{address.host}:{address.port} is not free'
-            return Failure(ResultCode.settings_invalid, reason)
-        serve = partial(shell.containment.run, 'connection', serve_connection)
-        nursery.start_soon(trio.serve_listeners, serve, [listener])
-    return None
 
 
 async def serve_caller(
@@ -105,10 +117,20 @@
     budget: AnswerBudget,
     count: UnansweredCount,
     stream: trio.SocketStream,
+    *,
+    bodies: BodyBudget | None = None,
+    opened: OpenConnections | None = None,
 ) -> None:
     """Serve a connection of a caller, or of the platform."""
     sockets.set_caller_options(stream)
-    await CallerConnection(service, stream, budget, count).serve()
+    bodies = bodies or build_body_budget()
+    connection = CallerConnection(service, stream, budget, count, bodies)
+    with ExitStack() as stack:
+        if opened is not None:
+            if not opened.add(connection):
+                connection.displace()
+            stack.callback(opened.remove, connection)
+        await connection.serve()
 
 
 async def _watch_signals(shell: GatewayShell, path: Path) -> None:
--- a/trefoilsaddle/programs/gatewaycalls.py
+++ b/trefoilsaddle/programs/gatewaycalls.py
@@ -32,7 +32,7 @@
 from trefoilsaddle.gateway.servers import ServerIncarnation
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.http.budget import AnswerBudget
-from trefoilsaddle.http.connectionend import ConnectionEnd
+from trefoilsaddle.http.connectionend import ConnectionEnd, EndReason
 from trefoilsaddle.http.exchange import AnswerMatcher
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.pipeline import CallerService
@@ -73,6 +73,10 @@
 )
 
 
+def _count_nothing(kind: str, reason: str) -> None:
+    """Keep no metrics."""
+
+
 @dataclass(slots=True)
 class _PendingCall:
     request: HttpRequest
@@ -168,6 +172,8 @@
     feed: Callable[[Event], None]
     nursery: trio.Nursery
     containment: Containment
+    # Increments the counter of a kind of event, by its reason.
+    count: Callable[[str, str], None] = _count_nothing
     servers: Servers = field(init=False)
     unanswered: UnansweredCount = field(default_factory=UnansweredCount)
     pending: dict[CallId, _PendingCall] = field(default_factory=dict)
@@ -213,20 +219,34 @@
         with ExitStack() as held:
             pending = _PendingCall(request, head, held, self.servers.budget)
             self.pending[call] = pending
-            held.callback(self._forget_call, call, pending)
+            held.callback(_forget_call, self, call, pending)
             await self._wait_for_end(call, pending)
         return pending.answer
 
     def refuse(self, bad: BadInput) -> HttpAnswer:
         """Build the answer to an invalid request."""
-        text = RefusalText(bad.status, 0, bad.code.name)
+        text = RefusalText(bad.status, bad.retry_after, bad.code.name)
         return self.dialect.build_refusal(text, '')
 
     def record_end(self, end: ConnectionEnd) -> None:
-        """Log the end of a connection that left requests unanswered."""
-        if end.lost_bytes:
+        """Log an end that left requests unanswered or made room."""
+        displaced = end.reason is EndReason.displaced
+        if displaced:
+            self.count('connection_closed', end.reason.name)
+        if displaced or end.lost_bytes:
             self.containment.write(_build_end_line(end))
 
+    def record_refusal(self, bad: BadInput) -> None:
+        """Log and count a request that was refused while it arrived."""
+        self.count('refused', bad.code.name)
+        self.containment.write(
+            log_event(
+                Component.forwarding,
+                'request refused as it arrived',
+                reason=bad.code.name,
+            )
+        )
+
     def set_timer(self, effect: SetCallTimer) -> None:
         """Set the time at which a request expires."""
         pending = self.pending.get(effect.call)
@@ -266,14 +286,6 @@
         pending.answer = self.dialect.build_refusal(text, request_id)
         pending.ended.set()
 
-    def _forget_call(self, call: CallId, pending: _PendingCall) -> None:
-        """Report to the reducer if the caller leaves before the answer."""
-        self.pending.pop(call)
-        pending.ended.set()
-        if pending.answer is None:
-            self.feed(CallerLeft(call))
-            _cancel_scopes(pending)
-
     async def _wait_for_end(self, call: CallId, pending: _PendingCall) -> None:
         self.feed(RequestArrived(call, pending.head))
         if pending.ended.is_set():
@@ -340,6 +352,17 @@
     )
 
 
+def _forget_call(
+    calls: GatewayCalls, call: CallId, pending: _PendingCall
+) -> None:
+    """Report to the reducer if the caller leaves before the answer."""
+    calls.pending.pop(call)
+    pending.ended.set()
+    if pending.answer is None:
+        calls.feed(CallerLeft(call))
+        _cancel_scopes(pending)
+
+
 def _give_up(calls: GatewayCalls, call: CallId, pending: _PendingCall) -> None:
     # A step of the reducer has failed: the request may have run.
     _cancel_scopes(pending)
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -40,6 +40,14 @@
 from trefoilsaddle.gateway.reducer import reduce
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gatewaymetrics import GatewayMetrics
+from trefoilsaddle.http.connections import (
+    OpenConnections,
+    count_caller_connections,
+)
+from trefoilsaddle.http.requestbodies import (
+    build_body_budget,
+    find_answer_room,
+)
 from trefoilsaddle.platform.dialect import PlatformDialect
 from trefoilsaddle.platform.orders import PlatformOrders
 from trefoilsaddle.platform.settings import GatewaySettings
@@ -103,7 +111,21 @@
             orders, self.metrics, self.feed, nursery, self.containment
         )
         self.calls = GatewayCalls(
-            gateway, PlatformDialect(), self.feed, nursery, self.containment
+            gateway,
+            PlatformDialect(),
+            self.feed,
+            nursery,
+            self.containment,
+            self.metrics.count,
+        )
+        # Limit what callers can make the process hold.
+        self.bodies = build_body_budget(settings.memory)
+        self.callers = OpenConnections(
+            count_caller_connections(settings.descriptors)
+        )
+        answers = self.calls.servers.budget
+        answers.max_total = min(
+            answers.max_total, find_answer_room(settings.memory)
         )
         decode_configuration = self._store.decode_configuration
         self.controller = ControllerServer(self.feed, decode_configuration)
--- a/trefoilsaddle/programs/readiness.py
+++ b/trefoilsaddle/programs/readiness.py
@@ -59,4 +59,8 @@
         metrics.show_state('parked_requests', len(gateway.parked))
         metrics.show_state('configuration', gateway.version)
         metrics.show_state('servers', len(gateway.registry.servers))
+        metrics.show_state('body_bytes', self._shell.bodies.held)
+        metrics.show_state(
+            'caller_connections', len(self._shell.callers.opened)
+        )
         metrics.show_state('controller', int(gateway.control.leading))
