--- a/tests/test_gatewaybodies.py
+++ b/tests/test_gatewaybodies.py
@@ -16,6 +16,7 @@
 from trefoilsaddle.gateway.configuration import CallerLimits
 from trefoilsaddle.gateway.effects import WriteDecision
 from trefoilsaddle.gateway.state import build_gateway
+from trefoilsaddle.http.budget import AnswerBudget
 from trefoilsaddle.http.connectionend import ConnectionEnd, EndReason
 from trefoilsaddle.http.connections import (
     Activity,
@@ -24,7 +25,7 @@
     count_caller_connections,
 )
 from trefoilsaddle.http.messages import HttpAnswer, HttpRequest
-from trefoilsaddle.http.pipeline import CallerService
+from trefoilsaddle.http.pipeline import CallerService, Exchange, Pipeline
 from trefoilsaddle.http.requestbodies import (
     SMALL_BODY,
     BodyBudget,
@@ -35,7 +36,8 @@
     find_answer_room,
     find_room,
 )
-from trefoilsaddle.http.requests import NO_ROOM, BadInput
+from trefoilsaddle.http.requests import NO_ROOM, BadInput, ReceivedRequest
+from trefoilsaddle.http.unanswered import UnansweredCount
 from trefoilsaddle.platform.dialect import PlatformDialect
 from trefoilsaddle.programs.containment import Containment
 from trefoilsaddle.programs.gatewaycalls import GatewayCalls
@@ -606,3 +608,22 @@
     assert counted[0] == ('refused', 'memory_bound')
     assert counted[1:] == list(noted)
     assert len(lines) == len(counted)
+
+
+# Unanswered requests of the connection and of all, and whether it is read on.
+_AHEAD = ((0, 5000, False), (1, 1023, False), (1, 1024, True), (16, 16, True))
+
+
+# Guards against requests sent ahead on many connections that exceed the memory.
+@pytest.mark.parametrize(('own', 'of_all', 'full'), _AHEAD)
+def test_requests_ahead_are_bounded(
+    own: int, of_all: int, *, full: bool
+) -> None:
+    """Read one request at a time while all connections hold too many."""
+    count = UnansweredCount(of_all)
+    pipeline = Pipeline(_Service(), AnswerBudget(), count)
+    request = HttpRequest(b'GET', b'/', ())
+    for _ in range(own):
+        received = ReceivedRequest(request, h11.Connection(h11.SERVER), 0)
+        pipeline.unanswered.append(Exchange(received))
+    assert pipeline.is_full() is full
--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -102,11 +102,7 @@
                 await self._answer_requests(nursery)
                 nursery.cancel_scope.cancel()
             if self._closed:
-                refused = self._reason is EndReason.refused
-                await _wait_until_closed(
-                    self.stream,
-                    _REFUSED_LINGER_TIMEOUT if refused else _LINGER_TIMEOUT,
-                )
+                await _wait_until_closed(self._reader, self._reason)
 
     def find_standing(self) -> Standing:
         """Return what the connection is doing, and since when."""
@@ -277,9 +273,13 @@
 
 
 async def _wait_until_closed(
-    stream: trio.SocketStream, timeout: Seconds
+    reader: RequestReader, reason: EndReason | None
 ) -> None:
     """Let the caller read the last answer and close the connection."""
+    reader.drop_rest()
+    stream = reader.stream
+    refused = reason is EndReason.refused
+    timeout = _REFUSED_LINGER_TIMEOUT if refused else _LINGER_TIMEOUT
     with (
         trio.move_on_after(timeout),
         suppress(trio.BrokenResourceError, trio.ClosedResourceError),
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -42,6 +42,8 @@
 # Bytes.  Larger requests are sent while the answer is being read: a server may
 # answer before it has read the whole request, and then read no more of it.
 _MAX_UNREAD_SEND = 4096
+# Bytes of a body that are copied behind the head of its request.
+_MAX_COPIED = 65_536
 # Extra time to read an answer that has started to arrive when the timeout
 # expires.
 _LATE_READ_TIMEOUT = Seconds(0.05)
@@ -105,9 +107,15 @@
             body = h11.Data(data=cast(bytes, request.body))
             parts.extend(self.parser.send_with_data_passthrough(body) or ())
         parts.append(self.parser.send(h11.EndOfMessage()))
-        if len(request.body) > _MAX_UNREAD_SEND:
-            return tuple(part for part in parts if part)
-        return (b''.join(part for part in parts if part),)
+        if len(request.body) <= _MAX_COPIED:
+            return (b''.join(part for part in parts if part),)
+        # A server that answers before it has read the body often gets it at
+        # once, so that the connection can be used again.
+        encoded, first, *rest = parts
+        view = memoryview(first)
+        start = encoded + bytes(view[:_MAX_COPIED])
+        split: list[bytes | memoryview] = [start, view[_MAX_COPIED:], *rest]
+        return tuple(part for part in split if part)
 
     def record_sent(self) -> None:
         """Record that the whole request was written."""
--- a/trefoilsaddle/http/pipeline.py
+++ b/trefoilsaddle/http/pipeline.py
@@ -23,6 +23,9 @@
 # bodies; above them nothing more is read.
 _MAX_UNANSWERED = 16
 _MAX_UNANSWERED_BYTES = 262_144
+# Unanswered requests of all connections above which each connection reads only
+# one at a time.
+_MAX_UNANSWERED_BY_ALL = 1024
 
 
 class CallerService(ABC):
@@ -136,6 +139,8 @@
 
     def is_full(self) -> bool:
         """Return whether no more requests may be read."""
+        if self.unanswered and self.count.count >= _MAX_UNANSWERED_BY_ALL:
+            return True
         held = sum(exchange.count_bytes() for exchange in self.unanswered)
         return (
             len(self.unanswered) >= _MAX_UNANSWERED
--- a/trefoilsaddle/http/requests.py
+++ b/trefoilsaddle/http/requests.py
@@ -139,6 +139,10 @@
         """Return whether bytes behind the last request have arrived."""
         return bool(self._rest)
 
+    def drop_rest(self) -> None:
+        """Free the bytes behind the last request of the connection."""
+        self._rest = b''
+
     async def wait_for_end(self, scope: trio.CancelScope) -> bool:
         """Keep early bytes until the scope ends; return False if all came."""
         lease = self.open_lease(scope.cancel)
