Read answers slowly after many events of their parser

Cause: answers of one-byte chunks without end took one turn of the event loop after the other, and with it most of the processor's time.

Change: after 1,024 events an answer goes on after a pause of 4 ms, one such answer of a budget a pause. Other answers do not wait for these pauses.

--- a/tests/test_gatewayturns.py
+++ b/tests/test_gatewayturns.py
@@ -1,5 +1,6 @@
 """Test that the work on answers is bounded in one turn of the event loop."""
 
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -114,6 +115,27 @@
     assert max(sums[len(sums) // 2 :]) <= _MAX_SHARED_EVENTS
 
 
+# Events of an answer before its reading is slowed down, and the bound for all
+# answers together after that, a second.
+_FAST_EVENTS = 1100
+_SLOW_EVENTS_PER_S = 8000
+
+
+# Guards against answers that take all the time of the processor: requests to
+# sound servers are then unanswered after their timeout.
+def test_work_on_endless_answers_is_slowed_down(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Bound the events of endless answers by the time that they take."""
+    number = 4
+    turns = _count_work(monkeypatch)
+    started = time.monotonic()
+    trio.run(_read_answers, _STEPS['one-byte-chunks'], number, turns)
+    elapsed = time.monotonic() - started
+    slowed = sum(turns.events.values()) - number * _FAST_EVENTS
+    assert slowed <= _SLOW_EVENTS_PER_S * elapsed
+
+
 _LONG_HEAD = b'x-a: b\r\n' * 7000
 _HEADS = {
     'head': b'%b%bcontent-length: 0\r\n\r\n' % (_STATUS, _LONG_HEAD),
--- a/trefoilsaddle/http/budget.py
+++ b/trefoilsaddle/http/budget.py
@@ -12,6 +12,9 @@
 # Default limit on all answers together: the smallest machines have 200 MB, of
 # which the process itself uses 60 MB and half is left free.
 _MAX_HELD_BYTES = 50_331_648
+# Pause in seconds between two parts of the work on slow answers; a part takes
+# about 1 ms.
+_SLOW_PAUSE = 0.004
 
 
 class TooLargeError(Exception):
@@ -31,15 +34,22 @@
     traffic: ByteCount = field(default_factory=ByteCount)
     # Passed on in the order of arrival, to one task in each turn of the loop.
     _turn: trio.Lock = field(default_factory=trio.Lock)
+    _slow_turn: trio.Lock = field(default_factory=trio.Lock)
 
-    async def wait_for_turn(self) -> None:
+    async def wait_for_turn(self, *, slow: bool) -> None:
         """Let other tasks run, before an answer takes more work.
 
         Answers that take much work are continued one in each turn of the event
-        loop, so that many of them delay it no more than one does.
+        loop, so that many of them delay it no more than one does.  Slow ones
+        are continued one after each pause, so that they leave most of the
+        processor's time to other requests.
         """
-        async with self._turn:
-            return
+        if slow:
+            async with self._slow_turn:
+                await trio.sleep(_SLOW_PAUSE)
+        else:
+            async with self._turn:
+                return
 
     def hold(self, count: int) -> 'AnswerReservation':
         """Count bytes already in memory until the block ends."""
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -30,6 +30,8 @@
 # Limit on the events of the parser between two turns of the event loop; they
 # take about 1 ms.  64 KB of one-byte chunks are 10,900 events.
 _MAX_EVENTS_IN_TURN = 32
+# Events of an answer after which it is read slowly: 1 MB in chunks of 1 KB.
+_MAX_FAST_EVENTS = 1024
 # Limit on an incomplete head, chunk header or trailer section: the platform's
 # limit on a caller's head.
 _MAX_HEAD_BYTES = 16_384
@@ -196,7 +198,8 @@
     async def _count_event(self) -> None:
         self.events += 1
         if self.events % _MAX_EVENTS_IN_TURN == 0:
-            await self.reservation.budget.wait_for_turn()
+            slow = self.events > _MAX_FAST_EVENTS
+            await self.reservation.budget.wait_for_turn(slow=slow)
 
     def _parse_event(self) -> object:
         try:
