--- a/trefoilsaddle/gateway/admission.py
+++ b/trefoilsaddle/gateway/admission.py
@@ -155,7 +155,6 @@
 
     own: float = 0
     fleet: float = 0
-    updated_at: Seconds = Seconds(0)
 
     def add(self, own: float, fleet: float) -> None:
         """Add the requests at the servers, by the newest reports."""
