--- a/trefoilsaddle/gateway/admission.py
+++ b/trefoilsaddle/gateway/admission.py
@@ -83,8 +83,14 @@
 
 
 def answers_in_time(demand: Demand, room: ServerRoom) -> bool:
-    """Return whether a server is expected to answer before the request ends."""
-    waiting = max(room.busy + 1 - room.slots, 0) / room.slots
+    """Return whether a server is expected to answer before the request ends.
+
+    A free slot is used whatever is expected: a server that was measured while
+    it was slow would get no request that shows that it is not any more.
+    """
+    if room.busy + 1 <= room.slots:
+        return True
+    waiting = (room.busy + 1 - room.slots) / room.slots
     return room.mean_time * waiting + room.own_time <= demand.left
 
 
