--- a/trefoilsaddle/gateway/admission.py
+++ b/trefoilsaddle/gateway/admission.py
@@ -21,8 +21,11 @@
 
 # Requests per slot at a server: its slots have to stay in use between two
 # updates, and servers reset connections from five per slot.
-_MIN_DEPTH = 2
+_MIN_DEPTH = 1.5
 _MAX_DEPTH = 3
+# A request's own time at a server that is still within the goal, as a multiple of
+# what is expected: half as long again for two thirds of them.
+_OWN_TIME_FACTOR = 1.5
 _MIN_TIME = Seconds(0.001)
 # Time over which the room that is left is given out; the loads are up to half as
 # old, and a shorter time would overshoot.
@@ -78,7 +81,8 @@
 def find_admitted_depth(demand: Demand, room: ServerRoom) -> float:
     """Return how many requests a slot may hold, including waiting ones."""
     mean = max(room.mean_time, _MIN_TIME)
-    depth = (demand.find_limit() - room.own_time) / mean + 1
+    own = room.own_time * _OWN_TIME_FACTOR
+    depth = (demand.find_limit() - own) / mean + 1
     return min(max(depth, _MIN_DEPTH), _MAX_DEPTH)
 
 
