--- a/review/7/case.py
+++ b/review/7/case.py
@@ -25,8 +25,10 @@
 UPSTREAM = '127.71.1.1'
 MACHINE = '127.71.2.1'
 CONSUMERS = 4
-# Bytes of the first answer: more than the buffers of a connection hold.
-LARGE = 3_000_000
+# Bytes of the first answer, and of a consumer's receive buffer: links of the
+# platform have small windows, so that one who does not read blocks the writer.
+LARGE = 200_000
+WINDOW = 4096
 # Time of the work of each request, in seconds.
 WORK = 0.4
 # The consumers send the first request at 0 s; SIGTERM follows, then the second
@@ -74,7 +76,7 @@
     async def run(self, gateway: lab.Gateway) -> None:
         """Send, wait, send ahead, and read slowly."""
         connection = socket.socket()
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW)
         connection.setblocking(False)
         loop = asyncio.get_running_loop()
         await loop.sock_connect(connection, (gateway.ip, gateway.front))
