--- a/review/slow2.py
+++ b/review/slow2.py
@@ -21,12 +21,8 @@
 # Links of the platform have small windows, so that one who does not read blocks
 # the writer: bytes of a consumer's receive buffer.
 WINDOW = 4096
-# Time of the work of each request, in seconds.
-WORK = 0.4
-# Time budget of each request, counted from when it is sent, and the time that a
-# consumer takes to read the first answer.
-BUDGET = 4.0
-READING = 1.0
+# Time that a consumer takes to read the first answer, in seconds.
+READING = 0.5
 PIECE = 65_536
 # The machine is in touch, and the store stable, after `stableWindow` (3 s).
 CALM = 3.5
@@ -43,6 +39,9 @@
     method: str
     target: str
     answer: int
+    # Time of the work of each request, and its time budget from when it is sent.
+    work: float
+    budget: float
     stop_at: float
     second_at: float
     read_at: float
@@ -98,7 +97,7 @@
         try:
             await self._send(connection, 2, 'GET', '/reads/small')
             await asyncio.sleep(plan.read_at - plan.second_at)
-            async with asyncio.timeout(BUDGET):
+            async with asyncio.timeout(plan.budget):
                 await self._read(connection)
         except TimeoutError:
             end = 'the time budget has passed'
@@ -108,7 +107,7 @@
             connection.close()
         now = time.monotonic()
         for name, moment in self.sent_at.items():
-            if now - moment >= BUDGET:
+            if now - moment >= plan.budget:
                 self.late.add(name)
         self.record.note(f'consumer {self.number}: {end}')
 
@@ -117,7 +116,7 @@
     ) -> None:
         headers = {
             'X-Attempt-Id': self.name(place),
-            'X-Deadline-Ms': str(int(BUDGET * 1000)),
+            'X-Deadline-Ms': str(int(self.plan.budget * 1000)),
         }
         if method == 'POST':
             headers['Content-Length'] = '0'
@@ -169,7 +168,7 @@
         plan.upstream,
         port,
         slots=6,
-        work=WORK,
+        work=plan.work,
         target=plan.target,
         answer=plan.answer,
     )
