--- a/review/6/case.py
+++ b/review/6/case.py
@@ -24,8 +24,8 @@
     work=0.2,
     budget=2.0,
     stop_at=0.1,
-    second_at=1.4,
-    read_at=1.5,
+    second_at=1.6,
+    read_at=1.65,
 )
 
 if __name__ == '__main__':
