Keep a connection open until its last answer is delivered

Cause: the gateway closed a connection one second after the last answer was written, whatever the kernel still held of it. What the caller sent afterwards reached a closed socket, whose reset destroyed the rest. Ruled out: the exit of the process (4.4 s of the grace were left), and unread bytes at the close (they were discarded).

A module owns the time from the last answer to the close. It asks the kernel what is unacknowledged, and closes after the second only if that is nothing; else once it is delivered, or the caller's deadline has passed. A stop still ends in its grace, as the exit does not wait beyond it. A caller that closes by its own word gets the same care, and a connection gives way to others only once its last answer is written.

--- a/tests/callerservice.py
+++ b/tests/callerservice.py
@@ -1,5 +1,6 @@
 """Serve one connection of a caller with a service of a test."""
 
+import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -21,25 +22,35 @@
     use: _Use,
     count: UnansweredCount | None = None,
     bodies: BodyBudget | None = None,
+    window: int = 0,
 ) -> None:
-    """Let a test use a connection to the service."""
+    """Let a test use a connection to the service.
+
+    The window limits the bytes that the test's end receives unread.
+    """
     serve = partial(
         _serve,
         service,
         count or UnansweredCount(),
         bodies or build_body_budget(),
     )
-    trio.run(_run, serve, use)
+    trio.run(_run, serve, use, window)
 
 
-async def _run(serve: _Use, use: _Use) -> None:
+async def _run(serve: _Use, use: _Use, window: int) -> None:
     listeners = await trio.open_tcp_listeners(0, host=_HOST)
     port = listeners[0].socket.getsockname()[1]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(trio.serve_listeners, serve, listeners)
         with trio.fail_after(_LIVENESS_BOUND):
-            stream = await trio.open_tcp_stream(_HOST, port)
-            await use(stream)
+            connection = trio.socket.socket()
+            if window:
+                # The other end learns the window as the connection is opened.
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, window
+                )
+            await connection.connect((_HOST, port))
+            await use(trio.SocketStream(connection))
         nursery.cancel_scope.cancel()
 
 
--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -10,8 +10,8 @@
 read, or if the caller has closed it.
 """
 
-from contextlib import ExitStack, suppress
-from dataclasses import dataclass, field
+from contextlib import ExitStack
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 from math import inf
 
@@ -23,6 +23,7 @@
 from trefoilsaddle.http.budget import AnswerBudget
 from trefoilsaddle.http.connectionend import EndReason, find_reason
 from trefoilsaddle.http.connections import Activity, Standing
+from trefoilsaddle.http.lingering import Lingering, build_lingering
 from trefoilsaddle.http.messages import Headers, HttpAnswer
 from trefoilsaddle.http.pipeline import CallerService, Exchange, Pipeline
 from trefoilsaddle.http.requestbodies import BodyBudget, build_body_budget
@@ -37,14 +38,6 @@
 _LENGTH = b'content-length'
 # Limit on sending an answer to a caller that reads slowly.
 _WRITE_TIMEOUT = Seconds(10)
-# Time for which the caller may read the last answer of a connection that this
-# end closes.  Bytes that arrive meanwhile are discarded: unread ones would reset
-# the connection, and with it the answer.
-_LINGER_TIMEOUT = Seconds(1)
-# The same after a refusal: many callers read it only once they have sent the
-# whole body.
-_REFUSED_LINGER_TIMEOUT = Seconds(3)
-_CHUNK_BYTES = 65_536
 # Larger answers are sent without being copied behind their heads.
 _MAX_JOINED = 65_536
 
@@ -67,8 +60,10 @@
     _changed: trio.Event = field(default_factory=trio.Event)
     # Set when the last unanswered request has its answer.
     _idle: trio.Event = field(default_factory=trio.Event)
-    # True once this end has closed the connection with an answer.
+    # True once an answer was chosen to be the last one.
     _closed: bool = False
+    # Set while the last answer, which was written, is delivered.
+    _lingering: Lingering | None = None
     # True once nothing more is read, as the service closes its connections.
     _ending: bool = False
     # Cancelled to let the reader look whether it may go on.
@@ -102,12 +97,15 @@
                 await self._answer_requests(nursery)
                 nursery.cancel_scope.cancel()
             if self._closed:
-                await _wait_until_closed(self._reader, self._reason)
+                self._lingering = build_lingering(
+                    self.stream, self._pipeline.find_limit()
+                )
+                await self._lingering.wait_until_closed()
 
     def find_standing(self) -> Standing:
         """Return what the connection is doing, and since when."""
         activity = Activity.waiting
-        if self._closed:
+        if self._lingering is not None:
             activity = Activity.ending
         elif self._pipeline.first is not None:
             activity = Activity.serving
@@ -120,7 +118,14 @@
 
     def _report_end(self) -> None:
         reason = self._reason or EndReason.interrupted
-        self.service.record_end(self._pipeline.describe_end(reason))
+        end = self._pipeline.describe_end(reason)
+        if self._lingering is not None:
+            end = replace(
+                end,
+                undelivered=self._lingering.undelivered,
+                discarded=self._lingering.discarded,
+            )
+        self.service.record_end(end)
 
     def _set_reason(self, reason: EndReason) -> None:
         self._reason = self._reason or reason
@@ -184,6 +189,7 @@
                 self._changed = trio.Event()
                 await self._changed.wait()
             more = await self._answer_next(nursery)
+        self._reader.drop_rest()
 
     async def _answer_next(self, nursery: trio.Nursery) -> bool:
         exchange = self._pipeline.first
@@ -251,6 +257,8 @@
         if self._pipeline.may_close():
             headers.append(_CLOSE)
             self._closed = True
+        # The parser adds the header if the caller closes by its own word.
+        self._closed = self._closed or received.is_last
         head = parser.send(_build_head(answer, tuple(headers))) or b''
         # The body has a length, so that it is sent as it is.
         parser.send(h11.Data(data=body))
@@ -272,24 +280,6 @@
     return HttpAnswer(answer.status, (*answer.headers, _CLOSE), answer.body)
 
 
-async def _wait_until_closed(
-    reader: RequestReader, reason: EndReason | None
-) -> None:
-    """Let the caller read the last answer and close the connection."""
-    reader.drop_rest()
-    stream = reader.stream
-    refused = reason is EndReason.refused
-    timeout = _REFUSED_LINGER_TIMEOUT if refused else _LINGER_TIMEOUT
-    with (
-        trio.move_on_after(timeout),
-        suppress(trio.BrokenResourceError, trio.ClosedResourceError),
-    ):
-        await stream.send_eof()
-        received = await stream.receive_some(_CHUNK_BYTES)
-        while received:
-            received = await stream.receive_some(_CHUNK_BYTES)
-
-
 def _build_head(answer: HttpAnswer, headers: Headers) -> h11.Response:
     return h11.Response(
         status_code=answer.status,
--- a/trefoilsaddle/http/connectionend.py
+++ b/trefoilsaddle/http/connectionend.py
@@ -40,12 +40,17 @@
     unwritten: int
     # Time since the oldest of them was received.
     oldest: Seconds
+    # Bytes of the last answer that were not delivered when the connection was
+    # closed (None if the system does not tell), and bytes that arrived behind it.
+    undelivered: int | None = 0
+    discarded: int = 0
 
     @property
     def lost_bytes(self) -> bool:
         """Return whether the caller may lack an answer."""
         timed_out = self.reason is EndReason.unacknowledged
-        return timed_out or self.unanswered > 0
+        undelivered = self.undelivered is None or self.undelivered > 0
+        return timed_out or undelivered or self.unanswered > 0
 
 
 def find_reason(error: Exception) -> EndReason:
--- a/trefoilsaddle/http/pipeline.py
+++ b/trefoilsaddle/http/pipeline.py
@@ -23,6 +23,8 @@
 # bodies; above them nothing more is read.
 _MAX_UNANSWERED = 16
 _MAX_UNANSWERED_BYTES = 262_144
+# Time for which a caller waits if it does not tell.
+_DEFAULT_PATIENCE = Seconds(10)
 # Unanswered requests of all connections above which each connection reads only
 # one at a time.
 _MAX_UNANSWERED_BY_ALL = 1024
@@ -53,6 +55,10 @@
     def refuse(self, bad: BadInput) -> HttpAnswer:
         """Build the answer to an invalid request."""
 
+    def read_patience(self, request: HttpRequest) -> Seconds:
+        """Return how long the caller waits for the answer to a request."""
+        return _DEFAULT_PATIENCE
+
     def record_end(self, end: ConnectionEnd) -> None:
         """Take note of how a connection ended."""
 
@@ -152,6 +158,16 @@
         # Whatever has been read is answered before.
         return len(self.unanswered) <= 1 and self.service.is_closing()
 
+    def find_limit(self) -> float | None:
+        """Return until when the first answer is wanted; None for a refusal."""
+        exchange = self.first
+        if exchange is None:
+            return None
+        request = exchange.received.request
+        if isinstance(request, BadInput):
+            return None
+        return exchange.received.at + self.service.read_patience(request)
+
     def leave(self) -> None:
         """Cancel all requests: the caller has closed the connection."""
         self.left = True
--- a/trefoilsaddle/http/sockets.py
+++ b/trefoilsaddle/http/sockets.py
@@ -4,7 +4,10 @@
 import select
 import socket
 import struct
+import sys
 from contextlib import ExitStack, suppress
+from fcntl import ioctl
+from termios import TIOCOUTQ
 
 import trio
 
@@ -16,6 +19,8 @@
 # answer is discarded while it is wanted.
 _MAX_UNACKNOWLEDGED_BY_CALLER_MS = 12_000
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+# Room for a C integer, as which the kernel returns the length of a queue.
+_QUEUE_LENGTH = bytes(struct.calcsize('i'))
 _BACKLOG = 1024
 # State of a TCP connection, in the first byte of its information: the other
 # end has sent its end of the stream, and no reset.
@@ -94,6 +99,21 @@
     return state[0] == _CLOSE_WAIT
 
 
+def count_undelivered(stream: trio.SocketStream) -> int | None:
+    """Return the bytes written that the other end has not acknowledged.
+
+    The end of the stream counts as one byte.  None if the system does not tell.
+    """
+    descriptor = stream.socket.fileno()
+    if descriptor < 0:
+        return 0
+    try:
+        queued = ioctl(descriptor, TIOCOUTQ, _QUEUE_LENGTH)
+    except OSError:
+        return None
+    return int.from_bytes(queued, sys.byteorder)
+
+
 def is_reset_after_end(error: Exception) -> bool:
     """Return whether writing failed after the other end ended the stream.
 
--- a/trefoilsaddle/programs/gatewaycalls.py
+++ b/trefoilsaddle/programs/gatewaycalls.py
@@ -220,7 +220,7 @@
             pending = _PendingCall(request, head, held, self.servers.budget)
             self.pending[call] = pending
             held.callback(_forget_call, self, call, pending)
-            await self._wait_for_end(call, pending)
+            await _wait_for_end(self, call, pending)
         return pending.answer
 
     def refuse(self, bad: BadInput) -> HttpAnswer:
@@ -228,6 +228,11 @@
         text = RefusalText(bad.status, bad.retry_after, bad.code.name)
         return self.dialect.build_refusal(text, '')
 
+    def read_patience(self, request: HttpRequest) -> Seconds:
+        """Return how long the caller waits for the answer to a request."""
+        head = self.dialect.read_head(request)
+        return Seconds(0) if isinstance(head, BadInput) else head.remaining
+
     def record_end(self, end: ConnectionEnd) -> None:
         """Log an end that left requests unanswered or made room."""
         displaced = end.reason is EndReason.displaced
@@ -286,17 +291,6 @@
         pending.answer = self.dialect.build_refusal(text, request_id)
         pending.ended.set()
 
-    async def _wait_for_end(self, call: CallId, pending: _PendingCall) -> None:
-        self.feed(RequestArrived(call, pending.head))
-        if pending.ended.is_set():
-            return
-        with trio.move_on_at(pending.expires):
-            await pending.ended.wait()
-        if not pending.ended.is_set():
-            self.feed(CallExpired(call))
-        if not pending.ended.is_set():
-            _give_up(self, call, pending)
-
     async def _run_attempt(
         self,
         pending: _PendingCall,
@@ -311,6 +305,20 @@
             self.feed(ended)
 
 
+async def _wait_for_end(
+    calls: GatewayCalls, call: CallId, pending: _PendingCall
+) -> None:
+    calls.feed(RequestArrived(call, pending.head))
+    if pending.ended.is_set():
+        return
+    with trio.move_on_at(pending.expires):
+        await pending.ended.wait()
+    if not pending.ended.is_set():
+        calls.feed(CallExpired(call))
+    if not pending.ended.is_set():
+        _give_up(calls, call, pending)
+
+
 async def _try_once(
     calls: GatewayCalls, pending: _PendingCall, effect: SendAttempt
 ) -> AttemptEnded:
@@ -349,6 +357,8 @@
         unanswered=end.unanswered,
         unwritten=end.unwritten,
         oldest=round(end.oldest, 3),
+        undelivered='unknown' if end.undelivered is None else end.undelivered,
+        discarded=end.discarded,
     )
 
 
