Read no request behind the answer that closes its connection

Cause: the task that writes the answer decided on the close; the task that reads had been allowed to read on before the stop and learnt nothing of it while it waited for bytes. Ruled out: that the request had been read before the decision (it was sent 0.4 s after the head of the answer). Evidence: a service under test is given two requests where one is allowed.

One object owns the decision now. It is made once, and cancels the reading in the same step; it is not made while a further request has arrived or has begun to arrive, which is answered instead. Refusals and callers that close by their own word go through it, too.

--- a/tests/test_gatewayclosing.py
+++ b/tests/test_gatewayclosing.py
@@ -17,6 +17,10 @@
 from trefoilsaddle.http.unanswered import UnansweredCount
 
 _ANSWER = b'a' * 12_000
+# More than the buffers of both ends hold, so that it is written for long.
+_LARGE_ANSWER = b'a' * 4_000_000
+_LARGE = b'/large'
+_WORK = 0.2
 _WINDOW = 4096
 _GET = b'GET /a HTTP/1.1\r\nhost: a\r\n\r\n'
 _LAST_GET = b'GET /a HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n'
@@ -54,9 +58,13 @@
     async def answer(
         self, request: HttpRequest, waited: Seconds
     ) -> HttpAnswer | None:
-        """Answer at once."""
+        """Answer at once, or after some work for a large answer."""
         self.requests += 1
-        return HttpAnswer(200, (), _ANSWER)
+        if request.target != _LARGE:
+            return HttpAnswer(200, (), _ANSWER)
+        await trio.sleep(_WORK)
+        self.closing = True
+        return HttpAnswer(200, (), _LARGE_ANSWER)
 
     def refuse(self, bad: BadInput) -> HttpAnswer:
         """Answer with the name of the result code."""
@@ -67,6 +75,10 @@
         self.ends.append(end)
 
 
+def _build_get(target: bytes = _LARGE) -> bytes:
+    return b'GET %b HTTP/1.1\r\nhost: a\r\n\r\n' % target
+
+
 async def _read_all(stream: trio.SocketStream) -> bytes:
     received = bytearray()
     async for part in stream:
@@ -179,3 +191,50 @@
 
     serve_caller(service, use, window=_WINDOW)
     assert service.ends[0].discarded > 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Behind:
+    """Bytes sent before the last answer is chosen, and while it is written."""
+
+    before: bytes
+    during: bytes
+    # Requests that are run and answered behind the first one.
+    answered: int
+
+
+_HALF = len(_POST) // 2
+_BODY_POST = b'POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody'
+_BEHIND = {
+    'nothing': _Behind(b'', b'', 0),
+    'idempotent': _Behind(b'', _GET, 0),
+    'not idempotent': _Behind(b'', _POST, 0),
+    'several': _Behind(b'', _GET * 5 + _POST, 0),
+    'a body': _Behind(b'', _BODY_POST, 0),
+    'nonsense': _Behind(b'', b'nonsense\r\n\r\n', 0),
+    'half a head': _Behind(_POST[:_HALF], _POST[_HALF:], 1),
+    'half a body': _Behind(_BODY_POST[:-2], _BODY_POST[-2:], 1),
+    'whole': _Behind(_GET, b'', 1),
+    'whole, and more': _Behind(_GET, _GET, 2),
+}
+
+
+# Guards against a request that is passed on while the answer that closes its
+# connection is written, and gets no answer.
+@pytest.mark.parametrize('case', _BEHIND.values(), ids=_BEHIND)
+def test_no_request_runs_behind_the_last_answer(case: _Behind) -> None:
+    """Answer what has begun to arrive by then, and start nothing later."""
+    service = _Service(closing=False)
+
+    async def use(stream: trio.SocketStream) -> None:
+        await stream.send_all(_build_get())
+        await _send_after(stream, _WORK / 4, case.before)
+        await _send_after(stream, _WORK * 2, case.during)
+        received = await _read_all(stream)
+        assert received.count(b'HTTP/1.1 200 ') == case.answered + 1
+        assert received.count(b'connection: close') == 1
+        assert received.endswith(_ANSWER)
+
+    serve_caller(service, use, window=_WINDOW)
+    assert service.requests == case.answered + 1
+    assert service.ends[0].unanswered == 0
--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -21,6 +21,7 @@
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.http import sockets
 from trefoilsaddle.http.budget import AnswerBudget
+from trefoilsaddle.http.closing import ConnectionClosing
 from trefoilsaddle.http.connectionend import EndReason, find_reason
 from trefoilsaddle.http.connections import Activity, Standing
 from trefoilsaddle.http.lingering import Lingering, build_lingering
@@ -56,16 +57,13 @@
     bodies: BodyBudget = field(default_factory=build_body_budget)
     _reader: RequestReader = field(init=False)
     _pipeline: Pipeline = field(init=False)
+    _closing: ConnectionClosing = field(init=False)
     # Set when the reader has read a request or has ended.
     _changed: trio.Event = field(default_factory=trio.Event)
     # Set when the last unanswered request has its answer.
     _idle: trio.Event = field(default_factory=trio.Event)
-    # True once an answer was chosen to be the last one.
-    _closed: bool = False
     # Set while the last answer, which was written, is delivered.
     _lingering: Lingering | None = None
-    # True once nothing more is read, as the service closes its connections.
-    _ending: bool = False
     # Cancelled to let the reader look whether it may go on.
     _pause: trio.CancelScope = field(default_factory=trio.CancelScope)
     # Why the connection ends; the first reason counts.
@@ -84,6 +82,9 @@
             self._wait_until_idle,
             self.bodies,
         )
+        self._closing = ConnectionClosing(
+            self.service, self._reader, self._pipeline
+        )
 
     async def serve(self) -> None:
         """Answer requests until either end closes the connection."""
@@ -96,7 +97,7 @@
                 nursery.start_soon(self._read_requests, nursery)
                 await self._answer_requests(nursery)
                 nursery.cancel_scope.cancel()
-            if self._closed:
+            if self._closing.decided:
                 self._lingering = build_lingering(
                     self.stream, self._pipeline.find_limit()
                 )
@@ -135,15 +136,17 @@
     async def _read_requests(self, nursery: trio.Nursery) -> None:
         self._reader.limit_idle_time()
         more = True
-        while more:
-            try:
-                more = await self._read_request(nursery)
-            except (
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-            ) as error:
-                self._set_reason(find_reason(error))
-                more = False
+        try:
+            with self._closing.reading:
+                while more:
+                    more = await self._read_request(nursery)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ) as error:
+            self._set_reason(find_reason(error))
+        if self._closing.decided:
+            return
         self._set_reason(
             EndReason.idle if self._reader.was_idle else EndReason.caller_closed
         )
@@ -159,21 +162,12 @@
         self._reader.idle_until = inf
         self._pipeline.add(received, nursery)
         self._changed.set()
-        while received.is_last or self._may_not_read():
+        while received.is_last or not self._closing.may_read():
             self._pause = trio.CancelScope()
             if not await self._reader.wait_for_end(self._pause):
                 return False
         return True
 
-    def _may_not_read(self) -> bool:
-        if self._pipeline.is_full():
-            return True
-        if self._pipeline.first is None or not self.service.is_closing():
-            return False
-        # What has arrived with an earlier request is answered as well.
-        self._ending = self._ending or not self._reader.has_rest()
-        return self._ending
-
     async def _wait_until_idle(self) -> None:
         while self._pipeline.first is not None:
             self._idle = trio.Event()
@@ -217,9 +211,8 @@
             self._set_reason(EndReason.refused)
             self.service.record_refusal(received.request)
             if received.parser.our_state is not h11.ERROR:
-                self._closed = True
                 refusal = self.service.refuse(received.request)
-                await self._write(received, _add_close(refusal))
+                await self._write(received, refusal)
             return False
         if exchange.started:
             await exchange.answered.wait()
@@ -254,11 +247,8 @@
             *answer.headers,
             (_LENGTH, b'%d' % len(answer.body)),
         ]
-        if self._pipeline.may_close():
+        if self._closing.decide(received):
             headers.append(_CLOSE)
-            self._closed = True
-        # The parser adds the header if the caller closes by its own word.
-        self._closed = self._closed or received.is_last
         head = parser.send(_build_head(answer, tuple(headers))) or b''
         # The body has a length, so that it is sent as it is.
         parser.send(h11.Data(data=body))
@@ -276,10 +266,6 @@
             raise trio.ClosedResourceError
 
 
-def _add_close(answer: HttpAnswer) -> HttpAnswer:
-    return HttpAnswer(answer.status, (*answer.headers, _CLOSE), answer.body)
-
-
 def _build_head(answer: HttpAnswer, headers: Headers) -> h11.Response:
     return h11.Response(
         status_code=answer.status,
--- a/trefoilsaddle/http/pipeline.py
+++ b/trefoilsaddle/http/pipeline.py
@@ -153,10 +153,9 @@
             or held >= _MAX_UNANSWERED_BYTES
         )
 
-    def may_close(self) -> bool:
-        """Return whether the first answer closes the connection."""
-        # Whatever has been read is answered before.
-        return len(self.unanswered) <= 1 and self.service.is_closing()
+    def has_others(self) -> bool:
+        """Return whether requests wait behind the first one."""
+        return len(self.unanswered) > 1
 
     def find_limit(self) -> float | None:
         """Return until when the first answer is wanted; None for a refusal."""
--- a/trefoilsaddle/http/requests.py
+++ b/trefoilsaddle/http/requests.py
@@ -89,6 +89,8 @@
     lease: BodyLease | None = None
     _head_only: bool = False
     _rest: bytes = b''
+    # True from the first byte of a request to its end.
+    _begun: bool = False
     _idle_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     @property
@@ -100,6 +102,7 @@
         """Return the next request, or None once there is none."""
         if not self._rest and not await self._wait_for_bytes():
             return None
+        self._begun = True
         limits = self.read_limits()
         parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
@@ -113,6 +116,7 @@
             request = _build_bad_input(error)
         if request is None:
             return None
+        self._begun = False
         self._rest = parser.trailing_data[0] + self._rest
         # The lease refers to the body, which must not outlive its answer.
         lease = self.lease
@@ -135,9 +139,9 @@
         """Return the number of received bytes that no parser has."""
         return len(self._rest)
 
-    def has_rest(self) -> bool:
-        """Return whether bytes behind the last request have arrived."""
-        return bool(self._rest)
+    def has_more(self) -> bool:
+        """Return whether bytes behind the last whole request have arrived."""
+        return self._begun or bool(self._rest)
 
     def drop_rest(self) -> None:
         """Free the bytes behind the last request of the connection."""
