Answer requests that arrive during a stop behind unanswered ones

Cause: the reader stopped at the first pause in what a caller sends, to bound a stop. That bound is now a number of requests of a connection, 64, and the close is decided only when nothing has arrived behind an answer.

--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -1,10 +1,9 @@
 """Serve callers' connections with complete requests and answers.
 
 Requests that were sent before the answer to an earlier one are read as they
-arrive; answers leave in the order of the requests. Nothing behind an answer
-that closes the connection is started, and what is running behind it is
-cancelled. A service that closes its connections answers what has been read, and
-closes each with its last answer.
+arrive; answers leave in the order of the requests. Nothing is read behind an
+answer that closes the connection. A service that closes its connections answers
+what has arrived before, and closes each with its last answer.
 
 A connection is closed without an answer only if no complete request has been
 read, or if the caller has closed it.
@@ -161,6 +160,7 @@
             return False
         self._reader.idle_until = inf
         self._pipeline.add(received, nursery)
+        self._closing.count_request()
         self._changed.set()
         while received.is_last or not self._closing.may_read():
             self._pause = trio.CancelScope()
--- a/trefoilsaddle/http/closing.py
+++ b/trefoilsaddle/http/closing.py
@@ -2,7 +2,9 @@
 
 The decision is made once, as the answer is about to be written, and ends the
 reading in the same step: no request is read behind the last answer. While a
-further request has arrived, or has begun to arrive, an answer is not the last.
+further request has arrived, or has begun to arrive, an answer is not the last:
+a service that closes its connections answers all that is sent ahead meanwhile,
+up to a limit, so that a caller which never pauses does not hold it.
 """
 
 from dataclasses import dataclass, field
@@ -13,6 +15,10 @@
 from trefoilsaddle.http.pipeline import CallerService, Pipeline
 from trefoilsaddle.http.requests import ReceivedRequest, RequestReader
 
+# Limit on the requests that a connection reads once the service closes its
+# connections.
+_MAX_LATE_REQUESTS = 64
+
 
 @dataclass(slots=True)
 class ConnectionClosing:
@@ -25,18 +31,17 @@
     decided: bool = False
     # The requests are read in it.
     reading: trio.CancelScope = field(default_factory=trio.CancelScope)
-    # True once nothing more is read, as the service closes its connections.
-    _ending: bool = False
+    # Requests read since the service closes its connections.
+    late: int = 0
+
+    def count_request(self) -> None:
+        """Count a request that was read."""
+        if self.service.is_closing():
+            self.late += 1
 
     def may_read(self) -> bool:
         """Return whether another request may be read now."""
-        if self.pipeline.is_full():
-            return False
-        if self.pipeline.first is None or not self.service.is_closing():
-            return True
-        # What has arrived with an earlier request is answered as well.
-        self._ending = self._ending or not self.reader.has_more()
-        return not self._ending
+        return self.late < _MAX_LATE_REQUESTS and not self.pipeline.is_full()
 
     def decide(self, received: ReceivedRequest) -> bool:
         """Decide whether the answer to the first request is the last one."""
@@ -50,7 +55,7 @@
             return True
         if not self.service.is_closing() or self.pipeline.has_others():
             return False
-        if self._ending:
+        if self.late >= _MAX_LATE_REQUESTS:
             return True
         # Bytes that the reader has not been given yet count as well.
         return not self.reader.has_more() and sockets.is_idle(
