Keep idle connections until their answers are delivered

The kernel still held the answer (TIOCOUTQ).

Where the system does not tell, a kept connection counts as delivered, as before.

Both tests (test_idle_limit_does_not_cut_an_answer, test_exit_waits_for_kept_connections) failed before.

--- a/tests/test_gatewaybodies.py
+++ b/tests/test_gatewaybodies.py
@@ -288,6 +288,10 @@
         """Note that the connection gives way."""
         self.displaced = True
 
+    def is_delivered(self) -> bool:
+        """Hold nothing for the caller."""
+        return True
+
 
 _WAITING = Standing(Activity.waiting, 5)
 _ENDING = Standing(Activity.ending, 1)
--- a/tests/test_gatewayclosing.py
+++ b/tests/test_gatewayclosing.py
@@ -1,7 +1,7 @@
 """Test that a connection is closed behind a whole answer, and in time."""
 
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 import trio
@@ -36,12 +36,13 @@
 
     closing: bool = True
     patience: Seconds = Seconds(4)
+    limits: CallerLimits = LIMITS
     requests: int = 0
     ends: list[ConnectionEnd] = field(default_factory=list)
 
     def read_limits(self) -> CallerLimits:
-        """Return the default limits."""
-        return LIMITS
+        """Return the limits of the test case."""
+        return self.limits
 
     def is_closing(self) -> bool:
         """Return whether connections are closed after an answer."""
@@ -238,3 +239,21 @@
     serve_caller(service, use, window=_WINDOW)
     assert service.requests == case.answered + 1
     assert service.ends[0].unanswered == 0
+
+
+# Guards against an answer that is reset as its kept connection is idle for too
+# long, though its caller has not read it yet.
+def test_idle_limit_does_not_cut_an_answer() -> None:
+    """Deliver the answer, then close the idle connection."""
+    limits = replace(LIMITS, idle_timeout=Seconds(0.3))
+    service = _Service(closing=False, limits=limits)
+
+    async def use(stream: trio.SocketStream) -> None:
+        await _send_after(stream, 0, _GET)
+        await _send_after(stream, 1.5, _GET)
+        assert (await _read_all(stream)).endswith(b'\r\n\r\n' + _ANSWER)
+        await _wait_for_end(service)
+
+    serve_caller(service, use, window=_WINDOW)
+    assert service.requests == 1
+    assert not service.ends[0].lost_bytes
--- a/tests/test_gatewaystopsignal.py
+++ b/tests/test_gatewaystopsignal.py
@@ -25,10 +25,13 @@
 # Seconds from SIGTERM at which the caller still reads its answer.
 _READING = 4
 _SMALL_BUFFER = 65_536
+_WINDOW = 4096
 _PAUSE = 0.2
 _BODY = b'b' * 8_388_608
+_SHORT_BODY = b'b' * 12_000
 _GET = b'GET /reads/1 HTTP/1.1\r\nhost: shop.example\r\n'
 _HEADERS = b'x-attempt-id: mine\r\nx-deadline-ms: 2000\r\n\r\n'
+_PATIENT_HEADERS = b'x-attempt-id: mine\r\nx-deadline-ms: 6000\r\n\r\n'
 _SEAL = (b'x-attempt-id: mine', b'x-upstream-seal: seal')
 _CONFIGURATION = {
     'version': 'r3',
@@ -217,3 +220,56 @@
         return received
 
     assert trio.run(run).endswith(b'\r\n\r\n' + _BODY)
+
+
+async def _ask_without_reading(port: int) -> trio.SocketStream:
+    connection = trio.socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _WINDOW)
+    await connection.connect((_HOST, port))
+    stream = trio.SocketStream(connection)
+    await stream.send_all(_GET + _PATIENT_HEADERS)
+    await trio.sleep(_PAUSE * 2)
+    return stream
+
+
+async def _send_and_read(stream: trio.SocketStream) -> bytes:
+    # A connection that was closed meanwhile is reset by this request.
+    await stream.send_all(_GET + _PATIENT_HEADERS)
+    await trio.sleep(_PAUSE)
+    received = bytearray()
+    async for part in stream:
+        received += part
+    return bytes(received)
+
+
+async def _stop_before_reading(port: int) -> bytes:
+    (await _ask(port)).socket.close()
+    stream = await _ask_without_reading(port)
+    os.kill(os.getpid(), signal.SIGTERM)
+    await trio.sleep(_READING)
+    return await _send_and_read(stream)
+
+
+# Guards against an answer that was written before SIGTERM, and that the exit of
+# the process resets, as its caller has not read it yet.
+def test_exit_waits_for_kept_connections(tmp_path: Path) -> None:
+    """Keep the connection of a late reader until it has its answer."""
+    path = tmp_path / 'settings.toml'
+
+    async def run() -> bytes:
+        step = Step(whole(_SHORT_BODY, *_SEAL))
+        server = ScriptedServer([step, step, step])
+        with trio.fail_after(_LIVENESS_BOUND):
+            async with trio.open_nursery() as nursery:
+                server_port = await nursery.start(server.serve)
+                store_port = await _start_store(nursery, server_port)
+                settings = _write_settings(path, 6, store_port)
+                nursery.start_soon(_run_gateway, settings, path)
+                await _wait_until_running(settings.ready.port)
+                received = await _stop_before_reading(settings.callers.port)
+                nursery.cancel_scope.cancel()
+        return received
+
+    first, _, rest = trio.run(run).partition(b'HTTP/1.1 503')
+    assert first.endswith(b'\r\n\r\n' + _SHORT_BODY)
+    assert b'connection: close' in rest.lower()
--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -96,7 +96,7 @@
                 nursery.start_soon(self._read_requests, nursery)
                 await self._answer_requests(nursery)
                 nursery.cancel_scope.cancel()
-            if self._closing.decided:
+            if self._closing.decided or not self.is_delivered():
                 self._lingering = build_lingering(
                     self.stream, self._pipeline.find_limit()
                 )
@@ -116,6 +116,10 @@
         self._set_reason(EndReason.displaced)
         self._scope.cancel()
 
+    def is_delivered(self) -> bool:
+        """Return whether the caller has received all that was written."""
+        return not sockets.count_undelivered(self.stream)
+
     def _report_end(self) -> None:
         reason = self._reason or EndReason.interrupted
         end = self._pipeline.describe_end(reason)
--- a/trefoilsaddle/http/connections.py
+++ b/trefoilsaddle/http/connections.py
@@ -5,11 +5,16 @@
 from enum import IntEnum, unique
 from typing import Protocol
 
+import trio
+
+from trefoilsaddle.core.units import Seconds
+
 # Descriptors of the settings that are meant for files.
 _FILES = 200
 # Part of the other descriptors that callers may use.  Each of their requests
 # may need a connection to a server, and peers and the store need some as well.
 _CALLERS_PART = 0.5
+_DELIVERY_CHECK_INTERVAL = Seconds(0.05)
 
 
 @unique
@@ -41,6 +46,9 @@
     def displace(self) -> None:
         """Close the connection in favour of others."""
 
+    def is_delivered(self) -> bool:
+        """Return whether the caller has received all that was written."""
+
 
 def count_caller_connections(descriptors: int) -> int:
     """Return the limit on callers' connections."""
@@ -69,6 +77,11 @@
         """Remove a connection that has ended."""
         self.opened.pop(connection, None)
 
+    async def wait_until_delivered(self) -> None:
+        """Wait until no connection holds undelivered bytes."""
+        while not all(connection.is_delivered() for connection in self.opened):
+            await trio.sleep(_DELIVERY_CHECK_INTERVAL)
+
 
 def find_victim(opened: Iterable[Displaceable]) -> Displaceable | None:
     """Return the connection that gives way, or None if all serve requests."""
--- a/trefoilsaddle/http/pipeline.py
+++ b/trefoilsaddle/http/pipeline.py
@@ -8,6 +8,7 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from dataclasses import dataclass, field
+from math import inf
 
 import trio
 
@@ -158,10 +159,11 @@
         return len(self.unanswered) > 1
 
     def find_limit(self) -> float | None:
-        """Return until when the first answer is wanted; None for a refusal."""
+        """Return until when the last answer is wanted; None for a refusal."""
         exchange = self.first
         if exchange is None:
-            return None
+            # The request is not kept once its answer was written.
+            return inf
         request = exchange.received.request
         if isinstance(request, BadInput):
             return None
--- a/trefoilsaddle/programs/gatewayshell.py
+++ b/trefoilsaddle/programs/gatewayshell.py
@@ -265,4 +265,7 @@
 async def _exit_when_answered(shell: GatewayShell, patience: Seconds) -> None:
     with trio.move_on_after(patience):
         await shell.calls.unanswered.wait_until_none()
+        await shell.callers.wait_until_delivered()
+        # Connections that were kept may have brought more requests.
+        await shell.calls.unanswered.wait_until_none()
     shell.exited.set()
