Give up the largest answer where all answers exceed their room

Answers of sound servers were given up as too large while servers of another service sent bodies without end through the same gateway, so their callers got 502 for work that had been done.

Cause: the sum of all answers was bounded, but whoever read the next bytes above it was given up, mostly a small answer.

The budget knows the answers that are being read, and gives up the largest. Evidence: with eight endless answers and a sum of 1 MiB, none of 20 sound answers of 30 KB is lost, in either form of body; both cases failed before, at the first of the 20.

--- a/tests/test_gatewayendless.py
+++ b/tests/test_gatewayendless.py
@@ -116,3 +116,52 @@
             nursery.cancel_scope.cancel()
 
     trio.run(run)
+
+
+_BODY_FORMS = ('body-without-length', 'chunked-body')
+_SOUND_BODY = b's' * 30_000
+
+
+async def _ask_sound_server(
+    pool: ConnectionPool, number: int
+) -> list[Fault | bytes]:
+    ends: list[Fault | bytes] = []
+    for _ in range(number):
+        ends.append(_read_end(await pool.exchange(_REQUEST)))
+        await trio.sleep(0.005)
+    return ends
+
+
+# Guards against endless answers that take the memory of all answers, so that those
+# of sound servers are given up as too large.
+@pytest.mark.parametrize('form', _BODY_FORMS)
+def test_endless_answers_leave_room_for_others(form: str) -> None:
+    """Give up the largest answer where the budget is exceeded."""
+    budget = AnswerBudget(max_total=MEGABYTE)
+    number = 20
+    faulty = ScriptedServer([ENDLESS[form].step for _ in range(2000)])
+    sound = ScriptedServer([Step(whole(_SOUND_BODY)) for _ in range(number)])
+
+    async def read_endless() -> None:
+        pool = ConnectionPool(
+            '127.0.0.1', faulty.port, Seconds(5), budget=budget
+        )
+        while True:
+            assert _read_end(await pool.exchange(_REQUEST)) in _GIVEN_UP
+
+    async def run() -> list[Fault | bytes]:
+        async with serve_script(faulty), serve_script(sound):
+            pool = ConnectionPool(
+                '127.0.0.1', sound.port, Seconds(5), budget=budget
+            )
+            async with trio.open_nursery() as nursery:
+                for _ in range(8):
+                    nursery.start_soon(read_endless)
+                await trio.sleep(0.1)
+                ends = await _ask_sound_server(pool, number)
+                nursery.cancel_scope.cancel()
+        return ends
+
+    assert trio.run(run) == [_SOUND_BODY for _ in range(number)]
+    assert not budget.held
+    assert not budget.reading
--- a/trefoilsaddle/http/budget.py
+++ b/trefoilsaddle/http/budget.py
@@ -30,6 +30,8 @@
     # Limit on all answers together, in bytes.
     max_total: int = _MAX_HELD_BYTES
     held: int = 0
+    # Answers that are being read.
+    reading: dict['AnswerReservation', None] = field(default_factory=dict)
     # Bytes of the requests and answers of all exchanges so far.
     traffic: ByteCount = field(default_factory=ByteCount)
     # Passed on in the order of arrival, to one task in each turn of the loop.
@@ -58,15 +60,31 @@
 
     def reserve(self) -> 'AnswerReservation':
         """Open the reservation of an answer that is being read."""
-        return AnswerReservation(self)
+        reservation = AnswerReservation(self)
+        self.reading[reservation] = None
+        return reservation
 
+    def make_room(self, wanted: 'AnswerReservation') -> bool:
+        """Give up the largest answers; return False if that one is the largest.
 
-@dataclass(slots=True)
+        An answer without an end would else leave no room for the others.
+        """
+        while self.held > self.max_total:
+            largest = max(self.reading, key=_read_size)
+            if largest.taken <= wanted.taken:
+                return False
+            largest.give_up()
+        return True
+
+
+@dataclass(slots=True, eq=False)
 class AnswerReservation:
     """Count the bytes of one answer while it is read or held."""
 
     budget: AnswerBudget
     taken: int = 0
+    # Cancelled if the answer has to give way to others.
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     def __enter__(self) -> 'AnswerReservation':
         """Count until the block ends."""
@@ -74,16 +92,28 @@
 
     def __exit__(self, *error: object) -> None:
         """Release the bytes: the answer was dropped or passed on."""
-        self.budget.held -= self.taken
-        self.taken = 0
+        self._release()
 
     def add(self, count: int) -> None:
         """Add received bytes; raise TooLargeError above a limit."""
         self.taken += count
         self.budget.held += count
         self.budget.traffic.received += count
-        if (
-            self.taken > self.budget.max_answer
-            or self.budget.held > self.budget.max_total
-        ):
+        if self.scope.cancel_called or self.taken > self.budget.max_answer:
+            raise TooLargeError
+        if not self.budget.make_room(self):
             raise TooLargeError
+
+    def give_up(self) -> None:
+        """Release the bytes, and stop the reading."""
+        self._release()
+        self.scope.cancel()
+
+    def _release(self) -> None:
+        self.budget.reading.pop(self, None)
+        self.budget.held -= self.taken
+        self.taken = 0
+
+
+def _read_size(reservation: AnswerReservation) -> int:
+    return reservation.taken
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -247,7 +247,10 @@
         return ExchangeResult(Fault.unsent, reusable=False)
     with budget.reserve() as reservation:
         reader = _Reader(stream, request, reservation, progress or Progress())
-        return await _exchange(reader, matches, timeout)
+        with reservation.scope:
+            return await _exchange(reader, matches, timeout)
+    # The answer gave way to others.
+    return ExchangeResult(Fault.too_large, reusable=False)
 
 
 async def _exchange(
