Let a scripted server end when its client resets the connection

The new test of endless answers failed in two of 20 runs beside five others: it ends by cancelling exchanges, and a server of the test that was about to reply raised BrokenResourceError.

--- a/tests/scriptedserver.py
+++ b/tests/scriptedserver.py
@@ -86,8 +86,10 @@
         self.request_received.set()
         if used and step.copied:
             await stream.send_all(step.copied)
-        if step.reply:
-            await stream.send_all(step.reply)
+        if step.reply and not await _send(stream, step.reply):
+            # The client has left.
+            self.closed.set()
+            return False
         if step.endless:
             await self._send_endless(stream, step)
             return False
