Bound the number of answers that are read slowly

Cause: the queue had no limit. Above 32 answers the one that has taken the most work is given up at once, so that its request ends, or is tried at another server, while its caller still waits.

--- a/tests/test_gatewayturns.py
+++ b/tests/test_gatewayturns.py
@@ -11,7 +11,7 @@
 from tests.scriptedserver import ScriptedServer, Step, serve_script
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.http.budget import AnswerBudget
-from trefoilsaddle.http.messages import HttpRequest
+from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.pool import ConnectionPool
 
 _REQUEST = HttpRequest(
@@ -136,6 +136,38 @@
     assert slowed <= _SLOW_EVENTS_PER_S * elapsed
 
 
+_MAX_SLOW = 32
+
+
+# Guards against many endless answers that each wait for the others, and hold their
+# connection, their request and what the kernel has received until that times out.
+def test_answers_that_are_read_slowly_are_bounded() -> None:
+    """Give up those that have taken the most work above a number of them."""
+    number = 3 * _MAX_SLOW
+    step = _STEPS['one-byte-chunks']
+    server = ScriptedServer([step for _ in range(number)])
+    budget = AnswerBudget()
+    answers: list[HttpAnswer | Fault] = []
+
+    async def read(pool: ConnectionPool) -> None:
+        answers.append(await pool.exchange(_REQUEST))
+
+    async def run() -> None:
+        async with serve_script(server), trio.open_nursery() as nursery:
+            pool = ConnectionPool(
+                '127.0.0.1', server.port, Seconds(5), budget=budget
+            )
+            for _ in range(number):
+                nursery.start_soon(read, pool)
+            while len(answers) < number - _MAX_SLOW:
+                await trio.sleep(0.05)
+                assert len(budget.slow) <= _MAX_SLOW
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    assert set(answers) == {Fault.too_large}
+
+
 _LONG_HEAD = b'x-a: b\r\n' * 7000
 _HEADS = {
     'head': b'%b%bcontent-length: 0\r\n\r\n' % (_STATUS, _LONG_HEAD),
--- a/trefoilsaddle/http/budget.py
+++ b/trefoilsaddle/http/budget.py
@@ -12,9 +12,17 @@
 # Default limit on all answers together: the smallest machines have 200 MB, of
 # which the process itself uses 60 MB and half is left free.
 _MAX_HELD_BYTES = 50_331_648
+# Limit on the answers that are read slowly at a time; each waits for its turn
+# behind the others, and the kernel holds up to 100 KB of it meanwhile.
+_MAX_SLOW = 32
 # Pause in seconds between two parts of the work on slow answers; a part takes
 # about 1 ms.
 _SLOW_PAUSE = 0.004
+# Limit on the events of the parser between two turns of the event loop; they
+# take about 1 ms.  64 KB of one-byte chunks are 10,900 events.
+_MAX_EVENTS_IN_TURN = 32
+# Events of an answer after which it is read slowly: 1 MB in chunks of 1 KB.
+_MAX_FAST_EVENTS = 1024
 
 
 class TooLargeError(Exception):
@@ -30,28 +38,38 @@
     # Limit on all answers together, in bytes.
     max_total: int = _MAX_HELD_BYTES
     held: int = 0
-    # Answers that are being read.
+    # Answers that are being read, and those that are read slowly.
     reading: dict['AnswerReservation', None] = field(default_factory=dict)
+    slow: dict['AnswerReservation', None] = field(default_factory=dict)
     # Bytes of the requests and answers of all exchanges so far.
     traffic: ByteCount = field(default_factory=ByteCount)
     # Passed on in the order of arrival, to one task in each turn of the loop.
     _turn: trio.Lock = field(default_factory=trio.Lock)
     _slow_turn: trio.Lock = field(default_factory=trio.Lock)
 
-    async def wait_for_turn(self, *, slow: bool) -> None:
+    async def wait_for_turn(self) -> None:
         """Let other tasks run, before an answer takes more work.
 
         Answers that take much work are continued one in each turn of the event
-        loop, so that many of them delay it no more than one does.  Slow ones
-        are continued one after each pause, so that they leave most of the
-        processor's time to other requests.
+        loop, so that many of them delay it no more than one does.
         """
-        if slow:
-            async with self._slow_turn:
-                await trio.sleep(_SLOW_PAUSE)
-        else:
-            async with self._turn:
-                return
+        async with self._turn:
+            return
+
+    async def wait_for_slow_turn(
+        self, reservation: 'AnswerReservation'
+    ) -> None:
+        """Pause before an answer takes even more work.
+
+        Such answers are continued one after each pause, so that they leave most
+        of the processor's time to other requests.  If too many wait, the one
+        that has taken the most work is given up.
+        """
+        self.slow[reservation] = None
+        if len(self.slow) > _MAX_SLOW:
+            max(self.slow, key=_read_events).give_up()
+        async with self._slow_turn:
+            await trio.sleep(_SLOW_PAUSE)
 
     def hold(self, count: int) -> 'AnswerReservation':
         """Count bytes already in memory until the block ends."""
@@ -83,6 +101,8 @@
 
     budget: AnswerBudget
     taken: int = 0
+    # Events of the parser so far.
+    events: int = 0
     # Cancelled if the answer has to give way to others.
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
@@ -104,6 +124,16 @@
         if not self.budget.make_room(self):
             raise TooLargeError
 
+    async def count_event(self) -> None:
+        """Count an event of the parser, and wait after some of them."""
+        self.events += 1
+        if self.events % _MAX_EVENTS_IN_TURN:
+            return
+        if self.events > _MAX_FAST_EVENTS:
+            await self.budget.wait_for_slow_turn(self)
+        else:
+            await self.budget.wait_for_turn()
+
     def give_up(self) -> None:
         """Release the bytes, and stop the reading."""
         self._release()
@@ -111,9 +141,14 @@
 
     def _release(self) -> None:
         self.budget.reading.pop(self, None)
+        self.budget.slow.pop(self, None)
         self.budget.held -= self.taken
         self.taken = 0
 
 
 def _read_size(reservation: AnswerReservation) -> int:
     return reservation.taken
+
+
+def _read_events(reservation: AnswerReservation) -> int:
+    return reservation.events
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -27,11 +27,6 @@
 _HEAD_CHUNK_BYTES = 4096
 # The same for a body in chunks, whose trailers may be as long.
 _CHUNKED_CHUNK_BYTES = 16_384
-# Limit on the events of the parser between two turns of the event loop; they
-# take about 1 ms.  64 KB of one-byte chunks are 10,900 events.
-_MAX_EVENTS_IN_TURN = 32
-# Events of an answer after which it is read slowly: 1 MB in chunks of 1 KB.
-_MAX_FAST_EVENTS = 1024
 # Limit on an incomplete head, chunk header or trailer section: the platform's
 # limit on a caller's head.
 _MAX_HEAD_BYTES = 16_384
@@ -84,8 +79,6 @@
     sent: bool = False
     # True if writing failed, and the connection was reset before its end.
     reset: bool = False
-    # Events of the parsers so far.
-    events: int = 0
     # Limit on the next read.
     chunk_bytes: int = _HEAD_CHUNK_BYTES
 
@@ -204,18 +197,12 @@
         while True:
             event = self._parse_event()
             if event is not h11.NEED_DATA:
-                await self._count_event()
+                await self.reservation.count_event()
                 return event
             received = await self.stream.receive_some(self.chunk_bytes)
             self.reservation.add(len(received))
             self.parser.receive_data(received)
 
-    async def _count_event(self) -> None:
-        self.events += 1
-        if self.events % _MAX_EVENTS_IN_TURN == 0:
-            slow = self.events > _MAX_FAST_EVENTS
-            await self.reservation.budget.wait_for_turn(slow=slow)
-
     def _parse_event(self) -> object:
         try:
             return self.parser.next_event()
