Refuse requests whose length is given in two ways

Ruled out: that the parser refuses such a head; it reports both headers and leaves the decision to its user.

Such a head is malformed now: 400, and the connection closes (RFC 9112, sections 6.1 and 6.3). So is one with chunks in HTTP/1.0. A connection to a server whose answer has both is not used again.

--- a/tests/test_gatewaycallers.py
+++ b/tests/test_gatewaycallers.py
@@ -114,6 +114,25 @@
         b'400',
         b'malformed',
     ),
+    # The rest of such a body would be passed on as a request of its own.
+    'length-and-chunks': _Bad(
+        b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 60\r\n'
+        b'transfer-encoding: chunked\r\n\r\n0\r\n\r\n' + _GET,
+        b'400',
+        b'malformed',
+    ),
+    'chunks-and-length': _Bad(
+        b'POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n'
+        b'content-length: 60\r\n\r\n0\r\n\r\n' + _GET,
+        b'400',
+        b'malformed',
+    ),
+    'chunks-of-an-old-version': _Bad(
+        b'POST / HTTP/1.0\r\nhost: a\r\ntransfer-encoding: chunked\r\n'
+        b'connection: keep-alive\r\n\r\n0\r\n\r\n' + _GET,
+        b'400',
+        b'malformed',
+    ),
     'slow-head': _Bad(b'GET / HTTP/1.1\r\n', b'408', b'header_slow'),
 }
 
--- a/tests/test_gatewayexchange.py
+++ b/tests/test_gatewayexchange.py
@@ -56,6 +56,14 @@
     'says-close': _Case(
         Step(whole(b'mine', _ID, b'connection: close')), b'mine'
     ),
+    # Its end may not be where the server has put it.
+    'length-and-chunks': _Case(
+        Step(
+            b'HTTP/1.1 200 OK\r\ncontent-length: 30\r\n%b\r\n'
+            b'transfer-encoding: chunked\r\n\r\n4\r\nmine\r\n0\r\n\r\n' % _ID
+        ),
+        b'mine',
+    ),
     'keep-alive-of-a-second': _Case(
         Step(whole(b'mine', _ID, b'keep-alive: timeout=1')),
         b'mine',
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -46,6 +46,7 @@
 _LATE_READ_TIMEOUT = Seconds(0.05)
 _HOST = b'host'
 _CODING = b'transfer-encoding'
+_LENGTH = b'content-length'
 # Limit on the answers to earlier requests that are skipped on a connection.
 _MAX_STALE = 2
 
@@ -166,11 +167,18 @@
     def is_clean(self) -> bool:
         """Return whether the connection can be used for another request."""
         rest, ended = self.parser.trailing_data
-        if rest or ended or not self.sent:
+        if rest or ended or not self.sent or self._is_ambiguous():
             return False
         states = {self.parser.our_state, self.parser.their_state}
         return states == {h11.DONE}
 
+    def _is_ambiguous(self) -> bool:
+        """Return whether the answer has a length and chunks as well."""
+        head = self.progress.head
+        if head is None or head.find_header(_CODING) is None:
+            return False
+        return head.find_header(_LENGTH) is not None
+
     async def _read_body(self) -> bytes | None:
         body = bytearray()
         event = await self._next_event()
--- a/trefoilsaddle/http/requests.py
+++ b/trefoilsaddle/http/requests.py
@@ -36,6 +36,9 @@
 # Bytes of the unanswered bodies of one connection, or one larger body.
 _MAX_SHARE = 262_144
 _LENGTH = b'content-length'
+_CODING = b'transfer-encoding'
+# First version of HTTP with bodies in chunks.
+_CHUNKED_VERSION = b'1.1'
 _HEAD = b'HEAD'
 # Limit on receiving a whole body; requests time out earlier than that.
 _BODY_TIMEOUT = Seconds(10)
@@ -335,6 +338,7 @@
             await self.reader.stream.send_all(encoded)
 
 
+_MALFORMED = BadInput(ResultCode.malformed, HTTPStatus.BAD_REQUEST)
 _TOO_LARGE = BadInput(
     ResultCode.body_too_large, HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 )
@@ -351,12 +355,26 @@
             ResultCode.header_too_large,
             HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
         )
+    if _is_ambiguous(head):
+        return _MALFORMED
     length = _find_length(head)
     if length is not None and length > limits.body_bytes:
         return _TOO_LARGE
     return None
 
 
+def _is_ambiguous(head: h11.Request) -> bool:
+    """Return whether others may find another end of the body.
+
+    The rest of it could be taken for a request (RFC 9112, sections 6.1 and 6.3).
+    """
+    headers = tuple(head.headers)
+    if find_header(headers, _CODING) is None:
+        return False
+    has_length = find_header(headers, _LENGTH) is not None
+    return has_length or head.http_version < _CHUNKED_VERSION
+
+
 def _find_length(head: h11.Request) -> int | None:
     declared = find_header(tuple(head.headers), _LENGTH)
     return None if declared is None else int(declared)
@@ -374,4 +392,4 @@
             ResultCode.header_too_large,
             HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
         )
-    return BadInput(ResultCode.malformed, HTTPStatus.BAD_REQUEST)
+    return _MALFORMED
