Bound the pages of the newest records together

Cause: each answer was bounded, and not their number. Above 32 MiB the read fails now, as if the store were away, and is made again later.

Evidence: 100 pages of 1 MiB were all read before.

--- a/trefoilsaddle/platform/store.py
+++ b/trefoilsaddle/platform/store.py
@@ -91,6 +91,8 @@
 _CONNECT_TIMEOUT = Seconds(0.6)
 # A page holds 1 MB of records, which base64 makes a third larger, and 500 keys.
 _MAX_ANSWER_BYTES = 4_194_304
+# Limit in bytes on all pages of the newest records together.
+_MAX_NEWEST_BYTES = 33_554_432
 _MILLISECONDS = 1000
 
 
@@ -140,6 +142,10 @@
     era: StoreEra
 
 
+def _measure(record: KeyedRecord) -> int:
+    return len(record.name) + len(record.body)
+
+
 class PlatformStore(Store):
     """Access the store over HTTP."""
 
@@ -291,15 +297,22 @@
         )
 
     async def _read_pages(self, topic: Topic) -> list[_Newest] | None:
-        """Read pages up to the last one, or the first one of another era."""
+        """Read pages up to the last one, or the first one of another era.
+
+        None if a page is missing, or if they are too large together.
+        """
         pages: list[_Newest] = []
         after = ''
         more = True
+        left = _MAX_NEWEST_BYTES
         while more:
             page = await self._read_newest_page(topic, after)
             if page is None:
                 return None
             pages.append(page)
+            left -= sum(map(_measure, page.records))
+            if left < 0:
+                return None
             more = page.more and bool(page.records)
             more = more and page.era == pages[0].era
             if more:
