Read a bounded part of all answers in one turn of the loop

With 1,000 answers without end at once a gateway exceeded the room of its answers by far: each read took 64 KB in the same turn, and the answers that had given way to others were freed only in the next one.

A read takes its share of a quarter of the room, 4 KB at least.

--- a/tests/test_gatewayturns.py
+++ b/tests/test_gatewayturns.py
@@ -2,7 +2,10 @@
 
 import time
 from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
+from threading import Event, Thread
 
 import h11
 import pytest
@@ -10,7 +13,7 @@
 
 from tests.scriptedserver import ScriptedServer, Step, serve_script
 from trefoilsaddle.core.units import Seconds
-from trefoilsaddle.http.budget import AnswerBudget
+from trefoilsaddle.http.budget import AnswerBudget, AnswerReservation
 from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
 from trefoilsaddle.http.pool import ConnectionPool
 
@@ -54,6 +57,13 @@
             sums[turn] += number
         return [total for _, total in sorted(sums.items())]
 
+    def sum_bytes(self) -> list[int]:
+        """Return the bytes of all answers in each turn."""
+        sums: Counter[int] = Counter()
+        for (turn, _), number in self.read.items():
+            sums[turn] += number
+        return list(sums.values())
+
 
 def _count_work(monkeypatch: pytest.MonkeyPatch) -> _Turns:
     turns = _Turns()
@@ -115,6 +125,63 @@
     assert max(sums[len(sums) // 2 :]) <= _MAX_SHARED_EVENTS
 
 
+async def _serve_until(
+    server: ScriptedServer, started: Event, stopped: Event
+) -> None:
+    async with serve_script(server):
+        started.set()
+        while not stopped.is_set():
+            await trio.sleep(0.02)
+
+
+@contextmanager
+def _serve_in_thread(server: ScriptedServer) -> Iterator[None]:
+    """Serve with a loop of its own, which does not wait for the readers."""
+    started, stopped = Event(), Event()
+    thread = Thread(
+        target=trio.run, args=[_serve_until, server, started, stopped]
+    )
+    thread.start()
+    started.wait()
+    yield
+    stopped.set()
+    thread.join()
+
+
+async def _read_from(
+    port: int, number: int, turns: _Turns, budget: AnswerBudget
+) -> None:
+    pool = ConnectionPool('127.0.0.1', port, Seconds(5), budget=budget)
+    streams = [await pool.open(new=True) for _ in range(number)]
+    trio.lowlevel.add_instrument(turns)
+    async with trio.open_nursery() as nursery:
+        for stream in streams:
+            assert stream is not None
+            nursery.start_soon(pool.exchange_on, stream, _REQUEST)
+
+
+# Guards against many answers that exceed their room together in one turn, as those
+# that give way to others are freed in the next.
+def test_bytes_of_many_answers_are_bounded_in_a_turn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Read no more of all answers in one turn than they have room."""
+    number = 200
+    budget = AnswerBudget(max_total=2_000_000)
+    turns = _Turns()
+    add = AnswerReservation.add
+
+    def count_bytes(reservation: AnswerReservation, received: int) -> None:
+        turns.read[turns.turn, id(reservation)] += received
+        add(reservation, received)
+
+    monkeypatch.setattr(AnswerReservation, 'add', count_bytes)
+    server = ScriptedServer([_STEPS['body'] for _ in range(number)])
+    with _serve_in_thread(server):
+        trio.run(_read_from, server.port, number, turns, budget)
+    assert max(turns.sum_bytes()) <= budget.max_total
+
+
 # Events of an answer before its reading is slowed down, and the bound for all
 # answers together after that, a second.
 _FAST_EVENTS = 1100
--- a/trefoilsaddle/http/budget.py
+++ b/trefoilsaddle/http/budget.py
@@ -15,6 +15,11 @@
 # Limit on the answers that are read slowly at a time; each waits for its turn
 # behind the others, and the kernel holds up to 100 KB of it meanwhile.
 _MAX_SLOW = 32
+# Part of the limit on all answers that may be read in one turn of the loop:
+# answers that give way meanwhile are freed in the next one.
+_TURN_PART = 0.25
+# Least limit on one read, in bytes.
+_MIN_READ_BYTES = 4096
 # Pause in seconds between two parts of the work on slow answers; a part takes
 # about 1 ms.
 _SLOW_PAUSE = 0.004
@@ -71,6 +76,11 @@
         async with self._slow_turn:
             await trio.sleep(_SLOW_PAUSE)
 
+    def limit_read(self, most: int) -> int:
+        """Return how many bytes of an answer may be read at once."""
+        share = int(self.max_total * _TURN_PART / max(len(self.reading), 1))
+        return max(min(most, share), _MIN_READ_BYTES)
+
     def hold(self, count: int) -> 'AnswerReservation':
         """Count bytes already in memory until the block ends."""
         self.held += count
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -207,7 +207,8 @@
             if event is not h11.NEED_DATA:
                 await self.reservation.count_event()
                 return event
-            received = await self.stream.receive_some(self.chunk_bytes)
+            limit = self.reservation.budget.limit_read(self.chunk_bytes)
+            received = await self.stream.receive_some(limit)
             self.reservation.add(len(received))
             self.parser.receive_data(received)
 
