Count callers' connections in the memory of their bodies

Cause: bodies and answers had 0.95 of the memory, and the connections, over 100 KB each, the rest. Half of these 100 KB were bytes that had been discarded and to which a task still referred while it awaited more, and gaps in the heap where bodies had begun. Evidence: the kernel's account of the process, 159 MB of heap with that reference and 104 MB without.

A connection counts as 64 KiB in the budget of the bodies, beyond a twentieth of the memory; unfinished bodies give way as connections open. Discarded bytes are dropped at once, and a large body is collected outside the heap from its first byte.

Heads are still not counted.

--- a/tests/test_gatewaybodies.py
+++ b/tests/test_gatewaybodies.py
@@ -195,6 +195,47 @@
     assert large <= _TOTAL - _RESERVE
 
 
+@dataclass(frozen=True, slots=True)
+class _Crowd:
+    """Describe bodies, the connections that open, and which give way."""
+
+    held: tuple[_Held, ...]
+    connections: int
+    evicted: tuple[int, ...] = ()
+
+
+# Room for two connections beside the bodies; a connection counts as _SMALL_BODY.
+_CROWDS = {
+    'beside': _Crowd((_Held(10, _LARGE),), 2),
+    'in the reserve': _Crowd((_Held(10, _LARGE),), 12),
+    'in the room of a body': _Crowd((_Held(10, _LARGE),), 13, (0,)),
+    'in the room of two': _Crowd((_Held(10, _LARGE),), 113, (0, 1)),
+    'whole ones stay': _Crowd((_Held(10, _LARGE, whole=True),), 200),
+    'first that is unfinished': _Crowd(
+        (_Held(2, _LARGE, whole=True), _Held(8, _LARGE)), 13, (2,)
+    ),
+}
+
+
+# Guards against connections that take the memory beside that of the bodies.
+@pytest.mark.parametrize('case', _CROWDS.values(), ids=_CROWDS)
+def test_bodies_give_way_to_connections(case: _Crowd) -> None:
+    """Count connections in the room of the bodies, until they close."""
+    bodies = _Bodies()
+    budget = bodies.budget
+    budget.beside = 2 * SMALL_BODY
+    for held in case.held:
+        bodies.add(held)
+    for _ in range(case.connections):
+        budget.open_connection()
+    assert tuple(bodies.evicted) == case.evicted
+    full = case.connections > 12 and not case.evicted
+    assert bodies.open().resize(SMALL_BODY, _NOW) is not full
+    for _ in range(case.connections):
+        budget.close_connection()
+    assert not budget.connections
+
+
 def test_closed_bodies_leave_nothing() -> None:
     """Release all room when the bodies are closed."""
     bodies = _Bodies()
--- a/tests/test_hostilecallers.py
+++ b/tests/test_hostilecallers.py
@@ -444,6 +444,31 @@
     _attack(tmp_path, _Machine(), send, _CROWD)
 
 
+# Machines, and connections just below what each accepts.
+_CROWDED = {
+    'smallest machine of the platform': (
+        _Machine(memory=160, body_bytes=_MEGABYTE),
+        700,
+    ),
+    'machine of a small deployment': (
+        _Machine(300, 4100, body_bytes=_MEGABYTE),
+        1800,
+    ),
+}
+
+
+# Guards against a gateway that is ended by its machine, as the connections that
+# bring bodies take what is left beside these.
+@pytest.mark.parametrize(
+    ('machine', 'clients'), _CROWDED.values(), ids=_CROWDED
+)
+def test_connections_of_a_crowd_stay_within_memory(
+    tmp_path: Path, machine: _Machine, clients: int
+) -> None:
+    """Have bodies give way to connections, and answer others."""
+    _attack(tmp_path, machine, _send_most, clients)
+
+
 _OPENINGS: dict[str, _Send] = {
     'idle': _send_nothing,
     'unfinished': _announce_only,
--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -166,7 +166,9 @@
         self._pipeline.add(received, nursery)
         self._closing.count_request()
         self._changed.set()
-        while received.is_last or not self._closing.may_read():
+        if received.is_last:
+            return await self._reader.discard(trio.CancelScope())
+        while not self._closing.may_read():
             self._pause = trio.CancelScope()
             if not await self._reader.wait_for_end(self._pause):
                 return False
--- a/trefoilsaddle/http/lingering.py
+++ b/trefoilsaddle/http/lingering.py
@@ -23,7 +23,6 @@
 # Limit on the time for which an answer stays undelivered.
 _MAX_TIME = Seconds(10)
 _CHECK_INTERVAL = Seconds(0.05)
-_CHUNK_BYTES = 65_536
 
 
 @dataclass(slots=True)
@@ -57,10 +56,10 @@
     async def _discard_until(self, until: float) -> bool:
         """Discard what arrives; return False once the caller has closed."""
         with trio.move_on_at(until):
-            received = await self.stream.receive_some(_CHUNK_BYTES)
+            received = await sockets.discard(self.stream)
             while received:
-                self.discarded += len(received)
-                received = await self.stream.receive_some(_CHUNK_BYTES)
+                self.discarded += received
+                received = await sockets.discard(self.stream)
             return False
         return True
 
--- a/trefoilsaddle/http/requestbodies.py
+++ b/trefoilsaddle/http/requestbodies.py
@@ -32,6 +32,11 @@
 # Part of the remaining memory that answers may take; on the smallest machine it
 # holds one answer at the limit.
 _ANSWER_PART = 0.2
+# Part of it that connections may take before bodies have less.
+_CONNECTIONS_PART = 0.05
+# Memory of a caller's connection with an unfinished request: tasks, the parser,
+# and the bytes that it was read.
+_CONNECTION_BYTES = 65_536
 # Memory that is assumed if the settings name none.
 _DEFAULT_MEMORY = 300_000_000
 # Least memory that is assumed to remain.
@@ -114,6 +119,9 @@
     # Bytes of all bodies, and of those that are not small.
     held: int = 0
     large: int = 0
+    # Bytes that connections may take beside the total, and those that they take.
+    beside: int = 0
+    connections: int = 0
     # Bodies that have not arrived completely, the oldest first.
     unfinished: dict[BodyLease, None] = field(default_factory=dict)
     # Held by the connection that may parse next.
@@ -141,6 +149,19 @@
         self._count(lease, size)
         return True
 
+    def open_connection(self) -> None:
+        """Count a connection, for which unfinished bodies may give way."""
+        self.connections += _CONNECTION_BYTES
+        unfinished = iter(list(self.unfinished))
+        lease = next(unfinished, None)
+        while lease is not None and self.held > self._find_room():
+            lease.evict()
+            lease = next(unfinished, None)
+
+    def close_connection(self) -> None:
+        """Count a connection no more."""
+        self.connections -= _CONNECTION_BYTES
+
     def release(self, lease: BodyLease) -> None:
         """Count a body no more."""
         self._count(lease, 0)
@@ -177,12 +198,16 @@
             lacking -= victim.size
         return victims
 
+    def _find_room(self) -> int:
+        return self.total - max(self.connections - self.beside, 0)
+
     def _find_lack(self, lease: BodyLease, size: int) -> int:
-        lacking = self.held + size - lease.size - self.total
+        room = self._find_room()
+        lacking = self.held + size - lease.size - room
         if size <= SMALL_BODY:
             return lacking
         counted = 0 if lease.is_small else lease.size
-        large = self.large + size - counted - self.total + self.reserve
+        large = self.large + size - counted - room + self.reserve
         return max(lacking, large)
 
     def _list_candidates(
@@ -205,7 +230,8 @@
 def build_body_budget(memory: int = _DEFAULT_MEMORY) -> BodyBudget:
     """Build the budget of a machine with some bytes of memory."""
     total = int(find_room(memory) * _BODY_PART)
-    return BodyBudget(total, int(total * _RESERVED_PART))
+    beside = int(find_room(memory) * _CONNECTIONS_PART)
+    return BodyBudget(total, int(total * _RESERVED_PART), beside=beside)
 
 
 @dataclass(slots=True)
@@ -226,7 +252,8 @@
     def add(self, received: bytes) -> None:
         """Add received bytes."""
         end = self.length + len(received)
-        if self._large is None and end <= SMALL_BODY:
+        # Arrays that grow in the heap leave gaps when they are dropped.
+        if self._large is None and max(end, self.announced) <= SMALL_BODY:
             self._small += received
         else:
             self._extend(end).write(received)
--- a/trefoilsaddle/http/requests.py
+++ b/trefoilsaddle/http/requests.py
@@ -16,6 +16,7 @@
 
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.configuration import CallerLimits
+from trefoilsaddle.http import sockets
 from trefoilsaddle.http.messages import HttpRequest, find_header
 from trefoilsaddle.http.requestbodies import (
     MIN_AGE,
@@ -120,7 +121,10 @@
         if request is None:
             return None
         self._begun = False
-        self._rest = parser.trailing_data[0] + self._rest
+        if isinstance(request, BadInput):
+            self.drop_rest()
+        else:
+            self._rest = parser.trailing_data[0] + self._rest
         # The lease refers to the body, which must not outlive its answer.
         lease = self.lease
         self.lease = None
@@ -150,6 +154,16 @@
         """Free the bytes behind the last request of the connection."""
         self._rest = b''
 
+    async def discard(self, scope: trio.CancelScope) -> bool:
+        """Drop bytes behind the last request; return False if all came."""
+        self.drop_rest()
+        with scope:
+            more = 1
+            while more:
+                more = await sockets.discard(self.stream)
+            return False
+        return True
+
     async def wait_for_end(self, scope: trio.CancelScope) -> bool:
         """Keep early bytes until the scope ends; return False if all came."""
         lease = self.open_lease(scope.cancel)
--- a/trefoilsaddle/http/sockets.py
+++ b/trefoilsaddle/http/sockets.py
@@ -22,6 +22,7 @@
 # Room for a C integer, as which the kernel returns the length of a queue.
 _QUEUE_LENGTH = bytes(struct.calcsize('i'))
 _BACKLOG = 1024
+_DISCARDED_BYTES = 65_536
 # State of a TCP connection, in the first byte of its information: the other
 # end has sent its end of the stream, and no reset.
 _CLOSE_WAIT = 8
@@ -114,6 +115,14 @@
     return int.from_bytes(queued, sys.byteorder)
 
 
+async def discard(stream: trio.SocketStream) -> int:
+    """Receive some bytes and drop them; return their number, 0 at the end.
+
+    No reference to them is kept while more are awaited.
+    """
+    return len(await stream.receive_some(_DISCARDED_BYTES))
+
+
 def is_reset_after_end(error: Exception) -> bool:
     """Return whether writing failed after the other end ended the stream.
 
--- a/trefoilsaddle/programs/gateway.py
+++ b/trefoilsaddle/programs/gateway.py
@@ -126,6 +126,8 @@
     bodies = bodies or build_body_budget()
     connection = CallerConnection(service, stream, budget, count, bodies)
     with ExitStack() as stack:
+        bodies.open_connection()
+        stack.callback(bodies.close_connection)
         if opened is not None:
             if not opened.add(connection):
                 connection.displace()
