--- a/tests/test_gatewaystopsignal.py
+++ b/tests/test_gatewaystopsignal.py
@@ -273,3 +273,38 @@
     first, _, rest = trio.run(run).partition(b'HTTP/1.1 503')
     assert first.endswith(b'\r\n\r\n' + _SHORT_BODY)
     assert b'connection: close' in rest.lower()
+
+
+# Guards against callers that hold a process until it is killed, as they read none
+# of their answers.
+def test_exit_does_not_wait_for_callers_that_never_read(tmp_path: Path) -> None:
+    """Exit within the grace, whatever was not read."""
+    path = tmp_path / 'settings.toml'
+
+    async def run() -> float:
+        step = Step(whole(_BODY, *_SEAL))
+        server = ScriptedServer([step for _ in range(8)])
+        with trio.fail_after(_LIVENESS_BOUND):
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.serve)
+                store_port = await _start_store(nursery, port)
+                settings = _write_settings(path, _GRACE, store_port)
+                elapsed = await _stop_unread(settings, path)
+                nursery.cancel_scope.cancel()
+        return elapsed
+
+    assert trio.run(run) < _GRACE
+
+
+async def _stop_unread(settings: GatewaySettings, path: Path) -> float:
+    port = settings.callers.port
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_run_gateway, settings, path)
+        await _wait_until_running(settings.ready.port)
+        unread = [await _ask(port), await _ask_without_reading(port)]
+        sent = trio.current_time()
+        os.kill(os.getpid(), signal.SIGTERM)
+        unread.append(await _ask_without_reading(port))
+    for stream in unread:
+        stream.socket.close()
+    return trio.current_time() - sent
