--- a/tests/test_gatewayclosingsoak.py
+++ b/tests/test_gatewayclosingsoak.py
@@ -24,8 +24,8 @@
 _HOST = '127.0.0.1'
 _SEEDS = int(os.environ.get('TREFOIL_EXAMPLES', '8'))
 _CALLERS = 12
-_MAX_ANSWER = 30_000
-_MAX_WORK = 0.15
+_MAX_ANSWER = 100_000
+_MAX_WORK = 0.05
 # Seconds after which the service closes its connections, and limit on the time
 # until all have ended: that of the slowest reader, and for the callers' closing.
 _CLOSING = (0.1, 0.8)
@@ -82,7 +82,7 @@
 
     async def run(self) -> None:
         """Send and read side by side."""
-        self.pause = self.random.choice((0, 0, 0.005, 0.02))
+        self.pause = self.random.choice((0, 0.01, 0.05))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send)
             await self._read()
@@ -141,7 +141,7 @@
         while part:
             await trio.sleep(self.pause)
             try:
-                part = bytes(await self.stream.receive_some(4096))
+                part = bytes(await self.stream.receive_some(16_384))
             except trio.BrokenResourceError:
                 return
             self.received += part
--- a/trefoilsaddle/http/closing.py
+++ b/trefoilsaddle/http/closing.py
@@ -17,7 +17,7 @@
 
 # Limit on the requests that a connection reads once the service closes its
 # connections.
-_MAX_LATE_REQUESTS = 64
+_MAX_LATE_REQUESTS = 16
 
 
 @dataclass(slots=True)
