Look for bodies that give way only where connections need their room

Opening a connection copied the list of unfinished bodies, and a body that had no byte yet could give way for nothing. Found by reading the change; the tests of both budgets pass as before.

--- a/trefoilsaddle/http/requestbodies.py
+++ b/trefoilsaddle/http/requestbodies.py
@@ -152,11 +152,8 @@
     def open_connection(self) -> None:
         """Count a connection, for which unfinished bodies may give way."""
         self.connections += _CONNECTION_BYTES
-        unfinished = iter(list(self.unfinished))
-        lease = next(unfinished, None)
-        while lease is not None and self.held > self._find_room():
-            lease.evict()
-            lease = next(unfinished, None)
+        if self.held > self._find_room():
+            self._evict_oldest()
 
     def close_connection(self) -> None:
         """Count a connection no more."""
@@ -198,6 +195,14 @@
             lacking -= victim.size
         return victims
 
+    def _evict_oldest(self) -> None:
+        """Have unfinished bodies give way until the others have room."""
+        for lease in tuple(self.unfinished):
+            if self.held <= self._find_room():
+                return
+            if lease.size:
+                lease.evict()
+
     def _find_room(self) -> int:
         return self.total - max(self.connections - self.beside, 0)
 
