Share the check of two framings, and drop a scope that nobody cancels

Found by reading the change again, behaviour as before: requests and answers each looked for a length beside a transfer coding by themselves, and the reader discarded bytes in a cancel scope of which no one had a reference, so that one of its results could not occur.

--- a/trefoilsaddle/http/callers.py
+++ b/trefoilsaddle/http/callers.py
@@ -167,7 +167,8 @@
         self._closing.count_request()
         self._changed.set()
         if received.is_last:
-            return await self._reader.discard(trio.CancelScope())
+            await self._reader.discard()
+            return False
         while not self._closing.may_read():
             self._pause = trio.CancelScope()
             if not await self._reader.wait_for_end(self._pause):
--- a/trefoilsaddle/http/exchange.py
+++ b/trefoilsaddle/http/exchange.py
@@ -13,7 +13,13 @@
     AnswerReservation,
     TooLargeError,
 )
-from trefoilsaddle.http.messages import Fault, HttpAnswer, HttpRequest
+from trefoilsaddle.http.messages import (
+    TRANSFER_CODING,
+    Fault,
+    HttpAnswer,
+    HttpRequest,
+    has_two_framings,
+)
 from trefoilsaddle.http.progress import Progress
 from trefoilsaddle.http.sockets import (
     is_ended_by_peer,
@@ -45,8 +51,6 @@
 # expires.
 _LATE_READ_TIMEOUT = Seconds(0.05)
 _HOST = b'host'
-_CODING = b'transfer-encoding'
-_LENGTH = b'content-length'
 # Limit on the answers to earlier requests that are skipped on a connection.
 _MAX_STALE = 2
 
@@ -159,7 +163,7 @@
             return Fault.lost
         head = HttpAnswer(event.status_code, tuple(event.headers))
         self.progress.head = head
-        chunked = head.find_header(_CODING) is not None
+        chunked = head.find_header(TRANSFER_CODING) is not None
         self.chunk_bytes = _CHUNKED_CHUNK_BYTES if chunked else _CHUNK_BYTES
         body = await self._read_body()
         return Fault.lost if body is None else replace(head, body=body)
@@ -173,11 +177,9 @@
         return states == {h11.DONE}
 
     def _is_ambiguous(self) -> bool:
-        """Return whether the answer has a length and chunks as well."""
+        """Return whether the answer may end elsewhere than it was read to."""
         head = self.progress.head
-        if head is None or head.find_header(_CODING) is None:
-            return False
-        return head.find_header(_LENGTH) is not None
+        return head is not None and has_two_framings(head.headers)
 
     async def _read_body(self) -> bytes | None:
         body = bytearray()
--- a/trefoilsaddle/http/messages.py
+++ b/trefoilsaddle/http/messages.py
@@ -20,6 +20,8 @@
     ),
 )
 _CONNECTION = b'connection'
+TRANSFER_CODING = b'transfer-encoding'
+_LENGTH = b'content-length'
 # Longer numbers exceed any limit; some thousand digits are refused by Python.
 _MAX_DIGITS = 18
 
@@ -70,6 +72,12 @@
     return None
 
 
+def has_two_framings(headers: Headers) -> bool:
+    """Return whether a message has both a length and a transfer coding."""
+    coded = find_header(headers, TRANSFER_CODING) is not None
+    return coded and find_header(headers, _LENGTH) is not None
+
+
 def parse_number(text: bytes) -> int | None:
     """Return the number of a header, or None if it is none or too long."""
     if len(text) > _MAX_DIGITS or not text.isdigit():
--- a/trefoilsaddle/http/requests.py
+++ b/trefoilsaddle/http/requests.py
@@ -17,7 +17,12 @@
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.configuration import CallerLimits
 from trefoilsaddle.http import sockets
-from trefoilsaddle.http.messages import HttpRequest, find_header
+from trefoilsaddle.http.messages import (
+    TRANSFER_CODING,
+    HttpRequest,
+    find_header,
+    has_two_framings,
+)
 from trefoilsaddle.http.requestbodies import (
     MIN_AGE,
     BodyBudget,
@@ -37,7 +42,6 @@
 # Bytes of the unanswered bodies of one connection, or one larger body.
 _MAX_SHARE = 262_144
 _LENGTH = b'content-length'
-_CODING = b'transfer-encoding'
 # First version of HTTP with bodies in chunks.
 _CHUNKED_VERSION = b'1.1'
 _HEAD = b'HEAD'
@@ -154,15 +158,12 @@
         """Free the bytes behind the last request of the connection."""
         self._rest = b''
 
-    async def discard(self, scope: trio.CancelScope) -> bool:
-        """Drop bytes behind the last request; return False if all came."""
+    async def discard(self) -> None:
+        """Drop bytes behind the last request until the stream ends."""
         self.drop_rest()
-        with scope:
-            more = 1
-            while more:
-                more = await sockets.discard(self.stream)
-            return False
-        return True
+        more = 1
+        while more:
+            more = await sockets.discard(self.stream)
 
     async def wait_for_end(self, scope: trio.CancelScope) -> bool:
         """Keep early bytes until the scope ends; return False if all came."""
@@ -383,10 +384,9 @@
     The rest of it could be taken for a request (RFC 9112, sections 6.1 and 6.3).
     """
     headers = tuple(head.headers)
-    if find_header(headers, _CODING) is None:
+    if find_header(headers, TRANSFER_CODING) is None:
         return False
-    has_length = find_header(headers, _LENGTH) is not None
-    return has_length or head.http_version < _CHUNKED_VERSION
+    return has_two_framings(headers) or head.http_version < _CHUNKED_VERSION
 
 
 def _find_length(head: h11.Request) -> int | None:
