Show a gateway that answers nobody while it parses heads of many fields

Cause: a head that has arrived whole is parsed without giving way to other tasks, and many such heads are parsed in one turn of the event loop.

--- a/review/crowd3.py
+++ b/review/crowd3.py
@@ -1,12 +1,13 @@
 """Run a crowd of clients that do not end their bodies against one gateway.
 
-The crowd is within the limits of the desired state. The case fails if the
-gateway ends, or needs more memory than its machine has.
+The crowd is within the limits of the desired state. A case fails if the gateway
+ends, if it needs more memory than its machine has, or if it answers nobody.
 """
 
 import asyncio
 import os
 import time
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
@@ -36,6 +37,12 @@
 PAUSE = 0.25
 WORK = 0.05
 DEADLINE = 4
+# Time in which the requests are sent that show whether anybody is answered, and
+# the pause between two of them.
+PROBING = 1
+PROBE_PAUSE = 0.25
+# Time for which the case waits until the gateway answers again, to record it.
+RECOVERY = 60
 HEAD_END = b'\r\n\r\n'
 START = (
     b'POST /reads/1 HTTP/1.1\r\nHost: shop.example\r\n'
@@ -97,13 +104,20 @@
     return Answer(200, headers, b'answer')
 
 
-async def watch(record: Record, gateway: Gateway, crowd: Crowd) -> int:
-    """Return the exit code of the case."""
-    counts = {'opened': 0, 'closed': 0}
-    tasks = [
+def send_crowd(
+    gateway: Gateway, crowd: Crowd, counts: dict[str, int]
+) -> list[asyncio.Task[None]]:
+    """Start the clients."""
+    return [
         asyncio.create_task(press(gateway.front, crowd, counts))
         for _ in range(crowd.clients)
     ]
+
+
+async def watch_memory(record: Record, gateway: Gateway, crowd: Crowd) -> int:
+    """Return 1 if the gateway needs more memory than its machine has."""
+    counts = {'opened': 0, 'closed': 0}
+    tasks = send_crowd(gateway, crowd, counts)
     peak = gateway.read_peak()
     until = time.monotonic() + DURATION
     number = 0
@@ -130,7 +144,48 @@
     return int(broken)
 
 
-async def run(record: Record, folder: Path, crowd: Crowd) -> int:
+async def watch_answers(record: Record, gateway: Gateway, crowd: Crowd) -> int:
+    """Return 1 if no ordinary request is answered in its time."""
+    counts = {'opened': 0, 'closed': 0}
+    tasks = send_crowd(gateway, crowd, counts)
+    began = time.monotonic()
+    while counts['opened'] < crowd.clients:
+        await asyncio.sleep(PAUSE)
+    record.write(f'clients {counts}')
+
+    async def probe(number: int) -> bool:
+        sent = time.monotonic() - began
+        outcome = await ask_ordinary(gateway, number)
+        ready = await gateway.is_ready()
+        took = time.monotonic() - began - sent
+        record.write(
+            f'ordinary request {number}, sent {sent:.1f} s after the clients '
+            f'came: {outcome}; then ready {ready}, after {took:.1f} s in all'
+        )
+        return outcome == '200'
+
+    probes = []
+    for number in range(int(PROBING / PROBE_PAUSE)):
+        probes.append(asyncio.create_task(probe(number)))
+        await asyncio.sleep(PROBE_PAUSE)
+    answered = sum(await asyncio.gather(*probes))
+    ready = await gateway.wait_until_ready(RECOVERY)
+    held = time.monotonic() - began
+    record.write(f'ready {ready} {held:.1f} s after the clients came')
+    for task in tasks:
+        task.cancel()
+    broken = gateway.has_ended() or not answered
+    record.write(
+        f'{answered} of {len(probes)} ordinary requests answered in '
+        f'{DEADLINE} s: {"FAIL" if broken else "ok"}'
+    )
+    return int(broken)
+
+
+Watch = Callable[[Record, Gateway, Crowd], Awaitable[int]]
+
+
+async def run(record: Record, folder: Path, crowd: Crowd, watch: Watch) -> int:
     """Start the store, an upstream and a gateway, and watch them."""
     _, port = await serve(answer_request)
     store = Store()
@@ -159,13 +214,13 @@
         await gateway.end()
 
 
-def run_case(folder: Path, crowd: Crowd) -> int:
+def run_case(folder: Path, crowd: Crowd, watch: Watch = watch_memory) -> int:
     """Run a case; without the clients if TROUBLE is 0."""
     if os.environ.get('TROUBLE') == '0':
         crowd = Crowd(0, crowd.request)
     record = Record(folder / 'record.txt')
     with TemporaryDirectory() as scratch:
-        code = asyncio.run(run(record, Path(scratch), crowd))
+        code = asyncio.run(run(record, Path(scratch), crowd, watch))
     record.write(f'exit {code}')
     record.close()
     return code
