Show two holders after the store came back without a table

Cause: a gateway that finds no table in the store takes itself for the first controller, also in a later era of the store and when its settings say that the system has started before. It divides the keys while the former controller still renews its grants.

Tried: a drill with a copy from before the first table, a restart of the second gateway in the outage, and the store turning the controller away for 7 s.

--- a/review/standins3.py
+++ b/review/standins3.py
@@ -445,7 +445,7 @@
         """Write the settings and start the process."""
         ports = find_ports(6, self.ip)
         self.front, self.ready = ports[0], ports[1]
-        path = self.folder / f'{self.node}.toml'
+        path = self._find_settings()
         path.write_text(
             SETTINGS.format(
                 node=self.node,
@@ -459,12 +459,28 @@
                 store=self.store,
             )
         )
+        await self._run()
+
+    async def restart(self) -> None:
+        """Kill the process, and start it again as the platform does."""
+        await self.end()
+        path = self._find_settings()
+        settings = path.read_text()
+        path.write_text(
+            settings.replace('bootstrap = true', 'bootstrap = false')
+        )
+        await self._run()
+
+    def _find_settings(self) -> Path:
+        return self.folder / f'{self.node}.toml'
+
+    async def _run(self) -> None:
         environment = {
             'PATH': os.environ['PATH'],
             'HOME': os.environ.get('HOME', '/'),
             'PYTHONPATH': str(ROOT / 'target' / 'deps'),
             'PYTHONDONTWRITEBYTECODE': '1',
-            'TREFOILSADDLE_CONFIG': str(path),
+            'TREFOILSADDLE_CONFIG': str(self._find_settings()),
         }
         log = (self.folder / f'{self.node}.log').open('ab')
         command = '-S -m trefoilsaddle.programs.gatewaystart'.split()
