--- a/review/crowd3.py
+++ b/review/crowd3.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import os
+import resource
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -44,6 +45,8 @@
 # Time for which the case waits until the gateway answers again, to record it.
 RECOVERY = 60
 HEAD_END = b'\r\n\r\n'
+# Descriptors of a process beside those of the clients.
+OTHER_FILES = 200
 START = (
     b'POST /reads/1 HTTP/1.1\r\nHost: shop.example\r\n'
     b'X-Attempt-Id: crowd\r\nX-Deadline-Ms: 4000\r\n'
@@ -219,8 +222,13 @@
     if os.environ.get('TROUBLE') == '0':
         crowd = Crowd(0, crowd.request)
     record = Record(folder / 'record.txt')
-    with TemporaryDirectory() as scratch:
-        code = asyncio.run(run(record, Path(scratch), crowd, watch))
+    files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    code = 2
+    if files < crowd.clients + OTHER_FILES:
+        record.write(f'{files} descriptors are too few')
+    else:
+        with TemporaryDirectory() as scratch:
+            code = asyncio.run(run(record, Path(scratch), crowd, watch))
     record.write(f'exit {code}')
     record.close()
     return code
