Wait for the grants of lost tables where a service has no table

Cause: an empty answer of the store was taken for a history. Ruled out: the renewals of the old controller (within what a successor allows for), the token of the era (it rose), and that the era or `bootstrap` alone would do: a gateway that was cut off since its start has `bootstrap` true, and with the era alone a first start on a restored store waits 25 s.

A service without a table now counts as new only with a proof: the store is in its first era; this gateway has started with the whole system and reached the store in this era before keys can have been granted; or a complete table of another service of this era does not list it. Tables list the services whose keys were granted. Otherwise no key is granted until the grants of lost tables have lapsed, or a proof arrives. `first controller` states its reason, `tables may be lost` has the eras.

--- a/measure/gatewayworld.py
+++ b/measure/gatewayworld.py
@@ -130,6 +130,8 @@
     calls: StoreCalls = field(init=False)
     # Changes the options of gateways that are started later.
     adjust: _Adjust = lambda options: options
+    # True while gateways are started with the whole system.
+    first_start: bool = False
     _heap: list[_ScheduledAction] = field(default_factory=list)
     _sequence: int = 0
     _runs: int = 0
@@ -171,7 +173,13 @@
             self.kill_gateway(name)
         if machine is None:
             machine = self._find_machine(node, speed)
-        options = build_options(name, self._runs, machine, self.regions)
+        options = build_options(
+            name,
+            self._runs,
+            machine,
+            self.regions,
+            first_start=self.first_start,
+        )
         process = Process(
             build_gateway(self.adjust(options)),
             worker=OrderWorker(self.order_turn),
@@ -640,6 +648,8 @@
     """Build a simulation and start its gateways."""
     world = World(Random(seed))
     world.store.write_configuration(configuration)
+    world.first_start = True
     for name in gateways:
         world.start_gateway(name)
+    world.first_start = False
     return world
--- a/measure/worldoptions.py
+++ b/measure/worldoptions.py
@@ -30,6 +30,8 @@
     run: int,
     machine: Machine,
     regions: Regions,
+    *,
+    first_start: bool = False,
 ) -> GatewayOptions:
     """Build the options of one incarnation of a gateway."""
     return GatewayOptions(
@@ -44,6 +46,7 @@
         retry_budget=RetryBudget(0.2, 64, Seconds(10)),
         stop_timeout=Seconds(6),
         heartbeat=Seconds(0.87),
+        first_start=first_start,
         speed=machine.speed,
         link_rate=machine.link_rate,
     )
--- a/measure/worldprocess.py
+++ b/measure/worldprocess.py
@@ -19,6 +19,8 @@
     # True while the store, or the other gateways, are unreachable from it.
     store_cut: bool = False
     peers_cut: bool = False
+    # True while the store refuses its calls, and states its era in doing so.
+    turned_away: bool = False
     # Servers that its grants and releases do not reach.
     unreachable: set[ServerId] = field(default_factory=set)
     timers: dict[TimerKind, int] = field(default_factory=dict)
--- a/measure/worldstorecalls.py
+++ b/measure/worldstorecalls.py
@@ -1,7 +1,7 @@
 """Simulate the calls of gateways to the store."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
 from typing import Protocol
@@ -87,6 +87,10 @@
         if self._is_unreachable(process):
             self._end_after(call, _CALL_TIMEOUT, failed)
             return
+        if process.turned_away:
+            refused = replace(failed, era=self.world.store.era)
+            self._return(call, _CALL, refused)
+            return
         self._limit(call, effect.wait, failed)
         self._carry(process, partial(self._answer_read, call, effect))
 
@@ -97,6 +101,11 @@
         if self._is_unreachable(process):
             self._end_after(call, _CALL_TIMEOUT, failed)
             return
+        if process.turned_away:
+            era = self.world.store.era
+            refused = _build_append_end(effect, AppendVerdict.refused, era)
+            self._answer_later(call, refused)
+            return
         self._limit(call, Seconds(0), failed)
         self._carry(process, partial(self._answer_append, call, effect))
 
@@ -107,6 +116,9 @@
         if self._is_unreachable(process):
             self.world.after(_CALL_TIMEOUT, answer)
             return
+        if process.turned_away:
+            self._return(call, _CALL, self._build_join_failure(call))
+            return
         self._limit(call, Seconds(0), self._build_join_failure(call))
         self._carry(process, answer)
 
--- a/tests/gatewayscenes.py
+++ b/tests/gatewayscenes.py
@@ -71,10 +71,10 @@
     return world
 
 
-def list_unowned(world: World) -> list[int]:
-    """Return sampled keys that no server holds."""
+def list_unowned(world: World, service: str = CATALOGUE) -> list[int]:
+    """Return sampled keys of a service that no server holds."""
     keys = range(0, LAST_KEY + 1, 1024)
-    return [key for key in keys if not world.find_holders(key, CATALOGUE)]
+    return [key for key in keys if not world.find_holders(key, service)]
 
 
 def list_unserved(world: World, seconds: float) -> list[int]:
--- a/tests/test_platformadapter.py
+++ b/tests/test_platformadapter.py
@@ -500,9 +500,23 @@
     'limits.memoryMb': _SETTINGS.replace('= 160', '= 0'),
     'limits.maxFds': _SETTINGS.replace('= 1638', '= "many"'),
     'internalPorts': _SETTINGS.replace('[7540, 7555]', '[]'),
+    'bootstrap': _SETTINGS.replace('node =', 'bootstrap = "yes"\nnode ='),
 }
 
 
+@pytest.mark.parametrize(
+    ('line', 'first'),
+    [('', False), ('bootstrap = false', False), ('bootstrap = true', True)],
+)
+def test_first_start_is_read(line: str, tmp_path: Path, *, first: bool) -> None:
+    """Take a start for the first one of the system only if it is stated."""
+    path = tmp_path / 'settings.toml'
+    path.write_text(f'{line}\n{_SETTINGS}')
+    settings = read_settings(path, 5)
+    assert isinstance(settings, GatewaySettings)
+    assert settings.options.first_start == first
+
+
 def test_settings_are_read(tmp_path: Path) -> None:
     """Read addresses and limits, and ignore unknown keys."""
     path = tmp_path / 'settings.toml'
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -30,6 +30,7 @@
 from trefoilsaddle.gateway.loads import ServerLoads
 from trefoilsaddle.gateway.locality import may_hold_keys
 from trefoilsaddle.gateway.loglines import log_event
+from trefoilsaddle.gateway.losttables import list_divided
 from trefoilsaddle.gateway.pacing import bound_hold
 from trefoilsaddle.gateway.partitions import (
     Partition,
@@ -73,7 +74,7 @@
     now: Seconds,
 ) -> Effects:
     """Assign free partitions to servers by the next table."""
-    end_wait(keyed, now)
+    end_wait(gateway, keyed, now)
     if keyed.pending is not None or now < keyed.append_after:
         return []
     if keyed.table_due or _lacks_confirmations(gateway, keyed):
@@ -403,6 +404,7 @@
         incomplete=keyed.unknown_until is not None,
         unknown_left=find_time_left(keyed.unknown_until, now),
         lapsing_left=find_time_left(keyed.lapsing_until, now),
+        divided=list_divided(gateway, keyed.service),
     )
 
 
--- a/trefoilsaddle/gateway/eras.py
+++ b/trefoilsaddle/gateway/eras.py
@@ -14,9 +14,11 @@
     ControllerAnnounced,
     Event,
     JoinEnded,
+    Started,
     TopicRead,
 )
 from trefoilsaddle.gateway.loglines import log_event
+from trefoilsaddle.gateway.losttables import is_before_grants
 from trefoilsaddle.gateway.peermessages import ControllerAnnouncement
 from trefoilsaddle.gateway.restoring import (
     begin_wait,
@@ -30,6 +32,8 @@
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
     """Record the era of each answer of the store."""
+    if isinstance(event, Started):
+        gateway.started_at = now
     if isinstance(event, ControllerAnnounced):
         _record_waits(gateway, now, event.announcement)
     if not isinstance(event, (TopicRead, JoinEnded, AppendEnded)):
@@ -58,6 +62,8 @@
     gateway.era = era
     gateway.era_seen_at = now
     gateway.unknown_ends.clear()
+    if is_before_grants(gateway, now):
+        gateway.initial_era = era
     if known == NO_ERA:
         return []
     line = log_event(
--- a/trefoilsaddle/gateway/options.py
+++ b/trefoilsaddle/gateway/options.py
@@ -78,6 +78,8 @@
     # Interval at which a server writes its entry; the entry lapses after three
     # missed writes.
     heartbeat: Seconds
+    # True if the whole system starts for the first time with this process.
+    first_start: bool = False
     cold_servers: ColdServerBound = ColdServerBound()
     # Cores available to this process, each scaled by its own speed.
     speed: float = 2
--- a/trefoilsaddle/gateway/resigning.py
+++ b/trefoilsaddle/gateway/resigning.py
@@ -58,7 +58,7 @@
     if not keyed.resigned:
         for partition in list(keyed.partitions.ordered):
             effects.extend(update_partition(gateway, keyed, partition, now))
-        end_wait(keyed, now)
+        end_wait(gateway, keyed, now)
     due = keyed.table_due and keyed.pending is None
     if not due or now < keyed.append_after or awaits_confirmation(keyed):
         return effects
--- a/trefoilsaddle/gateway/restoring.py
+++ b/trefoilsaddle/gateway/restoring.py
@@ -15,6 +15,7 @@
 
 from trefoilsaddle.core.units import Seconds
 from trefoilsaddle.gateway.control import KeyedControl
+from trefoilsaddle.gateway.losttables import find_novelty
 from trefoilsaddle.gateway.options import CONNECT_TIMEOUT
 from trefoilsaddle.gateway.partitions import (
     MAX_CALL_DELAY,
@@ -51,7 +52,7 @@
 def begin_wait(
     gateway: Gateway,
     keyed: KeyedControl,
-    stored: StoredTable,
+    stored: StoredTable | None,
     now: Seconds,
 ) -> None:
     """Give no keys away before the grants of lost tables have lapsed."""
@@ -142,10 +143,10 @@
     partition.inherited_until = until
 
 
-def end_wait(keyed: KeyedControl, now: Seconds) -> None:
+def end_wait(gateway: Gateway, keyed: KeyedControl, now: Seconds) -> None:
     """End the wait once every holder is known or no grant can be left."""
     until = keyed.unknown_until
-    if until is None or (now < until and not _are_holders_known(keyed)):
+    if until is None or (now < until and not _is_wait_over(gateway, keyed)):
         return
     keyed.unknown_until = None
     keyed.table_due = True
@@ -261,9 +262,16 @@
     )
 
 
+def _is_wait_over(gateway: Gateway, keyed: KeyedControl) -> bool:
+    if _are_holders_known(keyed):
+        return True
+    is_new = find_novelty(gateway, keyed.service) is not None
+    return keyed.without_table and is_new
+
+
 def _list_possible_controllers(
     gateway: Gateway,
-    stored: StoredTable,
+    stored: StoredTable | None,
 ) -> tuple[GatewayAddress, ...]:
     """Return the gateways that may renew grants by lost tables.
 
@@ -272,8 +280,10 @@
     known = gateway.link.known
     if not known:
         return ()
-    table = stored.table
-    named = (table.controller, *table.predecessors, *known.values())
+    named = list(known.values())
+    if stored is not None:
+        table = stored.table
+        named = [table.controller, *table.predecessors, *named]
     by_node = {address.node: address for address in named}
     by_node.pop(gateway.options.node, None)
     return tuple(by_node.values())
--- a/trefoilsaddle/gateway/state.py
+++ b/trefoilsaddle/gateway/state.py
@@ -253,6 +253,10 @@
     era: StoreEra = NO_ERA
     # Time at which that era was first seen.
     era_seen_at: Seconds = Seconds(0)
+    # Newest era in which no keys can have been granted before it was seen here;
+    # known only to gateways that have started with the whole system.
+    initial_era: StoreEra = NO_ERA
+    started_at: Seconds = Seconds(0)
     # Time by which no grant of a lost table is in force, as stated by tables of
     # that era.
     unknown_ends: dict[ServiceName, Seconds] = field(default_factory=dict)
--- a/trefoilsaddle/gateway/takeover.py
+++ b/trefoilsaddle/gateway/takeover.py
@@ -7,7 +7,8 @@
 
 A table of an earlier era names the holders of a time before the store came back
 from a copy.  The tables since then are lost, and any server may hold keys by one
-of them: no key is granted until all such grants have lapsed.
+of them: no key is granted until all such grants have lapsed.  It is the same for
+a service without a table, unless it is shown to be new.
 """
 
 from collections.abc import Iterable
@@ -18,12 +19,14 @@
 from trefoilsaddle.gateway.effects import Component, Effects
 from trefoilsaddle.gateway.keys import ALL_KEYS
 from trefoilsaddle.gateway.loglines import log_event
+from trefoilsaddle.gateway.losttables import find_novelty
 from trefoilsaddle.gateway.partitions import Partition, PartitionState
 from trefoilsaddle.gateway.peermessages import Report
 from trefoilsaddle.gateway.restoring import (
     await_lapse,
     begin_wait,
     find_latest_end,
+    find_time_left,
     is_outdated,
     shorten_waits,
 )
@@ -66,13 +69,7 @@
     if stored is not None and is_outdated(gateway, stored):
         return _await_unknown_holders(gateway, keyed, stored, now)
     if stored is None:
-        keyed.partitions.ordered = [Partition(ALL_KEYS, since=now)]
-        first = log_event(
-            Component.ownership, 'first controller', service=service
-        )
-        # The table names no owner yet, but tells gateways where the controller
-        # is.
-        return [first, *append_table(gateway, keyed, now)]
+        return _begin_without_table(gateway, keyed, now)
     _import_table(gateway, keyed, stored, now)
     line = log_event(
         Component.ownership,
@@ -92,6 +89,40 @@
     return [line]
 
 
+def _begin_without_table(
+    gateway: Gateway, keyed: KeyedControl, now: Seconds
+) -> Effects:
+    partition = Partition(ALL_KEYS, since=now)
+    keyed.partitions.ordered = [partition]
+    keyed.without_table = True
+    novelty = find_novelty(gateway, keyed.service)
+    if novelty is None:
+        begin_wait(gateway, keyed, None, now)
+        line = log_event(
+            Component.ownership,
+            'tables may be lost',
+            service=keyed.service,
+            era=gateway.era,
+            initial_era=gateway.initial_era,
+            first_start=gateway.options.first_start,
+            wait=round(find_time_left(keyed.unknown_until, now), _DIGITS),
+        )
+    else:
+        line = log_event(
+            Component.ownership,
+            'first controller',
+            service=keyed.service,
+            era=gateway.era,
+            reason=novelty,
+        )
+    # The table names no owner yet, but tells gateways where the controller is.
+    return [line, *append_table(gateway, keyed, now)]
+
+
+# Decimal places of seconds in log lines.
+_DIGITS = 3
+
+
 def _await_unknown_holders(
     gateway: Gateway,
     keyed: KeyedControl,
--- a/trefoilsaddle/platform/settings.py
+++ b/trefoilsaddle/platform/settings.py
@@ -101,6 +101,8 @@
     heartbeat: Duration
     platform: _WirePlatform
     limits: _WireLimits = _WireLimits()
+    # True if the whole system starts for the first time.
+    bootstrap: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,6 +183,7 @@
         max_hold=Seconds(bounds.hold_max),
         stop_timeout=Seconds(bounds.grace),
         heartbeat=Seconds(wire.heartbeat),
+        first_start=wire.bootstrap,
         cold_servers=ColdServerBound(bounds.cold_factor, bounds.cold_slack),
         link_rate=wire.limits.link_rate,
         speed=speed,
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -55,6 +55,7 @@
   # Minus one: not stated.
   unknownLeft @9 :Float64 = -1;
   lapsingLeft @10 :Float64 = -1;
+  divided @11 :List(Text);
 }
 
 # The five structs below hold lists of a data class by column.
