Keep the keys of other services when an added one has no table yet

Callers of one key-divided service were refused for 14 to 25 s after the store came back from a copy, as another service had just been added and its first table was not confirmed when the store went away.

Cause: a controller that had no table of one of its services stepped down at the return, and its successor, or it again, knew no holders of any service. No keys are granted without a table, so that there is nothing to fear from such a service: it begins without a table, as at a takeover, and the others are stored again. Tables list the services whose keys were granted, not those that only have a table without holders: a successor could not show otherwise that the added service is new.

--- a/tests/test_gatewaylosttables.py
+++ b/tests/test_gatewaylosttables.py
@@ -46,6 +46,8 @@
 
 # Time for which a key may be without an owner while it changes hands.
 _MOVING_TIME = Seconds(0.6)
+# Time within which keys are served again after a loss (stated by the users).
+_RECOVERY_TIME = Seconds(3)
 # Greatest difference of two runs that read the store at different moments.
 _REVIEW_TIME = Seconds(0.4)
 
@@ -194,6 +196,18 @@
     _turn_away(scene)
 
 
+def _start_apart(scene: _Scene) -> None:
+    """Start a gateway that does not reach the others for some time."""
+    _start_late(scene)
+    process = scene.find(_LATE_GATEWAY)
+    process.peers_cut = True
+
+    def reconnect() -> None:
+        process.peers_cut = False
+
+    scene.world.after(_OUTAGE + _TURNED_AWAY, reconnect)
+
+
 def _reconnect_other(scene: _Scene) -> None:
     process = scene.find(scene.other)
 
@@ -212,6 +226,7 @@
     'restarted-in-turn': _restart_in_turn,
     'second-return': _return_twice,
     'started-late': _start_late,
+    'started-apart': _start_apart,
 }
 
 
@@ -367,7 +382,7 @@
             'takeover.find_novelty',
             _find_no_loss,
             partial(_build_scene, tables=0),
-            _restart_other,
+            _start_apart,
         ),
         (
             'eras.is_before_grants',
@@ -379,7 +394,7 @@
             'losttables.is_complete',
             _count_as_complete,
             _build_two_services,
-            _restart_other,
+            _start_apart,
         ),
     ],
     ids=['any-service-is-new', 'start-at-any-time', 'any-table-is-complete'],
@@ -398,3 +413,32 @@
     _restore(scene)
     with pytest.raises(OwnerError):
         scene.world.run(_TURNED_AWAY + _MAX_UNOWNED_TIME)
+
+
+# Guards against a controller that gives up the keys of all services, as one that
+# was just added has no table yet when the store goes away.
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('lost', [0, 1], ids=['unsent', 'answer-lost'])
+def test_service_that_is_being_added_costs_no_other_its_keys(
+    lost: float,
+    seed: int,
+) -> None:
+    """Serve all keys soon after the return, and the added service as well."""
+    scene = _build_scene(seed, _COPIES['between'])
+    world = scene.world
+    for number in range(3):
+        world.add_server(f'pay-{number}', CHECKOUT)
+    world.run(3)
+    before = _count_tables(world)
+    world.faults.refused_appends = 1 - lost
+    world.faults.lost_appends = lost
+    _add_service(world)
+    world.run(0.6)
+    assert world.find_controller() is scene.find(scene.controller)
+    assert _count_tables(world) - before <= lost
+    _restore(scene)
+    world.faults.refused_appends = 0
+    world.faults.lost_appends = 0
+    world.run(_RECOVERY_TIME)
+    assert list_unserved(world, _MOVING_TIME) == []
+    assert list_unowned(world, CHECKOUT) == []
--- a/trefoilsaddle/gateway/assigning.py
+++ b/trefoilsaddle/gateway/assigning.py
@@ -392,19 +392,20 @@
     for partition in keyed.partitions.ordered:
         if partition.state == PartitionState.assigning:
             partition.fence = fence
+    assignments = keyed.partitions.list_assignments(fence)
     return OwnershipTable(
         service=keyed.service,
         controller=gateway.own_address(),
         sequence=keyed.sequence,
         resigned=_is_resigning(gateway),
-        assignments=keyed.partitions.list_assignments(fence),
+        assignments=assignments,
         hold=bound_hold(gateway, keyed),
         predecessors=_list_predecessors(keyed),
         era=gateway.era,
         incomplete=keyed.unknown_until is not None,
         unknown_left=find_time_left(keyed.unknown_until, now),
         lapsing_left=find_time_left(keyed.lapsing_until, now),
-        divided=list_divided(gateway, keyed.service),
+        divided=list_divided(gateway, keyed.service, assignments),
     )
 
 
--- a/trefoilsaddle/gateway/control.py
+++ b/trefoilsaddle/gateway/control.py
@@ -60,8 +60,6 @@
     # Time until which servers may hold keys by tables that are lost; None if
     # every holder is known.
     unknown_until: Seconds | None = None
-    # True if no table of the service was known at the takeover.
-    without_table: bool = False
     # Time until which unconfirmed holders, named by the table of the previous
     # controller, may hold keys; None if this controller renews their grants.
     lapsing_until: Seconds | None = None
--- a/trefoilsaddle/gateway/eras.py
+++ b/trefoilsaddle/gateway/eras.py
@@ -28,6 +28,7 @@
 )
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.table import StoredTable
+from trefoilsaddle.gateway.takeover import begin_without_table
 
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
@@ -87,12 +88,17 @@
     control.end = None
     # Only later reports show that their gateways renew no grants.
     control.term += 1
+    effects: Effects = [read_tables()]
     for keyed in control.keyed.values():
         stored = gateway.tables.get(keyed.service)
-        if stored is None or stored.table.controller != gateway.own_address():
+        if stored is None:
+            # The service has just been added; no keys are granted yet.
+            effects.extend(begin_without_table(gateway, keyed, now))
+            continue
+        if stored.table.controller != gateway.own_address():
             # A controller before this one may have stored tables as well.
             reason = 'the store came back before the takeover'
             return [*step_down(gateway, reason), read_tables()]
         begin_wait(gateway, keyed, stored, now)
         bound_renewals(gateway, keyed)
-    return [read_tables()]
+    return effects
--- a/trefoilsaddle/gateway/losttables.py
+++ b/trefoilsaddle/gateway/losttables.py
@@ -6,11 +6,12 @@
 only if something excludes the loss.
 """
 
+from collections.abc import Collection
 from enum import StrEnum, unique
 
 from trefoilsaddle.core.units import Seconds, ServiceName, StoreEra
 from trefoilsaddle.gateway.state import Gateway
-from trefoilsaddle.gateway.table import OwnershipTable, StoredTable
+from trefoilsaddle.gateway.table import Assignment, OwnershipTable
 
 # Era of a store that has never come back from a copy.
 _FIRST_ERA = StoreEra(1)
@@ -53,15 +54,19 @@
 
 
 def list_divided(
-    gateway: Gateway, service: ServiceName
+    gateway: Gateway,
+    service: ServiceName,
+    assignments: Collection[Assignment],
 ) -> tuple[ServiceName, ...]:
-    """Return the services that a table of one service has to list.
+    """Return the services whose keys have been granted, with the next table.
 
-    These are that service, and all others whose keys have been granted.
+    That table has the assignments of one service.
     """
-    divided = {service}
+    divided = {service} if assignments else set()
     for stored in gateway.tables.values():
-        divided.update(_list_granted(stored))
+        divided.update(stored.table.divided)
+        if stored.table.assignments:
+            divided.add(stored.table.service)
     return tuple(sorted(divided))
 
 
@@ -80,9 +85,3 @@
 def is_complete(gateway: Gateway, table: OwnershipTable) -> bool:
     """Return whether a table rests on all tables that were ever stored."""
     return table.era == gateway.era and not table.incomplete
-
-
-def _list_granted(stored: StoredTable) -> set[ServiceName]:
-    table = stored.table
-    others = set(table.divided).difference((table.service,))
-    return others | {table.service} if table.assignments else others
--- a/trefoilsaddle/gateway/restoring.py
+++ b/trefoilsaddle/gateway/restoring.py
@@ -265,8 +265,9 @@
 def _is_wait_over(gateway: Gateway, keyed: KeyedControl) -> bool:
     if _are_holders_known(keyed):
         return True
-    is_new = find_novelty(gateway, keyed.service) is not None
-    return keyed.without_table and is_new
+    if any(part.incarnation is not None for part in keyed.partitions.ordered):
+        return False
+    return find_novelty(gateway, keyed.service) is not None
 
 
 def _list_possible_controllers(
--- a/trefoilsaddle/gateway/table.py
+++ b/trefoilsaddle/gateway/table.py
@@ -90,8 +90,8 @@
     # Time left until the grants of rows that are not confirmed have lapsed;
     # negative if this controller may renew them.
     lapsing_left: Seconds = NOT_STATED
-    # This service, and all others whose keys had been granted as far as the
-    # controller knew; empty in records that do not state it.
+    # Services whose keys had been granted as far as the controller knew, with
+    # those of this table; empty in records that do not state it.
     divided: tuple[ServiceName, ...] = ()
 
 
--- a/trefoilsaddle/gateway/takeover.py
+++ b/trefoilsaddle/gateway/takeover.py
@@ -69,7 +69,7 @@
     if stored is not None and is_outdated(gateway, stored):
         return _await_unknown_holders(gateway, keyed, stored, now)
     if stored is None:
-        return _begin_without_table(gateway, keyed, now)
+        return begin_without_table(gateway, keyed, now)
     _import_table(gateway, keyed, stored, now)
     line = log_event(
         Component.ownership,
@@ -89,12 +89,12 @@
     return [line]
 
 
-def _begin_without_table(
+def begin_without_table(
     gateway: Gateway, keyed: KeyedControl, now: Seconds
 ) -> Effects:
+    """Become the controller of a service of which no table is known."""
     partition = Partition(ALL_KEYS, since=now)
     keyed.partitions.ordered = [partition]
-    keyed.without_table = True
     novelty = find_novelty(gateway, keyed.service)
     if novelty is None:
         begin_wait(gateway, keyed, None, now)
