Let a controller that the store turns away go on with its grants

Cause: whoever renews and whoever takes over did not hear of each other. A controller announced itself only in its first 15 s, and any table or announcement of another one ended its part. Ruled out: that the restarted gateway could learn the address from the store (the copy has no table).

A controller that the store does not confirm, or that has tables to store again, now announces itself to gateways that do not report. A provisional table (incomplete, no holder) ends nobody's part; the controller that knows the holders stores its table after it, and is then replaced as usual. This is safe as every table is stored only directly after the newest one, and no keys are granted before their table is accepted.

--- a/tests/test_gatewaylosttables.py
+++ b/tests/test_gatewaylosttables.py
@@ -32,6 +32,7 @@
 from trefoilsaddle.gateway.losttables import Novelty
 from trefoilsaddle.gateway.state import Gateway
 from trefoilsaddle.gateway.table import OwnershipTable
+from trefoilsaddle.results import ResultCode
 
 _GATEWAYS = ('gate-1', 'gate-2')
 _LATE_GATEWAY = 'gate-3'
@@ -46,6 +47,14 @@
 
 # Time for which a key may be without an owner while it changes hands.
 _MOVING_TIME = Seconds(0.6)
+# Time after the return in which a gateway that was restarted in the outage has
+# connected to the controller.
+_MAX_RESTART_TIME = Seconds(1.5)
+# Least fraction of the keys that is held while a few change hands.
+_MIN_HELD = 0.8
+_UNKNOWN_OWNER = frozenset(
+    (ResultCode.owner_unknown, ResultCode.owner_changing)
+)
 # Time within which keys are served again after a loss (stated by the users).
 _RECOVERY_TIME = Seconds(3)
 # Greatest difference of two runs that read the store at different moments.
@@ -248,6 +257,46 @@
     assert list_unserved(scene.world, _MOVING_TIME) == []
 
 
+def _count_unknown_owners(scene: _Scene, seconds: float) -> int:
+    """Send requests to the restarted gateway for keys that a server holds.
+
+    Return how many it refuses as it does not know the server.
+    """
+    world = scene.world
+    calls = []
+    for number in range(int(seconds * 10)):
+        key = number * 7919 % 65_536
+        if world.find_holders(key, CATALOGUE):
+            calls.append(world.call(scene.other, '/reads/x', key))
+        world.run(0.1)
+    world.run(4)
+    assert len(calls) > _MIN_HELD * seconds * 10
+    codes = [world.results[call].code for call in calls]
+    return sum(code in _UNKNOWN_OWNER for code in codes)
+
+
+# Guards against keys that nobody serves, though a controller that the store turns
+# away still renews their grants: a gateway that knows no table took over from it.
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('tables', _COPIES.values(), ids=_COPIES)
+@pytest.mark.parametrize(
+    'trouble',
+    [_restart_other, _restart_other_unheard],
+    ids=['restarted', 'restarted-unheard'],
+)
+def test_controller_that_is_turned_away_goes_on(
+    trouble: _Trouble,
+    tables: int,
+    seed: int,
+) -> None:
+    """Serve all keys at the restarted gateway until the controller is back."""
+    scene = _build_scene(seed, tables)
+    trouble(scene)
+    _restore(scene)
+    scene.world.run(_MAX_RESTART_TIME)
+    assert _count_unknown_owners(scene, _TURNED_AWAY + 4) == 0
+
+
 # Guards against a gateway that takes the first start of the system for proof,
 # though the store had tables before it was first reached.
 @pytest.mark.parametrize('seed', [1, 2])
--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -22,7 +22,7 @@
     Effects,
     SetTimer,
 )
-from trefoilsaddle.gateway.election import read_tables
+from trefoilsaddle.gateway.election import is_store_reachable, read_tables
 from trefoilsaddle.gateway.events import (
     AppendEnded,
     Event,
@@ -43,9 +43,14 @@
 )
 from trefoilsaddle.gateway.loads import UseSample
 from trefoilsaddle.gateway.loglines import log_event
+from trefoilsaddle.gateway.losttables import find_novelty
 from trefoilsaddle.gateway.pacing import bound_moves, count_changing
 from trefoilsaddle.gateway.peermessages import Report
-from trefoilsaddle.gateway.peers import hear_limits, request_configuration
+from trefoilsaddle.gateway.peers import (
+    follows_another,
+    hear_limits,
+    request_configuration,
+)
 from trefoilsaddle.gateway.resigning import (
     begin_resigning,
     continue_resigning,
@@ -61,8 +66,6 @@
 
 # Gateways that have not reported for this time are no longer counted.
 _REPORT_TIMEOUT = Seconds(3)
-# Age of the store's last answer up to which it is considered reachable.
-_MAX_STORE_AGE = Seconds(0.8)
 # Time within which a controller stores its tables again once the store is back
 # from a copy: two tries to read, 0.3 s apart, and a grant of each partition.
 _RESTORE_TIME = Seconds(1.5)
@@ -136,14 +139,38 @@
 def _awaits_predecessor(gateway: Gateway, now: Seconds) -> bool:
     """Return whether the last controller may still store its tables again."""
     control = gateway.control
-    if not any(
+    expected = any(
         may_be_stored_again(gateway, stored)
         for stored in gateway.tables.values()
-    ):
+    )
+    if not expected and not _lacks_holders(gateway):
         return False
     if control.outdated_since is None:
         control.outdated_since = now
-    return now - control.outdated_since < _RESTORE_TIME
+    waited = now - control.outdated_since
+    if expected and waited < _RESTORE_TIME:
+        return True
+    # It may still renew its grants, and store them once it reaches the store.
+    limit = gateway.options.outage_tolerance
+    return waited < limit and follows_another(gateway, now)
+
+
+def _lacks_holders(gateway: Gateway) -> bool:
+    """Return whether the store names no holder of a service that has some."""
+    configuration = gateway.configuration
+    if configuration is None:
+        return False
+    return any(
+        rules.keyed and _has_unknown_holders(gateway, rules.name)
+        for rules in configuration.services.values()
+    )
+
+
+def _has_unknown_holders(gateway: Gateway, service: ServiceName) -> bool:
+    stored = gateway.tables.get(service)
+    if stored is None:
+        return find_novelty(gateway, service) is None
+    return stored.table.provisional
 
 
 def _update(gateway: Gateway, now: Seconds) -> Effects:
@@ -214,7 +241,8 @@
     keyed: KeyedControl,
     now: Seconds,
 ) -> Effects:
-    if now < keyed.balance_at or not _is_store_reachable(gateway, now):
+    # Without the store no new owner of a released range could be recorded.
+    if now < keyed.balance_at or not is_store_reachable(gateway, now):
         return []
     interval = gateway.options.balance_interval
     keyed.balance_at = Seconds(now + interval)
@@ -234,11 +262,6 @@
     return effects
 
 
-def _is_store_reachable(gateway: Gateway, now: Seconds) -> bool:
-    # Without the store no new owner of a released range could be recorded.
-    return now - gateway.control.confirmed_at <= _MAX_STORE_AGE
-
-
 def _begin_move(
     gateway: Gateway,
     keyed: KeyedControl,
--- a/trefoilsaddle/gateway/election.py
+++ b/trefoilsaddle/gateway/election.py
@@ -47,6 +47,8 @@
 # Gateways of the same speed join at random times within this interval, so that
 # most of them hear of a controller before they join.
 _ELECTION_JITTER = Seconds(0.3)
+# Age of the store's last answer up to which it is considered reachable.
+_MAX_STORE_AGE = Seconds(0.8)
 
 
 def handle_event(gateway: Gateway, now: Seconds, event: Event) -> Effects:
@@ -89,6 +91,19 @@
     return control.leading and age <= gateway.options.outage_tolerance
 
 
+def is_store_reachable(gateway: Gateway, now: Seconds) -> bool:
+    """Return whether the store has lately confirmed this controller."""
+    return now - gateway.control.confirmed_at <= _MAX_STORE_AGE
+
+
+def holds_unstored(gateway: Gateway, now: Seconds) -> bool:
+    """Return whether this controller renews grants that the store has lost."""
+    return may_renew(gateway, now) and any(
+        keyed.renewal_end is not None
+        for keyed in gateway.control.keyed.values()
+    )
+
+
 def is_restoring(gateway: Gateway) -> bool:
     """Return whether the store may lack tables that only this gateway has."""
     return gateway.control.leading and any(
--- a/trefoilsaddle/gateway/following.py
+++ b/trefoilsaddle/gateway/following.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 from types import MappingProxyType
 
-from trefoilsaddle.core.units import Seconds, ServerId
+from trefoilsaddle.core.units import Seconds, ServerId, StoreEra
 from trefoilsaddle.gateway.configuration import Configuration
 from trefoilsaddle.gateway.effects import (
     Component,
@@ -19,7 +19,11 @@
     SetTimer,
     WriteDecision,
 )
-from trefoilsaddle.gateway.election import step_down
+from trefoilsaddle.gateway.election import (
+    holds_unstored,
+    may_renew,
+    step_down,
+)
 from trefoilsaddle.gateway.events import (
     ConfigurationCopied,
     ControllerAnnounced,
@@ -123,11 +127,19 @@
 ) -> Effects:
     """Connect to a controller whose table is newer than all known ones."""
     link = gateway.link
-    positions = [stored.position for stored in gateway.tables.values()]
+    era = announcement.era
+    if announcement.provisional and _may_know_holders(gateway, now, era):
+        return []
+    positions = [
+        stored.position
+        for stored in gateway.tables.values()
+        if not stored.table.provisional
+    ]
     known = max(positions, default=NO_POSITION)
     if announcement.position <= max(known, link.announced):
         return []
-    link.announced = announcement.position
+    if not announcement.provisional:
+        link.announced = announcement.position
     link.awaited = announcement.controller
     link.awaited_since = now
     link.controller_seen_at = now
@@ -135,6 +147,19 @@
     return [*stepped, *dial(gateway, now, announcement.controller)]
 
 
+def _may_know_holders(gateway: Gateway, now: Seconds, era: StoreEra) -> bool:
+    """Return whether this gateway, or its controller, knows lost tables.
+
+    Another one knows none in the given era.
+    """
+    if not gateway.control.leading:
+        return is_linked(gateway, now)
+    if era > gateway.era:
+        # The store, which has come back, does not reach this controller.
+        return may_renew(gateway, now)
+    return holds_unstored(gateway, now)
+
+
 def _read(gateway: Gateway, topic: Topic, now: Seconds) -> ReadTopic:
     state = gateway.topics[topic]
     state.reading = True
@@ -475,6 +500,11 @@
     known = gateway.tables.get(table.service)
     if known is not None and stored.position <= known.position:
         return []
+    if table.provisional and _may_know_holders(gateway, now, table.era):
+        # The controller that knows the holders stores its table after this one.
+        # If it is lost before, all tables are read once more.
+        gateway.topics[Topic.ownership].next_offset = None
+        return []
     gateway.tables[table.service] = stored
     gateway.link.controller_seen_at = now
     owners = gateway.owners.get(table.service)
--- a/trefoilsaddle/gateway/peermessages.py
+++ b/trefoilsaddle/gateway/peermessages.py
@@ -229,6 +229,8 @@
     era: StoreEra
     # Services whose holders are not all known.
     waits: tuple[ServiceWait, ...] = ()
+    # True if all of its tables are provisional.
+    provisional: bool = False
 
     @property
     def position(self) -> TablePosition:
--- a/trefoilsaddle/gateway/peers.py
+++ b/trefoilsaddle/gateway/peers.py
@@ -104,6 +104,13 @@
     return link.dialed_at is not None and now - link.dialed_at < _LINK_TIME
 
 
+def follows_another(gateway: Gateway, now: Seconds) -> bool:
+    """Return whether another gateway is the controller, or may be."""
+    if gateway.link.address in {None, gateway.own_address()}:
+        return False
+    return is_linked(gateway, now) or is_connecting(gateway, now)
+
+
 def dial(gateway: Gateway, now: Seconds, address: GatewayAddress) -> Effects:
     """Connect to the controller named by the newest table."""
     link = gateway.link
@@ -510,7 +517,9 @@
 
 def _apply_owners(gateway: Gateway, owners: OwnerNews) -> None:
     known = gateway.owners.get(owners.service)
-    if known is not None and owners.position < known.position:
+    # A provisional table names none, and those of an earlier one may still hold.
+    replaced = known is None or not known.owners.entries
+    if known is not None and not replaced and owners.position < known.position:
         return
     gateway.replace_owners(
         owners.service, OwnerMap(owners.entries), owners.position
--- a/trefoilsaddle/gateway/table.py
+++ b/trefoilsaddle/gateway/table.py
@@ -94,6 +94,11 @@
     # those of this table; empty in records that do not state it.
     divided: tuple[ServiceName, ...] = ()
 
+    @property
+    def provisional(self) -> bool:
+        """Return whether the controller knows no holder and waits for them."""
+        return self.incomplete and not self.assignments
+
 
 @dataclass(frozen=True, slots=True)
 class StoredTable:
--- a/trefoilsaddle/gateway/updates.py
+++ b/trefoilsaddle/gateway/updates.py
@@ -9,6 +9,10 @@
     SendConfiguration,
     SendNews,
 )
+from trefoilsaddle.gateway.election import (
+    holds_unstored,
+    is_store_reachable,
+)
 from trefoilsaddle.gateway.events import Topic
 from trefoilsaddle.gateway.pacing import (
     find_batching_delay,
@@ -35,6 +39,8 @@
 # interval and for this time; outages of the store are shorter.
 _ANNOUNCE_INTERVAL = Seconds(0.7)
 _ANNOUNCE_TIME = Seconds(15)
+# Report intervals without a report after which a gateway may have restarted.
+_MISSED_REPORTS = 3
 # Interval between two groups of gateways that get the full state.
 _FULL_UPDATE_INTERVAL = Seconds(0.1)
 # Fraction of this machine's link that full updates may use.
@@ -181,25 +187,52 @@
     if now < control.announce_at:
         return []
     control.announce_at = Seconds(now + _ANNOUNCE_INTERVAL)
-    if now - control.leading_since > _ANNOUNCE_TIME:
+    announcement = _build_announcement(gateway, now)
+    if announcement is None or not _may_be_unknown(gateway, now):
         return []
+    return [
+        AnnounceController(peer, announcement)
+        for node, peer in gateway.link.known.items()
+        if node != gateway.options.node and _is_silent(gateway, node, now)
+    ]
+
+
+def _may_be_unknown(gateway: Gateway, now: Seconds) -> bool:
+    """Return whether a gateway may not learn of this controller otherwise."""
+    if now - gateway.control.leading_since <= _ANNOUNCE_TIME:
+        return True
+    # One that has restarted meanwhile finds no table of this controller.
+    reachable = is_store_reachable(gateway, now)
+    return not reachable or holds_unstored(gateway, now)
+
+
+def _is_silent(gateway: Gateway, node: NodeId, now: Seconds) -> bool:
+    reported_at = gateway.control.reporters.get(node)
+    if reported_at is None:
+        return True
+    interval = find_report_interval(gateway)
+    return now - reported_at > interval * _MISSED_REPORTS
+
+
+def _build_announcement(
+    gateway: Gateway, now: Seconds
+) -> ControllerAnnouncement | None:
     own = gateway.own_address()
-    positions = [
-        stored.position
+    tables = [
+        stored
         for stored in gateway.tables.values()
         if stored.table.controller == own
     ]
-    if not positions:
-        return []
-    newest = max(positions)
-    announcement = ControllerAnnouncement(
-        own, newest.offset, newest.era, list_waits(gateway, now)
+    if not tables:
+        return None
+    newest = max(stored.position for stored in tables)
+    return ControllerAnnouncement(
+        own,
+        newest.offset,
+        newest.era,
+        list_waits(gateway, now),
+        provisional=all(stored.table.provisional for stored in tables),
     )
-    return [
-        AnnounceController(peer, announcement)
-        for node, peer in gateway.link.known.items()
-        if node not in control.reporters and node != gateway.options.node
-    ]
 
 
 def send_configuration(gateway: Gateway, node: NodeId | None) -> Effects:
--- a/trefoilsaddle/wire/gateway.capnp
+++ b/trefoilsaddle/wire/gateway.capnp
@@ -182,6 +182,7 @@
   offset @1 :Int64;
   era @2 :Int64;
   waits @3 :List(ServiceWait);
+  provisional @4 :Bool;
 }
 
 struct ServiceWait {
