--- a/trefoilsaddle/gateway/controller.py
+++ b/trefoilsaddle/gateway/controller.py
@@ -156,7 +156,7 @@
 
 
 def _lacks_holders(gateway: Gateway) -> bool:
-    """Return whether the store names no holder of a service that has some."""
+    """Return whether the store names no holder of a service that may have some."""
     configuration = gateway.configuration
     if configuration is None:
         return False
--- a/trefoilsaddle/gateway/losttables.py
+++ b/trefoilsaddle/gateway/losttables.py
@@ -1,9 +1,9 @@
 """Decide whether the store may have lost the tables of a service.
 
 A service without a table is a new one, or the store came back from a copy that
-is older than its first table.  Both look alike in the store, and the lost tables
-may have granted keys whose holders are renewed still.  A service counts as new
-only if something excludes the loss.
+is older than its first table.  Both look alike in the store, and controllers may
+still renew grants by the lost tables.  A service counts as new only if something
+excludes the loss.
 """
 
 from collections.abc import Collection
