--- a/tests/gatewayscenes.py
+++ b/tests/gatewayscenes.py
@@ -1,5 +1,8 @@
 """Build simulated fleets of gateways and servers for the tests."""
 
+from dataclasses import dataclass
+from random import Random
+
 from measure.gatewayworld import World, build_world
 from trefoilsaddle.core.units import Rank, Seconds, ServiceName, Version
 from trefoilsaddle.gateway.configuration import (
@@ -71,6 +74,35 @@
     return world
 
 
+@dataclass(frozen=True, slots=True)
+class _MovingLoad:
+    """Send requests until a time."""
+
+    world: World
+    random: Random
+    end: float
+    interval: Seconds
+
+    def send(self) -> None:
+        """Send a request to a living gateway, and the next one later."""
+        world = self.world
+        living = [node for node, one in world.processes.items() if one.alive]
+        if living:
+            first = int(world.now) * 7919 % 65_000
+            key = first + self.random.randrange(300)
+            world.call(self.random.choice(living), '/reads/x', key)
+        if world.now < self.end:
+            world.after(self.interval, self.send)
+
+
+def send_moving_load(
+    world: World, random: Random, seconds: Seconds, interval: Seconds
+) -> None:
+    """Send requests for few keys, others each second, so that ranges move."""
+    load = _MovingLoad(world, random, world.now + seconds, interval)
+    world.after(interval, load.send)
+
+
 def list_unowned(world: World, service: str = CATALOGUE) -> list[int]:
     """Return sampled keys of a service that no server holds."""
     keys = range(0, LAST_KEY + 1, 1024)
--- a/tests/test_gatewaylosttables.py
+++ b/tests/test_gatewaylosttables.py
@@ -22,6 +22,7 @@
     build_configuration,
     list_unowned,
     list_unserved,
+    send_moving_load,
 )
 from trefoilsaddle.core.units import (
     NodeId,
@@ -37,6 +38,7 @@
 _GATEWAYS = ('gate-1', 'gate-2')
 _LATE_GATEWAY = 'gate-3'
 _LOAD_TIME = Seconds(60)
+_LOAD_INTERVAL = Seconds(0.02)
 _OUTAGE = Seconds(1.5)
 # Time for which the store turns the controller away from its return on.
 _TURNED_AWAY = Seconds(7)
@@ -89,23 +91,6 @@
         world.run(0.02)
 
 
-def _send_load(world: World, random: Random) -> None:
-    """Send requests for few keys, others each second, so that ranges move."""
-
-    end = world.now + _LOAD_TIME
-
-    def send() -> None:
-        living = [node for node, one in world.processes.items() if one.alive]
-        first = int(world.now) * 7919 % 65_000
-        key = first + random.randrange(300)
-        if living:
-            world.call(random.choice(living), '/reads/x', key)
-        if world.now < end:
-            world.after(0.02, send)
-
-    world.after(0.02, send)
-
-
 # Tables that the store has when the copy is made; the second one is the first
 # that names holders, and each later one moves keys.
 _COPIES = {'before-the-first': 0, 'between': 3, 'after-the-last': 6}
@@ -117,7 +102,7 @@
         world.processes[NodeId(_GATEWAYS[1])].store_cut = True
     for number in range(4):
         world.add_server(f'guide-{number}', CATALOGUE)
-    _send_load(world, Random(seed))
+    send_moving_load(world, Random(seed), _LOAD_TIME, _LOAD_INTERVAL)
     _run_until_stored(world, tables)
     copy = world.store.copy()
     _run_until_stored(world, _COPIES['after-the-last'])
--- a/tests/test_gatewaylosttablessoak.py
+++ b/tests/test_gatewaylosttablessoak.py
@@ -20,12 +20,14 @@
     GATEWAYS,
     build_configuration,
     list_unserved,
+    send_moving_load,
 )
 from trefoilsaddle.core.units import NodeId, Seconds
 from trefoilsaddle.gateway.events import StopRequested
 
 _SEEDS = int(os.environ.get('TREFOIL_EXAMPLES', '8'))
-_TROUBLED_TIME = 30.0
+_TROUBLED_TIME = Seconds(30)
+_LOAD_INTERVAL = Seconds(0.05)
 _MEAN_PAUSE = 1.5
 # Longest time for which the store turns one gateway away, or two gateways do not
 # reach each other.
@@ -96,26 +98,13 @@
     for number in range(4):
         world.add_server(f'guide-{number}', CATALOGUE)
     world.add_server('pay-0', CHECKOUT)
-    _send_load(world, random)
+    send_moving_load(world, random, _TROUBLED_TIME, _LOAD_INTERVAL)
     _plan_troubles(world, random)
     _plan_returns(world, random, copies)
     world.run(_TROUBLED_TIME + _MAX_APART)
     return world
 
 
-def _send_load(world: World, random: Random) -> None:
-    def send() -> None:
-        living = [node for node, one in world.processes.items() if one.alive]
-        key = int(world.now) * 7919 % 65_000 + random.randrange(300)
-        if living:
-            world.call(random.choice(living), '/reads/x', key)
-        if world.now < end:
-            world.after(0.05, send)
-
-    end = world.now + _TROUBLED_TIME
-    world.after(0.05, send)
-
-
 def _plan_troubles(world: World, random: Random) -> None:
     moment = 2.0
     while moment < _TROUBLED_TIME:
--- a/tests/test_gatewayrestore.py
+++ b/tests/test_gatewayrestore.py
@@ -24,8 +24,9 @@
     build_scene,
     list_unowned,
     list_unserved,
+    send_moving_load,
 )
-from trefoilsaddle.core.units import NodeId, Offset, Seconds, StoreEra
+from trefoilsaddle.core.units import Offset, Seconds, StoreEra
 from trefoilsaddle.gateway.assigning import append_table, find_fence
 from trefoilsaddle.gateway.effects import AppendTable
 from trefoilsaddle.gateway.events import (
@@ -44,6 +45,7 @@
 # hold and a new division.
 _MAX_UNOWNED_TIME = 33
 _LOAD_TIME = Seconds(37)
+_LOAD_INTERVAL = Seconds(0.02)
 
 # Time for which a key may be without an owner while it changes hands: the work
 # on it ends, and a grant follows.
@@ -66,22 +68,7 @@
 
 
 def _send_load(world: World, random: Random) -> None:
-    """Send requests for few keys, others each second, so that ranges move."""
-
-    end = world.now + _LOAD_TIME
-
-    def send() -> None:
-        living = [
-            name for name in GATEWAYS if world.processes[NodeId(name)].alive
-        ]
-        if living:
-            first = int(world.now) * 7919 % 65_000
-            key = first + random.randrange(300)
-            world.call(random.choice(living), '/reads/x', key)
-        if world.now < end:
-            world.after(0.02, send)
-
-    world.after(0.02, send)
+    send_moving_load(world, random, _LOAD_TIME, _LOAD_INTERVAL)
 
 
 def _restore(world: World, restore: _Restore) -> None:
